--- /dev/null
+++ b/include/agatetide/base/error.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <boost/system/result.hpp>
+
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace agatetide {
+
+/// @brief What went wrong, in the terms a caller can act on.
+enum class ErrorKind
+{
+  InvalidArgument,
+  Unauthenticated,
+  PermissionDenied,
+  NotFound,
+  Conflict,
+  ResourceExhausted,
+  Unavailable,
+  DeadlineExceeded,
+  NotConfirmed,
+  OutcomeUnknown,
+  DataLoss,
+  Canceled,
+  Internal,
+};
+
+/// @brief What is known about the execution of the request that failed.
+enum class Execution
+{
+  NotRun,
+  Unknown,
+  Completed,
+};
+
+/// @brief A typed error. The remedy tells the reader what to do next.
+struct Error
+{
+  ErrorKind mKind = ErrorKind::Internal;
+  std::string mMessage;
+  std::string mRemedy;
+  Execution mExecution = Execution::NotRun;
+};
+
+/// @brief A value or an Error, carried by value so that it can cross the
+/// suspension points of coroutines.
+template<class T>
+using Result = boost::system::result<T, Error>;
+
+/// @brief The name used in API answers, for example "not_found".
+std::string_view ErrorKindName(ErrorKind aKind);
+
+/// @brief The inverse of ErrorKindName(); unknown names give Internal.
+ErrorKind ErrorKindFromName(std::string_view aName);
+
+/// @brief "not_run", "unknown" or "completed".
+std::string_view ExecutionName(Execution aExecution);
+
+/// @brief The inverse of ExecutionName(); unknown names give Unknown.
+Execution ExecutionFromName(std::string_view aName);
+
+/// @brief "kind: message (remedy)" for logs and command-line output.
+std::string FormatError(const Error& aError);
+
+/// @brief Called by Result::value() on an error.
+[[noreturn]] void throw_exception_from_error(
+  const Error& aError,
+  const boost::source_location& aLocation);
+
+} // namespace agatetide
--- /dev/null
+++ b/include/agatetide/coordination/membership.hpp
@@ -0,0 +1,161 @@
+#pragma once
+
+#include "agatetide/base/clock.hpp"
+#include "agatetide/base/random.hpp"
+#include "agatetide/coordination/messages.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace agatetide::coordination {
+
+struct MembershipOptions
+{
+  Milliseconds mProbeInterval{ 250 };
+  Milliseconds mProbeTimeout{ 500 };
+  Milliseconds mSuspicionTime{ 1500 };
+  /// Dead members are forgotten after this time.
+  Milliseconds mForgetTime{ 60000 };
+  unsigned mIndirectProbes = 2;
+  unsigned mMaxUpdatesPerMessage = 12;
+  unsigned mMaxFactsPerMessage = 16;
+};
+
+/// @brief One member as this daemon sees it.
+struct Member
+{
+  MemberUpdate mInfo;
+  TimePoint mStateSince{};
+  TimePoint mLastAck{};
+  int64_t mConfigVersion = 0;
+};
+
+/// @brief What an acknowledged probe proves about a peer.
+struct ProbeProof
+{
+  std::string mAddress;
+  TimePoint mProbeSent{};
+  int64_t mConfigVersion = 0;
+  std::optional<Milliseconds> mProofAge;
+  bool mStoreContact = false;
+};
+
+struct MembershipHooks
+{
+  /// Sends a datagram to a member's address. Must not call back.
+  std::function<void(const std::string&, const Datagram&)> mSend;
+  /// Called for each change of a member's state.
+  std::function<void(const Member&)> mOnChange;
+  /// Called for each direct acknowledgement.
+  std::function<void(const ProbeProof&)> mOnProof;
+  /// Fills the configuration fields of an outgoing datagram.
+  std::function<void(Datagram&)> mFill;
+};
+
+/// @brief Failure detection by randomised probing with indirect probes and
+/// suspicion, and gossip of member updates and shared facts.
+///
+/// A state machine without I/O. Not thread-safe; owned by one duty.
+class Membership
+{
+public:
+  /// @brief Precondition: aSelf.mAddress is not empty and all hooks are set.
+  /// Errors: InvalidArgument otherwise.
+  static Result<Membership> Create(MemberUpdate aSelf,
+                                   MembershipOptions aOptions,
+                                   MembershipHooks aHooks,
+                                   Clock aClock,
+                                   Random aRandom);
+
+  /// @brief Adds addresses to probe; known members are left as they are.
+  void AddSeeds(const std::vector<MemberUpdate>& aSeeds);
+
+  /// @brief Sends the next probe and moves time-outs on. Call it each probe
+  /// interval; a late call delays detection and does no harm.
+  void Tick();
+
+  /// @brief Handles one decoded datagram.
+  void Receive(const Datagram& aDatagram);
+
+  /// @brief Announces that this daemon takes no new callers.
+  void SetDraining();
+
+  /// @brief Announces that this daemon leaves, to a few members at once.
+  void Leave();
+
+  /// @brief Shares a fact with all members; a higher sequence replaces it.
+  void Publish(SharedFact aFact);
+
+  /// @brief The value of a fact, or nullptr.
+  const SharedFact* Fact(const std::string& aTopic,
+                         const std::string& aKey) const;
+
+  /// @brief All facts of one topic.
+  std::vector<SharedFact> Facts(const std::string& aTopic) const;
+
+  const MemberUpdate& Self() const { return mSelf; }
+
+  /// @brief All known members other than this daemon.
+  const std::map<std::string, Member>& Members() const { return mMembers; }
+
+  /// @brief Members that are alive or only suspected, without this daemon.
+  std::vector<const Member*> Live() const;
+
+private:
+  struct PendingProbe
+  {
+    std::string mAddress;
+    TimePoint mSent{};
+    bool mIndirect = false;
+    /// Set when this daemon probes for another one.
+    std::string mRequester;
+    uint64_t mRequesterSequence = 0;
+  };
+
+  struct Queued
+  {
+    std::string mKey;
+    unsigned mSends = 0;
+  };
+
+  Membership(MemberUpdate aSelf,
+             MembershipOptions aOptions,
+             MembershipHooks aHooks,
+             Clock aClock,
+             Random aRandom);
+
+  void ProbeNext();
+  void ExpireProbes();
+  void ExpireSuspects();
+  void SendProbe(const std::string& aAddress,
+                 std::string aRequester,
+                 uint64_t aRequesterSequence);
+  void RequestIndirect(const std::string& aAddress, uint64_t aSequence);
+  void Suspect(const std::string& aAddress);
+  void HandleAck(const Datagram& aDatagram);
+  void Merge(const MemberUpdate& aUpdate);
+  void MergeSelf(const MemberUpdate& aUpdate);
+  void MergeFact(const SharedFact& aFact);
+  void Announce(const std::string& aAddress);
+  void Send(const std::string& aAddress, Datagram aDatagram);
+  unsigned TransmitLimit() const;
+
+  MemberUpdate mSelf;
+  MembershipOptions mOptions;
+  MembershipHooks mHooks;
+  Clock mClock;
+  Random mRandom;
+  std::map<std::string, Member> mMembers;
+  std::vector<std::string> mProbeOrder;
+  std::map<uint64_t, PendingProbe> mPending;
+  uint64_t mNextSequence = 1;
+  std::deque<Queued> mUpdateQueue;
+  std::map<std::string, SharedFact> mFacts;
+  std::deque<Queued> mFactQueue;
+};
+
+} // namespace agatetide::coordination
--- /dev/null
+++ b/include/agatetide/coordination/store.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "agatetide/base/error.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace agatetide::coordination {
+
+template<class T>
+using Awaitable = boost::asio::awaitable<T>;
+
+/// @brief One key of the platform store.
+struct StoreEntry
+{
+  std::string mKey;
+  std::string mValue;
+  int64_t mCreateRevision = 0;
+  int64_t mModRevision = 0;
+  int64_t mLease = 0;
+};
+
+/// @brief Reads the keys in [mKey, mRangeEnd), or mKey alone when mRangeEnd
+/// is empty.
+struct RangeRequest
+{
+  std::string mKey;
+  std::string mRangeEnd;
+  int64_t mLimit = 0;
+};
+
+/// @brief Holds when the key's mod revision equals mModRevision; 0 means that
+/// the key does not exist.
+struct StoreCompare
+{
+  std::string mKey;
+  int64_t mModRevision = 0;
+};
+
+struct StorePut
+{
+  std::string mKey;
+  std::string mValue;
+  int64_t mLease = 0;
+};
+
+struct StoreDelete
+{
+  std::string mKey;
+};
+
+/// @brief Applies the writes when all comparisons hold, otherwise answers
+/// the current entries of mReadOnFailure.
+struct TransactionRequest
+{
+  std::vector<StoreCompare> mCompares;
+  std::vector<StorePut> mPuts;
+  std::vector<StoreDelete> mDeletes;
+  std::vector<std::string> mReadOnFailure;
+};
+
+struct LeaseGrantRequest
+{
+  int64_t mTtlSeconds = 0;
+};
+
+struct LeaseKeepAliveRequest
+{
+  int64_t mLease = 0;
+};
+
+struct LeaseRevokeRequest
+{
+  int64_t mLease = 0;
+};
+
+using StoreRequest = std::variant<RangeRequest,
+                                  TransactionRequest,
+                                  LeaseGrantRequest,
+                                  LeaseKeepAliveRequest,
+                                  LeaseRevokeRequest>;
+
+/// @brief The answer to any StoreRequest; fields that do not apply stay at
+/// their defaults.
+struct StoreReply
+{
+  int64_t mRevision = 0;
+  bool mSucceeded = false;
+  std::vector<StoreEntry> mEntries;
+  int64_t mLease = 0;
+  int64_t mTtlSeconds = 0;
+};
+
+/// @brief Sends one request to the platform store.
+///
+/// Errors: Unavailable with Execution::NotRun when nothing was sent;
+/// OutcomeUnknown when the request may have taken effect. A write whose
+/// answer is OutcomeUnknown must be read back before it is repeated.
+using StoreCall = std::function<Awaitable<Result<StoreReply>>(StoreRequest)>;
+
+/// @brief The end of the range that covers every key with this prefix.
+std::string PrefixEnd(std::string_view aPrefix);
+
+/// @brief Reads one key; nullopt when it does not exist.
+/// The hook is copied, so it may go away while the call is suspended.
+Awaitable<Result<std::optional<StoreEntry>>> ReadKey(StoreCall aStore,
+                                                     std::string aKey);
+
+/// @brief Reads all keys with a prefix, in key order.
+Awaitable<Result<StoreReply>> ReadPrefix(StoreCall aStore, std::string aPrefix);
+
+} // namespace agatetide::coordination
--- /dev/null
+++ b/include/agatetide/coordination/trust.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "agatetide/base/clock.hpp"
+#include "agatetide/coordination/membership.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace agatetide::coordination {
+
+struct TrustOptions
+{
+  /// How long a proof counts. At most kMaxTrustTime, so that a withdrawn key
+  /// stops working within 7 s.
+  Milliseconds mTrustTime{ 5000 };
+};
+
+inline constexpr Milliseconds kMaxTrustTime{ 6000 };
+
+/// @brief A stored change that waits to be in force everywhere.
+struct Acceptance
+{
+  int64_t mVersion = 0;
+  /// When the answer of the store arrived.
+  TimePoint mStored{};
+  std::optional<TimePoint> mMajorityCaughtUp;
+};
+
+/// @brief Decides whether the local configuration copy may be served from.
+///
+/// The copy is trusted with a proof that it was the store's head within the
+/// trust time, or while a majority of the configured hosts answered probes
+/// within that time, all without store contact and none with a higher
+/// version. Not thread-safe; owned by one duty.
+class Trust
+{
+public:
+  /// @brief Errors: InvalidArgument when the trust time is not in
+  /// (0, kMaxTrustTime].
+  static Result<Trust> Create(std::string aSelf,
+                              TrustOptions aOptions,
+                              Clock aClock);
+
+  /// @brief Records that the store's head was read and equals aVersion.
+  /// aSent is when the read was sent.
+  void RecordStoreRead(TimePoint aSent, int64_t aVersion);
+
+  /// @brief Records a peer's acknowledgement.
+  void RecordProof(const ProbeProof& aProof);
+
+  /// @brief Hosts of the present configuration; the majority is counted
+  /// among them.
+  void SetHosts(std::set<std::string> aHosts);
+
+  /// @brief Whether a copy at aVersion may be served from now.
+  bool Trusted(int64_t aVersion) const;
+
+  /// @brief Until when a copy at aVersion may be served from without a new
+  /// proof. Readers on other threads compare it with the clock at each use,
+  /// so that a frozen process does not serve after it wakes. A time in the
+  /// past means not trusted.
+  TimePoint TrustedUntil(int64_t aVersion) const;
+
+  /// @brief Age of the proof for aVersion, to hand on to peers.
+  std::optional<Milliseconds> ProofAge(int64_t aVersion) const;
+
+  /// @brief Whether the store answered this daemon within the trust time.
+  bool StoreContact() const;
+
+  /// @brief Whether a majority of the configured hosts, this one included,
+  /// acknowledged a probe within the trust time.
+  bool MajorityReachable() const;
+
+  /// @brief Whether a change can be answered as accepted: each configured
+  /// host acknowledged its version, or a majority did and the trust time has
+  /// passed since then, so that every other host has stopped trusting an
+  /// older version. Call it repeatedly; it notes when the majority caught up.
+  bool Accepted(Acceptance& aAcceptance) const;
+
+  Milliseconds TrustTime() const { return mOptions.mTrustTime; }
+
+private:
+  struct Peer
+  {
+    TimePoint mProbeSent{};
+    int64_t mConfigVersion = 0;
+    bool mStoreContact = false;
+  };
+
+  Trust(std::string aSelf, TrustOptions aOptions, Clock aClock);
+
+  bool Recent(TimePoint aTime) const;
+  TimePoint MajorityWithoutStoreUntil(int64_t aVersion) const;
+
+  std::string mSelf;
+  TrustOptions mOptions;
+  Clock mClock;
+  TimePoint mProofTime{};
+  int64_t mProofVersion = -1;
+  TimePoint mStoreRead{};
+  std::set<std::string> mHosts;
+  std::map<std::string, Peer> mPeers;
+};
+
+} // namespace agatetide::coordination
--- /dev/null
+++ b/include/agatetide/http/client.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "agatetide/http/message.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <chrono>
+#include <memory>
+
+namespace agatetide::http {
+
+struct ClientOptions
+{
+  std::chrono::milliseconds mConnectTimeout{ 1000 };
+  size_t mMaxBodyBytes = size_t{ 64 } << 20U;
+  /// Idle connections kept for each endpoint.
+  size_t mMaxIdle = 32;
+  /// Idle connections older than this are not used again.
+  std::chrono::milliseconds mMaxIdleTime{ 30000 };
+};
+
+struct CallOptions
+{
+  std::chrono::steady_clock::time_point mDeadline{};
+  /// Uses a new connection, so that a failed write proves that the server
+  /// has not received the request.
+  bool mFreshConnection = false;
+};
+
+/// @brief Takes one piece of a streamed body; false cancels the call.
+using BodySink = std::function<bool(std::string_view)>;
+
+/// @brief HTTP/1.1 client that keeps connections open. All methods must be
+/// called from the executor given to Create().
+///
+/// Errors of calls: Unavailable (not run) when the request was not sent;
+/// OutcomeUnknown when the connection failed after that; DeadlineExceeded
+/// with the matching execution; DataLoss when the answer was cut.
+class Client
+{
+public:
+  static std::unique_ptr<Client> Create(boost::asio::any_io_executor aExecutor,
+                                        ClientOptions aOptions = {});
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  /// @brief Sends a request and returns the whole answer.
+  Awaitable<Result<Response>> Call(Endpoint aEndpoint,
+                                   Request aRequest,
+                                   CallOptions aOptions);
+
+  /// @brief Sends a request and passes the body of a 200 answer to aSink as
+  /// it arrives. The returned response has a body only for other statuses.
+  Awaitable<Result<Response>> Stream(Endpoint aEndpoint,
+                                     Request aRequest,
+                                     CallOptions aOptions,
+                                     BodySink aSink);
+
+private:
+  struct State;
+  explicit Client(std::shared_ptr<State> aState);
+  std::shared_ptr<State> mState;
+};
+
+} // namespace agatetide::http
--- /dev/null
+++ b/include/agatetide/platform/platform_api.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "agatetide/http/client.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace agatetide::platform {
+
+using http::Awaitable;
+
+/// @brief Desired replicas of one upstream in one availability zone.
+/// Declarative, so that a repeat changes nothing.
+struct UpstreamOrder
+{
+  std::string mUpstream;
+  std::string mAvailabilityZone;
+  uint32_t mRegular = 0;
+  uint32_t mPreemptible = 0;
+  int64_t mSequence = 0;
+  int64_t mFencingNumber = 0;
+};
+
+/// @brief One entry of the platform's lagging host list.
+struct ListedUpstream
+{
+  std::string mAddress;
+  bool mLeaving = false;
+};
+
+/// @brief Sends an order to the platform. Errors: those of http::Client;
+/// PermissionDenied when the fencing number is old.
+Awaitable<Result<bool>> SendOrder(
+  http::Client& aClient,
+  http::Endpoint aPlatform,
+  UpstreamOrder aOrder,
+  std::chrono::steady_clock::time_point aDeadline);
+
+/// @brief Sends the sealed bytes of a usage window.
+Awaitable<Result<bool>> SendUsage(
+  http::Client& aClient,
+  http::Endpoint aPlatform,
+  std::string aSealedWindow,
+  std::chrono::steady_clock::time_point aDeadline);
+
+/// @brief Reads the list of live and leaving upstreams.
+Awaitable<Result<std::vector<ListedUpstream>>> ReadHostList(
+  http::Client& aClient,
+  http::Endpoint aPlatform,
+  std::chrono::steady_clock::time_point aDeadline);
+
+} // namespace agatetide::platform
--- /dev/null
+++ b/src/agatetide/base/encoding_test.cpp
@@ -0,0 +1,22 @@
+#include "agatetide/base/encoding.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace agatetide;
+
+// Guards against lost trailing bytes when the length is not a multiple of 3.
+Test(encoding, base64_round_trip_keeps_every_length)
+{
+  std::string bytes;
+  for (int length = 0; length < 70; ++length) {
+    cr_assert(Base64Decode(Base64Encode(bytes)).value() == bytes);
+    bytes += static_cast<char>(length * 37);
+  }
+}
+
+// Guards against malformed store answers being taken as data.
+Test(encoding, base64_refuses_malformed_text)
+{
+  cr_assert(Base64Decode("abc").has_error());
+  cr_assert(Base64Decode("a!c=").has_error());
+}
--- /dev/null
+++ b/src/agatetide/base/event_log_test.cpp
@@ -0,0 +1,25 @@
+#include "agatetide/base/event_log.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace agatetide;
+
+// Guards against a value that forges further fields or lines.
+Test(event_log, values_cannot_forge_fields_or_lines)
+{
+  Event event("call");
+  event.Field("name", std::string("a\nlevel=error b=\"c\""));
+  cr_assert(event.Text() == "event=call name=\"a\\nlevel=error b=\\\"c\\\"\"");
+}
+
+// Guards against repeated errors flooding the log, and against losing count.
+Test(event_log, limiter_counts_suppressed_lines)
+{
+  LogLimiter limiter(std::chrono::seconds(1));
+  const std::chrono::steady_clock::time_point start{ std::chrono::hours(1) };
+  cr_assert(limiter.Allow(start));
+  cr_assert(!limiter.Allow(start + std::chrono::milliseconds(500)));
+  cr_assert(limiter.Allow(start + std::chrono::milliseconds(1000)));
+  cr_assert(limiter.TakeSuppressed() == 1);
+  cr_assert(limiter.TakeSuppressed() == 0);
+}
--- /dev/null
+++ b/src/agatetide/coordination/messages.cpp
@@ -0,0 +1,75 @@
+#include "agatetide/coordination/messages.hpp"
+
+#include "agatetide/base/encoding.hpp"
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <sstream>
+
+namespace agatetide::coordination {
+
+namespace {
+
+constexpr std::string_view kMagic = "agt1";
+constexpr size_t kCodeBytes = 16;
+constexpr size_t kMaxMessageBytes = size_t{ 16 } << 20U;
+
+Error InvalidMessage(std::string_view aWhy)
+{
+  return { ErrorKind::InvalidArgument,
+           "inter-daemon message refused: " + std::string(aWhy),
+           "check that all daemons share cluster_secret and version" };
+}
+
+} // namespace
+
+template<class Message>
+std::string EncodeMessage(const Message& aMessage, std::string_view aSecret)
+{
+  std::ostringstream stream;
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(aMessage);
+  }
+  std::string body = std::move(stream).str();
+  std::string bytes(kMagic);
+  bytes += HmacSha256(aSecret, body).substr(0, kCodeBytes);
+  bytes += body;
+  return bytes;
+}
+
+template<class Message>
+Result<Message> DecodeMessage(std::string_view aBytes, std::string_view aSecret)
+{
+  if (aBytes.size() < kMagic.size() + kCodeBytes ||
+      aBytes.size() > kMaxMessageBytes) {
+    return InvalidMessage("size");
+  }
+  if (aBytes.substr(0, kMagic.size()) != kMagic) {
+    return InvalidMessage("magic or version");
+  }
+  const std::string_view code = aBytes.substr(kMagic.size(), kCodeBytes);
+  const std::string_view body = aBytes.substr(kMagic.size() + kCodeBytes);
+  if (!ConstantTimeEqual(HmacSha256(aSecret, body).substr(0, kCodeBytes),
+                         code)) {
+    return InvalidMessage("authentication code");
+  }
+  try {
+    std::istringstream stream{ std::string(body) };
+    cereal::PortableBinaryInputArchive archive(stream);
+    Message message;
+    archive(message);
+    return message;
+  } catch (const std::exception&) {
+    return InvalidMessage("body");
+  }
+}
+
+template std::string EncodeMessage(const Datagram&, std::string_view);
+template Result<Datagram> DecodeMessage(std::string_view, std::string_view);
+template std::string EncodeMessage(const PeerRequest&, std::string_view);
+template Result<PeerRequest> DecodeMessage(std::string_view, std::string_view);
+template std::string EncodeMessage(const PeerReply&, std::string_view);
+template Result<PeerReply> DecodeMessage(std::string_view, std::string_view);
+
+} // namespace agatetide::coordination
--- /dev/null
+++ b/src/agatetide/http/client.cpp
@@ -0,0 +1,305 @@
+#include "agatetide/http/client.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <deque>
+#include <map>
+#include <optional>
+
+namespace agatetide::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+namespace {
+
+struct Connection
+{
+  explicit Connection(const asio::any_io_executor& aExecutor)
+    : mStream(aExecutor)
+  {
+  }
+
+  beast::tcp_stream mStream;
+  beast::flat_buffer mBuffer;
+  SteadyTime mIdleSince{};
+};
+
+using ConnectionPtr = std::unique_ptr<Connection>;
+
+Error NotSent(const Endpoint& aEndpoint, const ErrorCode& aError)
+{
+  const bool late = aError == beast::error::timeout;
+  return { late ? ErrorKind::DeadlineExceeded : ErrorKind::Unavailable,
+           "cannot reach " + aEndpoint.mAddress + ":" +
+             std::to_string(aEndpoint.mPort) + ": " + aError.message(),
+           "check that the process is running, or use another address",
+           Execution::NotRun };
+}
+
+Error Interrupted(const Endpoint& aEndpoint, const ErrorCode& aError)
+{
+  const bool late = aError == beast::error::timeout;
+  return { late ? ErrorKind::DeadlineExceeded : ErrorKind::OutcomeUnknown,
+           "no whole answer from " + aEndpoint.mAddress + ":" +
+             std::to_string(aEndpoint.mPort) + ": " + aError.message(),
+           "the request may have run; repeat it only if it is idempotent",
+           Execution::Unknown };
+}
+
+Error CutAnswer(const Endpoint& aEndpoint)
+{
+  return { ErrorKind::DataLoss,
+           "the answer from " + aEndpoint.mAddress + ":" +
+             std::to_string(aEndpoint.mPort) + " was cut",
+           "the request may have run; repeat it only if it is idempotent",
+           Execution::Unknown };
+}
+
+beast::http::request<beast::http::string_body> ToMessage(
+  const Endpoint& aEndpoint,
+  Request& aRequest)
+{
+  beast::http::request<beast::http::string_body> message;
+  message.version(11);
+  message.method_string(aRequest.mMethod);
+  message.target(aRequest.mTarget);
+  message.set(beast::http::field::host,
+              aEndpoint.mAddress + ":" + std::to_string(aEndpoint.mPort));
+  for (const Header& header : aRequest.mHeaders) {
+    message.set(header.mName, header.mValue);
+  }
+  message.body() = std::move(aRequest.mBody);
+  message.keep_alive(true);
+  message.prepare_payload();
+  return message;
+}
+
+template<class Fields>
+Response HeaderOf(const Fields& aMessage)
+{
+  Response response;
+  response.mStatus = aMessage.result_int();
+  for (const auto& field : aMessage) {
+    response.mHeaders.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  return response;
+}
+
+/// Whether an idle connection is still open and silent. A server that closed
+/// it, or sent something unasked, must not get a further request.
+bool Usable(Connection& aConnection)
+{
+  ErrorCode error;
+  auto& socket = aConnection.mStream.socket();
+  char byte = 0;
+  socket.non_blocking(true, error);
+  socket.receive(
+    asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+} // namespace
+
+struct Client::State
+{
+  asio::any_io_executor mExecutor;
+  ClientOptions mOptions;
+  std::map<std::string, std::deque<ConnectionPtr>> mIdle;
+
+  static std::string Key(const Endpoint& aEndpoint)
+  {
+    return aEndpoint.mAddress + ":" + std::to_string(aEndpoint.mPort);
+  }
+
+  ConnectionPtr TakeIdle(const Endpoint& aEndpoint)
+  {
+    const auto found = mIdle.find(Key(aEndpoint));
+    if (found == mIdle.end()) {
+      return nullptr;
+    }
+    const SteadyTime now = std::chrono::steady_clock::now();
+    while (!found->second.empty()) {
+      ConnectionPtr connection = std::move(found->second.back());
+      found->second.pop_back();
+      if (now - connection->mIdleSince < mOptions.mMaxIdleTime &&
+          Usable(*connection)) {
+        return connection;
+      }
+    }
+    return nullptr;
+  }
+
+  void Keep(const Endpoint& aEndpoint, ConnectionPtr aConnection)
+  {
+    auto& idle = mIdle[Key(aEndpoint)];
+    if (idle.size() < mOptions.mMaxIdle && aConnection->mBuffer.size() == 0) {
+      aConnection->mStream.expires_never();
+      aConnection->mIdleSince = std::chrono::steady_clock::now();
+      idle.push_back(std::move(aConnection));
+    }
+  }
+
+  Awaitable<Result<ConnectionPtr>> Connect(const Endpoint& aEndpoint,
+                                           const CallOptions& aOptions)
+  {
+    if (!aOptions.mFreshConnection) {
+      if (ConnectionPtr idle = TakeIdle(aEndpoint)) {
+        co_return idle;
+      }
+    }
+    auto connection = std::make_unique<Connection>(mExecutor);
+    ErrorCode error;
+    const auto address = asio::ip::make_address(aEndpoint.mAddress, error);
+    if (error) {
+      co_return NotSent(aEndpoint, error);
+    }
+    const SteadyTime limit =
+      std::chrono::steady_clock::now() + mOptions.mConnectTimeout;
+    connection->mStream.expires_at(std::min(limit, aOptions.mDeadline));
+    co_await connection->mStream.async_connect(
+      Tcp::endpoint(address, aEndpoint.mPort),
+      asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      const bool deadline =
+        std::chrono::steady_clock::now() >= aOptions.mDeadline;
+      Error failure = NotSent(aEndpoint, error);
+      failure.mKind =
+        deadline ? ErrorKind::DeadlineExceeded : ErrorKind::Unavailable;
+      co_return failure;
+    }
+    connection->mStream.socket().set_option(Tcp::no_delay(true), error);
+    co_return connection;
+  }
+
+  Awaitable<Result<ConnectionPtr>> Send(const Endpoint& aEndpoint,
+                                        Request& aRequest,
+                                        const CallOptions& aOptions)
+  {
+    auto connected = co_await Connect(aEndpoint, aOptions);
+    if (connected.has_error()) {
+      co_return connected.error();
+    }
+    Connection& connection = **connected;
+    const auto message = ToMessage(aEndpoint, aRequest);
+    connection.mStream.expires_at(aOptions.mDeadline);
+    ErrorCode error;
+    co_await beast::http::async_write(
+      connection.mStream,
+      message,
+      asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_return Interrupted(aEndpoint, error);
+    }
+    co_return std::move(*connected);
+  }
+};
+
+std::unique_ptr<Client> Client::Create(asio::any_io_executor aExecutor,
+                                       ClientOptions aOptions)
+{
+  auto state = std::make_shared<State>();
+  state->mExecutor = std::move(aExecutor);
+  state->mOptions = aOptions;
+  return std::unique_ptr<Client>(new Client(std::move(state)));
+}
+
+Client::Client(std::shared_ptr<State> aState)
+  : mState(std::move(aState))
+{
+}
+
+Client::~Client() = default;
+
+Awaitable<Result<Response>> Client::Call(Endpoint aEndpoint,
+                                         Request aRequest,
+                                         CallOptions aOptions)
+{
+  std::string body;
+  auto streamed = co_await Stream(std::move(aEndpoint),
+                                  std::move(aRequest),
+                                  aOptions,
+                                  [&](std::string_view aPart) {
+                                    body.append(aPart);
+                                    return true;
+                                  });
+  if (streamed.has_value() && streamed->mStatus == 200) {
+    streamed->mBody = std::move(body);
+  }
+  co_return streamed;
+}
+
+Awaitable<Result<Response>> Client::Stream(Endpoint aEndpoint,
+                                           Request aRequest,
+                                           CallOptions aOptions,
+                                           BodySink aSink)
+{
+  const std::shared_ptr<State> state = mState;
+  auto sent = co_await state->Send(aEndpoint, aRequest, aOptions);
+  if (sent.has_error()) {
+    co_return sent.error();
+  }
+  ConnectionPtr connection = std::move(*sent);
+  beast::http::response_parser<beast::http::buffer_body> parser;
+  parser.body_limit(state->mOptions.mMaxBodyBytes);
+  if (aRequest.mMethod == "HEAD") {
+    parser.skip(true);
+  }
+  ErrorCode error;
+  co_await beast::http::async_read_header(
+    connection->mStream,
+    connection->mBuffer,
+    parser,
+    asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return Interrupted(aEndpoint, error);
+  }
+  if (parser.get().need_eof()) {
+    // Without a length or chunks, a cut answer looks like a whole one.
+    co_return CutAnswer(aEndpoint);
+  }
+  Response response = HeaderOf(parser.get());
+  std::array<char, 16384> piece{};
+  while (!parser.is_done()) {
+    parser.get().body().data = piece.data();
+    parser.get().body().size = piece.size();
+    co_await beast::http::async_read(
+      connection->mStream,
+      connection->mBuffer,
+      parser,
+      asio::redirect_error(asio::use_awaitable, error));
+    if (error == beast::http::error::need_buffer) {
+      error = {};
+    }
+    const std::string_view part(piece.data(),
+                                piece.size() - parser.get().body().size);
+    if (response.mStatus != 200) {
+      response.mBody.append(part);
+    } else if (!part.empty() && !aSink(part)) {
+      co_return Error{
+        ErrorKind::Canceled, "the call was canceled", "none", Execution::Unknown
+      };
+    }
+    if (error == beast::error::timeout) {
+      co_return Interrupted(aEndpoint, error);
+    }
+    if (error) {
+      co_return CutAnswer(aEndpoint);
+    }
+  }
+  if (parser.keep_alive()) {
+    state->Keep(aEndpoint, std::move(connection));
+  }
+  co_return response;
+}
+
+} // namespace agatetide::http
--- /dev/null
+++ b/src/agatetide/http/server.cpp
@@ -0,0 +1,350 @@
+#include "agatetide/http/server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+
+namespace agatetide::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+struct Server::State : std::enable_shared_from_this<Server::State>
+{
+  State(asio::any_io_executor aExecutor,
+        ServerOptions aOptions,
+        Handler aHandler)
+    : mAcceptor(aExecutor)
+    , mOptions(std::move(aOptions))
+    , mHandler(std::move(aHandler))
+  {
+  }
+
+  Tcp::acceptor mAcceptor;
+  ServerOptions mOptions;
+  Handler mHandler;
+  bool mStopping = false;
+  size_t mRunning = 0;
+  size_t mConnections = 0;
+  ServerCounters mCounters;
+};
+
+namespace {
+
+/// Counts something for as long as it lives.
+class Counted
+{
+public:
+  explicit Counted(size_t& aCount)
+    : mCount(aCount)
+  {
+    ++mCount;
+  }
+  ~Counted() { --mCount; }
+  Counted(const Counted&) = delete;
+  Counted& operator=(const Counted&) = delete;
+
+private:
+  size_t& mCount;
+};
+
+Request ToRequest(beast::http::request<beast::http::string_body>&& aMessage,
+                  std::string aPeer)
+{
+  Request request;
+  request.mMethod = std::string(aMessage.method_string());
+  request.mTarget = std::string(aMessage.target());
+  for (const auto& field : aMessage) {
+    request.mHeaders.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  request.mBody = std::move(aMessage.body());
+  request.mPeer = std::move(aPeer);
+  return request;
+}
+
+Error ReadError(const ErrorCode& aError)
+{
+  if (aError == beast::http::error::body_limit) {
+    return { ErrorKind::ResourceExhausted,
+             "the body is too large",
+             "send a smaller body" };
+  }
+  if (aError == beast::http::error::header_limit) {
+    return { ErrorKind::ResourceExhausted,
+             "the header is too large",
+             "send fewer or shorter header fields" };
+  }
+  return { ErrorKind::InvalidArgument,
+           "the request is not valid HTTP",
+           "send HTTP/1.1" };
+}
+
+template<class Body>
+void FillHeader(beast::http::response<Body>& aMessage,
+                const Response& aResponse,
+                bool aKeepAlive)
+{
+  aMessage.version(11);
+  aMessage.result(aResponse.mStatus);
+  for (const Header& header : aResponse.mHeaders) {
+    aMessage.set(header.mName, header.mValue);
+  }
+  aMessage.keep_alive(aKeepAlive);
+}
+
+Awaitable<bool> WriteWhole(beast::tcp_stream& aStream,
+                           Response& aResponse,
+                           bool aKeepAlive,
+                           std::chrono::milliseconds aTimeout)
+{
+  beast::http::response<beast::http::string_body> message;
+  FillHeader(message, aResponse, aKeepAlive);
+  message.body() = std::move(aResponse.mBody);
+  message.prepare_payload();
+  ErrorCode error;
+  aStream.expires_after(aTimeout);
+  co_await beast::http::async_write(
+    aStream, message, asio::redirect_error(asio::use_awaitable, error));
+  co_return !error;
+}
+
+Error CallerGone()
+{
+  return { ErrorKind::Unavailable,
+           "the caller closed the connection",
+           "none",
+           Execution::Unknown };
+}
+
+Awaitable<bool> WriteStream(beast::tcp_stream& aStream,
+                            Response& aResponse,
+                            bool aKeepAlive,
+                            std::chrono::milliseconds aTimeout)
+{
+  beast::http::response<beast::http::empty_body> message;
+  FillHeader(message, aResponse, aKeepAlive);
+  message.chunked(true);
+  beast::http::response_serializer<beast::http::empty_body> serializer(message);
+  ErrorCode error;
+  aStream.expires_after(aTimeout);
+  co_await beast::http::async_write_header(
+    aStream, serializer, asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return false;
+  }
+  const ChunkWriter writer =
+    [&](std::string aChunk) -> Awaitable<Result<bool>> {
+    if (aChunk.empty()) {
+      co_return true; // An empty chunk would end the body.
+    }
+    ErrorCode failed;
+    aStream.expires_after(aTimeout);
+    co_await asio::async_write(
+      aStream,
+      beast::http::make_chunk(asio::buffer(aChunk)),
+      asio::redirect_error(asio::use_awaitable, failed));
+    if (failed) {
+      co_return CallerGone();
+    }
+    co_return true;
+  };
+  aStream.expires_never();
+  const Result<bool> written = co_await aResponse.mStream(writer);
+  if (written.has_error()) {
+    co_return false;
+  }
+  aStream.expires_after(aTimeout);
+  co_await asio::async_write(aStream,
+                             beast::http::make_chunk_last(),
+                             asio::redirect_error(asio::use_awaitable, error));
+  co_return !error;
+}
+
+std::string PeerName(const beast::tcp_stream& aStream)
+{
+  ErrorCode error;
+  const auto endpoint = aStream.socket().remote_endpoint(error);
+  return error ? std::string() : endpoint.address().to_string();
+}
+
+} // namespace
+
+namespace {
+
+template<class ServerState>
+Awaitable<void> Serve(std::shared_ptr<ServerState> aState,
+                      beast::tcp_stream aStream)
+{
+  const Counted connection(aState->mConnections);
+  const ServerOptions& options = aState->mOptions;
+  aStream.socket().set_option(Tcp::no_delay(true));
+  beast::flat_buffer buffer;
+  bool keepAlive = true;
+  while (keepAlive) {
+    beast::http::request_parser<beast::http::string_body> parser;
+    parser.header_limit(static_cast<uint32_t>(options.mMaxHeaderBytes));
+    parser.body_limit(options.mMaxBodyBytes);
+    ErrorCode error;
+    if (buffer.size() == 0) {
+      aStream.expires_after(options.mIdleTimeout);
+      const size_t received = co_await aStream.async_read_some(
+        buffer.prepare(4096), asio::redirect_error(asio::use_awaitable, error));
+      buffer.commit(received);
+      if (error) {
+        co_return;
+      }
+    }
+    const Counted running(aState->mRunning);
+    aStream.expires_after(options.mTransferTimeout);
+    co_await beast::http::async_read(
+      aStream,
+      buffer,
+      parser,
+      asio::redirect_error(asio::use_awaitable, error));
+    if (error == beast::error::timeout ||
+        error == beast::http::error::end_of_stream ||
+        error == asio::error::connection_reset) {
+      co_return;
+    }
+    if (error) {
+      ++aState->mCounters.mMalformedRequests;
+      Response refusal = MakeErrorResponse(ReadError(error), "");
+      co_await WriteWhole(aStream, refusal, false, options.mTransferTimeout);
+      co_return;
+    }
+    keepAlive = parser.get().keep_alive();
+    aStream.expires_never();
+    Response response =
+      co_await aState->mHandler(ToRequest(parser.release(), PeerName(aStream)));
+    keepAlive = keepAlive && !aState->mStopping;
+    const bool written =
+      response.mStream
+        ? co_await WriteStream(
+            aStream, response, keepAlive, options.mTransferTimeout)
+        : co_await WriteWhole(
+            aStream, response, keepAlive, options.mTransferTimeout);
+    if (!written) {
+      co_return;
+    }
+  }
+  ErrorCode ignored;
+  aStream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+}
+
+template<class ServerState>
+Awaitable<void> Accept(std::shared_ptr<ServerState> aState)
+{
+  while (!aState->mStopping) {
+    ErrorCode error;
+    Tcp::socket socket = co_await aState->mAcceptor.async_accept(
+      asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted || aState->mStopping) {
+      co_return;
+    }
+    if (error) {
+      // Out of descriptors, for example: wait for some to be closed.
+      asio::steady_timer pause(aState->mAcceptor.get_executor(),
+                               std::chrono::milliseconds(50));
+      co_await pause.async_wait(
+        asio::redirect_error(asio::use_awaitable, error));
+      continue;
+    }
+    if (aState->mConnections >= aState->mOptions.mMaxConnections) {
+      ++aState->mCounters.mRefusedConnections;
+      continue;
+    }
+    ++aState->mCounters.mAccepted;
+    asio::co_spawn(aState->mAcceptor.get_executor(),
+                   Serve(aState, beast::tcp_stream(std::move(socket))),
+                   asio::detached);
+  }
+}
+
+} // namespace
+
+Result<std::unique_ptr<Server>> Server::Create(asio::any_io_executor aExecutor,
+                                               ServerOptions aOptions,
+                                               Handler aHandler)
+{
+  ErrorCode error;
+  const auto address = asio::ip::make_address(aOptions.mAddress, error);
+  if (error) {
+    return Error{ ErrorKind::InvalidArgument,
+                  "\"" + aOptions.mAddress + "\" is not an IP address",
+                  "write an IP address of this host" };
+  }
+  const uint16_t port = aOptions.mPort;
+  auto state = std::make_shared<State>(
+    aExecutor, std::move(aOptions), std::move(aHandler));
+  const Tcp::endpoint endpoint(address, port);
+  state->mAcceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    state->mAcceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    state->mAcceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    state->mAcceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Error{
+      ErrorKind::Unavailable,
+      "cannot listen on " + address.to_string() + ":" + std::to_string(port) +
+        ": " + error.message(),
+      "stop the process that uses the address or choose another one"
+    };
+  }
+  asio::co_spawn(aExecutor, Accept(state), asio::detached);
+  return std::unique_ptr<Server>(new Server(std::move(state)));
+}
+
+Server::Server(std::shared_ptr<State> aState)
+  : mState(std::move(aState))
+{
+}
+
+Server::~Server()
+{
+  StopAccepting();
+}
+
+uint16_t Server::Port() const
+{
+  ErrorCode error;
+  return mState->mAcceptor.local_endpoint(error).port();
+}
+
+void Server::StopAccepting()
+{
+  mState->mStopping = true;
+  ErrorCode ignored;
+  mState->mAcceptor.close(ignored);
+}
+
+size_t Server::Running() const
+{
+  return mState->mRunning;
+}
+
+size_t Server::Connections() const
+{
+  return mState->mConnections;
+}
+
+ServerCounters Server::Counters() const
+{
+  return mState->mCounters;
+}
+
+} // namespace agatetide::http
--- /dev/null
+++ b/src/agatetide/platform/engine.cpp
@@ -0,0 +1,206 @@
+#include "agatetide/platform/engine.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace agatetide::platform {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view kDataPrefix = "data: ";
+constexpr std::string_view kEndMarker = "[DONE]";
+
+Error InvalidStream(std::string_view aWhy)
+{
+  return { ErrorKind::DataLoss,
+           "the engine's stream is not usable: " + std::string(aWhy),
+           "the request may have run; repeat it only if it is idempotent",
+           Execution::Unknown };
+}
+
+/// Splits a stream of server-sent events into their data lines and applies
+/// them to a completion.
+class EventReader
+{
+public:
+  EventReader(Completion& aCompletion, std::string aRequestId)
+    : mCompletion(aCompletion)
+    , mRequestId(std::move(aRequestId))
+  {
+  }
+
+  /// False when the stream is not usable; Failure() says why.
+  bool Feed(std::string_view aPart)
+  {
+    mPending += aPart;
+    size_t end = mPending.find('\n');
+    while (end != std::string::npos && mFailure.empty()) {
+      Line(std::string_view(mPending).substr(0, end));
+      mPending.erase(0, end + 1);
+      end = mPending.find('\n');
+    }
+    return mFailure.empty();
+  }
+
+  const std::string& Failure() const { return mFailure; }
+
+private:
+  void Line(std::string_view aLine)
+  {
+    if (!aLine.starts_with(kDataPrefix)) {
+      return;
+    }
+    const std::string_view data = aLine.substr(kDataPrefix.size());
+    if (data == kEndMarker) {
+      mCompletion.mFinished = true;
+      return;
+    }
+    const json event = json::parse(data, nullptr, false);
+    if (!event.is_object() || !event.contains("choices") ||
+        !event["choices"].is_array() || event["choices"].empty()) {
+      mFailure = "malformed event";
+      return;
+    }
+    if (event.value("id", "") != mRequestId) {
+      mFailure = "an event belongs to another request";
+      return;
+    }
+    Apply(event);
+  }
+
+  void Apply(const json& aEvent)
+  {
+    mCompletion.mText += aEvent["choices"][0].value("text", "");
+    mCompletion.mTokens += aEvent.value("tokens", 1U);
+    const uint64_t version = aEvent.value("weight_version", uint64_t{ 0 });
+    auto& versions = mCompletion.mWeightVersions;
+    if (std::find(versions.begin(), versions.end(), version) ==
+        versions.end()) {
+      versions.push_back(version);
+    }
+  }
+
+  Completion& mCompletion;
+  std::string mRequestId;
+  std::string mPending;
+  std::string mFailure;
+};
+
+http::Request JsonPost(std::string aTarget, const json& aBody)
+{
+  http::Request request;
+  request.mTarget = std::move(aTarget);
+  request.mHeaders.push_back({ "content-type", "application/json" });
+  request.mBody = aBody.dump(-1, ' ', false, json::error_handler_t::replace);
+  return request;
+}
+
+json CompletionBody(const CompletionRequest& aRequest)
+{
+  json body = {
+    { "model", aRequest.mModel },          { "prompt", aRequest.mPrompt },
+    { "max_tokens", aRequest.mMaxTokens }, { "stream", true },
+    { "priority", aRequest.mPriority },    { "request_id", aRequest.mRequestId }
+  };
+  if (aRequest.mResumeTokens > 0) {
+    body["resume_text"] = aRequest.mResumeText;
+    body["resume_tokens"] = aRequest.mResumeTokens;
+  }
+  return body;
+}
+
+Error Refused(const http::Response& aAnswer)
+{
+  // An engine that answers 429 or 503 has not started the request.
+  const bool notRun = aAnswer.mStatus == 429 || aAnswer.mStatus == 503;
+  return { notRun ? ErrorKind::Unavailable : ErrorKind::Internal,
+           "the upstream answered HTTP status " +
+             std::to_string(aAnswer.mStatus),
+           "use another upstream",
+           notRun ? Execution::NotRun : Execution::Unknown };
+}
+
+} // namespace
+
+Awaitable<Result<bool>> Complete(
+  http::Client& aClient,
+  http::Endpoint aEngine,
+  CompletionRequest aRequest,
+  std::chrono::steady_clock::time_point aDeadline,
+  Completion& aCompletion,
+  std::function<bool()> aKeepGoing)
+{
+  EventReader reader(aCompletion, aRequest.mRequestId);
+  http::CallOptions options;
+  options.mDeadline = aDeadline;
+  auto answer = co_await aClient.Stream(
+    std::move(aEngine),
+    JsonPost("/v1/completions", CompletionBody(aRequest)),
+    options,
+    [&](std::string_view aPart) { return reader.Feed(aPart) && aKeepGoing(); });
+  if (!reader.Failure().empty()) {
+    co_return InvalidStream(reader.Failure());
+  }
+  if (answer.has_error()) {
+    co_return answer.error();
+  }
+  if (answer->mStatus != 200) {
+    co_return Refused(*answer);
+  }
+  if (!aCompletion.mFinished) {
+    co_return InvalidStream("the end marker is missing");
+  }
+  co_return true;
+}
+
+Awaitable<Result<EngineLoad>> ReadLoad(
+  http::Client& aClient,
+  http::Endpoint aUpstream,
+  std::chrono::steady_clock::time_point aDeadline)
+{
+  http::Request request;
+  request.mMethod = "GET";
+  request.mTarget = "/load";
+  auto answer = co_await aClient.Call(
+    std::move(aUpstream), std::move(request), { aDeadline });
+  if (answer.has_error()) {
+    co_return answer.error();
+  }
+  if (answer->mStatus != 200) {
+    co_return Refused(*answer);
+  }
+  const json body = json::parse(answer->mBody, nullptr, false);
+  if (!body.is_object()) {
+    co_return InvalidStream("the load report is not a JSON object");
+  }
+  co_return EngineLoad{ body.value("running", 0U),
+                        body.value("queued", 0U),
+                        body.value("weight_version", uint64_t{ 0 }),
+                        body.value("leaving", false) };
+}
+
+Awaitable<Result<bool>> OrderWeights(
+  http::Client& aClient,
+  http::Endpoint aEngine,
+  WeightOrder aOrder,
+  std::chrono::steady_clock::time_point aDeadline)
+{
+  const json body = { { "model", aOrder.mModel },
+                      { "version", aOrder.mVersion },
+                      { "uri", aOrder.mUri },
+                      { "fencing_number", aOrder.mFencingNumber } };
+  auto answer = co_await aClient.Call(
+    std::move(aEngine), JsonPost("/v1/weights", body), { aDeadline });
+  if (answer.has_error()) {
+    co_return answer.error();
+  }
+  if (answer->mStatus != 200) {
+    co_return Refused(*answer);
+  }
+  co_return true;
+}
+
+} // namespace agatetide::platform
--- /dev/null
+++ b/tests/doubles/double_service.cpp
@@ -0,0 +1,110 @@
+// Plain service: answers each call after a service time, with bounded
+// concurrency, and records the request ids it ran.
+// GET /seen reports runs by request id and whether a key was ever received.
+
+#include "doubles/double_runner.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <map>
+
+using namespace agatetide;
+using nlohmann::json;
+
+namespace {
+
+class ServiceDouble
+{
+public:
+  ServiceDouble(boost::asio::io_context& aContext,
+                int aServiceMs,
+                unsigned aSlots)
+    : mContext(aContext)
+    , mServiceMs(aServiceMs)
+    , mSlots(aSlots)
+  {
+  }
+
+  http::Awaitable<http::Response> Handle(http::Request aRequest)
+  {
+    if (aRequest.mTarget == "/load") {
+      const json load = { { "running", std::min(mInside, mSlots) },
+                          { "queued", mInside > mSlots ? mInside - mSlots : 0 },
+                          { "leaving", mControl.value("leaving", false) } };
+      co_return http::MakeResponse(200, "application/json", load.dump());
+    }
+    if (aRequest.mTarget == "/seen") {
+      const json seen = { { "runs", mRuns },
+                          { "total", mTotal },
+                          { "keys_seen", mKeysSeen } };
+      co_return http::MakeResponse(200, "application/json", seen.dump());
+    }
+    if (aRequest.mTarget == "/control") {
+      mControl = json::parse(aRequest.mBody);
+      co_return http::MakeResponse(200, "application/json", "{}");
+    }
+    co_return co_await Run(std::move(aRequest));
+  }
+
+private:
+  http::Awaitable<http::Response> Run(http::Request aRequest)
+  {
+    if (aRequest.mBody.find("CRASH") != std::string::npos) {
+      std::_Exit(1);
+    }
+    const std::string id(http::FindHeader(aRequest.mHeaders, "x-request-id"));
+    if (!http::FindHeader(aRequest.mHeaders, "authorization").empty() ||
+        aRequest.mBody.find("ak_") != std::string::npos) {
+      ++mKeysSeen;
+    }
+    ++mInside;
+    const unsigned run = ++mRuns[id];
+    ++mTotal;
+    const auto wait =
+      std::chrono::milliseconds(mControl.value("service_ms", mServiceMs)) *
+      ((mInside + mSlots - 1) / mSlots);
+    boost::asio::steady_timer timer(mContext, wait);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    --mInside;
+    const json body = { { "result", "done " + aRequest.mTarget },
+                        { "run", run } };
+    auto response = http::MakeResponse(200, "application/json", body.dump());
+    response.mHeaders.push_back(
+      { "x-request-id", mControl.value("crossed", false) ? "other" : id });
+    co_return response;
+  }
+
+  boost::asio::io_context& mContext;
+  int mServiceMs;
+  unsigned mSlots;
+  unsigned mInside = 0;
+  std::map<std::string, unsigned> mRuns;
+  uint64_t mTotal = 0;
+  uint64_t mKeysSeen = 0;
+  json mControl = json::object();
+};
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  cxxopts::Options options("double_service");
+  options.add_options()(
+    "service-ms", "", cxxopts::value<int>()->default_value("3"))(
+    "slots", "", cxxopts::value<unsigned>()->default_value("8"));
+  std::unique_ptr<ServiceDouble> service;
+  return doubles::RunDouble(
+    options, aCount, aArguments, [&](auto& aContext, const auto& aParsed) {
+      service = std::make_unique<ServiceDouble>(
+        aContext,
+        aParsed["service-ms"].template as<int>(),
+        aParsed["slots"].template as<unsigned>());
+      return [&](http::Request aRequest) {
+        return service->Handle(std::move(aRequest));
+      };
+    });
+}
--- /dev/null
+++ b/tests/run_groups.py
@@ -0,0 +1,142 @@
+"""Runs groups of checks and prints one closing line with the totals."""
+
+import argparse
+import pathlib
+import re
+import subprocess
+import sys
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+GROUP_TIMEOUT_S = 900
+
+
+def run(command):
+    """Runs a command and returns (exit code, output)."""
+    done = subprocess.run(
+        command,
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        errors="replace",
+        timeout=GROUP_TIMEOUT_S,
+        check=False,
+    )
+    return done.returncode, done.stdout
+
+
+def known_red():
+    """Names of tests that are listed as failing because of a real fault."""
+    if not KNOWN_RED.exists():
+        return set()
+    names = re.findall(r"^test: *(\S+)", KNOWN_RED.read_text(), re.MULTILINE)
+    return set(names)
+
+
+def single(name, command):
+    """A group that counts as one check."""
+    code, output = run(command)
+    if code != 0:
+        print(output)
+    return [(name, code == 0)]
+
+
+def lint(_args):
+    return single("lint", ["scripts/lint"])
+
+
+def unit(_args):
+    results = []
+    for program in sorted((ROOT / "build/release").glob("test_*")):
+        if not program.is_file():
+            continue
+        code, output = run([str(program), "--jobs", "4"])
+        synthesis = re.search(r"Tested: (\d+) \| Passing: (\d+)", output)
+        if synthesis is None:
+            print(output)
+            results.append((program.name, False))
+            continue
+        tested, passing = int(synthesis[1]), int(synthesis[2])
+        if code != 0:
+            print(output)
+        results += [(program.name, True)] * passing
+        results += [(program.name, False)] * (tested - passing)
+    return results
+
+
+def lines_of(command):
+    """A group whose program prints "ok NAME ..." or "FAIL NAME ..." lines."""
+    code, output = run(command)
+    print(output, end="")
+    results = [
+        (line.split()[1], line.startswith("ok "))
+        for line in output.splitlines()
+        if line.startswith(("ok ", "FAIL ")) and len(line.split()) > 1
+    ]
+    if code != 0 and all(passed for _, passed in results):
+        results.append((command[1] if len(command) > 1 else command[0], False))
+    return results
+
+
+def model(_args):
+    return lines_of(["/usr/bin/python3", "tests/model.py"])
+
+
+def integration(_args):
+    return lines_of(["/usr/bin/python3", "tests/integration.py"])
+
+
+def faults(args):
+    return lines_of(["/usr/bin/python3", "tests/faults.py", "--seed", str(args.seed)])
+
+
+GROUPS = {
+    "lint": lint,
+    "unit": unit,
+    "model": model,
+    "integration": integration,
+    "faults": faults,
+}
+
+
+def available(name):
+    """Whether the files of a group exist."""
+    script = {"model": "tests/model.py", "integration": "tests/integration.py", "faults": "tests/faults.py"}
+    return name not in script or (ROOT / script[name]).exists()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("groups", nargs="*", choices=[*GROUPS, []])
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+
+    code, output = run(["scripts/build", "release"])
+    if code != 0:
+        print(output)
+        print("0 passed, 1 failed")
+        return 1
+
+    expected_red = known_red()
+    passed, failed = 0, 0
+    for name in args.groups or [group for group in GROUPS if available(group)]:
+        started = time.monotonic()
+        results = GROUPS[name](args)
+        good = sum(1 for _, result in results if result)
+        print(f"group {name}: {good} of {len(results)} in {time.monotonic() - started:.0f} s", flush=True)
+        passed += good
+        for test, result in results:
+            if result:
+                continue
+            if test in expected_red:
+                print(f"known red: {test}")
+            else:
+                failed += 1
+    print(f"{passed} passed, {failed} failed")
+    return 1 if failed or passed == 0 else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
