--- a/include/agatetide/coordination/admission.hpp
+++ b/include/agatetide/coordination/admission.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agatetide/base/awaitable.hpp"
 #include "agatetide/coordination/store.hpp"
 
 #include <string>
--- a/include/agatetide/coordination/membership.hpp
+++ b/include/agatetide/coordination/membership.hpp
@@ -52,6 +52,8 @@
   std::function<void(const Member&)> mOnChange;
   /// Called for each direct acknowledgement.
   std::function<void(const ProbeProof&)> mOnProof;
+  /// Called for each datagram with the sender's configuration version.
+  std::function<void(const std::string&, int64_t)> mOnVersion;
   /// Fills the configuration fields of an outgoing datagram.
   std::function<void(Datagram&)> mFill;
 };
@@ -78,6 +80,10 @@
   /// interval; a late call delays detection and does no harm.
   void Tick();
 
+  /// @brief Probes a member out of turn, for example to learn at once
+  /// whether it has a new configuration version.
+  void ProbeNow(const std::string& aAddress) { SendProbe(aAddress, "", 0); }
+
   /// @brief Handles one decoded datagram.
   void Receive(const Datagram& aDatagram);
 
--- a/include/agatetide/coordination/store.hpp
+++ b/include/agatetide/coordination/store.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
+#include "agatetide/base/awaitable.hpp"
 #include "agatetide/base/error.hpp"
 
-#include <boost/asio/awaitable.hpp>
-
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -14,9 +13,6 @@
 
 namespace agatetide::coordination {
 
-template<class T>
-using Awaitable = boost::asio::awaitable<T>;
-
 /// @brief One key of the platform store.
 struct StoreEntry
 {
--- a/include/agatetide/coordination/trust.hpp
+++ b/include/agatetide/coordination/trust.hpp
@@ -30,10 +30,11 @@
 
 /// @brief Decides whether the local configuration copy may be served from.
 ///
-/// The copy is trusted with a proof that it was the store's head within the
-/// trust time, or while a majority of the configured hosts answered probes
-/// within that time, all without store contact and none with a higher
-/// version. Not thread-safe; owned by one duty.
+/// The copy is trusted with a proof that the store's head was not newer than
+/// it within the trust time, or while a majority of the configured hosts
+/// answered probes within that time, all without store contact and none with a
+/// higher version. A host that the configuration does not name is never
+/// trusted. Not thread-safe; owned by one duty.
 class Trust
 {
 public:
@@ -43,7 +44,7 @@
                               TrustOptions aOptions,
                               Clock aClock);
 
-  /// @brief Records that the store's head was read and equals aVersion.
+  /// @brief Records that the store's head was read as aVersion.
   /// aSent is when the read was sent.
   void RecordStoreRead(TimePoint aSent, int64_t aVersion);
 
@@ -63,7 +64,8 @@
   /// past means not trusted.
   TimePoint TrustedUntil(int64_t aVersion) const;
 
-  /// @brief Age of the proof for aVersion, to hand on to peers.
+  /// @brief Age of the proof that the head was at most aVersion, to hand on
+  /// to peers.
   std::optional<Milliseconds> ProofAge(int64_t aVersion) const;
 
   /// @brief Whether the store answered this daemon within the trust time.
@@ -73,6 +75,9 @@
   /// acknowledged a probe within the trust time.
   bool MajorityReachable() const;
 
+  /// @brief Configured hosts that have not acknowledged aVersion.
+  std::vector<std::string> Behind(int64_t aVersion) const;
+
   /// @brief Whether a change can be answered as accepted: each configured
   /// host acknowledged its version, or a majority did and the trust time has
   /// passed since then, so that every other host has stopped trusting an
@@ -92,13 +97,15 @@
   Trust(std::string aSelf, TrustOptions aOptions, Clock aClock);
 
   bool Recent(TimePoint aTime) const;
+  void AddProof(int64_t aVersion, TimePoint aTime);
+  TimePoint ProofTime(int64_t aVersion) const;
   TimePoint MajorityWithoutStoreUntil(int64_t aVersion) const;
 
   std::string mSelf;
   TrustOptions mOptions;
   Clock mClock;
-  TimePoint mProofTime{};
-  int64_t mProofVersion = -1;
+  /// Latest proof time by version; proofs past the trust time are dropped.
+  std::map<int64_t, TimePoint> mProofs;
   TimePoint mStoreRead{};
   std::set<std::string> mHosts;
   std::map<std::string, Peer> mPeers;
--- /dev/null
+++ b/include/agatetide/daemon/api.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "agatetide/base/awaitable.hpp"
+#include "agatetide/daemon/admin.hpp"
+#include "agatetide/daemon/call_path.hpp"
+#include "agatetide/daemon/rollout.hpp"
+#include "agatetide/http/message.hpp"
+
+namespace agatetide::daemon {
+
+/// @brief Turns HTTP requests into calls: health, metrics, the built-in
+/// services and the operators' schema. Owned by the traffic thread.
+class Api
+{
+public:
+  explicit Api(TrafficContext& aContext)
+    : mContext(aContext)
+    , mCalls(aContext)
+    , mRollout(aContext)
+    , mAdmin(aContext)
+  {
+  }
+
+  /// @brief Handles one request.
+  Awaitable<http::Response> Handle(http::Request aRequest);
+
+  /// @brief Answers another daemon.
+  Awaitable<coordination::PeerReply> AnswerPeer(
+    coordination::PeerRequest aRequest);
+
+  /// @brief Whether steps still generate, so that a shutdown must wait.
+  bool Busy() const { return mRollout.Running() > 0; }
+
+private:
+  Result<Call> MakeCall(const http::Request& aRequest);
+  Result<std::string> Authorize(const http::Request& aRequest,
+                                const std::string& aMethod) const;
+  bool MayAdminister(const http::Request& aRequest,
+                     const std::string& aAccount) const;
+  Awaitable<Result<std::string>> Route(Call aCall);
+  Awaitable<Result<std::string>> RouteRollout(Call aCall);
+  Awaitable<Result<std::string>> RouteAdmin(Call aCall);
+  Result<std::string> Locate(const Call& aCall) const;
+  http::Response Ready() const;
+
+  TrafficContext& mContext;
+  CallPath mCalls;
+  Rollout mRollout;
+  Admin mAdmin;
+};
+
+} // namespace agatetide::daemon
--- /dev/null
+++ b/include/agatetide/daemon/daemon.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "agatetide/base/error.hpp"
+#include "agatetide/daemon/settings.hpp"
+
+#include <memory>
+
+namespace agatetide::daemon {
+
+/// @brief One daemon process: the traffic thread, the control thread and the
+/// rings between them.
+class Daemon
+{
+public:
+  /// @brief Opens all listening sockets. aSettings must outlive the daemon.
+  /// Errors: Unavailable when an address is in use; InvalidArgument.
+  static Result<std::unique_ptr<Daemon>> Create(const Settings& aSettings);
+  ~Daemon();
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  /// @brief Serves until SIGTERM or SIGINT, then drains. A second signal
+  /// ends it at once. Returns the exit code.
+  int Run();
+
+private:
+  struct State;
+  explicit Daemon(std::unique_ptr<State> aState);
+  std::unique_ptr<State> mState;
+};
+
+} // namespace agatetide::daemon
--- /dev/null
+++ b/include/agatetide/daemon/traffic.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "agatetide/base/awaitable.hpp"
+#include "agatetide/base/random.hpp"
+#include "agatetide/base/ring.hpp"
+#include "agatetide/coordination/admission.hpp"
+#include "agatetide/coordination/messages.hpp"
+#include "agatetide/daemon/gate.hpp"
+#include "agatetide/daemon/settings.hpp"
+#include "agatetide/daemon/traffic_view.hpp"
+#include "agatetide/http/client.hpp"
+#include "agatetide/policy/replica_choice.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace agatetide::daemon {
+
+/// @brief Calls of the traffic thread into the control thread. Each hook may
+/// be used from the traffic thread and resumes there.
+struct ControlCalls
+{
+  std::function<Awaitable<Result<coordination::Admission>>(
+    coordination::AdmissionKey,
+    coordination::AdmissionRecord)>
+    mAdmit;
+  std::function<Awaitable<Result<int64_t>>(coordination::ConfigWrite)> mChange;
+  std::function<Awaitable<Result<coordination::PeerReply>>(
+    std::string,
+    coordination::PeerRequest,
+    TimePoint)>
+    mAskPeer;
+  std::function<Awaitable<Result<std::vector<std::string>>>(unsigned)>
+    mSealedWindows;
+  /// Hands a report over; drops it when the ring is full and returns false.
+  std::function<bool(TrafficReport)> mReport;
+};
+
+/// @brief What the handlers of the traffic thread share.
+struct TrafficContext
+{
+  boost::asio::any_io_executor mExecutor;
+  const Settings& mSettings;
+  Clock mClock;
+  WallClock mWallClock;
+  Random mRandom;
+  std::unique_ptr<http::Client> mClient;
+  ControlCalls mControl;
+  TrafficViewPtr mView;
+  /// Own running requests by replica address.
+  std::map<std::string, uint32_t, std::less<>> mRunning;
+  std::map<std::string, std::shared_ptr<Gate>> mGates;
+  std::map<std::string, uint64_t> mTurns;
+  uint64_t mNextId = 1;
+};
+
+/// @brief One authenticated request, for as long as it runs.
+struct Call
+{
+  std::string mRequestId;
+  /// Whether the caller chose the request id.
+  bool mCallerId = false;
+  std::string mAccount;
+  /// "package.Service/Method".
+  std::string mMethod;
+  std::string mBody;
+  bool mProtobuf = false;
+  TimePoint mDeadline{};
+  TimePoint mStarted{};
+};
+
+/// @brief The account's weight; 1 unless configured.
+double AccountWeight(const TrafficContext& aContext,
+                     const std::string& aAccount);
+
+/// @brief The gate of an upstream group, created on first use.
+std::shared_ptr<Gate> GateOf(TrafficContext& aContext,
+                             const v1::Upstream& aUpstream);
+
+/// @brief A chosen replica, counted as running until it is destroyed.
+class ReplicaUse
+{
+public:
+  ReplicaUse(TrafficContext& aContext, std::string aAddress);
+  ReplicaUse(ReplicaUse&& aOther) noexcept;
+  ReplicaUse& operator=(ReplicaUse&&) = delete;
+  ~ReplicaUse();
+
+  const std::string& Address() const { return mAddress; }
+
+private:
+  TrafficContext* mContext;
+  std::string mAddress;
+};
+
+/// @brief Chooses a replica of an upstream group and logs the decision.
+/// aAvoid names replicas that this request has failed on.
+/// Errors: Unavailable (not run) when none is usable.
+Result<ReplicaUse> UseReplica(TrafficContext& aContext,
+                              const v1::Upstream& aUpstream,
+                              const std::set<std::string>& aAvoid,
+                              std::string_view aRequestId);
+
+} // namespace agatetide::daemon
--- /dev/null
+++ b/include/agatetide/daemon/traffic_view.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "agatetide/base/clock.hpp"
+#include "agatetide/coordination/membership.hpp"
+#include "agatetide/daemon/config_snapshot.hpp"
+#include "agatetide/platform/engine.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace agatetide::daemon {
+
+/// @brief What the control thread tells the traffic thread. Immutable.
+struct TrafficView
+{
+  std::shared_ptr<const ConfigSnapshot> mConfig;
+  /// Keyed routes are served until then; checked at each request.
+  TimePoint mTrustedUntil{};
+  bool mStoreContact = false;
+  bool mDraining = false;
+  coordination::MemberUpdate mSelf;
+  std::vector<coordination::Member> mMembers;
+  /// Load reports by replica address.
+  std::map<std::string, platform::EngineLoad, std::less<>> mLoads;
+  /// Replicas that take no new work.
+  std::set<std::string, std::less<>> mLeaving;
+  /// Fingerprints of requests that crashed upstreams.
+  std::set<uint64_t> mQuarantined;
+  /// Holder by duty.
+  std::map<std::string, std::string> mDuties;
+};
+
+using TrafficViewPtr = std::shared_ptr<const TrafficView>;
+
+/// @brief What the traffic thread reports to the control thread.
+struct TrafficReport
+{
+  enum class Kind
+  {
+    Usage,
+    UpstreamCrash,
+  };
+  Kind mKind = Kind::Usage;
+  std::string mAccount;
+  uint64_t mTokens = 0;
+  uint64_t mUpstreamMilliseconds = 0;
+  uint64_t mFingerprint = 0;
+};
+
+} // namespace agatetide::daemon
--- a/include/agatetide/http/client.hpp
+++ b/include/agatetide/http/client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agatetide/base/awaitable.hpp"
 #include "agatetide/http/message.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
--- a/include/agatetide/http/message.hpp
+++ b/include/agatetide/http/message.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
+#include "agatetide/base/awaitable.hpp"
 #include "agatetide/base/error.hpp"
 
-#include <boost/asio/awaitable.hpp>
-
 #include <functional>
 #include <string>
 #include <string_view>
@@ -11,9 +10,6 @@
 
 namespace agatetide::http {
 
-template<class T>
-using Awaitable = boost::asio::awaitable<T>;
-
 struct Header
 {
   std::string mName;
--- a/include/agatetide/platform/engine.hpp
+++ b/include/agatetide/platform/engine.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agatetide/base/awaitable.hpp"
 #include "agatetide/http/client.hpp"
 
 #include <cstdint>
@@ -9,8 +10,6 @@
 
 namespace agatetide::platform {
 
-using http::Awaitable;
-
 /// @brief A completion request to a model engine.
 struct CompletionRequest
 {
--- a/include/agatetide/platform/platform_api.hpp
+++ b/include/agatetide/platform/platform_api.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agatetide/base/awaitable.hpp"
 #include "agatetide/http/client.hpp"
 
 #include <cstdint>
@@ -8,8 +9,6 @@
 
 namespace agatetide::platform {
 
-using http::Awaitable;
-
 /// @brief Desired replicas of one upstream in one availability zone.
 /// Declarative, so that a repeat changes nothing.
 struct UpstreamOrder
--- /dev/null
+++ b/include/agatetide/policy/replica_choice.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "agatetide/base/random.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace agatetide::policy {
+
+/// @brief What is known about one replica at the time of a choice.
+struct ReplicaCandidate
+{
+  std::string_view mAddress;
+  bool mSameRegion = true;
+  bool mLeaving = false;
+  /// Ejected or at its concurrency limit.
+  bool mExcluded = false;
+  /// Last load report; it lags.
+  uint32_t mReportedRunning = 0;
+  uint32_t mReportedQueued = 0;
+  /// Requests of this daemon that run there now.
+  uint32_t mOwnRunning = 0;
+};
+
+enum class ReplicaPolicy
+{
+  RoundRobin,
+  EstimatedWait,
+};
+
+struct ReplicaChoiceOptions
+{
+  ReplicaPolicy mPolicy = ReplicaPolicy::EstimatedWait;
+  /// Candidates compared; a few instead of all, since all daemons see the
+  /// same lagged reports and would pick the same replica.
+  unsigned mSampled = 3;
+  /// Cost of crossing a region, in requests ahead in the queue.
+  double mRegionPrice = 4.0;
+};
+
+/// @brief Index of the replica to use, or nullopt when none is usable.
+/// aTurn is the caller's round robin counter. Thread-safe if aRandom is.
+std::optional<size_t> ChooseReplica(
+  std::span<const ReplicaCandidate> aCandidates,
+  const ReplicaChoiceOptions& aOptions,
+  const Random& aRandom,
+  uint64_t& aTurn);
+
+} // namespace agatetide::policy
--- a/src/agatetide/coordination/config_log.cpp
+++ b/src/agatetide/coordination/config_log.cpp
@@ -309,8 +309,9 @@
 Awaitable<Result<std::vector<ConfigChange>>> ReadConfigChanges(StoreCall aStore,
                                                                int64_t aVersion)
 {
-  auto reply = co_await aStore(
-    RangeRequest{ ChangeKey(aVersion + 1), PrefixEnd(kChangePrefix), 0 });
+  StoreRequest request =
+    RangeRequest{ ChangeKey(aVersion + 1), PrefixEnd(kChangePrefix), 0 };
+  auto reply = co_await aStore(std::move(request));
   if (reply.has_error()) {
     co_return reply.error();
   }
--- a/src/agatetide/coordination/membership.cpp
+++ b/src/agatetide/coordination/membership.cpp
@@ -223,6 +223,9 @@
     sender->second.mConfigVersion =
       std::max(sender->second.mConfigVersion, aDatagram.mConfigVersion);
   }
+  if (mHooks.mOnVersion) {
+    mHooks.mOnVersion(aDatagram.mSender.mAddress, aDatagram.mConfigVersion);
+  }
   switch (aDatagram.mKind) {
     case DatagramKind::Probe: {
       Datagram ack;
--- a/src/agatetide/coordination/store.cpp
+++ b/src/agatetide/coordination/store.cpp
@@ -19,8 +19,10 @@
 Awaitable<Result<std::optional<StoreEntry>>> ReadKey(StoreCall aStore,
                                                      std::string aKey)
 {
-  Result<StoreReply> reply =
-    co_await aStore(RangeRequest{ .mKey = std::move(aKey) });
+  // GCC 12 copies aggregate temporaries of a co_await expression bitwise, so
+  // requests that hold strings are always named first.
+  StoreRequest request = RangeRequest{ std::move(aKey), "", 0 };
+  Result<StoreReply> reply = co_await aStore(std::move(request));
   if (reply.has_error()) {
     co_return reply.error();
   }
@@ -33,8 +35,8 @@
 Awaitable<Result<StoreReply>> ReadPrefix(StoreCall aStore, std::string aPrefix)
 {
   std::string end = PrefixEnd(aPrefix);
-  co_return co_await aStore(
-    RangeRequest{ .mKey = std::move(aPrefix), .mRangeEnd = std::move(end) });
+  StoreRequest request = RangeRequest{ std::move(aPrefix), std::move(end), 0 };
+  co_return co_await aStore(std::move(request));
 }
 
 } // namespace agatetide::coordination
--- a/src/agatetide/coordination/trust.cpp
+++ b/src/agatetide/coordination/trust.cpp
@@ -35,11 +35,7 @@
 void Trust::RecordStoreRead(TimePoint aSent, int64_t aVersion)
 {
   mStoreRead = std::max(mStoreRead, aSent);
-  if (aVersion > mProofVersion ||
-      (aVersion == mProofVersion && aSent > mProofTime)) {
-    mProofVersion = aVersion;
-    mProofTime = aSent;
-  }
+  AddProof(aVersion, aSent);
 }
 
 void Trust::RecordProof(const ProbeProof& aProof)
@@ -48,19 +44,32 @@
   if (aProof.mProbeSent > peer.mProbeSent) {
     peer = { aProof.mProbeSent, aProof.mConfigVersion, aProof.mStoreContact };
   }
-  if (!aProof.mProofAge) {
-    return;
+  if (aProof.mProofAge) {
+    // The acknowledgement was sent after the probe, so the peer's proof is at
+    // most this old; the delay of either datagram only shortens trust.
+    AddProof(aProof.mConfigVersion, aProof.mProbeSent - *aProof.mProofAge);
   }
-  // The acknowledgement was sent after the probe, so the peer's proof is at
-  // most this old; the delay of either datagram only shortens trust.
-  const TimePoint proven = aProof.mProbeSent - *aProof.mProofAge;
-  const bool newer =
-    aProof.mConfigVersion > mProofVersion ||
-    (aProof.mConfigVersion == mProofVersion && proven > mProofTime);
-  if (newer) {
-    mProofVersion = aProof.mConfigVersion;
-    mProofTime = proven;
+}
+
+void Trust::AddProof(int64_t aVersion, TimePoint aTime)
+{
+  TimePoint& latest = mProofs[aVersion];
+  latest = std::max(latest, aTime);
+  std::erase_if(mProofs,
+                [&](const auto& aItem) { return !Recent(aItem.second); });
+}
+
+/// The latest time at which the store's head is known to have been at most
+/// aVersion. All changes accepted before then are in a copy at aVersion.
+TimePoint Trust::ProofTime(int64_t aVersion) const
+{
+  TimePoint latest{};
+  for (const auto& [version, time] : mProofs) {
+    if (version <= aVersion) {
+      latest = std::max(latest, time);
+    }
   }
+  return latest;
 }
 
 void Trust::SetHosts(std::set<std::string> aHosts)
@@ -80,12 +89,13 @@
 
 TimePoint Trust::TrustedUntil(int64_t aVersion) const
 {
-  if (mProofVersion > aVersion) {
-    return TimePoint{}; // A newer version is known to exist.
+  if (!mHosts.contains(mSelf)) {
+    return TimePoint{}; // Acceptance of a change does not wait for this host.
   }
-  const TimePoint proven =
-    mProofVersion == aVersion ? mProofTime + mOptions.mTrustTime : TimePoint{};
-  return std::max(proven, MajorityWithoutStoreUntil(aVersion));
+  const TimePoint proven = ProofTime(aVersion);
+  const TimePoint until =
+    proven == TimePoint{} ? proven : proven + mOptions.mTrustTime;
+  return std::max(until, MajorityWithoutStoreUntil(aVersion));
 }
 
 TimePoint Trust::MajorityWithoutStoreUntil(int64_t aVersion) const
@@ -120,10 +130,11 @@
 
 std::optional<Milliseconds> Trust::ProofAge(int64_t aVersion) const
 {
-  if (mProofVersion != aVersion || !Recent(mProofTime)) {
+  const TimePoint proven = ProofTime(aVersion);
+  if (!Recent(proven)) {
     return std::nullopt;
   }
-  return std::chrono::ceil<Milliseconds>(mClock() - mProofTime);
+  return std::chrono::ceil<Milliseconds>(mClock() - proven);
 }
 
 bool Trust::StoreContact() const
@@ -144,17 +155,27 @@
   return 2 * reachable > mHosts.size();
 }
 
-bool Trust::Accepted(Acceptance& aAcceptance) const
+std::vector<std::string> Trust::Behind(int64_t aVersion) const
 {
-  size_t caughtUp = mHosts.contains(mSelf) ? 1 : 0;
+  std::vector<std::string> behind;
   for (const std::string& host : mHosts) {
     const auto peer = mPeers.find(host);
-    if (host != mSelf && peer != mPeers.end() &&
-        peer->second.mConfigVersion >= aAcceptance.mVersion) {
-      ++caughtUp;
+    const bool caughtUp =
+      peer != mPeers.end() && peer->second.mConfigVersion >= aVersion;
+    if (host != mSelf && !caughtUp) {
+      behind.push_back(host);
     }
   }
-  if (caughtUp >= mHosts.size()) {
+  return behind;
+}
+
+bool Trust::Accepted(Acceptance& aAcceptance) const
+{
+  if (!mHosts.contains(mSelf)) {
+    return false;
+  }
+  const size_t caughtUp = mHosts.size() - Behind(aAcceptance.mVersion).size();
+  if (caughtUp == mHosts.size()) {
     return true;
   }
   if (2 * caughtUp <= mHosts.size()) {
--- /dev/null
+++ b/src/agatetide/coordination/trust_test.cpp
@@ -0,0 +1,107 @@
+#include "agatetide/coordination/trust.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace agatetide;
+using namespace agatetide::coordination;
+
+namespace {
+
+constexpr Milliseconds kTrustTime{ 5000 };
+
+struct Fixture
+{
+  Fixture() { mTrust.SetHosts({ "a", "b", "c" }); }
+
+  ProbeProof Ack(const std::string& aPeer,
+                 int64_t aVersion,
+                 bool aStoreContact = false) const
+  {
+    return { aPeer, mClock.Now(), aVersion, std::nullopt, aStoreContact };
+  }
+
+  ManualClock mClock;
+  Trust mTrust = Trust::Create("a", { kTrustTime }, mClock.AsClock()).value();
+};
+
+} // namespace
+
+// Guards against a cut-off daemon that goes on accepting withdrawn keys.
+Test(trust, lapses_after_the_trust_time_without_proof)
+{
+  Fixture fixture;
+  fixture.mTrust.RecordStoreRead(fixture.mClock.Now(), 7);
+  cr_assert(fixture.mTrust.Trusted(7));
+  fixture.mClock.Advance(kTrustTime + Milliseconds(1));
+  cr_assert(!fixture.mTrust.Trusted(7));
+}
+
+// Guards against refusing keyed routes while a change spreads: a copy that is
+// newer than the last proof holds all that the proof covers.
+Test(trust, a_newer_copy_keeps_the_older_proof)
+{
+  Fixture fixture;
+  fixture.mTrust.RecordStoreRead(fixture.mClock.Now(), 7);
+  cr_assert(fixture.mTrust.Trusted(8));
+  cr_assert(!fixture.mTrust.Trusted(6));
+}
+
+// Guards against a delayed acknowledgement that extends trust.
+Test(trust, a_peers_proof_counts_from_when_the_probe_was_sent)
+{
+  Fixture fixture;
+  ProbeProof proof = fixture.Ack("b", 7, true);
+  proof.mProofAge = Milliseconds(1000);
+  fixture.mClock.Advance(Milliseconds(4500));
+  fixture.mTrust.RecordProof(proof);
+  cr_assert(!fixture.mTrust.Trusted(7));
+}
+
+// Guards against refusing service for as long as the store is down.
+Test(trust, a_majority_without_store_keeps_trust)
+{
+  Fixture fixture;
+  fixture.mTrust.RecordProof(fixture.Ack("b", 7));
+  cr_assert(fixture.mTrust.Trusted(7));
+  cr_assert(!fixture.mTrust.Trusted(6));
+}
+
+// Guards against counting a peer that may know of unseen changes.
+Test(trust, peers_with_store_contact_are_no_majority_without_store)
+{
+  Fixture fixture;
+  fixture.mTrust.RecordProof(fixture.Ack("b", 7, true));
+  fixture.mTrust.RecordProof(fixture.Ack("c", 7, true));
+  cr_assert(!fixture.mTrust.Trusted(7));
+}
+
+// Guards against answering a change as accepted while a silent host may
+// still trust the version before it.
+Test(trust, acceptance_waits_for_silent_hosts_to_lapse)
+{
+  Fixture fixture;
+  Acceptance acceptance{ 8, fixture.mClock.Now(), std::nullopt };
+  fixture.mTrust.RecordProof(fixture.Ack("b", 8, true));
+  cr_assert(!fixture.mTrust.Accepted(acceptance));
+  fixture.mClock.Advance(kTrustTime);
+  cr_assert(!fixture.mTrust.Accepted(acceptance));
+  fixture.mClock.Advance(Milliseconds(300));
+  cr_assert(fixture.mTrust.Accepted(acceptance));
+}
+
+// Guards against guessing on the side of a partition that lacks a majority.
+Test(trust, a_minority_never_accepts_a_change)
+{
+  Fixture fixture;
+  Acceptance acceptance{ 8, fixture.mClock.Now(), std::nullopt };
+  fixture.mClock.Advance(std::chrono::minutes(10));
+  cr_assert(!fixture.mTrust.Accepted(acceptance));
+}
+
+// Guards against a setting that breaks the withdrawal bound of 7 s.
+Test(trust, refuses_a_trust_time_above_the_limit)
+{
+  ManualClock clock;
+  cr_assert(
+    Trust::Create("a", { Milliseconds(6001) }, clock.AsClock()).has_error());
+}
--- /dev/null
+++ b/src/agatetide/daemon/control.cpp
@@ -0,0 +1,584 @@
+#include "agatetide/daemon/control.hpp"
+
+#include "agatetide/base/encoding.hpp"
+#include "agatetide/daemon/order_duty.hpp"
+#include "agatetide/daemon/peer_link.hpp"
+#include "agatetide/daemon/upstream_duty.hpp"
+#include "agatetide/daemon/usage_duty.hpp"
+#include "agatetide/platform/etcd_store.hpp"
+#include "agatetide/platform/platform_api.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace agatetide::daemon {
+
+namespace asio = boost::asio;
+using namespace coordination;
+
+namespace {
+
+constexpr std::chrono::milliseconds kHeadInterval{ 500 };
+constexpr std::chrono::milliseconds kViewInterval{ 100 };
+constexpr std::chrono::milliseconds kPeerTimeout{ 2000 };
+/// A daemon that is not the relay reads the head itself when its proof is
+/// older than this.
+constexpr std::chrono::milliseconds kProofRefresh{ 2500 };
+constexpr std::chrono::milliseconds kConfirmationTime{ 12000 };
+constexpr std::chrono::milliseconds kConfirmationPoll{ 25 };
+/// Hosts that are probed in each poll while a change is confirmed.
+constexpr size_t kProbesPerPoll = 8;
+constexpr std::chrono::milliseconds kHostListInterval{ 1000 };
+constexpr int64_t kAdmissionRetentionSeconds = int64_t{ 24 } * 3600;
+constexpr std::chrono::hours kAdmissionLeasePeriod{ 1 };
+constexpr const char* kQuarantineTopic = "quarantine";
+constexpr const char* kCrashTopic = "crash";
+constexpr size_t kCrashesToQuarantine = 2;
+
+MemberUpdate MakeSelf(const Settings& aSettings, int64_t aNowMs)
+{
+  MemberUpdate self;
+  self.mAddress = aSettings.mDaemonListen.mAddress + ":" +
+                  std::to_string(aSettings.mDaemonListen.mPort);
+  self.mCallerAddress = aSettings.mCallerListen.mAddress + ":" +
+                        std::to_string(aSettings.mCallerListen.mPort);
+  self.mAvailabilityZone = aSettings.mAvailabilityZone;
+  self.mRegion = aSettings.mRegion;
+  self.mIncarnation = static_cast<uint64_t>(aNowMs);
+  return self;
+}
+
+std::vector<http::Endpoint> StoreEndpoints(const Settings& aSettings)
+{
+  return aSettings.mStore;
+}
+
+} // namespace
+
+struct Control::State
+{
+  State(asio::io_context& aContext,
+        const Settings& aSettings,
+        ControlHooks aHooks)
+    : mExecutor(aContext.get_executor())
+    , mSettings(aSettings)
+    , mHooks(std::move(aHooks))
+    , mClock(SteadyClock())
+    , mWallClock(SystemClock())
+    , mRandom(ProcessRandom())
+    , mClient(http::Client::Create(mExecutor))
+    , mStore(platform::MakeEtcdStore(*mClient, { StoreEndpoints(aSettings) }))
+  {
+  }
+
+  Result<bool> Open()
+  {
+    auto trust = Trust::Create(
+      MakeSelf(mSettings, 0).mAddress, { mSettings.mTrustTime }, mClock);
+    if (trust.has_error()) {
+      return trust.error();
+    }
+    mTrust.emplace(std::move(*trust));
+    auto link = PeerLink::Create(
+      mExecutor,
+      mSettings,
+      { [this](const Datagram& aDatagram) { mMembership->Receive(aDatagram); },
+        [this](PeerRequest aRequest) {
+          return AnswerPeer(std::move(aRequest));
+        } });
+    if (link.has_error()) {
+      return link.error();
+    }
+    mLink = std::move(*link);
+    auto membership = Membership::Create(MakeSelf(mSettings, mWallClock()),
+                                         MembershipOptions{},
+                                         MakeMembershipHooks(),
+                                         mClock,
+                                         mRandom);
+    if (membership.has_error()) {
+      return membership.error();
+    }
+    mMembership.emplace(std::move(*membership));
+    return OpenDuties();
+  }
+
+  Result<bool> OpenDuties()
+  {
+    mDutyContext.emplace(DutyContext{ mExecutor,
+                                      mClock,
+                                      mWallClock,
+                                      mRandom,
+                                      mStore,
+                                      *mClient,
+                                      *mMembership,
+                                      mSettings,
+                                      [this] { return mSnapshot; } });
+    const std::string& zone = mSettings.mAvailabilityZone;
+    auto relay = DutyLease::Create(*mDutyContext, "relay/" + zone);
+    auto orders = DutyLease::Create(*mDutyContext, "orders");
+    auto usage = DutyLease::Create(*mDutyContext, "usage");
+    auto upstreams = DutyLease::Create(*mDutyContext, "upstreams/" + zone);
+    for (const auto* lease : { &relay, &orders, &usage, &upstreams }) {
+      if (lease->has_error()) {
+        return lease->error();
+      }
+    }
+    mRelay.emplace(std::move(*relay));
+    mOrders.emplace(*mDutyContext, std::move(*orders));
+    mUsage.emplace(*mDutyContext, *mLink, std::move(*usage));
+    mUpstreams.emplace(*mDutyContext, std::move(*upstreams));
+    return true;
+  }
+
+  MembershipHooks MakeMembershipHooks()
+  {
+    MembershipHooks hooks;
+    hooks.mSend = [this](const std::string& aAddress,
+                         const Datagram& aDatagram) {
+      mLink->Send(aAddress, aDatagram);
+    };
+    hooks.mOnChange = [](const Member& aMember) {
+      Event("member")
+        .Field("address", aMember.mInfo.mAddress)
+        .Field("state", static_cast<unsigned>(aMember.mInfo.mState))
+        .Field("incarnation", aMember.mInfo.mIncarnation)
+        .Field("draining", aMember.mInfo.mDraining)
+        .Write();
+    };
+    hooks.mOnProof = [this](const ProbeProof& aProof) {
+      mTrust->RecordProof(aProof);
+    };
+    hooks.mOnVersion = [this](const std::string& aAddress, int64_t aVersion) {
+      OnVersion(aAddress, aVersion);
+    };
+    hooks.mFill = [this](Datagram& aDatagram) {
+      aDatagram.mConfigVersion = mLog.Version();
+      const auto age = mTrust->ProofAge(mLog.Version());
+      aDatagram.mProofAgeMs = age ? age->count() : -1;
+      aDatagram.mStoreContact = mTrust->StoreContact();
+    };
+    return hooks;
+  }
+
+  void OnVersion(const std::string& aAddress, int64_t aVersion)
+  {
+    if (aVersion > mLog.Version() && !mFetching) {
+      mFetching = true;
+      asio::co_spawn(mExecutor, FetchFromPeer(aAddress), asio::detached);
+    }
+  }
+
+  Awaitable<void> FetchFromPeer(std::string aAddress)
+  {
+    PeerRequest request;
+    request.mKind = "config";
+    request.mVersion = mLog.Version();
+    auto reply =
+      co_await mLink->Ask(aAddress, request, mClock() + kPeerTimeout);
+    if (reply.has_value() && reply->mFound) {
+      ApplyChanges(reply->mChanges, "peer " + aAddress);
+    } else if (reply.has_value()) {
+      co_await ReadWholeState();
+    }
+    mFetching = false;
+  }
+
+  void ApplyChanges(const std::vector<ConfigChange>& aChanges,
+                    const std::string& aSource)
+  {
+    const auto applied = mLog.Apply(aChanges);
+    if (applied.has_value() && *applied) {
+      UseState(aSource);
+    }
+  }
+
+  void UseState(const std::string& aSource)
+  {
+    mSnapshot = MakeSnapshot(mLog.State(), mSnapshot.get());
+    std::set<std::string> hosts;
+    std::vector<MemberUpdate> seeds;
+    for (const auto& [address, host] : mSnapshot->mHosts) {
+      hosts.insert(address);
+      MemberUpdate seed;
+      seed.mAddress = address;
+      seed.mCallerAddress = host.caller_address();
+      seed.mAvailabilityZone = host.availability_zone();
+      seed.mRegion = host.region();
+      seeds.push_back(std::move(seed));
+    }
+    mTrust->SetHosts(std::move(hosts));
+    mMembership->AddSeeds(seeds);
+    Event("config_applied")
+      .Field("version", mLog.Version())
+      .Field("source", aSource)
+      .Write();
+    PublishView();
+  }
+
+  Awaitable<bool> ReadWholeState()
+  {
+    auto state = co_await ReadConfigState(mStore);
+    if (state.has_value() && mLog.Replace(std::move(*state))) {
+      UseState("store, whole state");
+    }
+    co_return state.has_value();
+  }
+
+  /// Reads the head and what is missing. A successful read is a proof.
+  Awaitable<void> ReadHead()
+  {
+    const TimePoint sent = mClock();
+    const auto version = co_await ReadConfigVersion(mStore);
+    if (version.has_error()) {
+      if (mStoreErrors.Allow(mClock())) {
+        Event("store_error", LogLevel::Warning)
+          .Field("error", FormatError(version.error()))
+          .Field("suppressed", mStoreErrors.TakeSuppressed())
+          .Write();
+      }
+      co_return;
+    }
+    if (*version > mLog.Version()) {
+      auto changes = co_await ReadConfigChanges(mStore, mLog.Version());
+      const bool whole =
+        changes.has_value() &&
+        (changes->empty() || changes->front().mVersion > mLog.Version() + 1);
+      if (whole) {
+        co_await ReadWholeState();
+      } else if (changes.has_value()) {
+        ApplyChanges(*changes, "store");
+      }
+    }
+    mTrust->RecordStoreRead(sent, *version);
+  }
+
+  Awaitable<void> RelayLoop()
+  {
+    for (;;) {
+      co_await mRelay->Maintain();
+      const auto age = mTrust->ProofAge(mLog.Version());
+      if (mRelay->Held() || !age || *age > kProofRefresh) {
+        co_await ReadHead();
+      }
+      co_await Sleep(kHeadInterval);
+    }
+  }
+
+  Awaitable<void> MembershipLoop()
+  {
+    for (;;) {
+      mMembership->Tick();
+      co_await Sleep(MembershipOptions{}.mProbeInterval);
+    }
+  }
+
+  Awaitable<void> ViewLoop()
+  {
+    for (;;) {
+      PublishView();
+      co_await Sleep(kViewInterval);
+    }
+  }
+
+  Awaitable<void> HostListLoop()
+  {
+    if (mSettings.mPlatform.mAddress.empty()) {
+      co_return;
+    }
+    for (;;) {
+      co_await Sleep(kHostListInterval);
+      const auto list = co_await platform::ReadHostList(
+        *mClient, mSettings.mPlatform, mClock() + kPeerTimeout);
+      if (list.has_error()) {
+        continue;
+      }
+      mListedLeaving.clear();
+      for (const auto& upstream : *list) {
+        if (upstream.mLeaving) {
+          mListedLeaving.insert(upstream.mAddress);
+        }
+      }
+    }
+  }
+
+  /// Registers this host until the configuration names it as it is.
+  Awaitable<void> RegisterLoop()
+  {
+    for (;;) {
+      const MemberUpdate& self = mMembership->Self();
+      v1::ConfigObject object;
+      object.mutable_host()->set_address(self.mAddress);
+      object.mutable_host()->set_caller_address(self.mCallerAddress);
+      object.mutable_host()->set_availability_zone(self.mAvailabilityZone);
+      object.mutable_host()->set_region(self.mRegion);
+      const std::string value = object.SerializeAsString();
+      const auto found = mLog.State()->mObjects.find("host/" + self.mAddress);
+      const bool current =
+        found != mLog.State()->mObjects.end() && found->second.mValue == value;
+      if (!current) {
+        ConfigWrite write{
+          SecureHex(8), "host/" + self.mAddress, false, value, kAnyVersion
+        };
+        const auto written = co_await WriteConfig(mStore, write);
+        Event("register_host")
+          .Field("result",
+                 written.has_error() ? FormatError(written.error()) : "stored")
+          .Write();
+        co_await ReadHead();
+      }
+      co_await Sleep(std::chrono::seconds(1));
+    }
+  }
+
+  Awaitable<void> AdmissionLeaseLoop()
+  {
+    for (;;) {
+      const auto granted =
+        co_await mStore(LeaseGrantRequest{ kAdmissionRetentionSeconds });
+      if (granted.has_value()) {
+        mAdmissionLease = granted->mLease;
+        co_await Sleep(kAdmissionLeasePeriod);
+      } else {
+        co_await Sleep(std::chrono::seconds(1));
+      }
+    }
+  }
+
+  void PublishView()
+  {
+    auto view = std::make_shared<TrafficView>();
+    view->mConfig = mSnapshot;
+    view->mTrustedUntil = mTrust->TrustedUntil(mLog.Version());
+    view->mStoreContact = mTrust->StoreContact();
+    view->mSelf = mMembership->Self();
+    view->mDraining = view->mSelf.mDraining;
+    for (const auto& [address, member] : mMembership->Members()) {
+      view->mMembers.push_back(member);
+    }
+    view->mLoads = mUpstreams->Loads();
+    for (const auto& [address, load] : view->mLoads) {
+      if (load.mLeaving) {
+        view->mLeaving.insert(address);
+      }
+    }
+    view->mLeaving.insert(mListedLeaving.begin(), mListedLeaving.end());
+    for (const SharedFact& fact : mMembership->Facts(kQuarantineTopic)) {
+      view->mQuarantined.insert(std::strtoull(fact.mKey.c_str(), nullptr, 16));
+    }
+    for (const SharedFact& fact : mMembership->Facts(kLeaseTopic)) {
+      view->mDuties[fact.mKey] = fact.mValue;
+    }
+    mHooks.mPublish(std::move(view));
+  }
+
+  Awaitable<PeerReply> AnswerPeer(PeerRequest aRequest)
+  {
+    if (aRequest.mKind == "config") {
+      PeerReply reply;
+      reply.mVersion = mLog.Version();
+      if (auto changes = mLog.ChangesAfter(aRequest.mVersion)) {
+        reply.mFound = true;
+        reply.mChanges = std::move(*changes);
+      }
+      co_return reply;
+    }
+    if (aRequest.mKind == "usage") {
+      mUsage->Merge(aRequest.mBody);
+      co_return PeerReply{ true, 0, {}, "" };
+    }
+    co_return co_await mHooks.mAnswerPeer(std::move(aRequest));
+  }
+
+  /// Crash reports of all daemons meet by gossip: each crash is one fact.
+  void CountCrash(uint64_t aFingerprint)
+  {
+    char key[20];
+    std::snprintf(key,
+                  sizeof key,
+                  "%016llx",
+                  static_cast<unsigned long long>(aFingerprint));
+    SharedFact crash;
+    crash.mTopic = kCrashTopic;
+    crash.mKey = std::string(key) + "/" + SecureHex(4);
+    crash.mSequence = 1;
+    mMembership->Publish(crash);
+    const auto crashes = mMembership->Facts(kCrashTopic);
+    const auto same = std::count_if(
+      crashes.begin(), crashes.end(), [&](const SharedFact& aFact) {
+        return aFact.mKey.starts_with(key);
+      });
+    if (static_cast<size_t>(same) >= kCrashesToQuarantine) {
+      SharedFact quarantine;
+      quarantine.mTopic = kQuarantineTopic;
+      quarantine.mKey = key;
+      quarantine.mSequence = static_cast<uint64_t>(mWallClock());
+      mMembership->Publish(quarantine);
+      Event("quarantine", LogLevel::Warning).Field("fingerprint", key).Write();
+      PublishView();
+    }
+  }
+
+  Awaitable<Result<int64_t>> Confirm(int64_t aVersion)
+  {
+    Acceptance acceptance{ aVersion, mClock(), std::nullopt };
+    const TimePoint limit = mClock() + kConfirmationTime;
+    while (!mTrust->Accepted(acceptance)) {
+      if (mClock() > limit) {
+        co_return Error{ ErrorKind::NotConfirmed,
+                         "the change is stored as version " +
+                           std::to_string(aVersion) +
+                           " but not confirmed in force on all hosts",
+                         "repeat the call with the same change id, or check "
+                         "agatetidectl status",
+                         Execution::Unknown };
+      }
+      // A probe carries the new version, which makes the host fetch it, and
+      // its acknowledgement shows that it has.
+      const auto behind = mTrust->Behind(aVersion);
+      for (size_t i = 0; i < std::min(behind.size(), kProbesPerPoll); ++i) {
+        mMembership->ProbeNow(behind[UniformBelow(mRandom, behind.size())]);
+      }
+      co_await Sleep(kConfirmationPoll);
+    }
+    co_return aVersion;
+  }
+
+  asio::any_io_executor mExecutor;
+  const Settings& mSettings;
+  ControlHooks mHooks;
+  Clock mClock;
+  WallClock mWallClock;
+  Random mRandom;
+  std::unique_ptr<http::Client> mClient;
+  StoreCall mStore;
+  ConfigLog mLog;
+  std::shared_ptr<const ConfigSnapshot> mSnapshot =
+    MakeSnapshot(std::make_shared<ConfigState>(), nullptr);
+  std::optional<Trust> mTrust;
+  std::unique_ptr<PeerLink> mLink;
+  std::optional<Membership> mMembership;
+  std::optional<DutyContext> mDutyContext;
+  std::optional<DutyLease> mRelay;
+  std::optional<OrderDuty> mOrders;
+  std::optional<UsageDuty> mUsage;
+  std::optional<UpstreamDuty> mUpstreams;
+  std::set<std::string> mListedLeaving;
+  int64_t mAdmissionLease = 0;
+  bool mFetching = false;
+  LogLimiter mStoreErrors{ std::chrono::seconds(5) };
+};
+
+Result<std::unique_ptr<Control>> Control::Create(asio::io_context& aContext,
+                                                 const Settings& aSettings,
+                                                 ControlHooks aHooks)
+{
+  auto state = std::make_unique<State>(aContext, aSettings, std::move(aHooks));
+  const auto opened = state->Open();
+  if (opened.has_error()) {
+    return opened.error();
+  }
+  return std::unique_ptr<Control>(new Control(std::move(state)));
+}
+
+Control::Control(std::unique_ptr<State> aState)
+  : mState(std::move(aState))
+{
+}
+
+Control::~Control() = default;
+
+void Control::Start()
+{
+  State& state = *mState;
+  std::vector<MemberUpdate> seeds;
+  for (const std::string& address : state.mSettings.mSeeds) {
+    MemberUpdate seed;
+    seed.mAddress = address;
+    seeds.push_back(seed);
+  }
+  state.mMembership->AddSeeds(seeds);
+  state.mLink->Start();
+  const auto spawn = [&](Awaitable<void> aLoop) {
+    asio::co_spawn(state.mExecutor, std::move(aLoop), asio::detached);
+  };
+  spawn(state.MembershipLoop());
+  spawn(state.RelayLoop());
+  spawn(state.RegisterLoop());
+  spawn(state.ViewLoop());
+  spawn(state.HostListLoop());
+  spawn(state.AdmissionLeaseLoop());
+  spawn(state.mOrders->Run());
+  spawn(state.mUsage->Run());
+  spawn(state.mUpstreams->Run());
+}
+
+void Control::BeginDrain()
+{
+  mState->mMembership->SetDraining();
+  mState->PublishView();
+}
+
+Awaitable<void> Control::Leave()
+{
+  co_await mState->mRelay->Release();
+  co_await mState->mOrders->Release();
+  co_await mState->mUsage->Release();
+  co_await mState->mUpstreams->Release();
+  mState->mMembership->Leave();
+}
+
+Awaitable<Result<int64_t>> Control::Change(ConfigWrite aWrite)
+{
+  auto written = co_await WriteConfig(mState->mStore, std::move(aWrite));
+  if (written.has_error()) {
+    co_return written.error();
+  }
+  co_await mState->ReadHead();
+  co_return co_await mState->Confirm(written->mVersion);
+}
+
+Awaitable<Result<Admission>> Control::Admit(AdmissionKey aKey,
+                                            AdmissionRecord aRecord)
+{
+  if (mState->mAdmissionLease == 0) {
+    co_return Error{ ErrorKind::Unavailable,
+                     "the platform store has not been reached since the start",
+                     "send the request again with the same request id" };
+  }
+  co_return co_await coordination::Admit(mState->mStore,
+                                         std::move(aKey),
+                                         std::move(aRecord),
+                                         mState->mAdmissionLease);
+}
+
+Awaitable<Result<PeerReply>> Control::AskPeer(std::string aAddress,
+                                              PeerRequest aRequest,
+                                              TimePoint aDeadline)
+{
+  return mState->mLink->Ask(
+    std::move(aAddress), std::move(aRequest), aDeadline);
+}
+
+void Control::Report(const TrafficReport& aReport)
+{
+  if (aReport.mKind == TrafficReport::Kind::Usage) {
+    mState->mUsage->Count(aReport);
+  } else {
+    mState->CountCrash(aReport.mFingerprint);
+  }
+}
+
+Awaitable<Result<std::vector<std::string>>> Control::SealedWindows(
+  unsigned aCount)
+{
+  return mState->mUsage->Sealed(aCount);
+}
+
+const MemberUpdate& Control::Self() const
+{
+  return mState->mMembership->Self();
+}
+
+} // namespace agatetide::daemon
--- /dev/null
+++ b/src/agatetide/daemon/main.cpp
@@ -0,0 +1,104 @@
+#include "agatetide/base/event_log.hpp"
+#include "agatetide/daemon/daemon.hpp"
+#include "agatetide/daemon/settings.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <cxxopts.hpp>
+
+#include <iostream>
+#include <optional>
+
+using namespace agatetide;
+using namespace agatetide::daemon;
+
+namespace {
+
+enum ExitCode
+{
+  Normal = 0,
+  RuntimeFailure = 1,
+  Usage = 2,
+  InvalidSettings = 3,
+  AddressInUse = 4,
+};
+
+constexpr const char* kExitCodes = R"(
+Signals: SIGTERM or SIGINT drains and exits; a second one exits at once and
+cuts running requests.
+Exit codes: 0 normal, 1 runtime failure or second signal, 2 usage,
+3 invalid settings, 4 address in use.
+)";
+
+std::optional<Settings> Load(const std::string& aPath)
+{
+  return leaf::try_handle_all(
+    [&]() -> leaf::result<std::optional<Settings>> {
+      BOOST_LEAF_AUTO(settings, LoadSettings(aPath));
+      return std::optional<Settings>(std::move(settings));
+    },
+    [](const Error& aError) {
+      std::cerr << "agatetided: " << FormatError(aError) << "\n";
+      return std::optional<Settings>();
+    },
+    [] {
+      std::cerr << "agatetided: settings cannot be read\n";
+      return std::optional<Settings>();
+    });
+}
+
+int Serve(const Settings& aSettings)
+{
+  StartEventLog(aSettings.mLogLevel, aSettings.mLogPath);
+  auto created = Daemon::Create(aSettings);
+  if (created.has_error()) {
+    Event("start_failed", LogLevel::Error)
+      .Field("error", FormatError(created.error()))
+      .Write();
+    StopEventLog();
+    std::cerr << "agatetided: " << FormatError(created.error()) << "\n";
+    return created.error().mKind == ErrorKind::Unavailable ? AddressInUse
+                                                           : RuntimeFailure;
+  }
+  const int code = (*created)->Run();
+  StopEventLog();
+  return code;
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  cxxopts::Options options("agatetided", "Rollout service daemon.");
+  options.add_options()("settings",
+                        "Settings file, JSON with comments",
+                        cxxopts::value<std::string>())(
+    "check-config", "Check the settings file and exit")(
+    "version", "Print the version")("help", "Print this text");
+  try {
+    const auto parsed = options.parse(aCount, aArguments);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help() << kExitCodes;
+      return Normal;
+    }
+    if (parsed.count("version") > 0) {
+      std::cout << "agatetided " AGATETIDE_VERSION "\n";
+      return Normal;
+    }
+    if (parsed.count("settings") == 0) {
+      std::cerr << "agatetided: --settings is missing; see --help\n";
+      return Usage;
+    }
+    const auto settings = Load(parsed["settings"].as<std::string>());
+    if (!settings) {
+      return InvalidSettings;
+    }
+    if (parsed.count("check-config") > 0) {
+      std::cout << "settings are valid\n";
+      return Normal;
+    }
+    return Serve(*settings);
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << "agatetided: " << error.what() << "; see --help\n";
+    return Usage;
+  }
+}
--- /dev/null
+++ b/src/agatetide/daemon/settings.cpp
@@ -0,0 +1,185 @@
+#include "agatetide/daemon/settings.hpp"
+
+#include "agatetide/coordination/trust.hpp"
+
+#include <nlohmann/json.hpp>
+
+// valijson's adapter needs the JSON library first.
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+#include <fstream>
+#include <sstream>
+
+namespace agatetide::daemon {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char* kSettingsSchema = R"({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["listen", "availability_zone", "region", "store", "cluster_secret"],
+  "properties": {
+    "listen": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["callers", "daemons"],
+      "properties": {
+        "callers": { "type": "string" },
+        "daemons": { "type": "string" }
+      }
+    },
+    "availability_zone": { "type": "string", "minLength": 1 },
+    "region": { "type": "string", "minLength": 1 },
+    "store": { "type": "array", "minItems": 1, "items": { "type": "string" } },
+    "platform": { "type": "string" },
+    "cluster_secret": { "type": "string", "minLength": 16 },
+    "bootstrap_key_sha256": { "type": "string", "minLength": 64, "maxLength": 64 },
+    "seeds": { "type": "array", "items": { "type": "string" } },
+    "data_folder": { "type": "string" },
+    "log": {
+      "type": "object",
+      "additionalProperties": false,
+      "properties": {
+        "level": { "enum": ["debug", "info", "warning", "error"] },
+        "path": { "type": "string" }
+      }
+    },
+    "trust_time_ms": { "type": "integer", "minimum": 500, "maximum": 6000 },
+    "address_lifetime_ms": { "type": "integer", "minimum": 100, "maximum": 600000 },
+    "usage_window_ms": { "type": "integer", "minimum": 1000, "maximum": 3600000 },
+    "drain_time_ms": { "type": "integer", "minimum": 0, "maximum": 3600000 },
+    "policies": { "type": "object", "additionalProperties": { "type": "string" } }
+  }
+})";
+
+leaf::error_id Invalid(std::string aMessage, std::string aRemedy)
+{
+  return leaf::new_error(Error{
+    ErrorKind::InvalidArgument, std::move(aMessage), std::move(aRemedy) });
+}
+
+/// "key: reason" for the innermost of the validator's findings, which comes
+/// last.
+std::string Explain(valijson::ValidationResults& aResults)
+{
+  std::string key = "settings";
+  std::string reason = "does not match the schema";
+  valijson::ValidationResults::Error finding;
+  bool first = true;
+  while (aResults.popError(finding)) {
+    if (!first) {
+      continue;
+    }
+    first = false;
+    reason = finding.description;
+    key.clear();
+    for (const std::string& part : finding.context) {
+      key += part;
+    }
+  }
+  return key + ": " + reason;
+}
+
+leaf::result<void> Validate(const json& aSettings)
+{
+  const json schemaText = json::parse(kSettingsSchema);
+  valijson::Schema schema;
+  valijson::SchemaParser parser;
+  parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(schemaText),
+                        schema);
+  valijson::Validator validator;
+  valijson::ValidationResults results;
+  if (!validator.validate(
+        schema, valijson::adapters::NlohmannJsonAdapter(aSettings), &results)) {
+    return Invalid(Explain(results),
+                   "see the settings reference, docs/settings.md");
+  }
+  return {};
+}
+
+leaf::result<http::Endpoint> ParseAddress(const std::string& aKey,
+                                          const std::string& aText)
+{
+  const auto endpoint = http::ParseEndpoint(aText);
+  if (endpoint.has_error()) {
+    return Invalid(aKey + ": " + endpoint.error().mMessage,
+                   endpoint.error().mRemedy);
+  }
+  return *endpoint;
+}
+
+std::chrono::milliseconds Time(const json& aSettings,
+                               const char* aKey,
+                               std::chrono::milliseconds aDefault)
+{
+  return std::chrono::milliseconds(aSettings.value(aKey, aDefault.count()));
+}
+
+} // namespace
+
+leaf::result<Settings> ParseSettings(std::string_view aText)
+{
+  constexpr bool kAllowComments = true;
+  json parsed;
+  try {
+    parsed = json::parse(aText, nullptr, true, kAllowComments);
+  } catch (const json::exception& error) {
+    return Invalid(std::string("settings are not JSON: ") + error.what(),
+                   "correct the syntax at that place");
+  }
+  BOOST_LEAF_CHECK(Validate(parsed));
+  Settings settings;
+  BOOST_LEAF_ASSIGN(
+    settings.mCallerListen,
+    ParseAddress("listen.callers", parsed["listen"]["callers"]));
+  BOOST_LEAF_ASSIGN(
+    settings.mDaemonListen,
+    ParseAddress("listen.daemons", parsed["listen"]["daemons"]));
+  for (const json& store : parsed["store"]) {
+    BOOST_LEAF_AUTO(endpoint, ParseAddress("store", store));
+    settings.mStore.push_back(endpoint);
+  }
+  if (parsed.contains("platform")) {
+    BOOST_LEAF_ASSIGN(settings.mPlatform,
+                      ParseAddress("platform", parsed["platform"]));
+  }
+  settings.mAvailabilityZone = parsed["availability_zone"];
+  settings.mRegion = parsed["region"];
+  settings.mClusterSecret = parsed["cluster_secret"];
+  settings.mBootstrapKeySha256 = parsed.value("bootstrap_key_sha256", "");
+  settings.mSeeds = parsed.value("seeds", std::vector<std::string>());
+  settings.mDataFolder = parsed.value("data_folder", "");
+  const json log = parsed.value("log", json::object());
+  settings.mLogLevel = LogLevelFromName(log.value("level", "info"));
+  settings.mLogPath = log.value("path", "");
+  settings.mTrustTime = Time(parsed, "trust_time_ms", settings.mTrustTime);
+  settings.mAddressLifetime =
+    Time(parsed, "address_lifetime_ms", settings.mAddressLifetime);
+  settings.mUsageWindow =
+    Time(parsed, "usage_window_ms", settings.mUsageWindow);
+  settings.mDrainTime = Time(parsed, "drain_time_ms", settings.mDrainTime);
+  settings.mPolicies =
+    parsed.value("policies", std::map<std::string, std::string>());
+  return settings;
+}
+
+leaf::result<Settings> LoadSettings(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    return leaf::new_error(Error{ ErrorKind::NotFound,
+                                  "cannot read settings file " + aPath,
+                                  "pass an existing file with --settings" });
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ParseSettings(text.str());
+}
+
+} // namespace agatetide::daemon
--- /dev/null
+++ b/src/agatetide/daemon/usage_duty.cpp
@@ -0,0 +1,211 @@
+#include "agatetide/daemon/usage_duty.hpp"
+
+#include "agatetide/platform/platform_api.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace agatetide::daemon {
+
+using namespace coordination;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view kSealedPrefix = "agatetide/usage/";
+constexpr std::chrono::milliseconds kCopyInterval{ 2000 };
+constexpr std::chrono::milliseconds kPeerTimeout{ 2000 };
+constexpr std::chrono::milliseconds kReportTimeout{ 5000 };
+constexpr size_t kCopies = 2;
+/// Windows that the reporter looks back when it takes the duty over.
+constexpr int64_t kLookBack = 60;
+
+std::string SealedKey(int64_t aWindow)
+{
+  char digits[24];
+  std::snprintf(
+    digits, sizeof digits, "%016lld", static_cast<long long>(aWindow));
+  return std::string(kSealedPrefix) + digits;
+}
+
+std::string CounterName(const MemberUpdate& aSelf)
+{
+  return aSelf.mAddress + "#" + std::to_string(aSelf.mIncarnation);
+}
+
+} // namespace
+
+UsageDuty::UsageDuty(DutyContext& aContext, PeerLink& aLink, DutyLease aLease)
+  : mContext(aContext)
+  , mLink(aLink)
+  , mLease(std::move(aLease))
+  , mCounters(CounterName(aContext.mMembership.Self()))
+{
+}
+
+int64_t UsageDuty::CurrentWindow() const
+{
+  return mContext.mWallClock() / mContext.mSettings.mUsageWindow.count();
+}
+
+void UsageDuty::Count(const TrafficReport& aReport)
+{
+  mCounters.Add(CurrentWindow(),
+                aReport.mAccount,
+                { 1, aReport.mTokens, aReport.mUpstreamMilliseconds });
+}
+
+void UsageDuty::Merge(const std::string& aBytes)
+{
+  mCounters.Merge(DecodeUsage(aBytes));
+}
+
+Awaitable<void> UsageDuty::Run()
+{
+  mReportedThrough = CurrentWindow() - 1;
+  for (;;) {
+    co_await Sleep(Milliseconds(500));
+    co_await mLease.Maintain();
+    if (mContext.mClock() - mLastCopy >= kCopyInterval) {
+      mLastCopy = mContext.mClock();
+      co_await CopyToPeers();
+    }
+    // One window's time passes between its end and its report, so that the
+    // last counts of it reach the reporter.
+    const int64_t due = CurrentWindow() - 2;
+    while (mLease.Held() && mReportedThrough < due) {
+      if (!co_await ReportWindow(mReportedThrough + 1)) {
+        break;
+      }
+      ++mReportedThrough;
+    }
+    if (!mLease.Held()) {
+      mReportedThrough = std::max(mReportedThrough, due - kLookBack);
+    }
+  }
+}
+
+/// Copies go to members in other availability zones first, and to the
+/// reporter, which sums them.
+Awaitable<void> UsageDuty::CopyToPeers()
+{
+  const UsageTable own = mCounters.Own();
+  if (own.empty()) {
+    co_return;
+  }
+  std::vector<std::string> targets;
+  if (const auto* reporter = mContext.mMembership.Fact(kLeaseTopic, "usage")) {
+    targets.push_back(reporter->mValue);
+  }
+  const std::string& zone = mContext.mMembership.Self().mAvailabilityZone;
+  for (const Member* member : mContext.mMembership.Live()) {
+    if (targets.size() < kCopies + 1 &&
+        member->mInfo.mAvailabilityZone != zone) {
+      targets.push_back(member->mInfo.mAddress);
+    }
+  }
+  std::sort(targets.begin(), targets.end());
+  targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
+  std::erase(targets, mContext.mMembership.Self().mAddress);
+  PeerRequest request;
+  request.mKind = "usage";
+  request.mBody = EncodeUsage(own);
+  for (const std::string& target : targets) {
+    co_await mLink.Ask(target, request, mContext.mClock() + kPeerTimeout);
+  }
+}
+
+Awaitable<bool> UsageDuty::ReportWindow(int64_t aWindow)
+{
+  auto sealed = co_await Seal(aWindow);
+  if (sealed.has_error()) {
+    co_return false;
+  }
+  if (sealed->empty()) {
+    co_return true;
+  }
+  if (!mLease.Held()) {
+    co_return false;
+  }
+  const auto sent =
+    co_await platform::SendUsage(mContext.mClient,
+                                 mContext.mSettings.mPlatform,
+                                 *sealed,
+                                 mContext.mClock() + kReportTimeout);
+  Event("usage_report")
+    .Field("window", aWindow)
+    .Field("bytes", static_cast<uint64_t>(sealed->size()))
+    .Field("result", sent.has_error() ? FormatError(sent.error()) : "sent")
+    .Write();
+  co_return sent.has_value();
+}
+
+/// The sealed bytes of a window: those in the store if it is sealed already,
+/// otherwise the present counts, sealed by create-if-absent.
+Awaitable<Result<std::string>> UsageDuty::Seal(int64_t aWindow)
+{
+  const std::string key = SealedKey(aWindow);
+  auto stored = co_await ReadKey(mContext.mStore, key);
+  if (stored.has_error()) {
+    co_return stored.error();
+  }
+  if (stored->has_value()) {
+    co_return (*stored)->mValue;
+  }
+  if (mCounters.Totals(aWindow).empty()) {
+    co_return std::string();
+  }
+  TransactionRequest create;
+  create.mCompares.push_back({ key, 0 });
+  create.mPuts.push_back({ key, Render(aWindow) });
+  create.mReadOnFailure.push_back(key);
+  auto created = co_await mContext.mStore(create);
+  if (created.has_value() && created->mSucceeded) {
+    co_return create.mPuts.front().mValue;
+  }
+  if (created.has_value() && !created->mEntries.empty()) {
+    co_return created->mEntries.front().mValue;
+  }
+  // The next round reads back what was stored.
+  co_return Error{ ErrorKind::OutcomeUnknown,
+                   "the window's seal is not known",
+                   "repeat" };
+}
+
+std::string UsageDuty::Render(int64_t aWindow) const
+{
+  json accounts = json::array();
+  for (const auto& [account, count] : mCounters.Totals(aWindow)) {
+    accounts.push_back({ { "account", account },
+                         { "requests", count.mRequests },
+                         { "tokens", count.mTokens },
+                         { "upstream_ms", count.mUpstreamMilliseconds } });
+  }
+  const json report = { { "window", aWindow },
+                        { "window_ms",
+                          mContext.mSettings.mUsageWindow.count() },
+                        { "accounts", accounts } };
+  return report.dump();
+}
+
+Awaitable<Result<std::vector<std::string>>> UsageDuty::Sealed(unsigned aCount)
+{
+  const std::string from =
+    SealedKey(std::max<int64_t>(0, CurrentWindow() - 2 - aCount));
+  StoreRequest request = RangeRequest{ from, PrefixEnd(kSealedPrefix), 0 };
+  auto reply = co_await mContext.mStore(std::move(request));
+  if (reply.has_error()) {
+    co_return reply.error();
+  }
+  std::vector<std::string> windows;
+  for (auto entry = reply->mEntries.rbegin();
+       entry != reply->mEntries.rend() && windows.size() < aCount;
+       ++entry) {
+    windows.push_back(entry->mValue);
+  }
+  co_return windows;
+}
+
+} // namespace agatetide::daemon
--- /dev/null
+++ b/src/agatetide/policy/address_answer.cpp
@@ -0,0 +1,49 @@
+#include "agatetide/policy/address_answer.hpp"
+
+#include "agatetide/base/encoding.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace agatetide::policy {
+
+namespace {
+
+unsigned Distance(const EntryHost& aHost, const CallerPlace& aCaller)
+{
+  if (!aCaller.mAvailabilityZone.empty() &&
+      aHost.mAvailabilityZone == aCaller.mAvailabilityZone) {
+    return 0;
+  }
+  return !aCaller.mRegion.empty() && aHost.mRegion == aCaller.mRegion ? 1 : 2;
+}
+
+} // namespace
+
+std::vector<size_t> OrderAddresses(std::span<const EntryHost> aHosts,
+                                   const CallerPlace& aCaller)
+{
+  const bool anyGood =
+    std::any_of(aHosts.begin(), aHosts.end(), [](const EntryHost& aHost) {
+      return aHost.mAlive && !aHost.mDraining;
+    });
+  using Rank = std::tuple<unsigned, uint64_t, size_t>;
+  std::vector<Rank> ranks;
+  for (size_t i = 0; i < aHosts.size(); ++i) {
+    const EntryHost& host = aHosts[i];
+    if (anyGood && (!host.mAlive || host.mDraining)) {
+      continue;
+    }
+    const uint64_t shard = Hash64(host.mAddress, Hash64(aCaller.mAccount));
+    ranks.emplace_back(Distance(host, aCaller), shard, i);
+  }
+  std::sort(ranks.begin(), ranks.end());
+  std::vector<size_t> order;
+  order.reserve(ranks.size());
+  for (const Rank& rank : ranks) {
+    order.push_back(std::get<2>(rank));
+  }
+  return order;
+}
+
+} // namespace agatetide::policy
--- /dev/null
+++ b/src/agatetide/policy/fair_queue_test.cpp
@@ -0,0 +1,48 @@
+#include "agatetide/policy/fair_queue.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace agatetide::policy;
+
+// Guards against a flood of one client account delaying the others.
+Test(fair_queue, a_flood_of_one_account_does_not_delay_another)
+{
+  FairQueue queue(FairQueueOptions{});
+  for (uint64_t id = 0; id < 1000; ++id) {
+    queue.Push({ id, RequestClass::Urgent, "large", 1.0, 256.0 });
+  }
+  queue.Push({ 5000, RequestClass::Urgent, "small", 1.0, 256.0 });
+  unsigned before = 0;
+  while (queue.Pop()->mId != 5000) {
+    ++before;
+  }
+  cr_assert(before <= 2, "%u requests ran before", before);
+}
+
+// Guards against background work delaying urgent lookups.
+Test(fair_queue, urgent_goes_before_background)
+{
+  FairQueue queue(FairQueueOptions{});
+  queue.Push({ 1, RequestClass::Background, "a", 1.0, 1.0 });
+  queue.Push({ 2, RequestClass::Trainer, "a", 1.0, 1.0 });
+  queue.Push({ 3, RequestClass::Urgent, "a", 1.0, 1.0 });
+  cr_assert(queue.Pop()->mId == 3);
+  cr_assert(queue.Pop()->mId == 2);
+  cr_assert(queue.Pop()->mId == 1);
+  cr_assert(!queue.Pop());
+}
+
+// Guards against unbounded queues and against a size that drifts.
+Test(fair_queue, is_bounded_per_account_and_forgets_removed_requests)
+{
+  FairQueueOptions options;
+  options.mMaxPerAccount = 2;
+  FairQueue queue(options);
+  cr_assert(queue.Push({ 1, RequestClass::Urgent, "a", 1.0, 1.0 }));
+  cr_assert(queue.Push({ 2, RequestClass::Urgent, "a", 1.0, 1.0 }));
+  cr_assert(!queue.Push({ 3, RequestClass::Urgent, "a", 1.0, 1.0 }));
+  queue.Remove(1);
+  queue.Remove(2);
+  cr_assert(queue.size() == 0);
+  cr_assert(!queue.Pop());
+}
--- a/tests/doubles/double_engine.cpp
+++ b/tests/doubles/double_engine.cpp
@@ -40,7 +40,7 @@
   {
   }
 
-  http::Awaitable<http::Response> Handle(http::Request aRequest)
+  Awaitable<http::Response> Handle(http::Request aRequest)
   {
     if (aRequest.mTarget == "/load") {
       co_return Load();
@@ -80,7 +80,7 @@
     return http::MakeResponse(200, "application/json", report.dump());
   }
 
-  http::Awaitable<http::Response> Swap(json aOrder)
+  Awaitable<http::Response> Swap(json aOrder)
   {
     const int64_t fencing = aOrder.value("fencing_number", int64_t{ 0 });
     if (fencing < mFencing) {
@@ -111,7 +111,7 @@
   }
 
   /// Waits for a slot of the batch; lower priority values go first.
-  http::Awaitable<void> TakeSlot(int aPriority)
+  Awaitable<void> TakeSlot(int aPriority)
   {
     if (mRunning >= mOptions.mSlots) {
       auto timer =
@@ -136,7 +136,7 @@
     mWaiting.erase(next);
   }
 
-  http::Awaitable<Result<bool>> Run(json aBody, http::ChunkWriter aWriter)
+  Awaitable<Result<bool>> Run(json aBody, http::ChunkWriter aWriter)
   {
     co_await TakeSlot(aBody.value("priority", 0));
     const auto result = co_await Decode(std::move(aBody), std::move(aWriter));
@@ -144,7 +144,7 @@
     co_return result;
   }
 
-  http::Awaitable<Result<bool>> Decode(json aBody, http::ChunkWriter aWriter)
+  Awaitable<Result<bool>> Decode(json aBody, http::ChunkWriter aWriter)
   {
     const unsigned total = aBody.value("max_tokens", 16U);
     unsigned produced = aBody.value("resume_tokens", 0U);
--- a/tests/doubles/double_platform.cpp
+++ b/tests/doubles/double_platform.cpp
@@ -15,7 +15,7 @@
 class PlatformDouble
 {
 public:
-  http::Awaitable<http::Response> Handle(http::Request aRequest)
+  Awaitable<http::Response> Handle(http::Request aRequest)
   {
     if (aRequest.mTarget == "/state") {
       const json state = { { "orders", mOrders },
--- a/tests/doubles/double_service.cpp
+++ b/tests/doubles/double_service.cpp
@@ -29,7 +29,7 @@
   {
   }
 
-  http::Awaitable<http::Response> Handle(http::Request aRequest)
+  Awaitable<http::Response> Handle(http::Request aRequest)
   {
     if (aRequest.mTarget == "/load") {
       const json load = { { "running", std::min(mInside, mSlots) },
@@ -51,7 +51,7 @@
   }
 
 private:
-  http::Awaitable<http::Response> Run(http::Request aRequest)
+  Awaitable<http::Response> Run(http::Request aRequest)
   {
     if (aRequest.mBody.find("CRASH") != std::string::npos) {
       std::_Exit(1);
--- a/tests/doubles/double_store.cpp
+++ b/tests/doubles/double_store.cpp
@@ -24,7 +24,7 @@
   {
   }
 
-  http::Awaitable<http::Response> Handle(http::Request aRequest)
+  Awaitable<http::Response> Handle(http::Request aRequest)
   {
     if (aRequest.mTarget == "/control") {
       mFaults = json::parse(aRequest.mBody);
@@ -55,7 +55,7 @@
   }
 
 private:
-  http::Awaitable<void> Pause(int aMilliseconds)
+  Awaitable<void> Pause(int aMilliseconds)
   {
     if (aMilliseconds > 0) {
       boost::asio::steady_timer timer(mContext,
--- /dev/null
+++ b/tests/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Starts real daemons and test doubles, and calls them."""
