Close gaps in trust, acceptance and configuration writes

Cause: the models showed four faults. A restarted host fetched an old copy and formed a majority with it; a proof from before the start counted; a host that a change removed still served when the change was answered as accepted; host objects were written without waiting for acceptance of the version before, so that majorities of {a} and {b, c} could coexist. A write whose transaction took effect between the read of the log and that of the object, and was then replaced, was answered as a conflict. Proofs from before the start are dropped, a process without a later proof takes no part in a majority (new datagram field), removed hosts count for the quick acceptance for the trust time, acceptance needs a local copy at the version, and host objects follow directly an accepted version. Conclusion: when a majority of the configured hosts is gone for good, host registration waits for an operator.

--- a/include/agatetide/coordination/config_log.hpp
+++ b/include/agatetide/coordination/config_log.hpp
@@ -43,6 +43,9 @@
   std::map<std::string, ConfigObject> mObjects;
 };
 
+/// @brief Stands for every version in ConfigWrite.
+inline constexpr int64_t kAnyVersion = -1;
+
 /// @brief A change as an operator asks for it.
 struct ConfigWrite
 {
@@ -53,10 +56,12 @@
   /// Version at which the operator read the object; 0 when it must be new,
   /// kAnyVersion to overwrite whatever is there.
   int64_t mExpectedVersion = 0;
+  /// Version of the configuration that the change must follow directly, or
+  /// kAnyVersion. Changes of the host set name the accepted version here, so
+  /// that each is accepted before the next is stored.
+  int64_t mExpectedHead = kAnyVersion;
 };
 
-inline constexpr int64_t kAnyVersion = -1;
-
 /// @brief The local copy of the configuration. It only moves forward.
 /// Not thread-safe; snapshots it hands out may be read by any thread.
 class ConfigLog
@@ -88,10 +93,13 @@
 /// @brief Writes one change to the store as a single transaction.
 ///
 /// Retries while only other objects changed. After a lost answer it reads
-/// back by change id, so a change is stored at most once.
+/// back by change id, so a change is stored at most once. A call that is
+/// repeated with the same change id returns the change stored first, also when
+/// the object has changed again since; with kAnyVersion only while the object
+/// still holds the change. An empty change id is never recognised.
 /// Returns the stored change. Errors: Conflict when the object changed since
-/// aWrite.mExpectedVersion; Unavailable (not run); OutcomeUnknown when the
-/// read-back fails as well.
+/// aWrite.mExpectedVersion or the head is not aWrite.mExpectedHead;
+/// Unavailable (not run); OutcomeUnknown when the read-back fails as well.
 Awaitable<Result<ConfigChange>> WriteConfig(StoreCall aStore,
                                             ConfigWrite aWrite);
 
--- a/include/agatetide/coordination/membership.hpp
+++ b/include/agatetide/coordination/membership.hpp
@@ -42,6 +42,8 @@
   int64_t mConfigVersion = 0;
   std::optional<Milliseconds> mProofAge;
   bool mStoreContact = false;
+  /// Whether the peer has had a proof since its start.
+  bool mProven = false;
 };
 
 struct MembershipHooks
--- a/include/agatetide/coordination/messages.hpp
+++ b/include/agatetide/coordination/messages.hpp
@@ -80,6 +80,8 @@
   int64_t mProofAgeMs = -1;
   /// Whether the store answered the sender within the trust time.
   bool mStoreContact = false;
+  /// Whether the sender has had a proof since its start.
+  bool mProven = false;
   std::vector<MemberUpdate> mUpdates;
   std::vector<SharedFact> mFacts;
 
@@ -93,6 +95,7 @@
              mConfigVersion,
              mProofAgeMs,
              mStoreContact,
+             mProven,
              mUpdates,
              mFacts);
   }
--- a/include/agatetide/coordination/trust.hpp
+++ b/include/agatetide/coordination/trust.hpp
@@ -34,7 +34,13 @@
 /// it within the trust time, or while a majority of the configured hosts
 /// answered probes within that time, all without store contact and none with a
 /// higher version. A host that the configuration does not name is never
-/// trusted. Not thread-safe; owned by one duty.
+/// trusted. Proofs from before the start of this process do not count, and
+/// a process without a later proof takes no part in a majority: an earlier
+/// process at the same address may have acknowledged a newer version.
+///
+/// Successive host sets may differ by one host, and a change of the set may
+/// be stored only when the version before it is accepted; otherwise two
+/// majorities need not intersect. Not thread-safe; owned by one duty.
 class Trust
 {
 public:
@@ -52,7 +58,8 @@
   void RecordProof(const ProbeProof& aProof);
 
   /// @brief Hosts of the present configuration; the majority is counted
-  /// among them.
+  /// among them. A host that is left out still counts for the quick
+  /// acceptance until its trust in an older version has lapsed.
   void SetHosts(std::set<std::string> aHosts);
 
   /// @brief Whether a copy at aVersion may be served from now.
@@ -68,6 +75,10 @@
   /// to peers.
   std::optional<Milliseconds> ProofAge(int64_t aVersion) const;
 
+  /// @brief Whether this process has had a proof that dates from after its
+  /// start.
+  bool Proven() const { return mProven; }
+
   /// @brief Whether the store answered this daemon within the trust time.
   bool StoreContact() const;
 
@@ -82,7 +93,10 @@
   /// host acknowledged its version, or a majority did and the trust time has
   /// passed since then, so that every other host has stopped trusting an
   /// older version. Call it repeatedly; it notes when the majority caught up.
-  bool Accepted(Acceptance& aAcceptance) const;
+  /// aLocalVersion is the version of the local copy, whose hosts SetHosts()
+  /// named; an older copy than the change accepts nothing, since its hosts may
+  /// differ. The caller need not be a configured host.
+  bool Accepted(Acceptance& aAcceptance, int64_t aLocalVersion) const;
 
   Milliseconds TrustTime() const { return mOptions.mTrustTime; }
 
@@ -92,6 +106,7 @@
     TimePoint mProbeSent{};
     int64_t mConfigVersion = 0;
     bool mStoreContact = false;
+    bool mProven = false;
   };
 
   Trust(std::string aSelf, TrustOptions aOptions, Clock aClock);
@@ -100,14 +115,20 @@
   void AddProof(int64_t aVersion, TimePoint aTime);
   TimePoint ProofTime(int64_t aVersion) const;
   TimePoint MajorityWithoutStoreUntil(int64_t aVersion) const;
+  bool CaughtUp(const std::string& aHost, int64_t aVersion) const;
+  bool RetiredCaughtUp(int64_t aVersion) const;
 
   std::string mSelf;
   TrustOptions mOptions;
   Clock mClock;
+  TimePoint mStart;
+  bool mProven = false;
   /// Latest proof time by version; proofs past the trust time are dropped.
   std::map<int64_t, TimePoint> mProofs;
   TimePoint mStoreRead{};
   std::set<std::string> mHosts;
+  /// Hosts that the configuration no longer names, with the time of removal.
+  std::map<std::string, TimePoint> mRetired;
   std::map<std::string, Peer> mPeers;
 };
 
--- a/src/agatetide/coordination/config_log.cpp
+++ b/src/agatetide/coordination/config_log.cpp
@@ -121,6 +121,14 @@
   };
 }
 
+Error HeadConflict(int64_t aActual, int64_t aExpected)
+{
+  return { ErrorKind::Conflict,
+           "the configuration is at version " + std::to_string(aActual) +
+             ", not " + std::to_string(aExpected),
+           "repeat the change when the present version is accepted" };
+}
+
 Error UnresolvedWrite()
 {
   return { ErrorKind::OutcomeUnknown,
@@ -138,7 +146,7 @@
     co_return changes.error();
   }
   for (ConfigChange& change : *changes) {
-    if (change.mChangeId == aChangeId) {
+    if (!aChangeId.empty() && change.mChangeId == aChangeId) {
       co_return std::optional<ConfigChange>(std::move(change));
     }
   }
@@ -269,9 +277,23 @@
     }
     if (aWrite.mExpectedVersion != kAnyVersion &&
         object->mVersion != aWrite.mExpectedVersion) {
+      // An earlier copy of this write may have been stored and then replaced,
+      // also between the reads above.
+      auto earlier =
+        co_await FindChange(aStore, aWrite.mExpectedVersion, aWrite.mChangeId);
+      if (earlier.has_error()) {
+        co_return UnresolvedWrite();
+      }
+      if (earlier->has_value()) {
+        co_return **earlier;
+      }
       co_return ObjectConflict(
         aWrite.mObject, object->mVersion, aWrite.mExpectedVersion);
     }
+    if (aWrite.mExpectedHead != kAnyVersion &&
+        head->mVersion != aWrite.mExpectedHead) {
+      co_return HeadConflict(head->mVersion, aWrite.mExpectedHead);
+    }
     const ConfigChange change{ head->mVersion + 1,
                                aWrite.mChangeId,
                                aWrite.mObject,
--- a/src/agatetide/coordination/membership.cpp
+++ b/src/agatetide/coordination/membership.cpp
@@ -272,6 +272,7 @@
     proof.mProbeSent = pending.mSent;
     proof.mConfigVersion = aDatagram.mConfigVersion;
     proof.mStoreContact = aDatagram.mStoreContact;
+    proof.mProven = aDatagram.mProven;
     if (aDatagram.mProofAgeMs >= 0) {
       proof.mProofAge = Milliseconds(aDatagram.mProofAgeMs);
     }
--- a/src/agatetide/coordination/trust.cpp
+++ b/src/agatetide/coordination/trust.cpp
@@ -29,6 +29,7 @@
   : mSelf(std::move(aSelf))
   , mOptions(aOptions)
   , mClock(std::move(aClock))
+  , mStart(mClock())
 {
 }
 
@@ -42,7 +43,10 @@
 {
   Peer& peer = mPeers[aProof.mAddress];
   if (aProof.mProbeSent > peer.mProbeSent) {
-    peer = { aProof.mProbeSent, aProof.mConfigVersion, aProof.mStoreContact };
+    peer = { aProof.mProbeSent,
+             aProof.mConfigVersion,
+             aProof.mStoreContact,
+             aProof.mProven };
   }
   if (aProof.mProofAge) {
     // The acknowledgement was sent after the probe, so the peer's proof is at
@@ -53,6 +57,10 @@
 
 void Trust::AddProof(int64_t aVersion, TimePoint aTime)
 {
+  if (aTime < mStart) {
+    return;
+  }
+  mProven = true;
   TimePoint& latest = mProofs[aVersion];
   latest = std::max(latest, aTime);
   std::erase_if(mProofs,
@@ -74,7 +82,20 @@
 
 void Trust::SetHosts(std::set<std::string> aHosts)
 {
+  for (const std::string& host : mHosts) {
+    if (!aHosts.contains(host)) {
+      mRetired[host] = mClock();
+    }
+  }
   mHosts = std::move(aHosts);
+  std::erase_if(mRetired, [&](const auto& aItem) {
+    return mHosts.contains(aItem.first) ||
+           mClock() - aItem.second > mOptions.mTrustTime + kDriftMargin;
+  });
+  std::erase_if(mPeers, [&](const auto& aItem) {
+    return !mHosts.contains(aItem.first) && !mRetired.contains(aItem.first) &&
+           !Recent(aItem.second.mProbeSent);
+  });
 }
 
 bool Trust::Recent(TimePoint aTime) const
@@ -100,7 +121,7 @@
 
 TimePoint Trust::MajorityWithoutStoreUntil(int64_t aVersion) const
 {
-  if (StoreContact() || aVersion <= 0) {
+  if (StoreContact() || aVersion <= 0 || !mProven) {
     return TimePoint{};
   }
   std::vector<TimePoint> agreeing;
@@ -116,7 +137,7 @@
     if (peer->second.mConfigVersion > aVersion) {
       return TimePoint{};
     }
-    if (!peer->second.mStoreContact) {
+    if (!peer->second.mStoreContact && peer->second.mProven) {
       agreeing.push_back(peer->second.mProbeSent);
     }
   }
@@ -159,23 +180,37 @@
 {
   std::vector<std::string> behind;
   for (const std::string& host : mHosts) {
-    const auto peer = mPeers.find(host);
-    const bool caughtUp =
-      peer != mPeers.end() && peer->second.mConfigVersion >= aVersion;
-    if (host != mSelf && !caughtUp) {
+    if (!CaughtUp(host, aVersion)) {
       behind.push_back(host);
     }
   }
   return behind;
 }
 
-bool Trust::Accepted(Acceptance& aAcceptance) const
+bool Trust::CaughtUp(const std::string& aHost, int64_t aVersion) const
 {
-  if (!mHosts.contains(mSelf)) {
+  const auto peer = mPeers.find(aHost);
+  return aHost == mSelf ||
+         (peer != mPeers.end() && peer->second.mConfigVersion >= aVersion);
+}
+
+/// A host that the change removed may trust an older version by its last
+/// proof, and acceptance by majority does not wait for it.
+bool Trust::RetiredCaughtUp(int64_t aVersion) const
+{
+  return std::all_of(mRetired.begin(), mRetired.end(), [&](const auto& aItem) {
+    return CaughtUp(aItem.first, aVersion) ||
+           mClock() - aItem.second > mOptions.mTrustTime + kDriftMargin;
+  });
+}
+
+bool Trust::Accepted(Acceptance& aAcceptance, int64_t aLocalVersion) const
+{
+  if (aLocalVersion < aAcceptance.mVersion) {
     return false;
   }
   const size_t caughtUp = mHosts.size() - Behind(aAcceptance.mVersion).size();
-  if (caughtUp == mHosts.size()) {
+  if (caughtUp == mHosts.size() && RetiredCaughtUp(aAcceptance.mVersion)) {
     return true;
   }
   if (2 * caughtUp <= mHosts.size()) {
--- a/src/agatetide/daemon/control.cpp
+++ b/src/agatetide/daemon/control.cpp
@@ -30,6 +30,8 @@
 constexpr std::chrono::milliseconds kConfirmationPoll{ 25 };
 /// Hosts that are probed in each poll while a change is confirmed.
 constexpr size_t kProbesPerPoll = 8;
+constexpr Milliseconds kRegisterJitter{ 200 };
+constexpr std::string_view kHostPrefix = "host/";
 constexpr std::chrono::milliseconds kHostListInterval{ 1000 };
 constexpr int64_t kAdmissionRetentionSeconds = int64_t{ 24 } * 3600;
 constexpr std::chrono::hours kAdmissionLeasePeriod{ 1 };
@@ -158,6 +160,7 @@
       const auto age = mTrust->ProofAge(mLog.Version());
       aDatagram.mProofAgeMs = age ? age->count() : -1;
       aDatagram.mStoreContact = mTrust->StoreContact();
+      aDatagram.mProven = mTrust->Proven();
     };
     return hooks;
   }
@@ -321,17 +324,38 @@
         ConfigWrite write{
           SecureHex(8), "host/" + self.mAddress, false, value, kAnyVersion
         };
-        const auto written = co_await WriteConfig(mStore, write);
+        const auto written = co_await WriteHost(std::move(write));
         Event("register_host")
           .Field("result",
                  written.has_error() ? FormatError(written.error()) : "stored")
           .Write();
         co_await ReadHead();
+        if (written.has_error() &&
+            written.error().mKind == ErrorKind::Conflict) {
+          // Another host was registered first; the jitter spreads the rest.
+          co_await Sleep(Milliseconds(UniformBelow(
+            mRandom, static_cast<uint64_t>(kRegisterJitter.count()))));
+          continue;
+        }
       }
       co_await Sleep(std::chrono::seconds(1));
     }
   }
 
+  /// Writes a host object. Majorities of successive host sets intersect only
+  /// if the version before each change of the set is accepted, so this waits
+  /// for that and lets the change follow exactly that version.
+  Awaitable<Result<ConfigChange>> WriteHost(ConfigWrite aWrite)
+  {
+    co_await ReadHead();
+    aWrite.mExpectedHead = mLog.Version();
+    const auto confirmed = co_await Confirm(aWrite.mExpectedHead);
+    if (confirmed.has_error()) {
+      co_return confirmed.error();
+    }
+    co_return co_await WriteConfig(mStore, std::move(aWrite));
+  }
+
   Awaitable<void> AdmissionLeaseLoop()
   {
     for (;;) {
@@ -424,7 +448,7 @@
   {
     Acceptance acceptance{ aVersion, mClock(), std::nullopt };
     const TimePoint limit = mClock() + kConfirmationTime;
-    while (!mTrust->Accepted(acceptance)) {
+    while (!mTrust->Accepted(acceptance, mLog.Version())) {
       if (mClock() > limit) {
         co_return Error{ ErrorKind::NotConfirmed,
                          "the change is stored as version " +
@@ -531,7 +555,15 @@
 
 Awaitable<Result<int64_t>> Control::Change(ConfigWrite aWrite)
 {
-  auto written = co_await WriteConfig(mState->mStore, std::move(aWrite));
+  if (aWrite.mObject.starts_with(kHostPrefix)) {
+    const auto stored = co_await mState->WriteHost(std::move(aWrite));
+    if (stored.has_error()) {
+      co_return stored.error();
+    }
+    co_await mState->ReadHead();
+    co_return co_await mState->Confirm(stored->mVersion);
+  }
+  const auto written = co_await WriteConfig(mState->mStore, std::move(aWrite));
   if (written.has_error()) {
     co_return written.error();
   }
