Add anti-entropy, refutation and bounds to membership

Cause: shared facts and member updates were gossiped a limited number of times only, so a daemon that joined later never learned them; a member that was declared dead in a partition was never told and stayed dead; dead members and facts were kept for ever; a refutation by gossip reset the known configuration version; a restart with the clock set back was ignored. A digest of 64 buckets is sent to one random live member every 5 s; the answer is bounded by 64 entries. Facts carry a lifetime, dead members that are no seeds are forgotten after 60 s.

--- /dev/null
+++ b/examples/membership_scale.cpp
@@ -0,0 +1,170 @@
+// Measures the membership state machine in one process: detection time of a
+// killed member, false suspicions under datagram loss, and bytes for each
+// member. Prints one JSON line for each group size and probing scope.
+#include "agatetide/coordination/membership.hpp"
+
+#include <chrono>
+#include <cstdio>
+#include <deque>
+#include <memory>
+
+using namespace agatetide;
+using namespace agatetide::coordination;
+
+namespace {
+
+constexpr Milliseconds kTick{ 250 };
+constexpr size_t kZones = 8;
+constexpr size_t kUdpIpBytes = 28;
+constexpr uint64_t kLossPercent = 5;
+
+struct Packet
+{
+  size_t mTo = 0;
+  Datagram mDatagram;
+};
+
+struct Group
+{
+  Group(size_t aSize, unsigned aOtherZoneProbeShare)
+  {
+    MembershipOptions options;
+    options.mOtherZoneProbeShare = aOtherZoneProbeShare;
+    std::vector<MemberUpdate> seeds(aSize);
+    for (size_t i = 0; i < aSize; ++i) {
+      seeds[i].mAddress = "10.0." + std::to_string(i / 256) + "." +
+                          std::to_string(i % 256) + ":7100";
+      seeds[i].mCallerAddress = seeds[i].mAddress;
+      seeds[i].mAvailabilityZone = "zone-" + std::to_string(i % kZones);
+      seeds[i].mRegion = "region";
+      seeds[i].mIncarnation = 1700000000000;
+      mIndex[seeds[i].mAddress] = i;
+    }
+    for (size_t i = 0; i < aSize; ++i) {
+      MembershipHooks hooks;
+      hooks.mSend = [this](const std::string& aTo, const Datagram& aDatagram) {
+        mBytes += EncodeMessage(aDatagram, "secret").size() + kUdpIpBytes;
+        if (UniformBelow(mRandom, 100) >= mLossPercent) {
+          mQueue.push_back({ mIndex.at(aTo), aDatagram });
+        }
+      };
+      hooks.mOnChange = [this](const Member& aMember) { Count(aMember); };
+      hooks.mOnProof = [](const ProbeProof&) {};
+      hooks.mFill = [](Datagram&) {};
+      auto created = Membership::Create(seeds[i],
+                                        options,
+                                        std::move(hooks),
+                                        mClock.AsClock(),
+                                        SeededRandom(i + 1));
+      mMembers.push_back(
+        std::make_unique<Membership>(std::move(created.value())));
+      mMembers.back()->SetSeeds(seeds);
+    }
+  }
+
+  void Count(const Member& aMember)
+  {
+    const bool killed = mKilled && mIndex.at(aMember.mInfo.mAddress) == 0;
+    if (killed && aMember.mInfo.mState == MemberState::Dead) {
+      mDetected.push_back(mClock.Now());
+    } else if (!killed && aMember.mInfo.mState == MemberState::Suspect) {
+      ++mSuspicions;
+    } else if (!killed && aMember.mInfo.mState == MemberState::Dead) {
+      ++mFalseDeaths;
+    }
+  }
+
+  void Step()
+  {
+    // Members tick one after the other within the interval.
+    for (size_t i = 0; i < mMembers.size(); ++i) {
+      mClock.Advance(Duration(kTick) / mMembers.size());
+      if (!mKilled || i != 0) {
+        mMembers[i]->Tick();
+      }
+      while (!mQueue.empty()) {
+        const Packet packet = std::move(mQueue.front());
+        mQueue.pop_front();
+        if (!mKilled || packet.mTo != 0) {
+          mMembers[packet.mTo]->Receive(packet.mDatagram);
+        }
+      }
+    }
+  }
+
+  void Run(std::chrono::seconds aTime)
+  {
+    for (Milliseconds passed{ 0 }; passed < aTime; passed += kTick) {
+      Step();
+    }
+  }
+
+  ManualClock mClock;
+  Random mRandom = SeededRandom(99);
+  uint64_t mLossPercent = 0;
+  bool mKilled = false;
+  uint64_t mBytes = 0;
+  uint64_t mSuspicions = 0;
+  uint64_t mFalseDeaths = 0;
+  std::vector<TimePoint> mDetected;
+  std::map<std::string, size_t> mIndex;
+  std::deque<Packet> mQueue;
+  std::vector<std::unique_ptr<Membership>> mMembers;
+};
+
+double Seconds(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+void Measure(size_t aSize, unsigned aOtherZoneProbeShare)
+{
+  Group group(aSize, aOtherZoneProbeShare);
+  group.Run(std::chrono::seconds(60));
+  const auto perMember = [&](std::chrono::seconds aTime) {
+    group.mBytes = 0;
+    const auto started = std::chrono::steady_clock::now();
+    group.Run(aTime);
+    const double cpu = Seconds(std::chrono::steady_clock::now() - started);
+    const double units = static_cast<double>(aSize) * Seconds(aTime);
+    return std::pair(static_cast<double>(group.mBytes) / units,
+                     100 * cpu / units);
+  };
+  group.mSuspicions = 0;
+  group.mFalseDeaths = 0;
+  const auto [quiet, core] = perMember(std::chrono::seconds(10));
+  group.mLossPercent = kLossPercent;
+  const double lossy = perMember(std::chrono::seconds(30)).first;
+  const uint64_t suspicions = group.mSuspicions;
+  const uint64_t deaths = group.mFalseDeaths;
+  group.mLossPercent = 0;
+  group.Run(std::chrono::seconds(10));
+  group.mKilled = true;
+  const TimePoint killed = group.mClock.Now();
+  group.Run(std::chrono::seconds(20));
+  const bool all = group.mDetected.size() >= aSize - 1;
+  std::printf(
+    "{\"members\": %zu, \"other_zone_probe_share\": %u, \"bytes_per_s\": %.0f, "
+    "\"core_percent\": %.3f, \"lossy_bytes_per_s\": %.0f, "
+    "\"suspicion_reports_30s\": %llu, \"false_deaths_30s\": %llu, "
+    "\"first_detection_s\": %.2f, \"all_detected_s\": %.2f}\n",
+    aSize,
+    aOtherZoneProbeShare,
+    quiet,
+    core,
+    lossy,
+    static_cast<unsigned long long>(suspicions),
+    static_cast<unsigned long long>(deaths),
+    group.mDetected.empty() ? -1 : Seconds(group.mDetected.front() - killed),
+    all ? Seconds(group.mDetected[aSize - 2] - killed) : -1);
+}
+
+} // namespace
+
+int main()
+{
+  for (const size_t size : { 9, 48, 330 }) {
+    Measure(size, 0);
+    Measure(size, 8);
+  }
+}
--- a/include/agatetide/coordination/membership.hpp
+++ b/include/agatetide/coordination/membership.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,8 +19,19 @@
   Milliseconds mProbeInterval{ 250 };
   Milliseconds mProbeTimeout{ 500 };
   Milliseconds mSuspicionTime{ 1500 };
-  /// Dead members are forgotten after this time.
+  /// Dead and departed members that are no seeds are forgotten after this
+  /// time.
   Milliseconds mForgetTime{ 60000 };
+  /// How often a random live member is asked for what this daemon lacks. A
+  /// daemon that lacks entries altogether asks at each tick.
+  Milliseconds mSyncInterval{ 5000 };
+  /// Bounds the members and facts that answer one request.
+  unsigned mMaxSyncItems = 64;
+  /// Bounds the memory of shared facts; further ones are dropped.
+  size_t mMaxFacts = 16384;
+  /// With zone scope, one probe in this many goes to another availability
+  /// zone; 0 probes all members alike.
+  unsigned mOtherZoneProbeShare = 0;
   unsigned mIndirectProbes = 2;
   unsigned mMaxUpdatesPerMessage = 12;
   unsigned mMaxFactsPerMessage = 16;
@@ -32,6 +44,8 @@
   TimePoint mStateSince{};
   TimePoint mLastAck{};
   int64_t mConfigVersion = 0;
+  /// Incarnation whose datagrams gave mConfigVersion.
+  uint64_t mVersionIncarnation = 0;
 };
 
 /// @brief What an acknowledged probe proves about a peer.
@@ -50,7 +64,7 @@
 {
   /// Sends a datagram to a member's address. Must not call back.
   std::function<void(const std::string&, const Datagram&)> mSend;
-  /// Called for each change of a member's state.
+  /// Called for each change of a member's state. Must not call back.
   std::function<void(const Member&)> mOnChange;
   /// Called for each direct acknowledgement.
   std::function<void(const ProbeProof&)> mOnProof;
@@ -75,8 +89,10 @@
                                    Clock aClock,
                                    Random aRandom);
 
-  /// @brief Adds addresses to probe; known members are left as they are.
-  void AddSeeds(const std::vector<MemberUpdate>& aSeeds);
+  /// @brief Replaces the addresses that are probed even while they are dead,
+  /// so that both sides of a healed partition find each other again. Known
+  /// members are left as they are.
+  void SetSeeds(const std::vector<MemberUpdate>& aSeeds);
 
   /// @brief Sends the next probe and moves time-outs on. Call it each probe
   /// interval; a late call delays detection and does no harm.
@@ -137,6 +153,11 @@
              Random aRandom);
 
   void ProbeNext();
+  bool InScope(const Member& aMember) const;
+  void ForgetExpired();
+  void SyncNext();
+  std::vector<uint64_t> Digest() const;
+  void AnswerSync(const Datagram& aDatagram);
   void ExpireProbes();
   void ExpireSuspects();
   void SendProbe(const std::string& aAddress,
@@ -145,11 +166,13 @@
   void RequestIndirect(const std::string& aAddress, uint64_t aSequence);
   void Suspect(const std::string& aAddress);
   void HandleAck(const Datagram& aDatagram);
-  void Merge(const MemberUpdate& aUpdate);
+  bool Merge(const MemberUpdate& aUpdate, bool aAnnounce);
   void MergeSelf(const MemberUpdate& aUpdate);
-  void MergeFact(const SharedFact& aFact);
+  bool MergeFact(const SharedFact& aFact, bool aAnnounce);
   void Announce(const std::string& aAddress);
   void Send(const std::string& aAddress, Datagram aDatagram);
+  void Finish(const std::string& aAddress, Datagram aDatagram);
+  SharedFact Outgoing(const std::string& aKey) const;
   unsigned TransmitLimit() const;
 
   MemberUpdate mSelf;
@@ -162,7 +185,12 @@
   std::map<uint64_t, PendingProbe> mPending;
   uint64_t mNextSequence = 1;
   std::deque<Queued> mUpdateQueue;
+  std::set<std::string> mSeeds;
+  uint64_t mTicks = 0;
+  TimePoint mLastSync{};
+  bool mSyncAgain = true;
   std::map<std::string, SharedFact> mFacts;
+  std::map<std::string, TimePoint> mFactExpiry;
   std::deque<Queued> mFactQueue;
 };
 
--- a/include/agatetide/coordination/messages.hpp
+++ b/include/agatetide/coordination/messages.hpp
@@ -44,18 +44,21 @@
 };
 
 /// @brief A small fact that daemons share, such as a replica's load or a
-/// quarantined request. The newest sequence of a (topic, key) wins.
+/// quarantined request. The newest sequence of a (topic, key) wins. Facts
+/// expire unless they are published again.
 struct SharedFact
 {
   std::string mTopic;
   std::string mKey;
   std::string mValue;
   uint64_t mSequence = 0;
+  /// Time until the fact expires, counted anew by each daemon.
+  uint64_t mLifetimeMs = 600000;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mTopic, mKey, mValue, mSequence);
+    aArchive(mTopic, mKey, mValue, mSequence, mLifetimeMs);
   }
 };
 
@@ -64,6 +67,10 @@
   Probe,
   ProbeAck,
   ProbeRequest,
+  /// Asks for what differs from the digest.
+  SyncRequest,
+  /// Answers a SyncRequest; carries only updates and facts.
+  SyncReply,
 };
 
 /// @brief The one datagram of the membership protocol.
@@ -84,6 +91,8 @@
   bool mProven = false;
   std::vector<MemberUpdate> mUpdates;
   std::vector<SharedFact> mFacts;
+  /// One hash for each bucket of members and facts, for SyncRequest.
+  std::vector<uint64_t> mDigest;
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -97,7 +106,8 @@
              mStoreContact,
              mProven,
              mUpdates,
-             mFacts);
+             mFacts,
+             mDigest);
   }
 };
 
--- a/src/agatetide/coordination/membership.cpp
+++ b/src/agatetide/coordination/membership.cpp
@@ -1,5 +1,7 @@
 #include "agatetide/coordination/membership.hpp"
 
+#include "agatetide/base/encoding.hpp"
+
 #include <algorithm>
 #include <bit>
 #include <utility>
@@ -8,6 +10,28 @@
 
 namespace {
 
+constexpr size_t kSyncBuckets = 64;
+constexpr uint64_t kMaxFactLifetimeMs = uint64_t{ 7 } * 24 * 3600 * 1000;
+
+size_t Bucket(const std::string& aKey)
+{
+  return Hash64(aKey) % kSyncBuckets;
+}
+
+/// Summed over a bucket, so the order does not matter.
+uint64_t MemberHash(const MemberUpdate& aInfo)
+{
+  const std::string text = aInfo.mAddress + "\n" +
+                           std::to_string(aInfo.mIncarnation) +
+                           (aInfo.mDraining ? "\nd" : "");
+  return Hash64(text);
+}
+
+uint64_t FactHash(const std::string& aKey, const SharedFact& aFact)
+{
+  return Hash64(aKey + "\n" + std::to_string(aFact.mSequence));
+}
+
 std::string FactKey(const std::string& aTopic, const std::string& aKey)
 {
   return aTopic + "\n" + aKey;
@@ -68,12 +92,14 @@
 {
 }
 
-void Membership::AddSeeds(const std::vector<MemberUpdate>& aSeeds)
+void Membership::SetSeeds(const std::vector<MemberUpdate>& aSeeds)
 {
+  mSeeds.clear();
   for (const MemberUpdate& seed : aSeeds) {
+    mSeeds.insert(seed.mAddress);
     if (seed.mAddress != mSelf.mAddress && !mMembers.contains(seed.mAddress)) {
       // Incarnation 0: any word from the member itself replaces this entry.
-      Member member{ seed, mClock(), TimePoint{}, 0 };
+      Member member{ seed, mClock(), TimePoint{}, 0, 0 };
       member.mInfo.mIncarnation = 0;
       member.mInfo.mState = MemberState::Suspect;
       mMembers.emplace(seed.mAddress, std::move(member));
@@ -85,31 +111,55 @@
 {
   ExpireProbes();
   ExpireSuspects();
+  ForgetExpired();
   ProbeNext();
+  SyncNext();
+  ++mTicks;
 }
 
-void Membership::ProbeNext()
+/// With zone scope, a daemon watches its own zone closely and learns of the
+/// others from the summaries that a few probes between zones carry.
+bool Membership::InScope(const Member& aMember) const
 {
-  while (!mProbeOrder.empty() && !mMembers.contains(mProbeOrder.back())) {
-    mProbeOrder.pop_back();
+  if (mOptions.mOtherZoneProbeShare == 0) {
+    return true;
   }
-  if (mProbeOrder.empty()) {
-    // Dead members stay in the round so that both sides of a healed
-    // partition find each other again.
+  const bool otherZone = mTicks % mOptions.mOtherZoneProbeShare == 0;
+  const std::string& zone = aMember.mInfo.mAvailabilityZone;
+  // The zone of a seed from the settings is not known yet.
+  return zone.empty() || (zone != mSelf.mAvailabilityZone) == otherZone;
+}
+
+void Membership::ProbeNext()
+{
+  const auto usable = [&](const std::string& aAddress) {
+    const auto member = mMembers.find(aAddress);
+    return member != mMembers.end() && InScope(member->second) &&
+           member->second.mInfo.mState != MemberState::Left;
+  };
+  auto next = std::find_if(mProbeOrder.begin(), mProbeOrder.end(), usable);
+  if (next == mProbeOrder.end()) {
+    // Each member in scope was probed once; the rest of the round stands.
+    std::vector<std::string> added;
     for (const auto& [address, member] : mMembers) {
-      if (member.mInfo.mState != MemberState::Left) {
-        mProbeOrder.push_back(address);
+      if (usable(address)) {
+        added.push_back(address);
       }
     }
-    for (size_t i = mProbeOrder.size(); i > 1; --i) {
-      std::swap(mProbeOrder[i - 1], mProbeOrder[UniformBelow(mRandom, i)]);
+    for (size_t i = added.size(); i > 1; --i) {
+      std::swap(added[i - 1], added[UniformBelow(mRandom, i)]);
+    }
+    std::erase_if(mProbeOrder, [&](const std::string& aAddress) {
+      return !mMembers.contains(aAddress);
+    });
+    mProbeOrder.insert(mProbeOrder.begin(), added.begin(), added.end());
+    next = mProbeOrder.begin();
+    if (added.empty()) {
+      return;
     }
   }
-  if (mProbeOrder.empty()) {
-    return;
-  }
-  const std::string address = mProbeOrder.back();
-  mProbeOrder.pop_back();
+  const std::string address = *next;
+  mProbeOrder.erase(next);
   SendProbe(address, "", 0);
 }
 
@@ -159,6 +209,10 @@
 void Membership::RequestIndirect(const std::string& aAddress,
                                  uint64_t aSequence)
 {
+  const auto target = mMembers.find(aAddress);
+  if (target == mMembers.end() || !IsLive(target->second)) {
+    return; // Dead members are probed only to find them again.
+  }
   std::vector<std::string> helpers;
   for (const Member* member : Live()) {
     if (member->mInfo.mAddress != aAddress) {
@@ -185,7 +239,7 @@
   }
   MemberUpdate update = found->second.mInfo;
   update.mState = MemberState::Suspect;
-  Merge(update);
+  Merge(update, true);
 }
 
 void Membership::ExpireSuspects()
@@ -200,28 +254,149 @@
       dead.push_back(member.mInfo);
       dead.back().mState = MemberState::Dead;
     }
-    const bool gone =
-      member.mInfo.mState == MemberState::Left && age >= mOptions.mForgetTime;
-    entry = gone ? mMembers.erase(entry) : std::next(entry);
+    ++entry;
   }
   for (const MemberUpdate& update : dead) {
-    Merge(update);
+    Merge(update, true);
+  }
+}
+
+void Membership::ForgetExpired()
+{
+  const TimePoint now = mClock();
+  std::erase_if(mMembers, [&](const auto& aItem) {
+    return !IsLive(aItem.second) && !mSeeds.contains(aItem.first) &&
+           now - aItem.second.mStateSince >= mOptions.mForgetTime;
+  });
+  std::erase_if(mFactExpiry, [&](const auto& aItem) {
+    if (aItem.second > now) {
+      return false;
+    }
+    mFacts.erase(aItem.first);
+    std::erase_if(mFactQueue, [&](const Queued& aQueued) {
+      return aQueued.mKey == aItem.first;
+    });
+    return true;
+  });
+}
+
+/// Gossip sends each update a limited number of times, so a member that
+/// joined later or missed datagrams pulls what it lacks from a random peer.
+void Membership::SyncNext()
+{
+  if (!mSyncAgain && mClock() - mLastSync < mOptions.mSyncInterval) {
+    return;
+  }
+  const auto live = Live();
+  std::vector<const Member*> known;
+  std::copy_if(
+    live.begin(),
+    live.end(),
+    std::back_inserter(known),
+    [](const Member* aMember) { return aMember->mInfo.mIncarnation != 0; });
+  if (known.empty()) {
+    return;
+  }
+  mSyncAgain = false;
+  mLastSync = mClock();
+  Datagram request;
+  request.mKind = DatagramKind::SyncRequest;
+  request.mSequence = mNextSequence++;
+  request.mDigest = Digest();
+  Finish(known[UniformBelow(mRandom, known.size())]->mInfo.mAddress,
+         std::move(request));
+}
+
+std::vector<uint64_t> Membership::Digest() const
+{
+  std::vector<uint64_t> digest(kSyncBuckets);
+  for (const auto& [address, member] : mMembers) {
+    // A suspicion passes or ends in death, and dead members are forgotten at
+    // different times; neither is a reason to exchange the bucket.
+    if (IsLive(member) && member.mInfo.mIncarnation != 0) {
+      digest[Bucket(address)] += MemberHash(member.mInfo);
+    }
+  }
+  digest[Bucket(mSelf.mAddress)] += MemberHash(mSelf);
+  for (const auto& [key, fact] : mFacts) {
+    digest[Bucket(key)] += FactHash(key, fact);
+  }
+  return digest;
+}
+
+void Membership::AnswerSync(const Datagram& aDatagram)
+{
+  const std::vector<uint64_t> own = Digest();
+  if (aDatagram.mDigest.size() != own.size()) {
+    return;
+  }
+  std::vector<std::string> members;
+  std::vector<std::string> facts;
+  for (const auto& [address, member] : mMembers) {
+    const size_t bucket = Bucket(address);
+    if (own[bucket] != aDatagram.mDigest[bucket] &&
+        member.mInfo.mIncarnation != 0 &&
+        address != aDatagram.mSender.mAddress) {
+      members.push_back(address);
+    }
+  }
+  for (const auto& [key, fact] : mFacts) {
+    const size_t bucket = Bucket(key);
+    if (own[bucket] != aDatagram.mDigest[bucket]) {
+      facts.push_back(key);
+    }
+  }
+  // A random choice within the bound, so that repeated requests cover all.
+  const auto choose = [&](std::vector<std::string>& aKeys, size_t aCount) {
+    for (size_t i = 0; i < std::min(aCount, aKeys.size()); ++i) {
+      std::swap(aKeys[i], aKeys[i + UniformBelow(mRandom, aKeys.size() - i)]);
+    }
+    aKeys.resize(std::min(aCount, aKeys.size()));
+  };
+  choose(members, mOptions.mMaxSyncItems / 2);
+  choose(facts, mOptions.mMaxSyncItems - members.size());
+  size_t nextMember = 0;
+  size_t nextFact = 0;
+  while (nextMember < members.size() || nextFact < facts.size()) {
+    Datagram reply;
+    reply.mKind = DatagramKind::SyncReply;
+    reply.mSequence = aDatagram.mSequence;
+    while (nextMember < members.size() &&
+           reply.mUpdates.size() < mOptions.mMaxUpdatesPerMessage) {
+      reply.mUpdates.push_back(mMembers.at(members[nextMember++]).mInfo);
+    }
+    while (nextFact < facts.size() &&
+           reply.mFacts.size() < mOptions.mMaxFactsPerMessage) {
+      reply.mFacts.push_back(Outgoing(facts[nextFact++]));
+    }
+    Finish(aDatagram.mSender.mAddress, std::move(reply));
   }
 }
 
 void Membership::Receive(const Datagram& aDatagram)
 {
-  Merge(aDatagram.mSender);
+  Merge(aDatagram.mSender, true);
+  const bool gossip = aDatagram.mKind != DatagramKind::SyncReply;
+  bool learned = false;
   for (const MemberUpdate& update : aDatagram.mUpdates) {
-    Merge(update);
+    learned = Merge(update, gossip) || learned;
   }
   for (const SharedFact& fact : aDatagram.mFacts) {
-    MergeFact(fact);
+    learned = MergeFact(fact, gossip) || learned;
   }
   const auto sender = mMembers.find(aDatagram.mSender.mAddress);
   if (sender != mMembers.end()) {
-    sender->second.mConfigVersion =
-      std::max(sender->second.mConfigVersion, aDatagram.mConfigVersion);
+    // A restarted daemon starts again at a lower version; an incarnation that
+    // only refutes a suspicion repeats the version it had.
+    const uint64_t incarnation = aDatagram.mSender.mIncarnation;
+    Member& member = sender->second;
+    if (incarnation > member.mVersionIncarnation) {
+      member.mVersionIncarnation = incarnation;
+      member.mConfigVersion = aDatagram.mConfigVersion;
+    } else if (incarnation == member.mVersionIncarnation) {
+      member.mConfigVersion =
+        std::max(member.mConfigVersion, aDatagram.mConfigVersion);
+    }
   }
   if (mHooks.mOnVersion) {
     mHooks.mOnVersion(aDatagram.mSender.mAddress, aDatagram.mConfigVersion);
@@ -231,6 +406,12 @@
       Datagram ack;
       ack.mKind = DatagramKind::ProbeAck;
       ack.mSequence = aDatagram.mSequence;
+      // A process that restarted with its clock set back learns of the
+      // incarnation that it has to exceed.
+      if (sender != mMembers.end() &&
+          sender->second.mInfo.mIncarnation > aDatagram.mSender.mIncarnation) {
+        ack.mUpdates.push_back(sender->second.mInfo);
+      }
       Send(aDatagram.mSender.mAddress, std::move(ack));
       return;
     }
@@ -240,6 +421,12 @@
       return;
     case DatagramKind::ProbeAck:
       HandleAck(aDatagram);
+      return;
+    case DatagramKind::SyncRequest:
+      AnswerSync(aDatagram);
+      return;
+    case DatagramKind::SyncReply:
+      mSyncAgain = mSyncAgain || learned;
   }
 }
 
@@ -280,47 +467,56 @@
   }
 }
 
-void Membership::Merge(const MemberUpdate& aUpdate)
+/// Returns whether the member was unknown. What a daemon pulls is known to
+/// others, so it is not announced again.
+bool Membership::Merge(const MemberUpdate& aUpdate, bool aAnnounce)
 {
+  if (aUpdate.mAddress.empty()) {
+    return false;
+  }
   if (aUpdate.mAddress == mSelf.mAddress) {
     MergeSelf(aUpdate);
-    return;
+    return false;
   }
   const auto found = mMembers.find(aUpdate.mAddress);
   if (found == mMembers.end()) {
     if (aUpdate.mState == MemberState::Left ||
         aUpdate.mState == MemberState::Dead) {
-      return;
+      return false;
     }
-    Member member{ aUpdate, mClock(), TimePoint{}, 0 };
+    Member member{ aUpdate, mClock(), TimePoint{}, 0, 0 };
     const auto added =
       mMembers.emplace(aUpdate.mAddress, std::move(member)).first;
-    Announce(aUpdate.mAddress);
+    if (aAnnounce) {
+      Announce(aUpdate.mAddress);
+    }
     mHooks.mOnChange(added->second);
-    return;
+    return true;
   }
   if (!Replaces(aUpdate, found->second.mInfo)) {
-    return;
-  }
-  if (aUpdate.mIncarnation != found->second.mInfo.mIncarnation) {
-    found->second.mConfigVersion = 0; // A restarted daemon starts unproven.
+    return false;
   }
   found->second.mInfo = aUpdate;
   found->second.mStateSince = mClock();
-  Announce(aUpdate.mAddress);
+  if (aAnnounce) {
+    Announce(aUpdate.mAddress);
+  }
   mHooks.mOnChange(found->second);
+  return false;
 }
 
-/// Refutes a wrong report about this daemon with a higher incarnation.
+/// Refutes a wrong report about this daemon with a higher incarnation. A
+/// higher incarnation than the own one is that of an earlier process at this
+/// address whose clock was ahead.
 void Membership::MergeSelf(const MemberUpdate& aUpdate)
 {
-  const bool wrong = aUpdate.mState != mSelf.mState &&
-                     aUpdate.mIncarnation >= mSelf.mIncarnation;
+  const bool wrong = aUpdate.mIncarnation > mSelf.mIncarnation ||
+                     (aUpdate.mState != mSelf.mState &&
+                      aUpdate.mIncarnation == mSelf.mIncarnation);
   if (!wrong || mSelf.mState == MemberState::Left) {
     return;
   }
   mSelf.mIncarnation = aUpdate.mIncarnation + 1;
-  Announce(mSelf.mAddress);
 }
 
 void Membership::Announce(const std::string& aAddress)
@@ -332,20 +528,38 @@
 
 void Membership::Publish(SharedFact aFact)
 {
-  MergeFact(aFact);
+  MergeFact(aFact, true);
 }
 
-void Membership::MergeFact(const SharedFact& aFact)
+bool Membership::MergeFact(const SharedFact& aFact, bool aAnnounce)
 {
   const std::string key = FactKey(aFact.mTopic, aFact.mKey);
   const auto found = mFacts.find(key);
-  if (found != mFacts.end() && found->second.mSequence >= aFact.mSequence) {
-    return;
+  const bool known = found != mFacts.end();
+  if ((known && found->second.mSequence >= aFact.mSequence) ||
+      (!known && mFacts.size() >= mOptions.mMaxFacts) ||
+      aFact.mLifetimeMs == 0) {
+    return false;
   }
   mFacts[key] = aFact;
+  mFactExpiry[key] =
+    mClock() + Milliseconds(std::min(aFact.mLifetimeMs, kMaxFactLifetimeMs));
   std::erase_if(mFactQueue,
                 [&](const Queued& aItem) { return aItem.mKey == key; });
-  mFactQueue.push_front({ key, 0 });
+  if (aAnnounce) {
+    mFactQueue.push_front({ key, 0 });
+  }
+  return !known;
+}
+
+/// A fact as it is sent: with the rest of its lifetime.
+SharedFact Membership::Outgoing(const std::string& aKey) const
+{
+  SharedFact fact = mFacts.at(aKey);
+  const Duration rest = mFactExpiry.at(aKey) - mClock();
+  fact.mLifetimeMs = static_cast<uint64_t>(std::max<int64_t>(
+    0, std::chrono::duration_cast<Milliseconds>(rest).count()));
+  return fact;
 }
 
 const SharedFact* Membership::Fact(const std::string& aTopic,
@@ -369,7 +583,6 @@
 void Membership::SetDraining()
 {
   mSelf.mDraining = true;
-  Announce(mSelf.mAddress);
 }
 
 void Membership::Leave()
@@ -403,8 +616,14 @@
 
 void Membership::Send(const std::string& aAddress, Datagram aDatagram)
 {
-  aDatagram.mSender = mSelf;
-  mHooks.mFill(aDatagram);
+  // A member that is reported as suspect or dead hears of it in each message,
+  // otherwise it could not refute the report once gossip of it has ended.
+  const auto target = mMembers.find(aAddress);
+  if (target != mMembers.end() &&
+      target->second.mInfo.mState != MemberState::Alive &&
+      target->second.mInfo.mIncarnation != 0) {
+    aDatagram.mUpdates.push_back(target->second.mInfo);
+  }
   const unsigned limit = TransmitLimit();
   const auto take =
     [&](std::deque<Queued>& aQueue, unsigned aCount, auto aAppend) {
@@ -433,8 +652,15 @@
       }
     });
   take(mFactQueue, mOptions.mMaxFactsPerMessage, [&](const std::string& aKey) {
-    aDatagram.mFacts.push_back(mFacts.at(aKey));
+    aDatagram.mFacts.push_back(Outgoing(aKey));
   });
+  Finish(aAddress, std::move(aDatagram));
+}
+
+void Membership::Finish(const std::string& aAddress, Datagram aDatagram)
+{
+  aDatagram.mSender = mSelf;
+  mHooks.mFill(aDatagram);
   mHooks.mSend(aAddress, aDatagram);
 }
 
--- a/src/agatetide/daemon/control.cpp
+++ b/src/agatetide/daemon/control.cpp
@@ -38,6 +38,8 @@
 constexpr const char* kQuarantineTopic = "quarantine";
 constexpr const char* kCrashTopic = "crash";
 constexpr size_t kCrashesToQuarantine = 2;
+constexpr uint64_t kCrashMemoryMs = uint64_t{ 24 } * 3600 * 1000;
+constexpr uint64_t kQuarantineMs = uint64_t{ 24 } * 3600 * 1000;
 
 MemberUpdate MakeSelf(const Settings& aSettings, int64_t aNowMs)
 {
@@ -212,7 +214,12 @@
       seeds.push_back(std::move(seed));
     }
     mTrust->SetHosts(std::move(hosts));
-    mMembership->AddSeeds(seeds);
+    for (const std::string& address : mSettings.mSeeds) {
+      MemberUpdate seed;
+      seed.mAddress = address;
+      seeds.push_back(std::move(seed));
+    }
+    mMembership->SetSeeds(seeds);
     Event("config_applied")
       .Field("version", mLog.Version())
       .Field("source", aSource)
@@ -427,6 +434,7 @@
     crash.mTopic = kCrashTopic;
     crash.mKey = std::string(key) + "/" + SecureHex(4);
     crash.mSequence = 1;
+    crash.mLifetimeMs = kCrashMemoryMs;
     mMembership->Publish(crash);
     const auto crashes = mMembership->Facts(kCrashTopic);
     const auto same = std::count_if(
@@ -438,6 +446,7 @@
       quarantine.mTopic = kQuarantineTopic;
       quarantine.mKey = key;
       quarantine.mSequence = static_cast<uint64_t>(mWallClock());
+      quarantine.mLifetimeMs = kQuarantineMs;
       mMembership->Publish(quarantine);
       Event("quarantine", LogLevel::Warning).Field("fingerprint", key).Write();
       PublishView();
@@ -522,7 +531,7 @@
     seed.mAddress = address;
     seeds.push_back(seed);
   }
-  state.mMembership->AddSeeds(seeds);
+  state.mMembership->SetSeeds(seeds);
   state.mLink->Start();
   const auto spawn = [&](Awaitable<void> aLoop) {
     asio::co_spawn(state.mExecutor, std::move(aLoop), asio::detached);
