Add unit tests, examples and an install check of coordination

Cause: the state machines were tested for trust only, and the installed library had no consumer. Found by the tests: a lease whose create was answered neither by the store nor by the read-back blocked its own process until the TTL ran out (its store lease is now revoked before the next attempt); an admission record whose daemon or nonce contains a space was misread; MemoryStore let a put name a lease that had ended. Updates are sent on 3 + log2(n) times instead of 3 log2(n), with 3 indirect probes instead of 2.

--- /dev/null
+++ b/examples/config_trust.cpp
@@ -0,0 +1,45 @@
+// An operator's change, a local copy of it, and how long the copy is trusted.
+#include "run.hpp"
+
+#include <agatetide/coordination/config_log.hpp>
+#include <agatetide/coordination/memory_store.hpp>
+#include <agatetide/coordination/trust.hpp>
+
+using namespace agatetide;
+using namespace agatetide::coordination;
+
+int main()
+{
+  ManualClock clock;
+  MemoryStore store(clock.AsClock());
+  ConfigWrite write;
+  write.mChangeId = "change-1";
+  write.mObject = "route/lookup";
+  write.mValue = "to model-servers";
+  Expect(Run(WriteConfig(store.AsCall(), write)).has_value(),
+         "the change is stored");
+  write.mChangeId = "change-2";
+  Expect(Run(WriteConfig(store.AsCall(), write)).has_error(),
+         "a change that expects a new object is a conflict now");
+
+  ConfigLog log;
+  Trust trust = Trust::Create("a", TrustOptions{}, clock.AsClock()).value();
+  trust.SetHosts({ "a", "b" });
+  const TimePoint sent = clock.Now();
+  const auto changes = Run(ReadConfigChanges(store.AsCall(), log.Version()));
+  Expect(log.Apply(*changes).value(), "the copy takes the change");
+  trust.RecordStoreRead(sent, log.Version());
+  Expect(trust.Trusted(log.Version()), "the copy may be served from");
+
+  Acceptance acceptance{ log.Version(), clock.Now(), std::nullopt };
+  Expect(!trust.Accepted(acceptance, log.Version()),
+         "the change is not accepted before host b has it");
+  ProbeProof proof;
+  proof.mAddress = "b";
+  proof.mProbeSent = clock.Now();
+  proof.mConfigVersion = log.Version();
+  trust.RecordProof(proof);
+  Expect(trust.Accepted(acceptance, log.Version()), "now it is");
+  clock.Advance(std::chrono::seconds(6));
+  Expect(!trust.Trusted(log.Version()), "trust lapses without a new proof");
+}
--- /dev/null
+++ b/examples/lease.cpp
@@ -0,0 +1,29 @@
+// Two processes compete for a duty; each order carries a fencing number.
+#include "run.hpp"
+
+#include <agatetide/coordination/lease.hpp>
+#include <agatetide/coordination/memory_store.hpp>
+
+using namespace agatetide;
+using namespace agatetide::coordination;
+
+int main()
+{
+  ManualClock clock;
+  MemoryStore store(clock.AsClock());
+  const auto create = [&](const char* aHolder) {
+    LeaseOptions options;
+    options.mKey = "duty/orders";
+    options.mHolder = aHolder;
+    return Lease::Create(options, store.AsCall(), clock.AsClock()).value();
+  };
+  Lease first = create("first");
+  Lease second = create("second");
+  Expect(Run(first.Renew()).value(), "the first process takes the lease");
+  Expect(!Run(second.Renew()).value(), "the second process does not");
+  const int64_t number = first.FencingNumber();
+  clock.Advance(std::chrono::seconds(7));
+  Expect(!first.Held(), "a paused holder knows that its lease lapsed");
+  Expect(Run(second.Renew()).value(), "the second process takes over");
+  Expect(second.FencingNumber() > number, "its fencing number is higher");
+}
--- /dev/null
+++ b/examples/membership.cpp
@@ -0,0 +1,63 @@
+// Three members find each other, share a fact and notice a failure.
+#include "run.hpp"
+
+#include <agatetide/coordination/membership.hpp>
+
+#include <deque>
+
+using namespace agatetide;
+using namespace agatetide::coordination;
+
+int main()
+{
+  ManualClock clock;
+  std::deque<std::pair<std::string, Datagram>> network;
+  std::map<std::string, Membership> members;
+  MemberUpdate seed;
+  seed.mAddress = "a";
+  for (const char* address : { "a", "b", "c" }) {
+    MemberUpdate self;
+    self.mAddress = address;
+    self.mIncarnation = 1;
+    MembershipHooks hooks;
+    hooks.mSend = [&](const std::string& aTo, const Datagram& aDatagram) {
+      network.emplace_back(aTo, aDatagram);
+    };
+    hooks.mOnChange = [](const Member&) {};
+    hooks.mOnProof = [](const ProbeProof&) {};
+    hooks.mFill = [](Datagram&) {};
+    auto created = Membership::Create(
+      self, {}, hooks, clock.AsClock(), SeededRandom(members.size() + 1));
+    members.emplace(address, std::move(created.value()));
+    members.at(address).SetSeeds({ seed });
+  }
+  const auto run = [&](int aTicks) {
+    for (int i = 0; i < aTicks; ++i) {
+      clock.Advance(MembershipOptions{}.mProbeInterval);
+      for (auto& [address, member] : members) {
+        member.Tick();
+      }
+      while (!network.empty()) {
+        const auto [to, datagram] = network.front();
+        network.pop_front();
+        if (members.contains(to)) {
+          members.at(to).Receive(datagram);
+        }
+      }
+    }
+  };
+  run(20);
+  Expect(members.at("c").Live().size() == 2, "c knows a and b");
+  SharedFact fact;
+  fact.mTopic = "load";
+  fact.mKey = "replica-1";
+  fact.mValue = "0.5";
+  fact.mSequence = 1;
+  members.at("b").Publish(fact);
+  run(20);
+  Expect(members.at("c").Fact("load", "replica-1") != nullptr,
+         "c knows what b published");
+  members.erase("b");
+  run(40);
+  Expect(members.at("c").Live().size() == 1, "c notices that b is gone");
+}
--- a/include/agatetide/coordination/membership.hpp
+++ b/include/agatetide/coordination/membership.hpp
@@ -32,7 +32,7 @@
   /// With zone scope, one probe in this many goes to another availability
   /// zone; 0 probes all members alike.
   unsigned mOtherZoneProbeShare = 0;
-  unsigned mIndirectProbes = 2;
+  unsigned mIndirectProbes = 3;
   unsigned mMaxUpdatesPerMessage = 12;
   unsigned mMaxFactsPerMessage = 16;
 };
--- a/src/agatetide/coordination/admission.cpp
+++ b/src/agatetide/coordination/admission.cpp
@@ -2,6 +2,7 @@
 
 #include "agatetide/base/encoding.hpp"
 
+#include <iomanip>
 #include <sstream>
 
 namespace agatetide::coordination {
@@ -20,8 +21,8 @@
 std::string EncodeRecord(const AdmissionRecord& aRecord)
 {
   std::ostringstream text;
-  text << aRecord.mDaemon << ' ' << aRecord.mIncarnation << ' '
-       << aRecord.mNonce << ' ' << aRecord.mFingerprint;
+  text << std::quoted(aRecord.mDaemon) << ' ' << aRecord.mIncarnation << ' '
+       << std::quoted(aRecord.mNonce) << ' ' << aRecord.mFingerprint;
   return text.str();
 }
 
@@ -29,8 +30,8 @@
 {
   AdmissionRecord record;
   std::istringstream text(aText);
-  text >> record.mDaemon >> record.mIncarnation >> record.mNonce >>
-    record.mFingerprint;
+  text >> std::quoted(record.mDaemon) >> record.mIncarnation >>
+    std::quoted(record.mNonce) >> record.mFingerprint;
   return record;
 }
 
--- /dev/null
+++ b/src/agatetide/coordination/config_log_test.cpp
@@ -0,0 +1,139 @@
+#include "agatetide/coordination/config_log.hpp"
+
+#include "agatetide/coordination/test_store.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace agatetide;
+using namespace agatetide::coordination;
+
+namespace {
+
+ConfigWrite Write(const std::string& aId,
+                  const std::string& aValue,
+                  int64_t aExpected)
+{
+  ConfigWrite write;
+  write.mChangeId = aId;
+  write.mObject = "route/x";
+  write.mValue = aValue;
+  write.mExpectedVersion = aExpected;
+  return write;
+}
+
+Result<ConfigChange> Store(FaultyStore& aStore, ConfigWrite aWrite)
+{
+  return RunCoroutine(WriteConfig(aStore.AsCall(), std::move(aWrite)));
+}
+
+std::vector<ConfigChange> Changes(int64_t aFirst, int64_t aLast)
+{
+  std::vector<ConfigChange> changes;
+  for (int64_t version = aFirst; version <= aLast; ++version) {
+    changes.push_back({ version, "id", "route/x", false, "v" });
+  }
+  return changes;
+}
+
+} // namespace
+
+// Guards against a change that overwrites one its operator has not seen.
+Test(config_log, two_operators_race_and_one_gets_a_conflict)
+{
+  FaultyStore store;
+  cr_assert_eq(Store(store, Write("a", "1", 0))->mVersion, 1);
+  cr_assert_eq(Store(store, Write("b", "2", 1))->mVersion, 2);
+  const auto late = Store(store, Write("c", "3", 1));
+  cr_assert(late.error().mKind == ErrorKind::Conflict);
+  cr_assert(late.error().mExecution == Execution::NotRun);
+}
+
+// Guards against storing a change twice after a lost answer, for the write
+// itself and for a deletion, which leaves no object to recognise.
+Test(config_log, a_lost_answer_stores_the_change_once)
+{
+  FaultyStore store;
+  store.mNext = { StoreFault::None, StoreFault::None, StoreFault::AnswerLost };
+  cr_assert_eq(Store(store, Write("a", "1", 0))->mVersion, 1);
+  ConfigWrite erase = Write("b", "", 1);
+  erase.mDeleted = true;
+  store.mNext = { StoreFault::None, StoreFault::None, StoreFault::AnswerLost };
+  cr_assert_eq(Store(store, erase)->mVersion, 2);
+  cr_assert_eq(*RunCoroutine(ReadConfigVersion(store.AsCall())), 2);
+}
+
+// Guards against the answer "conflict" for a change that was stored, when its
+// operator repeats the call after another change of the object.
+Test(config_log, a_repeated_call_finds_its_replaced_change)
+{
+  FaultyStore store;
+  store.mNext = {
+    StoreFault::None, StoreFault::None, StoreFault::AnswerLost, StoreFault::Down
+  };
+  const auto first = Store(store, Write("a", "1", 0));
+  cr_assert(first.error().mKind == ErrorKind::OutcomeUnknown);
+  cr_assert_eq(Store(store, Write("b", "2", 1))->mVersion, 2);
+  const auto repeated = Store(store, Write("a", "1", 0));
+  cr_assert(repeated.has_value());
+  cr_assert_eq(repeated->mVersion, 1);
+}
+
+// Guards against host set changes that are not accepted one after the other.
+Test(config_log, an_expected_head_that_moved_is_a_conflict)
+{
+  FaultyStore store;
+  cr_assert(Store(store, Write("a", "1", 0)).has_value());
+  ConfigWrite host = Write("b", "2", kAnyVersion);
+  host.mObject = "host/x";
+  host.mExpectedHead = 0;
+  cr_assert(Store(store, host).error().mKind == ErrorKind::Conflict);
+  host.mExpectedHead = 1;
+  cr_assert_eq(Store(store, host)->mVersion, 2);
+}
+
+// Guards against a state that mixes the objects of two versions.
+Test(config_log, a_state_read_during_a_change_is_of_one_version)
+{
+  FaultyStore store;
+  cr_assert(Store(store, Write("a", "1", 0)).has_value());
+  bool written = false;
+  store.mBefore = [&](const StoreRequest& aRequest) {
+    const auto* range = std::get_if<RangeRequest>(&aRequest);
+    if (!written && range != nullptr && !range->mRangeEnd.empty()) {
+      written = true;
+      cr_assert(Store(store, Write("b", "2", 1)).has_value());
+    }
+  };
+  const auto state = RunCoroutine(ReadConfigState(store.AsCall()));
+  cr_assert_eq(state->mVersion, 2);
+  cr_assert_eq(state->mObjects.at("route/x").mValue, "2");
+}
+
+// Guards against a copy that reverts or skips a change.
+Test(config_log, a_copy_only_moves_forward_without_gaps)
+{
+  ConfigLog log;
+  cr_assert(*log.Apply(Changes(1, 3)));
+  cr_assert(!*log.Apply(Changes(1, 2)));
+  cr_assert(log.Apply(Changes(5, 5)).error().mKind == ErrorKind::Conflict);
+  ConfigState older;
+  older.mVersion = 2;
+  cr_assert(!log.Replace(older));
+  cr_assert_eq(log.Version(), 3);
+}
+
+// Guards against handing a peer changes with a gap after a whole state was
+// taken, whose earlier changes are not known.
+Test(config_log, after_a_whole_state_earlier_changes_are_not_offered)
+{
+  ConfigLog log;
+  cr_assert(*log.Apply(Changes(1, 3)));
+  ConfigState newer;
+  newer.mVersion = 10;
+  cr_assert(log.Replace(newer));
+  cr_assert(!log.ChangesAfter(2).has_value());
+  cr_assert(*log.Apply(Changes(11, 12)));
+  cr_assert(!log.ChangesAfter(9).has_value());
+  cr_assert_eq(log.ChangesAfter(10)->size(), 2);
+  cr_assert_eq(log.ChangesAfter(12)->size(), 0);
+}
--- a/src/agatetide/coordination/lease.cpp
+++ b/src/agatetide/coordination/lease.cpp
@@ -36,6 +36,14 @@
   if (mLeaseId != 0 && mFencingNumber != 0) {
     co_return co_await KeepAlive();
   }
+  if (mLeaseId != 0) {
+    // The outcome of an earlier create is still unknown. With its store lease
+    // revoked it can neither stand nor take effect later.
+    const auto revoked = co_await Release();
+    if (revoked.has_error()) {
+      co_return revoked.error();
+    }
+  }
   co_return co_await Acquire();
 }
 
@@ -85,14 +93,12 @@
 {
   auto current = co_await ReadKey(mStore, mOptions.mKey);
   if (current.has_error()) {
-    Drop();
     co_return current.error();
   }
   if (current->has_value() && (*current)->mLease == mLeaseId) {
     Hold(aSent, (*current)->mCreateRevision);
     co_return true;
   }
-  Drop();
   co_return false;
 }
 
@@ -102,7 +108,7 @@
   auto kept = co_await mStore(LeaseKeepAliveRequest{ mLeaseId });
   if (kept.has_error()) {
     if (!Held()) {
-      Drop();
+      mFencingNumber = 0; // Renew() revokes what the store may still have.
     }
     co_return kept.error();
   }
@@ -130,6 +136,7 @@
   }
   auto revoked = co_await mStore(LeaseRevokeRequest{ lease });
   if (revoked.has_error()) {
+    mLeaseId = lease; // Renew() revokes it again.
     co_return revoked.error();
   }
   co_return true;
--- /dev/null
+++ b/src/agatetide/coordination/lease_test.cpp
@@ -0,0 +1,141 @@
+#include "agatetide/coordination/lease.hpp"
+
+#include "agatetide/coordination/test_store.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace agatetide;
+using namespace agatetide::coordination;
+
+namespace {
+
+struct Fixture
+{
+  Lease MakeLease(const std::string& aHolder)
+  {
+    LeaseOptions options;
+    options.mKey = "duty";
+    options.mHolder = aHolder;
+    return Lease::Create(options, mStore.AsCall(), mStore.mClock.AsClock())
+      .value();
+  }
+
+  bool Renew(Lease& aLease)
+  {
+    const auto renewed = RunCoroutine(aLease.Renew());
+    return renewed.has_value() && *renewed;
+  }
+
+  FaultyStore mStore;
+};
+
+} // namespace
+
+// Guards against two holders, and against a successor whose fencing number
+// does not exceed that of its predecessor.
+Test(lease, a_successor_waits_and_gets_a_higher_fencing_number)
+{
+  Fixture fixture;
+  Lease first = fixture.MakeLease("first");
+  Lease second = fixture.MakeLease("second");
+  cr_assert(fixture.Renew(first));
+  const int64_t number = first.FencingNumber();
+  cr_assert(!fixture.Renew(second));
+  fixture.mStore.mClock.Advance(std::chrono::seconds(6));
+  cr_assert(!first.Held());
+  cr_assert(fixture.Renew(second));
+  cr_assert_gt(second.FencingNumber(), number);
+}
+
+// Guards against a holder that drops a lease, or never learns that it won it,
+// because the answer of the create was lost.
+Test(lease, a_lost_create_answer_is_read_back)
+{
+  Fixture fixture;
+  Lease lease = fixture.MakeLease("first");
+  fixture.mStore.mNext = { StoreFault::None,
+                           StoreFault::None,
+                           StoreFault::AnswerLost };
+  cr_assert(fixture.Renew(lease));
+  cr_assert(lease.Held());
+}
+
+// Guards against taking a lost create for success.
+Test(lease, a_create_that_took_no_effect_is_not_held)
+{
+  Fixture fixture;
+  Lease lease = fixture.MakeLease("first");
+  fixture.mStore.mNext = { StoreFault::None,
+                           StoreFault::None,
+                           StoreFault::RequestLost };
+  cr_assert(!fixture.Renew(lease));
+  cr_assert(!lease.Held());
+}
+
+// Guards against a lease that its process cannot renew nor take anew, because
+// the store has the key but the read-back failed.
+Test(lease, a_lease_orphaned_by_a_failed_read_back_is_revoked)
+{
+  Fixture fixture;
+  Lease lease = fixture.MakeLease("first");
+  fixture.mStore.mNext = {
+    StoreFault::None, StoreFault::None, StoreFault::AnswerLost, StoreFault::Down
+  };
+  cr_assert(!fixture.Renew(lease));
+  cr_assert(!lease.Held());
+  cr_assert(fixture.Renew(lease));
+}
+
+// Guards against extending the tenure by a renewal whose answer was lost, and
+// against giving it up before it has lapsed.
+Test(lease, a_lost_keep_alive_answer_neither_extends_nor_ends_the_tenure)
+{
+  Fixture fixture;
+  Lease lease = fixture.MakeLease("first");
+  cr_assert(fixture.Renew(lease));
+  const int64_t number = lease.FencingNumber();
+  fixture.mStore.mClock.Advance(std::chrono::seconds(3));
+  fixture.mStore.mNext = { StoreFault::AnswerLost };
+  cr_assert(!fixture.Renew(lease));
+  cr_assert(lease.Held());
+  fixture.mStore.mClock.Advance(std::chrono::seconds(2));
+  cr_assert(lease.Held());
+  cr_assert(fixture.Renew(lease));
+  cr_assert_eq(lease.FencingNumber(), number);
+}
+
+// Guards against a holder that resumes its old tenure after a pause, although
+// the store renewed the lease and has it still.
+Test(lease, a_tenure_that_lapsed_in_a_pause_does_not_resume)
+{
+  Fixture fixture;
+  Lease lease = fixture.MakeLease("first");
+  cr_assert(fixture.Renew(lease));
+  const int64_t number = lease.FencingNumber();
+  fixture.mStore.mClock.Advance(std::chrono::seconds(3));
+  fixture.mStore.mNext = { StoreFault::AnswerLost };
+  fixture.Renew(lease);
+  fixture.mStore.mClock.Advance(std::chrono::milliseconds(2600));
+  cr_assert(!lease.Held());
+  cr_assert(!fixture.Renew(lease));
+  cr_assert(!lease.Held());
+  cr_assert(fixture.Renew(lease));
+  cr_assert_gt(lease.FencingNumber(), number);
+}
+
+// Guards against an answer that arrives late and extends the tenure past the
+// store's expiry.
+Test(lease, the_expiry_counts_from_before_the_renewal_was_sent)
+{
+  Fixture fixture;
+  Lease lease = fixture.MakeLease("first");
+  cr_assert(fixture.Renew(lease));
+  fixture.mStore.mBefore = [&](const StoreRequest&) {
+    fixture.mStore.mClock.Advance(std::chrono::seconds(2));
+  };
+  cr_assert(fixture.Renew(lease));
+  fixture.mStore.mClock.Advance(std::chrono::milliseconds(3499));
+  cr_assert(lease.Held());
+  fixture.mStore.mClock.Advance(std::chrono::milliseconds(1));
+  cr_assert(!lease.Held());
+}
--- a/src/agatetide/coordination/membership.cpp
+++ b/src/agatetide/coordination/membership.cpp
@@ -607,11 +607,11 @@
   return live;
 }
 
-/// Each update is sent about three times the logarithm of the group size,
-/// which reaches all members with high probability.
+/// Each member that hears an update sends it on this often, which reaches
+/// nearly all members; anti-entropy brings the rest.
 unsigned Membership::TransmitLimit() const
 {
-  return 3 * static_cast<unsigned>(std::bit_width(mMembers.size() + 1));
+  return 3 + static_cast<unsigned>(std::bit_width(mMembers.size() + 1));
 }
 
 void Membership::Send(const std::string& aAddress, Datagram aDatagram)
--- a/src/agatetide/coordination/memory_store.cpp
+++ b/src/agatetide/coordination/memory_store.cpp
@@ -95,6 +95,12 @@
                     found == mEntries.end() ? 0 : found->second.mModRevision;
                   return revision == aCompare.mModRevision;
                 });
+  // A put that names a lease which has ended never takes effect.
+  const bool leasesStand = std::all_of(
+    aRequest.mPuts.begin(), aRequest.mPuts.end(), [&](const StorePut& aPut) {
+      return aPut.mLease == 0 || mLeases.contains(aPut.mLease);
+    });
+  reply.mSucceeded = reply.mSucceeded && leasesStand;
   if (!reply.mSucceeded) {
     for (const std::string& key : aRequest.mReadOnFailure) {
       StoreReply found = Range(RangeRequest{ .mKey = key });
--- /dev/null
+++ b/src/agatetide/coordination/test_store.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "agatetide/coordination/memory_store.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <functional>
+#include <optional>
+
+namespace agatetide::coordination {
+
+/// @brief What happens to one store call.
+enum class StoreFault
+{
+  None,
+  /// The store is down; nothing was sent.
+  Down,
+  /// The request takes effect and its answer is lost.
+  AnswerLost,
+  /// The request is lost; the caller cannot tell this from AnswerLost.
+  RequestLost,
+};
+
+/// @brief A MemoryStore whose calls fail as a test asks.
+struct FaultyStore
+{
+  StoreCall AsCall()
+  {
+    return [this](StoreRequest aRequest) -> Awaitable<Result<StoreReply>> {
+      co_return Apply(aRequest);
+    };
+  }
+
+  Result<StoreReply> Apply(const StoreRequest& aRequest)
+  {
+    StoreFault fault = mAlways;
+    if (!mNext.empty()) {
+      fault = mNext.front();
+      mNext.pop_front();
+    }
+    if (mBefore) {
+      mBefore(aRequest);
+    }
+    if (fault == StoreFault::Down) {
+      return Error{ ErrorKind::Unavailable, "store is down", "wait" };
+    }
+    if (fault == StoreFault::RequestLost) {
+      return Lost();
+    }
+    StoreReply reply = mStore.Apply(aRequest);
+    if (fault == StoreFault::AnswerLost) {
+      return Lost();
+    }
+    return reply;
+  }
+
+  static Error Lost()
+  {
+    return { ErrorKind::OutcomeUnknown,
+             "the answer was lost",
+             "read back",
+             Execution::Unknown };
+  }
+
+  ManualClock mClock;
+  MemoryStore mStore{ mClock.AsClock() };
+  /// Faults of the next calls, in order; then mAlways.
+  std::deque<StoreFault> mNext;
+  StoreFault mAlways = StoreFault::None;
+  /// Runs before each call, to let others act in between.
+  std::function<void(const StoreRequest&)> mBefore;
+};
+
+/// @brief Runs a coroutine to its end.
+template<class T>
+T RunCoroutine(Awaitable<T> aAwaitable)
+{
+  boost::asio::io_context context;
+  std::optional<T> result;
+  boost::asio::co_spawn(
+    context, std::move(aAwaitable), [&](std::exception_ptr aError, T aResult) {
+      if (!aError) {
+        result.emplace(std::move(aResult));
+      }
+    });
+  context.run();
+  return std::move(result.value());
+}
+
+} // namespace agatetide::coordination
--- /dev/null
+++ b/src/agatetide/coordination/usage_counters_test.cpp
@@ -0,0 +1,55 @@
+#include "agatetide/coordination/usage_counters.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace agatetide::coordination;
+
+// Guards against counting a copy twice when it arrives again or late.
+Test(usage_counters, copies_merge_by_maximum_in_any_order)
+{
+  UsageCounters counting("a#1");
+  UsageCounters reporter("b#1");
+  counting.Add(5, "account", { 1, 10, 100 });
+  const UsageTable early = counting.Own();
+  counting.Add(5, "account", { 2, 20, 200 });
+  reporter.Merge(counting.Own());
+  reporter.Merge(early);
+  reporter.Merge(counting.Own());
+  reporter.Add(5, "account", { 1, 1, 1 });
+  cr_assert(reporter.Totals(5).at("account") == (UsageCount{ 4, 31, 301 }));
+  cr_assert(reporter.Totals(4).empty());
+}
+
+// Guards against a restarted daemon whose count restarts at zero and hides
+// behind the maximum of its earlier incarnation.
+Test(usage_counters, incarnations_count_apart)
+{
+  UsageCounters reporter("b#1");
+  for (const char* counter : { "a#1", "a#2" }) {
+    UsageCounters counting(counter);
+    counting.Add(5, "account", { 1, 10, 0 });
+    reporter.Merge(counting.Own());
+  }
+  cr_assert_eq(reporter.Totals(5).at("account").mRequests, 2);
+}
+
+// Guards against an outdated copy that lowers the own count.
+Test(usage_counters, copies_do_not_change_the_own_count)
+{
+  UsageCounters counting("a#1");
+  counting.Add(5, "account", { 1, 1, 1 });
+  counting.Merge({ { { "a#1", 5, "account" }, { 9, 9, 9 } } });
+  cr_assert_eq(counting.Totals(5).at("account").mRequests, 1);
+}
+
+// Guards against counts lost in transfer and against a crash on bad bytes.
+Test(usage_counters, tables_survive_encoding_and_bad_bytes_are_dropped)
+{
+  UsageCounters counting("a#1");
+  counting.Add(5, "account", { 1, 2, 3 });
+  const std::string bytes = EncodeUsage(counting.Own());
+  cr_assert(DecodeUsage(bytes) == counting.Own());
+  cr_assert(DecodeUsage(bytes.substr(0, bytes.size() - 1)).empty());
+  counting.Forget(6);
+  cr_assert(counting.All().empty());
+}
--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -88,6 +88,10 @@
     return lines_of(["/usr/bin/python3", "tests/integration.py"])
 
 
+def examples(_args):
+    return lines_of(["/usr/bin/python3", "tests/examples.py"])
+
+
 def faults(args):
     return lines_of(["/usr/bin/python3", "tests/faults.py", "--seed", str(args.seed)])
 
@@ -96,6 +100,7 @@
     "lint": lint,
     "unit": unit,
     "model": model,
+    "examples": examples,
     "integration": integration,
     "faults": faults,
 }
