Merge the coordination library's models, tests and fixes

Conflicts: evidence in acknowledgements (main) against proven-since-start (coordination); both stay, and only proven hosts are handed on as evidence.

--- a/include/agatetide/coordination/messages.hpp
+++ b/include/agatetide/coordination/messages.hpp
@@ -44,18 +44,21 @@
 };
 
 /// @brief A small fact that daemons share, such as a replica's load or a
-/// quarantined request. The newest sequence of a (topic, key) wins.
+/// quarantined request. The newest sequence of a (topic, key) wins. Facts
+/// expire unless they are published again.
 struct SharedFact
 {
   std::string mTopic;
   std::string mKey;
   std::string mValue;
   uint64_t mSequence = 0;
+  /// Time until the fact expires, counted anew by each daemon.
+  uint64_t mLifetimeMs = 600000;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mTopic, mKey, mValue, mSequence);
+    aArchive(mTopic, mKey, mValue, mSequence, mLifetimeMs);
   }
 };
 
@@ -79,6 +82,10 @@
   Probe,
   ProbeAck,
   ProbeRequest,
+  /// Asks for what differs from the digest.
+  SyncRequest,
+  /// Answers a SyncRequest; carries only updates and facts.
+  SyncReply,
 };
 
 /// @brief The one datagram of the membership protocol.
@@ -96,8 +103,12 @@
   /// Whether the store answered the sender within the trust time.
   bool mStoreContact = false;
   std::vector<HostEvidence> mEvidence;
+  /// Whether the sender has had a proof since its start.
+  bool mProven = false;
   std::vector<MemberUpdate> mUpdates;
   std::vector<SharedFact> mFacts;
+  /// One hash for each bucket of members and facts, for SyncRequest.
+  std::vector<uint64_t> mDigest;
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -110,8 +121,10 @@
              mProofAgeMs,
              mStoreContact,
              mEvidence,
+             mProven,
              mUpdates,
-             mFacts);
+             mFacts,
+             mDigest);
   }
 };
 
--- a/src/agatetide/coordination/trust.cpp
+++ b/src/agatetide/coordination/trust.cpp
@@ -29,6 +29,7 @@
   : mSelf(std::move(aSelf))
   , mOptions(aOptions)
   , mClock(std::move(aClock))
+  , mStart(mClock())
 {
 }
 
@@ -42,7 +43,10 @@
 {
   Peer& peer = mPeers[aProof.mAddress];
   if (aProof.mProbeSent > peer.mProbeSent) {
-    peer = { aProof.mProbeSent, aProof.mConfigVersion, aProof.mStoreContact };
+    peer = { aProof.mProbeSent,
+             aProof.mConfigVersion,
+             aProof.mStoreContact,
+             aProof.mProven };
   }
   RecordEvidence(aProof);
   if (aProof.mProofAge) {
@@ -54,6 +58,10 @@
 
 void Trust::AddProof(int64_t aVersion, TimePoint aTime)
 {
+  if (aTime < mStart) {
+    return;
+  }
+  mProven = true;
   TimePoint& latest = mProofs[aVersion];
   latest = std::max(latest, aTime);
   std::erase_if(mProofs,
@@ -89,7 +97,7 @@
     const TimePoint time = aProof.mProbeSent - Milliseconds(evidence.mAgeMs);
     Peer& peer = mPeers[hosts[evidence.mHost]];
     if (time > peer.mProbeSent) {
-      peer = { time, aProof.mConfigVersion, false };
+      peer = { time, aProof.mConfigVersion, false, true };
     }
   }
 }
@@ -106,7 +114,8 @@
   for (const std::string& host : mHosts) {
     const auto peer = mPeers.find(host);
     if (peer != mPeers.end() && peer->second.mConfigVersion == aVersion &&
-        !peer->second.mStoreContact && Recent(peer->second.mProbeSent)) {
+        peer->second.mProven && !peer->second.mStoreContact &&
+        Recent(peer->second.mProbeSent)) {
       const auto age =
         std::chrono::ceil<Milliseconds>(mClock() - peer->second.mProbeSent);
       all.push_back({ position, static_cast<uint16_t>(age.count()) });
@@ -122,8 +131,21 @@
 
 void Trust::SetHosts(std::set<std::string> aHosts, int64_t aVersion)
 {
+  for (const std::string& host : mHosts) {
+    if (!aHosts.contains(host)) {
+      mRetired[host] = mClock();
+    }
+  }
   mHosts = std::move(aHosts);
   mHostsVersion = aVersion;
+  std::erase_if(mRetired, [&](const auto& aItem) {
+    return mHosts.contains(aItem.first) ||
+           mClock() - aItem.second > mOptions.mTrustTime + kDriftMargin;
+  });
+  std::erase_if(mPeers, [&](const auto& aItem) {
+    return !mHosts.contains(aItem.first) && !mRetired.contains(aItem.first) &&
+           !Recent(aItem.second.mProbeSent);
+  });
 }
 
 bool Trust::Recent(TimePoint aTime) const
@@ -149,7 +171,7 @@
 
 TimePoint Trust::MajorityWithoutStoreUntil(int64_t aVersion) const
 {
-  if (StoreContact() || aVersion <= 0) {
+  if (StoreContact() || aVersion <= 0 || !mProven) {
     return TimePoint{};
   }
   std::vector<TimePoint> agreeing;
@@ -165,7 +187,7 @@
     if (peer->second.mConfigVersion > aVersion) {
       return TimePoint{};
     }
-    if (!peer->second.mStoreContact) {
+    if (!peer->second.mStoreContact && peer->second.mProven) {
       agreeing.push_back(peer->second.mProbeSent);
     }
   }
@@ -208,23 +230,37 @@
 {
   std::vector<std::string> behind;
   for (const std::string& host : mHosts) {
-    const auto peer = mPeers.find(host);
-    const bool caughtUp =
-      peer != mPeers.end() && peer->second.mConfigVersion >= aVersion;
-    if (host != mSelf && !caughtUp) {
+    if (!CaughtUp(host, aVersion)) {
       behind.push_back(host);
     }
   }
   return behind;
 }
 
-bool Trust::Accepted(Acceptance& aAcceptance) const
+bool Trust::CaughtUp(const std::string& aHost, int64_t aVersion) const
 {
-  if (!mHosts.contains(mSelf)) {
+  const auto peer = mPeers.find(aHost);
+  return aHost == mSelf ||
+         (peer != mPeers.end() && peer->second.mConfigVersion >= aVersion);
+}
+
+/// A host that the change removed may trust an older version by its last
+/// proof, and acceptance by majority does not wait for it.
+bool Trust::RetiredCaughtUp(int64_t aVersion) const
+{
+  return std::all_of(mRetired.begin(), mRetired.end(), [&](const auto& aItem) {
+    return CaughtUp(aItem.first, aVersion) ||
+           mClock() - aItem.second > mOptions.mTrustTime + kDriftMargin;
+  });
+}
+
+bool Trust::Accepted(Acceptance& aAcceptance, int64_t aLocalVersion) const
+{
+  if (aLocalVersion < aAcceptance.mVersion) {
     return false;
   }
   const size_t caughtUp = mHosts.size() - Behind(aAcceptance.mVersion).size();
-  if (caughtUp == mHosts.size()) {
+  if (caughtUp == mHosts.size() && RetiredCaughtUp(aAcceptance.mVersion)) {
     return true;
   }
   if (2 * caughtUp <= mHosts.size()) {
--- a/src/agatetide/daemon/control.cpp
+++ b/src/agatetide/daemon/control.cpp
@@ -34,6 +34,8 @@
 constexpr size_t kEvidencePerAck = 48;
 /// Hosts that are probed in each poll while a change is confirmed.
 constexpr size_t kProbesPerPoll = 8;
+constexpr Milliseconds kRegisterJitter{ 200 };
+constexpr std::string_view kHostPrefix = "host/";
 constexpr std::chrono::milliseconds kHostListInterval{ 1000 };
 /// How often the cost of control is logged.
 constexpr std::chrono::milliseconds kCostInterval{ 5000 };
@@ -42,6 +44,8 @@
 constexpr const char* kQuarantineTopic = "quarantine";
 constexpr const char* kCrashTopic = "crash";
 constexpr size_t kCrashesToQuarantine = 2;
+constexpr uint64_t kCrashMemoryMs = uint64_t{ 24 } * 3600 * 1000;
+constexpr uint64_t kQuarantineMs = uint64_t{ 24 } * 3600 * 1000;
 
 MemberUpdate MakeSelf(const Settings& aSettings, int64_t aNowMs)
 {
@@ -183,6 +187,7 @@
         aDatagram.mEvidence =
           mTrust->Evidence(mLog.Version(), kEvidencePerAck, mRandom);
       }
+      aDatagram.mProven = mTrust->Proven();
     };
     return hooks;
   }
@@ -234,7 +239,12 @@
       seeds.push_back(std::move(seed));
     }
     mTrust->SetHosts(std::move(hosts), mLog.Version());
-    mMembership->AddSeeds(seeds);
+    for (const std::string& address : mSettings.mSeeds) {
+      MemberUpdate seed;
+      seed.mAddress = address;
+      seeds.push_back(std::move(seed));
+    }
+    mMembership->SetSeeds(seeds);
     Event("config_applied")
       .Field("version", mLog.Version())
       .Field("source", aSource)
@@ -363,17 +373,38 @@
         ConfigWrite write{
           SecureHex(8), "host/" + self.mAddress, false, value, kAnyVersion
         };
-        const auto written = co_await WriteConfig(mStore, write);
+        const auto written = co_await WriteHost(std::move(write));
         Event("register_host")
           .Field("result",
                  written.has_error() ? FormatError(written.error()) : "stored")
           .Write();
         co_await ReadHead();
+        if (written.has_error() &&
+            written.error().mKind == ErrorKind::Conflict) {
+          // Another host was registered first; the jitter spreads the rest.
+          co_await Sleep(Milliseconds(UniformBelow(
+            mRandom, static_cast<uint64_t>(kRegisterJitter.count()))));
+          continue;
+        }
       }
       co_await Sleep(std::chrono::seconds(1));
     }
   }
 
+  /// Writes a host object. Majorities of successive host sets intersect only
+  /// if the version before each change of the set is accepted, so this waits
+  /// for that and lets the change follow exactly that version.
+  Awaitable<Result<ConfigChange>> WriteHost(ConfigWrite aWrite)
+  {
+    co_await ReadHead();
+    aWrite.mExpectedHead = mLog.Version();
+    const auto confirmed = co_await Confirm(aWrite.mExpectedHead);
+    if (confirmed.has_error()) {
+      co_return confirmed.error();
+    }
+    co_return co_await WriteConfig(mStore, std::move(aWrite));
+  }
+
   Awaitable<void> AdmissionLeaseLoop()
   {
     for (;;) {
@@ -461,6 +492,7 @@
     crash.mTopic = kCrashTopic;
     crash.mKey = std::string(key) + "/" + SecureHex(4);
     crash.mSequence = 1;
+    crash.mLifetimeMs = kCrashMemoryMs;
     mMembership->Publish(crash);
     const auto crashes = mMembership->Facts(kCrashTopic);
     const auto same = std::count_if(
@@ -472,6 +504,7 @@
       quarantine.mTopic = kQuarantineTopic;
       quarantine.mKey = key;
       quarantine.mSequence = static_cast<uint64_t>(mWallClock());
+      quarantine.mLifetimeMs = kQuarantineMs;
       mMembership->Publish(quarantine);
       Event("quarantine", LogLevel::Warning).Field("fingerprint", key).Write();
       PublishView();
@@ -482,7 +515,7 @@
   {
     Acceptance acceptance{ aVersion, mClock(), std::nullopt };
     const TimePoint limit = mClock() + kConfirmationTime;
-    while (!mTrust->Accepted(acceptance)) {
+    while (!mTrust->Accepted(acceptance, mLog.Version())) {
       if (mClock() > limit) {
         co_return Error{ ErrorKind::NotConfirmed,
                          "the change is stored as version " +
@@ -559,7 +592,7 @@
     seed.mAddress = address;
     seeds.push_back(seed);
   }
-  state.mMembership->AddSeeds(seeds);
+  state.mMembership->SetSeeds(seeds);
   state.mLink->Start();
   const auto spawn = [&](Awaitable<void> aLoop) {
     asio::co_spawn(state.mExecutor, std::move(aLoop), asio::detached);
@@ -593,7 +626,15 @@
 
 Awaitable<Result<int64_t>> Control::Change(ConfigWrite aWrite)
 {
-  auto written = co_await WriteConfig(mState->mStore, std::move(aWrite));
+  if (aWrite.mObject.starts_with(kHostPrefix)) {
+    const auto stored = co_await mState->WriteHost(std::move(aWrite));
+    if (stored.has_error()) {
+      co_return stored.error();
+    }
+    co_await mState->ReadHead();
+    co_return co_await mState->Confirm(stored->mVersion);
+  }
+  const auto written = co_await WriteConfig(mState->mStore, std::move(aWrite));
   if (written.has_error()) {
     co_return written.error();
   }
