--- a/include/agatetide/daemon/upstream_duty.hpp
+++ b/include/agatetide/daemon/upstream_duty.hpp
@@ -3,6 +3,7 @@
 #include "agatetide/base/awaitable.hpp"
 #include "agatetide/daemon/duty.hpp"
 #include "agatetide/platform/engine.hpp"
+#include "agatetide/policy/weight_rollout.hpp"
 
 #include <map>
 #include <set>
@@ -12,7 +13,7 @@
 
 /// @brief As holder of the availability zone's upstream lease, reads the load
 /// of the zone's replicas, shares it by gossip, and brings the zone's
-/// engines to the published weight version.
+/// engines to the published weight version in waves.
 class UpstreamDuty
 {
 public:
@@ -27,18 +28,33 @@
   std::map<std::string, platform::EngineLoad, std::less<>> Loads() const;
 
 private:
-  Awaitable<void> PollReplica(std::string aAddress,
-                              bool aEngine,
-                              std::string aModel);
+  struct Published
+  {
+    uint64_t mVersion = 0;
+    /// When this holder first saw the version.
+    TimePoint mAt{};
+  };
+
+  Awaitable<void> PollReplica(std::string aAddress, bool aEngine);
   Awaitable<void> OrderWeights(std::string aAddress, v1::Weights aWeights);
   void PollZone();
+  void RollOutWeights();
+  void OrderWave(const v1::Upstream& aUpstream, const v1::Weights& aWeights);
 
   DutyContext& mContext;
   DutyLease mLease;
   std::set<std::string> mPolling;
   std::set<std::string> mSwapping;
+  policy::WeightRolloutOptions mOptions;
+  /// Weight version by address, of replicas that answered the last poll.
+  std::map<std::string, uint64_t> mVersions;
+  std::map<std::string, TimePoint> mFailedAt;
+  std::map<std::string, Published> mPublished;
 };
 
+/// @brief Reads the value of a load fact.
+platform::EngineLoad DecodeLoad(const std::string& aText);
+
 /// @brief Topic of the facts that carry load reports.
 inline constexpr const char* kLoadTopic = "load";
 
--- a/include/agatetide/http/client.hpp
+++ b/include/agatetide/http/client.hpp
@@ -26,6 +26,9 @@
   /// Uses a new connection, so that a failed write proves that the server
   /// has not received the request.
   bool mFreshConnection = false;
+  /// Longest time without any byte of the answer, within the deadline; 0
+  /// means the deadline alone.
+  std::chrono::milliseconds mIdleTimeout{ 0 };
 };
 
 /// @brief Takes one piece of a streamed body; false cancels the call.
--- a/include/agatetide/platform/engine.hpp
+++ b/include/agatetide/platform/engine.hpp
@@ -22,6 +22,10 @@
   /// Text that an earlier, interrupted run has produced.
   std::string mResumeText;
   uint32_t mResumeTokens = 0;
+  /// Makes samples of one prompt differ; a resumed sample keeps its seed.
+  uint64_t mSeed = 0;
+  /// Longest time without any byte from the engine.
+  std::chrono::milliseconds mIdleTimeout{ 60000 };
 };
 
 /// @brief What a completion has produced so far.
--- a/src/agatetide/daemon/api.cpp
+++ b/src/agatetide/daemon/api.cpp
@@ -320,11 +320,12 @@
     co_return Encode(aCall, response);
   }
   if (aCall.mMethod.ends_with("/CancelStep")) {
-    const auto request = Decode<v1::CancelStepRequest>(aCall);
+    auto request = Decode<v1::CancelStepRequest>(aCall);
     if (request.has_error()) {
       co_return request.error();
     }
-    co_return Encode(aCall, mRollout.Cancel(aCall, *request));
+    const auto response = co_await mRollout.Cancel(aCall, std::move(*request));
+    co_return Encode(aCall, response);
   }
   co_return Error{ ErrorKind::NotFound,
                    aCall.mMethod + " does not exist",
@@ -401,7 +402,7 @@
 Awaitable<coordination::PeerReply> Api::AnswerPeer(
   coordination::PeerRequest aRequest)
 {
-  if (aRequest.mKind == "collect") {
+  if (aRequest.mKind == "collect" || aRequest.mKind == "cancel_step") {
     co_return co_await mRollout.AnswerFor(std::move(aRequest));
   }
   if (aRequest.mKind == "answer") {
--- a/src/agatetide/daemon/order_duty.cpp
+++ b/src/agatetide/daemon/order_duty.cpp
@@ -1,6 +1,8 @@
 #include "agatetide/daemon/order_duty.hpp"
 
+#include "agatetide/daemon/upstream_duty.hpp"
 #include "agatetide/platform/platform_api.hpp"
+#include "agatetide/policy/placement.hpp"
 
 #include <cstdlib>
 
@@ -11,6 +13,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kOrderTimeout{ 2000 };
+/// A zone whose cheaper upstreams were reclaimed gets no new ones for so long.
+constexpr std::chrono::minutes kReclaimPause{ 5 };
 
 std::string IntentKey(const v1::Placement& aPlacement)
 {
@@ -30,6 +34,9 @@
   : mContext(aContext)
   , mLease(std::move(aLease))
 {
+  const auto& policies = mContext.mSettings.mPolicies;
+  const auto chosen = policies.find("placement");
+  mScales = chosen != policies.end() && chosen->second == "queued_work";
 }
 
 /// A predecessor's order can be in flight for the order time-out after its
@@ -53,8 +60,10 @@
       mTenure = mLease.FencingNumber();
       mConfirmed.clear();
     }
-    const auto config = mContext.mConfig();
-    for (const auto& [name, placement] : config->mPlacements) {
+    const std::vector<v1::Placement> wanted = Wanted();
+    for (const v1::Placement& placement : wanted) {
+      const std::string name =
+        placement.upstream() + "@" + placement.availability_zone();
       if (mConfirmed[name] != IntentText(placement) && MaySend()) {
         co_await Send(placement);
       }
@@ -62,6 +71,70 @@
   }
 }
 
+std::vector<v1::Placement> OrderDuty::Wanted()
+{
+  const auto config = mContext.mConfig();
+  std::vector<v1::Placement> wanted;
+  for (const auto& [name, placement] : config->mPlacements) {
+    wanted.push_back(placement);
+  }
+  for (const auto& [name, upstream] : config->mUpstreams) {
+    if (mScales && upstream.kind() == v1::Upstream::KIND_ENGINE) {
+      AddScaled(upstream, wanted);
+    }
+  }
+  return wanted;
+}
+
+/// Adds the placements that the load of an engine group asks for.
+void OrderDuty::AddScaled(const v1::Upstream& aUpstream,
+                          std::vector<v1::Placement>& aWanted)
+{
+  const TimePoint now = mContext.mClock();
+  policy::PlacementLoad load;
+  std::map<std::string, bool> zones;
+  for (const v1::Replica& replica : aUpstream.replicas()) {
+    const std::string& zone = replica.availability_zone();
+    const auto* fact = mContext.mMembership.Fact(kLoadTopic, replica.address());
+    const platform::EngineLoad report =
+      fact == nullptr ? platform::EngineLoad{} : DecodeLoad(fact->mValue);
+    const bool leaving = replica.leaving() || report.mLeaving;
+    if (leaving && replica.preemptible()) {
+      mReclaimedAt[zone] = now;
+    }
+    load.mReplicas += leaving ? 0 : 1;
+    load.mRunning += report.mRunning;
+    load.mQueued += report.mQueued;
+    zones.emplace(zone, true);
+  }
+  std::vector<policy::ZoneState> states;
+  for (const auto& [zone, known] : zones) {
+    const auto reclaimed = mReclaimedAt.find(zone);
+    states.push_back({ zone,
+                       reclaimed == mReclaimedAt.end() ||
+                         now - reclaimed->second > kReclaimPause });
+  }
+  const auto [scale, added] =
+    mScale.try_emplace(aUpstream.name(), Scale{ load.mReplicas, now });
+  load.mReplicas = scale->second.mReplicas;
+  load.mSinceChange = now - scale->second.mChangedAt;
+  const uint32_t desired = policy::DesiredReplicas(load, {});
+  if (desired != scale->second.mReplicas) {
+    scale->second = { desired, now };
+  }
+  const auto& operators = mContext.mConfig()->mPlacements;
+  for (const auto& zone : policy::Place(desired, states, {})) {
+    if (!operators.contains(aUpstream.name() + "@" + zone.mZone)) {
+      v1::Placement placement;
+      placement.set_upstream(aUpstream.name());
+      placement.set_availability_zone(zone.mZone);
+      placement.set_regular(zone.mRegular);
+      placement.set_preemptible(zone.mPreemptible);
+      aWanted.push_back(placement);
+    }
+  }
+}
+
 Awaitable<void> OrderDuty::Send(const v1::Placement& aPlacement)
 {
   const auto sequence = co_await WriteIntent(aPlacement);
--- a/src/agatetide/daemon/upstream_duty.cpp
+++ b/src/agatetide/daemon/upstream_duty.cpp
@@ -9,9 +9,12 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kPollInterval{ 500 };
+constexpr std::chrono::milliseconds kTick{ 250 };
+/// Load is read at every second tick.
+constexpr unsigned kTicksPerPoll = 2;
 constexpr std::chrono::milliseconds kPollTimeout{ 1000 };
-constexpr std::chrono::milliseconds kSwapTimeout{ 7000 };
+/// Leaves time for a second order within the 7 s target.
+constexpr std::chrono::milliseconds kSwapTimeout{ 3500 };
 
 std::string EncodeLoad(const platform::EngineLoad& aLoad)
 {
@@ -21,6 +24,8 @@
   return text.str();
 }
 
+} // namespace
+
 platform::EngineLoad DecodeLoad(const std::string& aText)
 {
   platform::EngineLoad load;
@@ -29,22 +34,76 @@
   return load;
 }
 
-} // namespace
-
 UpstreamDuty::UpstreamDuty(DutyContext& aContext, DutyLease aLease)
   : mContext(aContext)
   , mLease(std::move(aLease))
 {
+  const auto& policies = mContext.mSettings.mPolicies;
+  const auto chosen = policies.find("weights");
+  if (chosen != policies.end() && chosen->second == "all_at_once") {
+    mOptions.mPolicy = policy::WeightPolicy::AllAtOnce;
+  }
 }
 
 Awaitable<void> UpstreamDuty::Run()
 {
-  for (;;) {
-    co_await Sleep(kPollInterval);
+  for (unsigned tick = 0;; ++tick) {
+    co_await Sleep(kTick);
     co_await mLease.Maintain();
-    if (mLease.Held()) {
+    if (!mLease.Held()) {
+      continue;
+    }
+    if (tick % kTicksPerPoll == 0) {
       PollZone();
     }
+    RollOutWeights();
+  }
+}
+
+/// Orders the next wave of each engine group of the zone.
+void UpstreamDuty::RollOutWeights()
+{
+  const auto config = mContext.mConfig();
+  for (const auto& [name, upstream] : config->mUpstreams) {
+    const auto weights = config->mWeights.find(upstream.model());
+    if (upstream.kind() == v1::Upstream::KIND_ENGINE &&
+        weights != config->mWeights.end()) {
+      OrderWave(upstream, weights->second);
+    }
+  }
+}
+
+void UpstreamDuty::OrderWave(const v1::Upstream& aUpstream,
+                             const v1::Weights& aWeights)
+{
+  const TimePoint now = mContext.mClock();
+  Published& published = mPublished[aWeights.model()];
+  if (published.mVersion != aWeights.version()) {
+    published = { aWeights.version(), now };
+    mFailedAt.clear();
+  }
+  std::vector<policy::ReplicaWeights> replicas;
+  std::vector<std::string> addresses;
+  for (const v1::Replica& replica : aUpstream.replicas()) {
+    // A replica without a report is not reachable, and would hold up a wave.
+    const auto version = mVersions.find(replica.address());
+    if (replica.availability_zone() != mContext.mSettings.mAvailabilityZone ||
+        version == mVersions.end()) {
+      continue;
+    }
+    const auto failed = mFailedAt.find(replica.address());
+    replicas.push_back(
+      { version->second,
+        mSwapping.contains(replica.address()),
+        failed == mFailedAt.end() ? TimePoint{} : failed->second });
+    addresses.push_back(replica.address());
+  }
+  for (const size_t next : policy::NextWave(
+         replicas, aWeights.version(), now - published.mAt, now, mOptions)) {
+    mSwapping.insert(addresses[next]);
+    boost::asio::co_spawn(mContext.mExecutor,
+                          OrderWeights(addresses[next], aWeights),
+                          boost::asio::detached);
   }
 }
 
@@ -57,18 +116,15 @@
     for (const v1::Replica& replica : upstream.replicas()) {
       if (replica.availability_zone() == zone &&
           mPolling.insert(replica.address()).second) {
-        boost::asio::co_spawn(
-          mContext.mExecutor,
-          PollReplica(replica.address(), engine, upstream.model()),
-          boost::asio::detached);
+        boost::asio::co_spawn(mContext.mExecutor,
+                              PollReplica(replica.address(), engine),
+                              boost::asio::detached);
       }
     }
   }
 }
 
-Awaitable<void> UpstreamDuty::PollReplica(std::string aAddress,
-                                          bool aEngine,
-                                          std::string aModel)
+Awaitable<void> UpstreamDuty::PollReplica(std::string aAddress, bool aEngine)
 {
   const auto endpoint = http::ParseEndpoint(aAddress);
   if (endpoint.has_error()) {
@@ -78,8 +134,12 @@
     mContext.mClient, *endpoint, mContext.mClock() + kPollTimeout);
   mPolling.erase(aAddress);
   if (load.has_error()) {
+    mVersions.erase(aAddress);
     co_return;
   }
+  if (aEngine) {
+    mVersions[aAddress] = load->mWeightVersion;
+  }
   coordination::SharedFact fact;
   fact.mTopic = kLoadTopic;
   fact.mKey = aAddress;
@@ -89,19 +149,12 @@
     fact.mSequence = static_cast<uint64_t>(mContext.mWallClock());
     mContext.mMembership.Publish(fact);
   }
-  const auto config = mContext.mConfig();
-  const auto weights = config->mWeights.find(aModel);
-  const bool behind = aEngine && weights != config->mWeights.end() &&
-                      load->mWeightVersion < weights->second.version();
-  if (behind && mLease.Held() && mSwapping.insert(aAddress).second) {
-    co_await OrderWeights(aAddress, weights->second);
-    mSwapping.erase(aAddress);
-  }
 }
 
 Awaitable<void> UpstreamDuty::OrderWeights(std::string aAddress,
                                            v1::Weights aWeights)
 {
+  // Only an address that answered a poll is ordered, so it is valid.
   const auto endpoint = http::ParseEndpoint(aAddress);
   platform::WeightOrder order;
   order.mModel = aWeights.model();
@@ -110,6 +163,13 @@
   order.mFencingNumber = mLease.FencingNumber();
   const auto ordered = co_await platform::OrderWeights(
     mContext.mClient, *endpoint, order, mContext.mClock() + kSwapTimeout);
+  mSwapping.erase(aAddress);
+  if (ordered.has_error()) {
+    mFailedAt[aAddress] = mContext.mClock();
+  } else {
+    mFailedAt.erase(aAddress);
+    mVersions[aAddress] = order.mVersion;
+  }
   Event("weight_order")
     .Field("upstream", aAddress)
     .Field("model", order.mModel)
@@ -118,6 +178,9 @@
     .Field("result",
            ordered.has_error() ? FormatError(ordered.error()) : "active")
     .Write();
+  if (mLease.Held()) {
+    RollOutWeights();
+  }
 }
 
 std::map<std::string, platform::EngineLoad, std::less<>> UpstreamDuty::Loads()
--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -254,7 +254,15 @@
   if (aRequest.mMethod == "HEAD") {
     parser.skip(true);
   }
+  const auto limitSilence = [&] {
+    if (aOptions.mIdleTimeout.count() > 0) {
+      connection->mStream.expires_at(
+        std::min(aOptions.mDeadline,
+                 std::chrono::steady_clock::now() + aOptions.mIdleTimeout));
+    }
+  };
   ErrorCode error;
+  limitSilence();
   co_await beast::http::async_read_header(
     connection->mStream,
     connection->mBuffer,
@@ -272,6 +280,7 @@
   while (!parser.is_done()) {
     parser.get().body().data = piece.data();
     parser.get().body().size = piece.size();
+    limitSilence();
     co_await beast::http::async_read(
       connection->mStream,
       connection->mBuffer,
--- a/src/agatetide/platform/engine.cpp
+++ b/src/agatetide/platform/engine.cpp
@@ -100,11 +100,13 @@
 
 json CompletionBody(const CompletionRequest& aRequest)
 {
-  json body = {
-    { "model", aRequest.mModel },          { "prompt", aRequest.mPrompt },
-    { "max_tokens", aRequest.mMaxTokens }, { "stream", true },
-    { "priority", aRequest.mPriority },    { "request_id", aRequest.mRequestId }
-  };
+  json body = { { "model", aRequest.mModel },
+                { "prompt", aRequest.mPrompt },
+                { "max_tokens", aRequest.mMaxTokens },
+                { "stream", true },
+                { "priority", aRequest.mPriority },
+                { "request_id", aRequest.mRequestId },
+                { "seed", aRequest.mSeed } };
   if (aRequest.mResumeTokens > 0) {
     body["resume_text"] = aRequest.mResumeText;
     body["resume_tokens"] = aRequest.mResumeTokens;
@@ -136,6 +138,7 @@
   EventReader reader(aCompletion, aRequest.mRequestId);
   http::CallOptions options;
   options.mDeadline = aDeadline;
+  options.mIdleTimeout = aRequest.mIdleTimeout;
   auto answer = co_await aClient.Stream(
     std::move(aEngine),
     JsonPost("/v1/completions", CompletionBody(aRequest)),
--- a/tests/doubles/double_engine.cpp
+++ b/tests/doubles/double_engine.cpp
@@ -2,6 +2,7 @@
 // bounded batch, priorities, resume, weight versions and a lagging load
 // report. A prompt that contains CRASH ends the process.
 
+#include "agatetide/base/encoding.hpp"
 #include "doubles/double_runner.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -25,8 +26,13 @@
   /// Time of one decoding step; each running request gets kTokensPerChunk
   /// tokens in it.
   int mStepMs = 20;
+  /// Time to load weights, and of the pause of all decoding that follows.
   int mSwapMs = 300;
+  int mActivateMs = 0;
   int mLoadLagMs = 500;
+  /// One of so many samples is long: it uses all of max_tokens, the others a
+  /// third. 0 gives every sample max_tokens.
+  unsigned mLongEvery = 0;
 };
 
 constexpr unsigned kTokensPerChunk = 4;
@@ -76,6 +82,8 @@
       mReportedAt = now;
     }
     json report = mReport;
+    // A reclaim notice is the engine's own signal and does not lag.
+    report["leaving"] = mControl.value("leaving", false);
     report["weight_version"] = mVersion;
     return http::MakeResponse(200, "application/json", report.dump());
   }
@@ -93,6 +101,10 @@
     if (mControl.value("fail_swap", false)) {
       co_return http::MakeResponse(500, "application/json", "{}");
     }
+    mPausedUntil = std::chrono::steady_clock::now() +
+                   std::chrono::milliseconds(mOptions.mActivateMs);
+    timer.expires_at(mPausedUntil);
+    co_await timer.async_wait(asio::use_awaitable);
     mVersion = std::max(mVersion, aOrder.value("version", uint64_t{ 0 }));
     co_return http::MakeResponse(200, "application/json", "{}");
   }
@@ -144,9 +156,20 @@
     co_return result;
   }
 
+  /// Tokens of the whole answer; the same for a resumed sample.
+  unsigned LengthOf(const json& aBody) const
+  {
+    const unsigned most = aBody.value("max_tokens", 16U);
+    const uint64_t draw =
+      Hash64(aBody.value("prompt", ""), aBody.value("seed", uint64_t{ 0 }));
+    const bool shortened =
+      mOptions.mLongEvery != 0 && draw % mOptions.mLongEvery != 0;
+    return shortened ? std::max(1U, most / 3) : most;
+  }
+
   Awaitable<Result<bool>> Decode(json aBody, http::ChunkWriter aWriter)
   {
-    const unsigned total = aBody.value("max_tokens", 16U);
+    const unsigned total = LengthOf(aBody);
     unsigned produced = aBody.value("resume_tokens", 0U);
     const std::string id = aBody.value("request_id", "");
     while (produced < total) {
@@ -154,6 +177,10 @@
         mContext,
         std::chrono::milliseconds(mControl.value("step_ms", mOptions.mStepMs)));
       co_await timer.async_wait(asio::use_awaitable);
+      if (std::chrono::steady_clock::now() < mPausedUntil) {
+        timer.expires_at(mPausedUntil);
+        co_await timer.async_wait(asio::use_awaitable);
+      }
       const unsigned tokens = std::min(kTokensPerChunk, total - produced);
       produced += tokens;
       mTokens += tokens;
@@ -190,6 +217,7 @@
   json mControl = json::object();
   json mReport = json::object();
   std::chrono::steady_clock::time_point mReportedAt{};
+  std::chrono::steady_clock::time_point mPausedUntil{};
 };
 
 } // namespace
@@ -201,7 +229,9 @@
     "slots", "", cxxopts::value<unsigned>()->default_value("16"))(
     "step-ms", "", cxxopts::value<int>()->default_value("20"))(
     "swap-ms", "", cxxopts::value<int>()->default_value("300"))(
-    "load-lag-ms", "", cxxopts::value<int>()->default_value("500"));
+    "load-lag-ms", "", cxxopts::value<int>()->default_value("500"))(
+    "activate-ms", "", cxxopts::value<int>()->default_value("0"))(
+    "long-every", "", cxxopts::value<unsigned>()->default_value("0"));
   std::unique_ptr<EngineDouble> engine;
   return doubles::RunDouble(
     options, aCount, aArguments, [&](auto& aContext, const auto& aParsed) {
@@ -210,6 +240,8 @@
       chosen.mStepMs = aParsed["step-ms"].template as<int>();
       chosen.mSwapMs = aParsed["swap-ms"].template as<int>();
       chosen.mLoadLagMs = aParsed["load-lag-ms"].template as<int>();
+      chosen.mActivateMs = aParsed["activate-ms"].template as<int>();
+      chosen.mLongEvery = aParsed["long-every"].template as<unsigned>();
       engine = std::make_unique<EngineDouble>(aContext, chosen);
       return [&](http::Request aRequest) {
         return engine->Handle(std::move(aRequest));
--- /dev/null
+++ b/tests/measure_steps.py
@@ -0,0 +1,282 @@
+"""Measures trainer steps: baseline and current policies, interleaved.
+
+Each scenario prints one JSON line for each run. The capacity bound of a round
+of steps is the larger of two times: the tokens of the delivered samples over
+the sum of slots x decoding rate of all engines, and the tokens of the longest
+delivered sample over the rate of the fastest engine.
+"""
+
+import argparse
+import json
+import pathlib
+import statistics
+import sys
+import tempfile
+import threading
+import time
+import uuid
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+from harness import client  # noqa: E402
+from harness.deployment import PLATFORM, STORE, Deployment  # noqa: E402
+
+SLOTS, STEP_MS, TOKENS_PER_STEP = 16, 40, 4
+SLOW_STEP_MS = 200
+REGULAR_ENGINES = 3
+TRAINERS, PROMPTS, SAMPLES, ENOUGH, MAX_TOKENS, LONG_EVERY = 3, 24, 8, 6, 192, 8
+ACTIVATE_MS = 400
+BASELINE = {"step_group": "launch_all", "staleness": "at_delivery",
+            "weights": "all_at_once", "trainer_upstreams": "any"}
+REPETITIONS = 3
+
+
+class MeasuredDeployment(Deployment):
+    """Engines with known speed, and long samples among the short ones."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        engines = [r for r in self.replicas if r["kind"] == "engine"]
+        for index, replica in enumerate(engines):
+            replica["preemptible"] = index >= REGULAR_ENGINES
+
+    def engines(self):
+        return [r for r in self.replicas if r["kind"] == "engine"]
+
+    def start_doubles(self):
+        tests = self.build / "tests"
+        self.start_process("store", [tests / "double_store", "--listen", STORE])
+        self.start_process("platform", [tests / "double_platform", "--listen", PLATFORM])
+        for replica in self.replicas:
+            command = [tests / "double_service", "--listen", replica["address"]]
+            if replica["kind"] == "engine":
+                command = [tests / "double_engine", "--listen", replica["address"], "--slots", str(SLOTS),
+                           "--step-ms", str(STEP_MS), "--long-every", str(LONG_EVERY),
+                           "--activate-ms", str(ACTIVATE_MS)]
+            self.start_process(replica["address"], command)
+
+
+class Measurement:
+    """What the trainers, lookups and publications of one run saw."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.lock = threading.Lock()
+        self.stop = threading.Event()
+        self.published = 1
+        self.rounds, self.step_times, self.staleness, self.errors = [], [], [], []
+        self.delivered = self.doubled = self.lost = self.mixed = 0
+        self.lookups = self.lookups_answered = 0
+        self.lookup_ms, self.swap_seconds, self.stalls = [], [], []
+        self.rates = {r["address"]: TOKENS_PER_STEP * 1000 / STEP_MS for r in deployment.engines()}
+        self.gone_tokens = {}
+
+    def step(self, trainer, number):
+        """Runs one step; returns (seconds, tokens, longest sample)."""
+        spec = self.deployment.spec["trainer"]
+        key = self.deployment.keys[spec["account"]]
+        daemons = self.deployment.daemons
+        host = daemons[trainer % len(daemons)]["callers"]
+        origin = {"model": spec["model"], "samples_per_prompt": SAMPLES, "max_tokens": MAX_TOKENS,
+                  "prompts": [f"trainer {trainer} step {number} prompt {i}" for i in range(PROMPTS)],
+                  "enough_per_prompt": ENOUGH}
+        started = time.monotonic()
+        handle = client.call(host, "agatetide.v1.Rollout/StartStep", origin, key, uuid.uuid4().hex)["step"]
+        have, complete = {}, False
+        while not complete and time.monotonic() - started < 60:
+            before = self.published
+            answer = client.call(host, "agatetide.v1.Rollout/Collect",
+                                 {"step": handle, "have": list(have), "wait_ms": 2000, "origin": origin}, key)
+            with self.lock:
+                for sample in answer["samples"]:
+                    self.doubled += sample["index"] in have
+                    versions = [int(v) for v in sample["weight_versions"]]
+                    self.staleness.append(before - min(versions))
+                    self.mixed += len(versions) > 1
+                    have[sample["index"]] = sample["tokens"]
+            complete = answer["complete"]
+        took = time.monotonic() - started
+        groups = [sum(1 for i in have if i // SAMPLES == p) for p in range(PROMPTS)]
+        with self.lock:
+            self.lost += sum(max(0, ENOUGH - g) for g in groups)
+            self.delivered += sum(have.values())
+            self.step_times.append(took)
+        return took, sum(have.values()), max(have.values(), default=0)
+
+    def run_rounds(self, seconds):
+        """All trainers start a step together until the time is over."""
+        started, number = time.monotonic(), 0
+        while time.monotonic() - started < seconds:
+            results = [None] * TRAINERS
+
+            def run(trainer, number=number, results=results):
+                try:
+                    results[trainer] = self.step(trainer, number)
+                except (client.CallError, OSError) as error:
+                    self.errors.append(str(error))
+
+            threads = [threading.Thread(target=run, args=(t,)) for t in range(TRAINERS)]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            done = [r for r in results if r]
+            if done:
+                capacity = SLOTS * sum(self.rates.values())
+                bound = max(sum(r[1] for r in done) / capacity,
+                            max(r[2] for r in done) / max(self.rates.values()))
+                self.rounds.append((max(r[0] for r in done), bound))
+            number += 1
+
+    def watch_lookups(self):
+        spec = self.deployment.spec["lookup"]
+        key = self.deployment.keys[spec["account"]]
+        host = self.deployment.daemons[0]["callers"]
+        while not self.stop.wait(0.1):
+            started = time.monotonic()
+            self.lookups += 1
+            try:
+                client.call(host, spec["method"], spec["body"], key, timeout=2)
+                self.lookups_answered += 1
+                self.lookup_ms.append((time.monotonic() - started) * 1000)
+            except (client.CallError, OSError):
+                pass
+
+    def engine_tokens(self):
+        """Tokens generated so far by each engine, also by earlier processes."""
+        tokens = {}
+        for engine in self.deployment.engines():
+            address = engine["address"]
+            try:
+                seen = client.get_json(address, "/seen")["tokens"]
+            except (OSError, ValueError):
+                seen = 0
+            tokens[address] = seen + self.gone_tokens.get(address, 0)
+        return tokens
+
+    def watch_stalls(self):
+        """Longest time in which no engine generated a token during a step."""
+        last, since = -1, time.monotonic()
+        while not self.stop.wait(0.05):
+            total = sum(self.engine_tokens().values())
+            now = time.monotonic()
+            if total != last:
+                self.stalls.append(now - since)
+                last, since = total, now
+
+    def publish(self, interval):
+        """Publishes versions and notes when all engines have each."""
+        model = self.deployment.spec["trainer"]["model"]
+        while not self.stop.wait(interval):
+            started = time.monotonic()
+            version = self.published + 1
+            client.put(self.deployment.daemons[0]["callers"], self.deployment.operator,
+                       weights={"model": model, "version": str(version), "uri": f"weights/{version}"})
+            self.published = version
+            while time.monotonic() - started < 15:
+                loads = [client.get_json(e["address"], "/load") for e in self.deployment.engines()]
+                if all(load["weight_version"] >= version for load in loads):
+                    self.swap_seconds.append(time.monotonic() - started)
+                    break
+                time.sleep(0.05)
+            else:
+                self.swap_seconds.append(15.0)
+
+    def reclaim(self, after, notice=2.0, absence=4.0):
+        """Takes the cheaper engines of one zone away, and brings them back."""
+        zone = self.deployment.spec["zones"][0]["availability_zone"]
+        taken = [e for e in self.deployment.engines() if e["preemptible"] and e["availability_zone"] == zone]
+        if self.stop.wait(after):
+            return
+        for engine in taken:
+            client.control(engine["address"], {"leaving": True})
+        time.sleep(notice)
+        for engine in taken:
+            seen = client.get_json(engine["address"], "/seen")["tokens"]
+            self.gone_tokens[engine["address"]] = seen
+            self.deployment.kill(engine["address"])
+        self.stop.wait(absence)
+        for engine in taken:
+            self.deployment.restart(engine["address"])
+
+    def report(self):
+        tokens = self.engine_tokens()
+        generated = sum(tokens.values())
+        cheap = sum(tokens[e["address"]] for e in self.deployment.engines() if e["preemptible"])
+        ratios = [took / bound for took, bound in self.rounds]
+        bounds = sum(bound for _, bound in self.rounds)
+        idle = sum(self.step_times) - TRAINERS * bounds
+        return {
+            "rounds": len(self.rounds),
+            "step_s": round(statistics.mean(self.step_times), 3) if self.step_times else None,
+            "bound_s": round(bounds / max(1, len(self.rounds)), 3),
+            "step_over_bound": round(statistics.mean(ratios), 3) if ratios else None,
+            "worst_step_over_bound": round(max(ratios), 3) if ratios else None,
+            "idle_over_bound_s_per_step": round(idle / max(1, len(self.step_times)), 3),
+            "max_staleness": max(self.staleness, default=None),
+            "mixed_versions": self.mixed,
+            "wasted_share": round(1 - self.delivered / generated, 4) if generated else None,
+            "lost": self.lost, "doubled": self.doubled, "errors": self.errors[:3],
+            "cheap_share": round(cheap / generated, 3) if generated else None,
+            "lookups": self.lookups, "lookups_answered": self.lookups_answered,
+            "swap_s": [round(s, 2) for s in self.swap_seconds],
+            "longest_stall_ms": round(max(self.stalls[1:], default=0) * 1000),
+        }
+
+
+def run_once(args, policies, scenario):
+    settings = {"policies": policies, "log": {"level": "warning"}}
+    with tempfile.TemporaryDirectory() as folder:
+        with MeasuredDeployment(args.deployment, folder, daemons_per_zone=1, settings=settings) as deployment:
+            deployment.configure()
+            time.sleep(2)  # The duties take their leases and read the loads.
+            run = Measurement(deployment)
+            helpers = [threading.Thread(target=run.watch_lookups)]
+            if scenario == "steps":
+                slow = deployment.engines()[-1]["address"]
+                client.control(slow, {"step_ms": SLOW_STEP_MS})
+                run.rates[slow] = TOKENS_PER_STEP * 1000 / SLOW_STEP_MS
+            if scenario == "weights":
+                helpers.append(threading.Thread(target=run.publish, args=(3.0,)))
+                helpers.append(threading.Thread(target=run.watch_stalls))
+            if scenario == "reclaim":
+                helpers.append(threading.Thread(target=run.reclaim, args=(1.5,)))
+            for helper in helpers:
+                helper.start()
+            run.run_rounds(args.seconds)
+            run.stop.set()
+            for helper in helpers:
+                helper.join()
+            time.sleep(0.5)  # Canceled streams end.
+            return run.report()
+
+
+def scenario(name):
+    def run(args):
+        lines = []
+        for repetition in range(getattr(args, "repetitions", REPETITIONS)):
+            for label, policies in (("baseline", BASELINE), ("current", {})):
+                lines.append({"scenario": name, "policies": label, "repetition": repetition,
+                              "deployment": args.deployment, **run_once(args, policies, name)})
+        return lines
+
+    return run
+
+
+SCENARIOS = {name: scenario(name) for name in ("steps", "weights", "reclaim")}
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("scenario", choices=SCENARIOS)
+    parser.add_argument("--deployment", default="ashby", choices=["ashby", "stolvaerkstedet"])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--repetitions", type=int, default=REPETITIONS)
+    args = parser.parse_args()
+    for line in SCENARIOS[args.scenario](args):
+        print(json.dumps(line), flush=True)
+
+
+if __name__ == "__main__":
+    main()
