Move streams that wait behind slow engines, end unwanted streams at once

Cause: streams queued at a slow engine had no event, so they could neither be moved nor canceled; http::Abort ends a call from outside. Ruled out: scaling own concurrency by engine speed; load reports of other daemons lag too much to divide the slots.

--- a/include/agatetide/daemon/rollout.hpp
+++ b/include/agatetide/daemon/rollout.hpp
@@ -67,6 +67,9 @@
     std::string mReplica;
     TimePoint mStreamStart{};
     uint32_t mTokensBefore = 0;
+    /// Set while a stream runs.
+    std::shared_ptr<http::Abort> mAbort;
+    /// Whether the stream has sent an event.
     bool mStreaming = false;
     bool mMove = false;
   };
@@ -110,6 +113,9 @@
   void Pump(const StepPtr& aStep);
   void StartSample(const StepPtr& aStep, size_t aGroup);
   void ReviewStragglers(const StepPtr& aStep);
+  void RequeueWaiting(const StepPtr& aStep);
+  void EndUnwanted(const StepPtr& aStep);
+  size_t FreeEngines(const std::string& aModel) const;
   Awaitable<void> Generate(StepPtr aStep, uint32_t aIndex);
   Awaitable<Result<bool>> RunStream(StepPtr aStep, uint32_t aIndex);
   Awaitable<Result<Gate::Permit>> EnterGate(StepPtr aStep,
--- a/include/agatetide/http/client.hpp
+++ b/include/agatetide/http/client.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <chrono>
+#include <functional>
 #include <memory>
 
 namespace agatetide::http {
@@ -20,6 +21,24 @@
   std::chrono::milliseconds mMaxIdleTime{ 30000 };
 };
 
+/// @brief Ends a call from outside, on the client's executor. Valid for one
+/// call.
+class Abort
+{
+public:
+  /// @brief Closes the connection of the call, if it runs. The call fails.
+  void operator()() const
+  {
+    if (mClose) {
+      mClose();
+    }
+  }
+
+private:
+  friend class Client;
+  std::function<void()> mClose;
+};
+
 struct CallOptions
 {
   std::chrono::steady_clock::time_point mDeadline{};
@@ -29,6 +48,8 @@
   /// Longest time without any byte of the answer, within the deadline; 0
   /// means the deadline alone.
   std::chrono::milliseconds mIdleTimeout{ 0 };
+  /// Lets the caller end the call; may be null.
+  std::shared_ptr<Abort> mAbort;
 };
 
 /// @brief Takes one piece of a streamed body; false cancels the call.
--- a/include/agatetide/platform/engine.hpp
+++ b/include/agatetide/platform/engine.hpp
@@ -26,6 +26,8 @@
   uint64_t mSeed = 0;
   /// Longest time without any byte from the engine.
   std::chrono::milliseconds mIdleTimeout{ 60000 };
+  /// Ends the call while no event arrives; may be null.
+  std::shared_ptr<http::Abort> mAbort;
 };
 
 /// @brief What a completion has produced so far.
--- a/include/agatetide/policy/step_group.hpp
+++ b/include/agatetide/policy/step_group.hpp
@@ -26,6 +26,9 @@
   double mMinSeconds = 0.5;
   /// Seconds that a moved stream must save to be worth the second prefill.
   double mMoveCostSeconds = 0.5;
+  /// A stream that waited this long in an engine's queue may go to an engine
+  /// with free slots.
+  double mQueueSeconds = 0.5;
 };
 
 /// @brief The samples of one prompt.
@@ -82,6 +85,12 @@
                 const StepProgress& aProgress,
                 const StepGroupOptions& aOptions);
 
+/// @brief How many streams that wait in engines' queues should move to
+/// engines with free slots. aLongestFirst are their waits in seconds.
+size_t StreamsToRequeue(std::span<const double> aLongestFirst,
+                        size_t aFreeEngines,
+                        const StepGroupOptions& aOptions);
+
 /// @brief Median rate in tokens per second of the streams that have run long
 /// enough to be judged; 0 when there are none.
 double TypicalRate(std::span<const StreamState> aStreams,
--- a/src/agatetide/daemon/rollout.cpp
+++ b/src/agatetide/daemon/rollout.cpp
@@ -210,15 +210,76 @@
   while (!Ended(*aStep)) {
     Pump(aStep);
     ReviewStragglers(aStep);
+    RequeueWaiting(aStep);
+    EndUnwanted(aStep);
     timer.expires_after(kReviewInterval);
     boost::system::error_code ignored;
     co_await timer.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
   }
   aStep->mSupervised = false;
+  EndUnwanted(aStep);
   Wake(*aStep);
 }
 
+/// Ends streams that would otherwise notice only with their next event.
+void Rollout::EndUnwanted(const StepPtr& aStep)
+{
+  std::vector<std::shared_ptr<http::Abort>> ended;
+  for (const auto& [index, work] : aStep->mWork) {
+    if (work.mAbort && !KeepStreaming(*aStep, index, work)) {
+      ended.push_back(work.mAbort);
+    }
+  }
+  for (const auto& abort : ended) {
+    (*abort)();
+  }
+}
+
+/// Engines that by their last report have a free slot and no queue.
+size_t Rollout::FreeEngines(const std::string& aModel) const
+{
+  const v1::Upstream* upstream = EngineFor(aModel);
+  if (upstream == nullptr) {
+    return 0;
+  }
+  const auto free = [&](const v1::Replica& aReplica) {
+    const std::string& address = aReplica.address();
+    const auto load = mContext.mView->mLoads.find(address);
+    const auto own = mContext.mRunning.find(address);
+    const uint32_t slots = policy::PlacementOptions{}.mSlots;
+    return load != mContext.mView->mLoads.end() &&
+           !mContext.mView->mLeaving.contains(address) &&
+           load->second.mQueued == 0 && load->second.mRunning < slots &&
+           (own == mContext.mRunning.end() || own->second < slots);
+  };
+  return static_cast<size_t>(std::count_if(
+    upstream->replicas().begin(), upstream->replicas().end(), free));
+}
+
+/// Moves streams that wait in an engine's queue to engines with free slots.
+void Rollout::RequeueWaiting(const StepPtr& aStep)
+{
+  const TimePoint now = mContext.mClock();
+  std::vector<std::pair<double, uint32_t>> waiting;
+  for (const auto& [index, work] : aStep->mWork) {
+    if (work.mAbort && !work.mStreaming && !work.mMove) {
+      waiting.emplace_back(Seconds(now - work.mStreamStart), index);
+    }
+  }
+  std::sort(waiting.rbegin(), waiting.rend());
+  std::vector<double> waits;
+  for (const auto& [seconds, index] : waiting) {
+    waits.push_back(seconds);
+  }
+  const size_t moved = policy::StreamsToRequeue(
+    waits, FreeEngines(aStep->mRequest.model()), mGroupOptions);
+  for (size_t i = 0; i < moved; ++i) {
+    aStep->mWork.at(waiting[i].second).mMove = true;
+    ++aStep->mMoves;
+  }
+}
+
 void Rollout::Pump(const StepPtr& aStep)
 {
   while (aStep->mNextGroup < aStep->mGroups.size() &&
@@ -566,6 +627,9 @@
   request.mIdleTimeout = kStreamIdleTimeout;
   const TimePoint sent = mContext.mClock();
   work.mReplica = replica->Address();
+  work.mStreamStart = sent;
+  work.mAbort = std::make_shared<http::Abort>();
+  request.mAbort = work.mAbort;
   const uint32_t before = work.mPartial.mTokens;
   const std::function<bool()> keepGoing = [this, aStep, aIndex, &work] {
     if (!work.mStreaming) {
@@ -584,6 +648,7 @@
                                                 work.mPartial,
                                                 keepGoing);
   work.mStreaming = false;
+  work.mAbort.reset();
   const Duration took = mContext.mClock() - sent;
   TrafficReport report;
   report.mAccount = aStep->mAccount;
@@ -592,7 +657,7 @@
     std::chrono::duration_cast<Milliseconds>(took).count());
   mContext.mControl.mReport(report);
   if (done.has_error()) {
-    const bool canceled = done.error().mKind == ErrorKind::Canceled;
+    const bool canceled = !KeepStreaming(*aStep, aIndex, work);
     Event("sample_interrupted", canceled ? LogLevel::Debug : LogLevel::Warning)
       .Field("request_id", requestId)
       .Field("replica", replica->Address())
--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -254,6 +254,15 @@
   if (aRequest.mMethod == "HEAD") {
     parser.skip(true);
   }
+  const std::shared_ptr<Abort> abort = aOptions.mAbort;
+  if (abort) {
+    abort->mClose = [stream = &connection->mStream] { stream->close(); };
+  }
+  const std::shared_ptr<void> forgetConnection(nullptr, [abort](void*) {
+    if (abort) {
+      abort->mClose = nullptr;
+    }
+  });
   const auto limitSilence = [&] {
     if (aOptions.mIdleTimeout.count() > 0) {
       connection->mStream.expires_at(
--- a/src/agatetide/platform/engine.cpp
+++ b/src/agatetide/platform/engine.cpp
@@ -139,6 +139,7 @@
   http::CallOptions options;
   options.mDeadline = aDeadline;
   options.mIdleTimeout = aRequest.mIdleTimeout;
+  options.mAbort = aRequest.mAbort;
   auto answer = co_await aClient.Stream(
     std::move(aEngine),
     JsonPost("/v1/completions", CompletionBody(aRequest)),
--- a/src/agatetide/policy/step_group.cpp
+++ b/src/agatetide/policy/step_group.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr size_t kRequeuedPerFreeEngine = 2;
+
 double Rate(const StreamState& aStream)
 {
   return aStream.mStreamSeconds <= 0.0
@@ -78,6 +80,22 @@
   return saved > aOptions.mMoveCostSeconds;
 }
 
+size_t StreamsToRequeue(std::span<const double> aLongestFirst,
+                        size_t aFreeEngines,
+                        const StepGroupOptions& aOptions)
+{
+  if (aOptions.mPolicy == GroupPolicy::LaunchAll) {
+    return 0;
+  }
+  const auto waited = std::count_if(
+    aLongestFirst.begin(), aLongestFirst.end(), [&](double aSeconds) {
+      return aSeconds >= aOptions.mQueueSeconds;
+    });
+  // Load reports lag, and other steps see the same free slots.
+  return std::min(static_cast<size_t>(waited),
+                  aFreeEngines * kRequeuedPerFreeEngine);
+}
+
 double TypicalRate(std::span<const StreamState> aStreams,
                    const StepGroupOptions& aOptions)
 {
--- a/src/agatetide/policy/step_group_test.cpp
+++ b/src/agatetide/policy/step_group_test.cpp
@@ -56,3 +56,13 @@
   cr_assert(TypicalRate(streams, {}) == 100.0);
   cr_assert(TypicalRate({}, {}) == 0.0);
 }
+
+// Guards against samples that wait behind a slow engine while others have
+// free slots, and against a crowd that moves to one free engine.
+Test(step_group, requeues_a_few_waiting_streams)
+{
+  const double waits[] = { 9.0, 4.0, 3.0, 0.2 };
+  cr_assert(StreamsToRequeue(waits, 0, {}) == 0);
+  cr_assert(StreamsToRequeue(waits, 1, {}) == 2);
+  cr_assert(StreamsToRequeue(waits, 4, {}) == 3);
+}
--- a/tests/doubles/double_engine.cpp
+++ b/tests/doubles/double_engine.cpp
@@ -172,13 +172,18 @@
     const unsigned total = LengthOf(aBody);
     unsigned produced = aBody.value("resume_tokens", 0U);
     const std::string id = aBody.value("request_id", "");
+    auto next = std::chrono::steady_clock::now();
     while (produced < total) {
-      asio::steady_timer timer(
-        mContext,
-        std::chrono::milliseconds(mControl.value("step_ms", mOptions.mStepMs)));
+      // Steps are counted from the last one's time, so that a late timer does
+      // not lower the engine's speed.
+      const auto late = std::chrono::steady_clock::now();
+      next +=
+        std::chrono::milliseconds(mControl.value("step_ms", mOptions.mStepMs));
+      asio::steady_timer timer(mContext, std::max(next, late));
       co_await timer.async_wait(asio::use_awaitable);
       if (std::chrono::steady_clock::now() < mPausedUntil) {
-        timer.expires_at(mPausedUntil);
+        next = mPausedUntil;
+        timer.expires_at(next);
         co_await timer.async_wait(asio::use_awaitable);
       }
       const unsigned tokens = std::min(kTokensPerChunk, total - produced);
--- a/tests/measure_steps.py
+++ b/tests/measure_steps.py
@@ -24,7 +24,7 @@
 SLOTS, STEP_MS, TOKENS_PER_STEP = 16, 40, 4
 SLOW_STEP_MS = 200
 REGULAR_ENGINES = 3
-TRAINERS, PROMPTS, SAMPLES, ENOUGH, MAX_TOKENS, LONG_EVERY = 3, 24, 8, 6, 192, 8
+TRAINERS, PROMPTS, SAMPLES, ENOUGH, MAX_TOKENS, LONG_EVERY = 3, 48, 8, 6, 192, 8
 ACTIVATE_MS = 400
 BASELINE = {"step_group": "launch_all", "staleness": "at_delivery",
             "weights": "all_at_once", "trainer_upstreams": "any"}
--- a/tests/whole_path.py
+++ b/tests/whole_path.py
@@ -71,6 +71,64 @@
     return f"{len(have)} samples in {took:.2f} s, weight versions {','.join(versions)}"
 
 
+def step_takeover(deployment):
+    """The owner of a step dies; the trainer goes on through another daemon,
+    gets each sample once, and another account with the handle gets none of them."""
+    spec = deployment.spec["trainer"]
+    key = deployment.keys[spec["account"]]
+    other = next(k for name, k in deployment.keys.items()
+                 if name not in (spec["account"], "operators"))
+    owner, next_host = deployment.daemons[1], deployment.daemons[4]["callers"]
+    origin = {"model": spec["model"], "prompts": ["a", "b", "c", "d"], "samples_per_prompt": 32, "max_tokens": 400}
+    step = client.call(owner["callers"], "agatetide.v1.Rollout/StartStep", origin, key, uuid.uuid4().hex)["step"]
+    have = {}
+
+    def collect(host, wait=2000):
+        request = {"step": step, "have": list(have), "wait_ms": wait, "origin": origin}
+        answer = client.call(host, "agatetide.v1.Rollout/Collect", request, key)
+        for sample in answer["samples"]:
+            assert sample["index"] not in have, "delivered twice"
+            assert sample["weight_versions"], "no weight version"
+            have[sample["index"]] = sample
+        return answer["complete"]
+
+    collect(next_host)
+    before = len(have)
+    deployment.kill(owner["name"])
+    stolen = client.call(next_host, "agatetide.v1.Rollout/Collect",
+                         {"step": step, "wait_ms": 0, "origin": {**origin, "prompts": ["x"]}}, other)
+    assert not stolen["samples"], "another account got samples"
+    started = time.monotonic()
+    while not collect(next_host):
+        assert time.monotonic() - started < 60, f"{len(have)} samples"
+    took = time.monotonic() - started
+    assert sorted(have) == list(range(128)), f"{len(have)} samples"
+    client.call(next_host, "agatetide.v1.Rollout/CancelStep", {"step": step}, other)
+    deployment.restart(owner["name"])
+    deployment.wait_ready()
+    return f"128 samples, {before} before the owner died, the rest {took:.2f} s after"
+
+
+def step_cancel(deployment):
+    """A cancel through another daemon stops the engines' work for the step."""
+    spec = deployment.spec["trainer"]
+    key = deployment.keys[spec["account"]]
+    origin = {"model": spec["model"], "prompts": ["p"], "samples_per_prompt": 512, "max_tokens": 4000}
+    step = client.call(deployment.daemons[1]["callers"], "agatetide.v1.Rollout/StartStep",
+                       origin, key, uuid.uuid4().hex)["step"]
+    time.sleep(1)
+    started = time.monotonic()
+    client.call(deployment.daemons[4]["callers"], "agatetide.v1.Rollout/CancelStep", {"step": step}, key)
+    engines = [r["address"] for r in deployment.replicas if r["kind"] == "engine"]
+
+    def quiet():
+        counts = [[client.get_json(e, "/seen")["tokens"] for e in engines] for _ in range(2) if not time.sleep(0.2)]
+        return counts[0] == counts[1]
+
+    wait_until(quiet, 10, "engines quiet")
+    return f"engines quiet {time.monotonic() - started:.2f} s after the cancel"
+
+
 def weights(deployment):
     """A published version is active on all engines."""
     model = deployment.spec["trainer"]["model"]
@@ -139,7 +197,7 @@
     return f"exit code 0 in {time.monotonic() - started:.1f} s"
 
 
-PARTS = [lookup, booking_once, trainer_step, weights, orders, withdrawn_key, usage, drain]
+PARTS = [lookup, booking_once, trainer_step, step_takeover, step_cancel, weights, orders, withdrawn_key, usage, drain]
 
 
 def run_parts(deployment, parts):
