--- a/include/agatetide/daemon/rollout.hpp
+++ b/include/agatetide/daemon/rollout.hpp
@@ -117,7 +117,10 @@
   void EndUnwanted(const StepPtr& aStep);
   size_t FreeEngines(const std::string& aModel) const;
   Awaitable<void> Generate(StepPtr aStep, uint32_t aIndex);
-  Awaitable<Result<bool>> RunStream(StepPtr aStep, uint32_t aIndex);
+  Awaitable<Result<bool>> RunStream(StepPtr aStep,
+                                    uint32_t aIndex,
+                                    std::optional<Gate::Permit>& aPermit);
+  bool MovesAtOnce(const Work& aWork, uint32_t aBefore) const;
   Awaitable<Result<Gate::Permit>> EnterGate(StepPtr aStep,
                                             uint32_t aIndex,
                                             std::shared_ptr<Gate> aGate);
--- a/src/agatetide/daemon/rollout.cpp
+++ b/src/agatetide/daemon/rollout.cpp
@@ -269,6 +269,7 @@
   }
   std::sort(waiting.rbegin(), waiting.rend());
   std::vector<double> waits;
+  waits.reserve(waiting.size());
   for (const auto& [seconds, index] : waiting) {
     waits.push_back(seconds);
   }
@@ -374,19 +375,20 @@
   Milliseconds pause = kRetryPause;
   Work& work = aStep->mWork.at(aIndex);
   bool whole = false;
+  std::optional<Gate::Permit> permit;
   while (!whole && Wanted(*aStep, aIndex)) {
     const uint32_t before = work.mPartial.mTokens;
-    const auto ran = co_await RunStream(aStep, aIndex);
+    const auto ran = co_await RunStream(aStep, aIndex, permit);
     if (ran.has_value()) {
       whole = TakeWhole(*aStep, aIndex, work);
     }
     if (whole || !Wanted(*aStep, aIndex)) {
       break;
     }
-    if (work.mPartial.mTokens > before) {
+    if (MovesAtOnce(work, before)) {
       pause = kRetryPause;
-    }
-    if (!work.mMove) {
+    } else {
+      permit.reset();
       timer.expires_after(pause);
       boost::system::error_code ignored;
       co_await timer.async_wait(
@@ -418,6 +420,14 @@
   Wake(*aStep);
 }
 
+/// Whether an interrupted sample goes on without a pause and in the slot that
+/// it has: it moves by decision, or it has gained
+/// tokens, so that the tries cannot go on for ever.
+bool Rollout::MovesAtOnce(const Work& aWork, uint32_t aBefore) const
+{
+  return aWork.mMove || aWork.mPartial.mTokens > aBefore;
+}
+
 /// Stores a finished sample unless it is too old or names no version.
 bool Rollout::TakeWhole(Step& aStep, uint32_t aIndex, Work& aWork)
 {
@@ -573,7 +583,9 @@
 }
 
 /// Runs one stream of a sample, from the tokens that it has.
-Awaitable<Result<bool>> Rollout::RunStream(StepPtr aStep, uint32_t aIndex)
+Awaitable<Result<bool>> Rollout::RunStream(StepPtr aStep,
+                                           uint32_t aIndex,
+                                           std::optional<Gate::Permit>& aPermit)
 {
   const std::string& model = aStep->mRequest.model();
   const v1::Upstream* configured = EngineFor(model);
@@ -581,9 +593,12 @@
     co_return UnknownStep(aStep->mHandle);
   }
   const auto gate = GateOf(mContext, *configured);
-  const auto permit = co_await EnterGate(aStep, aIndex, gate);
-  if (permit.has_error()) {
-    co_return permit.error();
+  if (!aPermit) {
+    auto entered = co_await EnterGate(aStep, aIndex, gate);
+    if (entered.has_error()) {
+      co_return entered.error();
+    }
+    aPermit = std::move(*entered);
   }
   configured = EngineFor(model); // The configuration may have changed.
   if (configured == nullptr) {
@@ -615,7 +630,10 @@
   request.mModel = upstream.model();
   request.mPrompt = aStep->mRequest.prompts(static_cast<int>(prompt));
   request.mMaxTokens = std::max(1U, aStep->mRequest.max_tokens());
-  request.mPriority = kTrainerPriority;
+  // A resumed sample goes before those that have not started, since its group
+  // waits for it already.
+  request.mPriority =
+    work.mPartial.mTokens > 0 ? kTrainerPriority - 1 : kTrainerPriority;
   request.mRequestId = requestId;
   request.mResumeText = work.mPartial.mText;
   request.mResumeTokens = work.mPartial.mTokens;
