--- a/include/agatetide/daemon/settings.hpp
+++ b/include/agatetide/daemon/settings.hpp
@@ -21,6 +21,8 @@
 {
   http::Endpoint mCallerListen;
   http::Endpoint mDaemonListen;
+  /// Daemon address that the other daemons use; mDaemonListen unless set.
+  http::Endpoint mDaemonAdvertise;
   std::string mAvailabilityZone;
   std::string mRegion;
   std::vector<http::Endpoint> mStore;
--- a/src/agatetide/daemon/control.cpp
+++ b/src/agatetide/daemon/control.cpp
@@ -40,8 +40,8 @@
 MemberUpdate MakeSelf(const Settings& aSettings, int64_t aNowMs)
 {
   MemberUpdate self;
-  self.mAddress = aSettings.mDaemonListen.mAddress + ":" +
-                  std::to_string(aSettings.mDaemonListen.mPort);
+  self.mAddress = aSettings.mDaemonAdvertise.mAddress + ":" +
+                  std::to_string(aSettings.mDaemonAdvertise.mPort);
   self.mCallerAddress = aSettings.mCallerListen.mAddress + ":" +
                         std::to_string(aSettings.mCallerListen.mPort);
   self.mAvailabilityZone = aSettings.mAvailabilityZone;
--- a/src/agatetide/daemon/peer_link.cpp
+++ b/src/agatetide/daemon/peer_link.cpp
@@ -102,6 +102,7 @@
         PeerLinkHooks aHooks)
     : mUdp(aExecutor)
     , mAcceptor(aExecutor)
+    , mSource(asio::ip::make_address(aSettings.mDaemonListen.mAddress), 0)
     , mSecret(aSettings.mClusterSecret)
     , mHooks(std::move(aHooks))
   {
@@ -202,6 +203,9 @@
 
   udp::socket mUdp;
   tcp::acceptor mAcceptor;
+  /// Outgoing connections come from the listening address, as datagrams do,
+  /// so that peers and address filters see one address for each daemon.
+  tcp::endpoint mSource;
   std::string mSecret;
   PeerLinkHooks mHooks;
   PeerLinkCounters mCounters;
@@ -278,6 +282,11 @@
   stream.expires_at(aDeadline);
   ErrorCode error;
   const auto address = asio::ip::make_address(endpoint->mAddress, error);
+  stream.socket().open(state->mSource.protocol(), error);
+  stream.socket().bind(state->mSource, error);
+  if (error) {
+    co_return Unreachable(aAddress, error.message());
+  }
   co_await stream.async_connect(
     tcp::endpoint(address, endpoint->mPort),
     asio::redirect_error(asio::use_awaitable, error));
--- a/src/agatetide/daemon/settings.cpp
+++ b/src/agatetide/daemon/settings.cpp
@@ -34,6 +34,11 @@
         "daemons": { "type": "string" }
       }
     },
+    "advertise": {
+      "type": "object",
+      "additionalProperties": false,
+      "properties": { "daemons": { "type": "string" } }
+    },
     "availability_zone": { "type": "string", "minLength": 1 },
     "region": { "type": "string", "minLength": 1 },
     "store": { "type": "array", "minItems": 1, "items": { "type": "string" } },
