--- a/src/agatetide/daemon/settings.cpp
+++ b/src/agatetide/daemon/settings.cpp
@@ -146,6 +146,13 @@
   BOOST_LEAF_ASSIGN(
     settings.mDaemonListen,
     ParseAddress("listen.daemons", parsed["listen"]["daemons"]));
+  settings.mDaemonAdvertise = settings.mDaemonListen;
+  const json advertise = parsed.value("advertise", json::object());
+  if (advertise.contains("daemons")) {
+    BOOST_LEAF_ASSIGN(
+      settings.mDaemonAdvertise,
+      ParseAddress("advertise.daemons", advertise["daemons"]));
+  }
   for (const json& store : parsed["store"]) {
     BOOST_LEAF_AUTO(endpoint, ParseAddress("store", store));
     settings.mStore.push_back(endpoint);
--- a/tests/doubles/double_engine.cpp
+++ b/tests/doubles/double_engine.cpp
@@ -159,7 +159,9 @@
       mTokens += tokens;
       std::string text;
       for (unsigned i = 0; i < tokens; ++i) {
-        text += "w" + std::to_string(produced - tokens + i) + " ";
+        // Names the version, so that a test can tell which one produced it.
+        text += "w" + std::to_string(produced - tokens + i) + "v" +
+                std::to_string(mVersion) + " ";
       }
       const json event = { { "id", id },
                            { "choices",
--- a/tests/harness/deployment.py
+++ b/tests/harness/deployment.py
@@ -23,13 +23,14 @@
 class Deployment:
     """One deployment as described by deploy/<name>/deployment.json."""
 
-    def __init__(self, name, folder, daemons_per_zone=3, build="release", settings=None):
+    def __init__(self, name, folder, daemons_per_zone=3, build="release", settings=None, proxy=None):
         self.spec = json.loads((ROOT / "deploy" / name / "deployment.json").read_text())
         self.schema = (ROOT / "deploy" / name / "schema.proto").read_text()
         self.folder = pathlib.Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
         self.build = ROOT / "build" / build
         self.extra_settings = settings or {}
+        self.proxy = proxy
         self.daemons = self._plan_daemons(daemons_per_zone)
         self.replicas = self._plan_replicas()
         self.processes = {}
@@ -43,10 +44,22 @@
         for zone_index, zone in enumerate(self.spec["zones"]):
             for index in range(per_zone):
                 host = f"127.{NET}.{zone_index + 1}.{index + 1}"
-                plan.append({"name": f"daemon-{zone_index + 1}-{index + 1}", "callers": f"{host}:7000",
-                             "daemons": f"{host}:7100", **zone})
+                daemon = {"name": f"daemon-{zone_index + 1}-{index + 1}", "callers": f"{host}:7000", "ip": host,
+                          "daemons": f"{host}:7100", "advertised": f"{host}:7100",
+                          "store": STORE, "platform": PLATFORM, **zone}
+                if self.proxy:
+                    self._through_proxy(daemon, zone_index, index)
+                plan.append(daemon)
         return plan
 
+    def _through_proxy(self, daemon, zone_index, index):
+        """Puts the proxy on all links of a daemon but those to upstreams."""
+        behind = f"127.{NET}.{zone_index + 101}.{index + 1}"
+        daemon.update(advertised=f"{behind}:7100", store=f"{behind}:2379", platform=f"{behind}:2390")
+        self.proxy.carry(daemon["advertised"], daemon["daemons"], destination=daemon["ip"], udp=True)
+        self.proxy.carry(daemon["store"], STORE, source=daemon["ip"], destination="store")
+        self.proxy.carry(daemon["platform"], PLATFORM, source=daemon["ip"], destination="platform")
+
     def _plan_replicas(self):
         plan = []
         for group_index, upstream in enumerate(self.spec["upstreams"]):
@@ -84,13 +97,14 @@
     def settings_of(self, daemon):
         settings = {
             "listen": {"callers": daemon["callers"], "daemons": daemon["daemons"]},
+            "advertise": {"daemons": daemon["advertised"]},
             "availability_zone": daemon["availability_zone"],
             "region": daemon["region"],
-            "store": [STORE],
-            "platform": PLATFORM,
+            "store": [daemon["store"]],
+            "platform": daemon["platform"],
             "cluster_secret": CLUSTER_SECRET,
             "bootstrap_key_sha256": hashlib.sha256(BOOTSTRAP_KEY.encode()).hexdigest(),
-            "seeds": [other["daemons"] for other in self.daemons],
+            "seeds": [other["advertised"] for other in self.daemons],
             "log": {"level": "debug", "path": str(self.folder / f"{daemon['name']}.log")},
             "address_lifetime_ms": 2000,
             "usage_window_ms": 5000,
--- a/tests/harness/proxy.py
+++ b/tests/harness/proxy.py
@@ -8,8 +8,9 @@
 
 
 class Proxy:
-    """Forwards listeners to targets. Links are (source, destination) pairs of
-    IP addresses; a rule applies to the links that its predicate names.
+    """Forwards listeners to targets. A rule applies to the links, pairs of a
+    source and a destination, that its predicate names. The source is the
+    sender's IP address unless the listener belongs to one sender.
 
     Faults of a rule: delay_s; cut (nothing passes and connections hang, also
     established ones, as in a half-open connection); reset; lose_answer (the
@@ -20,18 +21,26 @@
     def __init__(self, seed):
         self.random = random.Random(seed)
         self.rules = {}
+        self.secrets, self.secrets_seen, self.bytes = set(), 0, 0
         self.loop = asyncio.new_event_loop()
         threading.Thread(target=self.loop.run_forever, daemon=True).start()
 
     def _run(self, coroutine):
         return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(10)
 
-    def carry(self, listen, target, udp=False):
+    def carry(self, listen, target, destination, source=None, udp=False):
         host, port = listen.rsplit(":", 1)
         to = (target.rsplit(":", 1)[0], int(target.rsplit(":", 1)[1]))
-        self._run(asyncio.start_server(lambda r, w: self._serve(r, w, host, to), host, int(port)))
+        self._run(asyncio.start_server(
+            lambda r, w: self._serve(r, w, source, destination, to), host, int(port)))
         if udp:
-            self._run(self.loop.create_datagram_endpoint(lambda: _Datagrams(self, host, to), (host, int(port))))
+            self._run(self.loop.create_datagram_endpoint(
+                lambda: _Datagrams(self, destination, to), (host, int(port))))
+
+    def inspect(self, data):
+        """Counts the watched secrets in what passes."""
+        self.bytes += len(data)
+        self.secrets_seen += sum(secret in data for secret in self.secrets)
 
     def set(self, name, applies, **faults):
         self.rules[name] = (applies, faults)
@@ -45,8 +54,8 @@
                 return faults[name]
         return default
 
-    async def _serve(self, reader, writer, host, target):
-        source = writer.get_extra_info("peername")[0]
+    async def _serve(self, reader, writer, source, host, target):
+        source = source or writer.get_extra_info("peername")[0]
         try:
             while self.fault(source, host, "cut"):
                 await asyncio.sleep(0.2)
@@ -67,6 +76,7 @@
     async def _pump(self, reader, writer, source, destination, answer):
         try:
             while chunk := await reader.read(65536):
+                self.inspect(chunk)
                 await asyncio.sleep(self.fault(source, destination, "delay_s", 0))
                 if answer and self.fault(destination, source, "lose_answer"):
                     self._reset(writer)
@@ -97,6 +107,7 @@
         self.transport = transport
 
     def datagram_received(self, data, addr):
+        self.proxy.inspect(data)
         fault = self.proxy.fault
         if fault(addr[0], self.host, "cut"):
             return
