Let a refused or timed-out request finish through another daemon

A re-send is now forwarded whole and handled by the admitting daemon like its own. - resend_lost_admission: when the store took the record but its answers were lost, the daemon forgot the attempt and all later sends were outcome_unknown. The attempt's nonce is now kept and tried again. - resend_all (booking, slow): the upstream call ended at the first caller's deadline, so the answer was lost. An admitted call now runs on for up to 60 s, and a shutdown waits for it. - key_withdrawn (host cut off): a host that was declared dead during a cut never heard of it and stayed out; it did not rejoin within 30 s. Datagrams to a member that is not alive now name that state, so that it refutes it.

--- a/include/agatetide/coordination/admission.hpp
+++ b/include/agatetide/coordination/admission.hpp
@@ -30,6 +30,9 @@
   Admitted,
   /// Another attempt holds the record; ask its daemon for the answer.
   Duplicate,
+  /// The store may hold this attempt's record, but it cannot be asked. The
+  /// attempt must not dispatch; a later one with the same nonce may win.
+  Undecided,
 };
 
 struct Admission
@@ -43,9 +46,8 @@
 ///
 /// A dispatch may follow only Admitted. After a lost answer the record is
 /// read back and recognised by its nonce. aLease bounds the retention.
-/// Errors: Unavailable (not run) when the store cannot be asked, also after
-/// a lost answer that cannot be read back, since this attempt then never
-/// dispatches; InvalidArgument for an empty account or request id.
+/// Errors: Unavailable (not run) when the store did not take the record;
+/// InvalidArgument for an empty account or request id.
 Awaitable<Result<Admission>> Admit(StoreCall aStore,
                                    AdmissionKey aKey,
                                    AdmissionRecord aRecord,
--- a/include/agatetide/coordination/membership.hpp
+++ b/include/agatetide/coordination/membership.hpp
@@ -84,6 +84,10 @@
   /// whether it has a new configuration version.
   void ProbeNow(const std::string& aAddress) { SendProbe(aAddress, "", 0); }
 
+  /// @brief Probes all live members out of turn, so that news that must not
+  /// wait reaches them at once.
+  void ProbeAll();
+
   /// @brief Handles one decoded datagram.
   void Receive(const Datagram& aDatagram);
 
--- a/include/agatetide/daemon/api.hpp
+++ b/include/agatetide/daemon/api.hpp
@@ -28,8 +28,9 @@
   Awaitable<coordination::PeerReply> AnswerPeer(
     coordination::PeerRequest aRequest);
 
-  /// @brief Whether steps still generate, so that a shutdown must wait.
-  bool Busy() const { return mRollout.Running() > 0; }
+  /// @brief Whether steps still generate or admitted requests still run, so
+  /// that a shutdown must wait.
+  bool Busy() const { return mRollout.Running() > 0 || mCalls.Running() > 0; }
 
 private:
   Result<Call> MakeCall(const http::Request& aRequest);
@@ -37,6 +38,8 @@
                                 const std::string& aMethod) const;
   bool MayAdminister(const http::Request& aRequest,
                      const std::string& aAccount) const;
+  Awaitable<coordination::PeerReply> AnswerResend(
+    coordination::PeerRequest aRequest);
   Awaitable<Result<std::string>> Route(Call aCall);
   Awaitable<Result<std::string>> RouteRollout(Call aCall);
   Awaitable<Result<std::string>> RouteAdmin(Call aCall);
--- a/include/agatetide/daemon/call_path.hpp
+++ b/include/agatetide/daemon/call_path.hpp
@@ -28,16 +28,21 @@
     Call aCall,
     std::function<Awaitable<Result<std::string>>(Call)> aOperation);
 
-  /// @brief Answers another daemon that asks for the outcome of a request
-  /// which this daemon admitted.
-  Awaitable<coordination::PeerReply> AnswerFor(
-    coordination::PeerRequest aRequest);
+  /// @brief Whether this daemon admitted the request and knows its state.
+  bool Knows(const Call& aCall) const;
+
+  /// @brief Admitted requests that run now.
+  size_t Running() const { return mRunning; }
 
 private:
   /// Outcome of a non-idempotent request that this daemon admitted.
   struct Outcome
   {
-    uint64_t mFingerprint = 0;
+    coordination::AdmissionRecord mRecord;
+    /// The store's record is known to be this daemon's.
+    bool mAdmitted = false;
+    /// The store's record is or may be this daemon's.
+    bool mKeep = false;
     bool mDone = false;
     Result<std::string> mResult = std::string();
     TimePoint mFinished{};
@@ -64,6 +69,14 @@
                                             const std::string& aJson,
                                             const std::string& aReplica,
                                             uint32_t& aTokens);
+  Awaitable<void> RunAndFinish(
+    Call aCall,
+    std::function<Awaitable<Result<std::string>>(Call)> aOperation,
+    OutcomePtr aOutcome);
+  Awaitable<Result<std::string>> RunAdmitted(
+    Call aCall,
+    std::function<Awaitable<Result<std::string>>(Call)> aOperation,
+    OutcomePtr aOutcome);
   Awaitable<Result<std::string>> AwaitOutcome(OutcomePtr aOutcome,
                                               TimePoint aDeadline);
   Awaitable<Result<std::string>> AskOwner(
@@ -74,6 +87,7 @@
   static bool NotRun(const Outcome& aOutcome);
 
   TrafficContext& mContext;
+  size_t mRunning = 0;
   std::map<std::string, OutcomePtr> mOutcomes;
   std::deque<std::string> mFinishedOrder;
 };
@@ -82,4 +96,12 @@
 /// re-send is the same request.
 uint64_t Fingerprint(const Call& aCall);
 
+/// @brief A call as the body of a peer request, and back. The key does not
+/// travel: the daemon that took the request has checked it.
+std::string EncodeCall(const Call& aCall, TimePoint aNow);
+Result<Call> DecodeCall(const std::string& aText, TimePoint aNow);
+
+/// @brief An outcome as the body of a peer reply.
+std::string EncodeOutcome(const Result<std::string>& aResult);
+
 } // namespace agatetide::daemon
--- a/include/agatetide/daemon/traffic.hpp
+++ b/include/agatetide/daemon/traffic.hpp
@@ -70,6 +70,9 @@
   std::string mBody;
   bool mProtobuf = false;
   TimePoint mDeadline{};
+  /// Upstream calls may take until then when it is later than mDeadline: the
+  /// answer of an admitted request is kept for a re-send.
+  TimePoint mAnswerDeadline{};
   TimePoint mStarted{};
 };
 
--- a/src/agatetide/coordination/admission.cpp
+++ b/src/agatetide/coordination/admission.cpp
@@ -84,7 +84,8 @@
   }
   auto stored = co_await ReadKey(aStore, key);
   if (stored.has_error() || !stored->has_value()) {
-    co_return StoreUnavailable();
+    // A create that is still on its way may take effect after this read.
+    co_return Admission{ AdmissionOutcome::Undecided, aRecord };
   }
   co_return FromStored(**stored, aRecord);
 }
--- a/src/agatetide/coordination/membership.cpp
+++ b/src/agatetide/coordination/membership.cpp
@@ -365,6 +365,13 @@
   return facts;
 }
 
+void Membership::ProbeAll()
+{
+  for (const Member* member : Live()) {
+    ProbeNow(member->mInfo.mAddress);
+  }
+}
+
 void Membership::SetDraining()
 {
   mSelf.mDraining = true;
@@ -424,6 +431,13 @@
         aQueue.pop_back();
       }
     };
+  // A member that is wrongly held for suspect or dead can refute this only
+  // if it hears of it; after a cut, the queued updates have long expired.
+  const auto receiver = mMembers.find(aAddress);
+  if (receiver != mMembers.end() &&
+      receiver->second.mInfo.mState != MemberState::Alive) {
+    aDatagram.mUpdates.push_back(receiver->second.mInfo);
+  }
   take(
     mUpdateQueue, mOptions.mMaxUpdatesPerMessage, [&](const std::string& aKey) {
       const auto found = mMembers.find(aKey);
--- a/src/agatetide/daemon/api.cpp
+++ b/src/agatetide/daemon/api.cpp
@@ -405,9 +405,26 @@
     co_return co_await mRollout.AnswerFor(std::move(aRequest));
   }
   if (aRequest.mKind == "answer") {
-    co_return co_await mCalls.AnswerFor(std::move(aRequest));
+    co_return co_await AnswerResend(std::move(aRequest));
   }
   co_return coordination::PeerReply{};
 }
 
+/// Another daemon got a re-send of a request that this daemon admitted. It is
+/// handled like a re-send to this daemon, so that it runs now if nothing was
+/// sent upstream before.
+Awaitable<coordination::PeerReply> Api::AnswerResend(
+  coordination::PeerRequest aRequest)
+{
+  auto call = DecodeCall(aRequest.mBody, mContext.mClock());
+  if (call.has_error() || !mCalls.Knows(*call)) {
+    co_return coordination::PeerReply{};
+  }
+  const auto result = co_await Route(std::move(*call));
+  coordination::PeerReply reply;
+  reply.mFound = true;
+  reply.mBody = EncodeOutcome(result);
+  co_return reply;
+}
+
 } // namespace agatetide::daemon
--- a/src/agatetide/daemon/call_path.cpp
+++ b/src/agatetide/daemon/call_path.cpp
@@ -3,6 +3,8 @@
 #include "agatetide/base/encoding.hpp"
 #include "agatetide/platform/engine.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
@@ -16,6 +18,8 @@
 namespace {
 
 constexpr std::chrono::minutes kOutcomeRetention{ 10 };
+/// An admitted request may take this long after its caller has given up.
+constexpr std::chrono::seconds kAnswerTime{ 60 };
 constexpr unsigned kMaxAttempts = 3;
 
 std::string OutcomeKey(const std::string& aAccount,
@@ -40,6 +44,13 @@
            Execution::Unknown };
 }
 
+Error Undecided()
+{
+  return { ErrorKind::Unavailable,
+           "the platform store did not confirm the admission of this request",
+           "send it again with the same request id" };
+}
+
 Error DifferentRequest()
 {
   return { ErrorKind::InvalidArgument,
@@ -47,21 +58,6 @@
            "use a new request id for each request" };
 }
 
-/// Peer replies carry an outcome as JSON.
-std::string EncodeOutcome(const Result<std::string>& aResult)
-{
-  json body;
-  if (aResult.has_value()) {
-    body["value"] = Base64Encode(*aResult);
-  } else {
-    body = { { "code", ErrorKindName(aResult.error().mKind) },
-             { "message", aResult.error().mMessage },
-             { "remedy", aResult.error().mRemedy },
-             { "execution", ExecutionName(aResult.error().mExecution) } };
-  }
-  return body.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 Result<std::string> DecodeOutcome(const std::string& aBody)
 {
   const json body = json::parse(aBody, nullptr, false);
@@ -109,6 +105,57 @@
   return Hash64(aCall.mBody, Hash64(aCall.mMethod));
 }
 
+std::string EncodeCall(const Call& aCall, TimePoint aNow)
+{
+  const auto remaining =
+    std::chrono::duration_cast<Milliseconds>(aCall.mDeadline - aNow);
+  const json body = { { "id", Base64Encode(aCall.mRequestId) },
+                      { "account", aCall.mAccount },
+                      { "method", aCall.mMethod },
+                      { "body", Base64Encode(aCall.mBody) },
+                      { "protobuf", aCall.mProtobuf },
+                      { "remaining_ms", remaining.count() } };
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<Call> DecodeCall(const std::string& aText, TimePoint aNow)
+{
+  const json body = json::parse(aText, nullptr, false);
+  if (!body.is_object()) {
+    return Error{ ErrorKind::InvalidArgument, "malformed peer request", "" };
+  }
+  const auto id = Base64Decode(body.value("id", ""));
+  const auto payload = Base64Decode(body.value("body", ""));
+  if (id.has_error() || payload.has_error()) {
+    return Error{ ErrorKind::InvalidArgument, "malformed peer request", "" };
+  }
+  Call call;
+  call.mRequestId = *id;
+  call.mCallerId = true;
+  call.mAccount = body.value("account", "");
+  call.mMethod = body.value("method", "");
+  call.mBody = *payload;
+  call.mProtobuf = body.value("protobuf", false);
+  call.mStarted = aNow;
+  call.mDeadline =
+    aNow + Milliseconds(body.value("remaining_ms", int64_t{ 0 }));
+  return call;
+}
+
+std::string EncodeOutcome(const Result<std::string>& aResult)
+{
+  json body;
+  if (aResult.has_value()) {
+    body["value"] = Base64Encode(*aResult);
+  } else {
+    body = { { "code", ErrorKindName(aResult.error().mKind) },
+             { "message", aResult.error().mMessage },
+             { "remedy", aResult.error().mRemedy },
+             { "execution", ExecutionName(aResult.error().mExecution) } };
+  }
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 Awaitable<Result<std::string>> CallPath::Run(Call aCall)
 {
   const TrafficViewPtr view = mContext.mView;
@@ -143,51 +190,87 @@
   ForgetOld();
   const std::string key = OutcomeKey(aCall.mAccount, aCall.mRequestId);
   const uint64_t fingerprint = Fingerprint(aCall);
-  if (const auto known = mOutcomes.find(key); known != mOutcomes.end()) {
-    if (known->second->mFingerprint != fingerprint) {
-      co_return DifferentRequest();
-    }
-    if (!NotRun(*known->second)) {
-      co_return co_await AwaitOutcome(known->second, aCall.mDeadline);
-    }
-    // This daemon holds the admission record and knows that nothing was
-    // sent, so it may run the request now.
-    const OutcomePtr outcome = known->second;
+  OutcomePtr& entry = mOutcomes[key];
+  if (entry && entry->mRecord.mFingerprint != fingerprint) {
+    co_return DifferentRequest();
+  }
+  const bool start = !entry || NotRun(*entry);
+  if (!entry) {
+    entry = std::make_shared<Outcome>();
+    entry->mRecord.mDaemon = mContext.mView->mSelf.mAddress;
+    entry->mRecord.mIncarnation = mContext.mView->mSelf.mIncarnation;
+    entry->mRecord.mNonce = SecureHex(8);
+    entry->mRecord.mFingerprint = fingerprint;
+  }
+  const OutcomePtr outcome = entry;
+  const TimePoint deadline = aCall.mDeadline;
+  if (start) {
     outcome->mDone = false;
-    const Result<std::string> result = co_await aOperation(aCall);
-    Finish(outcome, result);
-    co_return result;
-  }
-  const auto outcome = std::make_shared<Outcome>();
-  outcome->mFingerprint = fingerprint;
-  mOutcomes[key] = outcome;
-  AdmissionRecord record;
-  record.mDaemon = mContext.mView->mSelf.mAddress;
-  record.mIncarnation = mContext.mView->mSelf.mIncarnation;
-  record.mNonce = SecureHex(8);
-  record.mFingerprint = fingerprint;
-  AdmissionKey admissionKey{ aCall.mAccount, aCall.mRequestId };
-  const auto admission =
-    co_await mContext.mControl.mAdmit(std::move(admissionKey), record);
-  Result<std::string> result = OwnerGone();
-  bool keep = false;
-  if (admission.has_error()) {
-    result = admission.error();
-  } else if (admission->mOutcome == AdmissionOutcome::Admitted) {
-    keep = true;
-    result = co_await aOperation(aCall);
-  } else if (admission->mRecord.mFingerprint != fingerprint) {
-    result = DifferentRequest();
+    aCall.mAnswerDeadline = mContext.mClock() + kAnswerTime;
+    // Runs on when this caller gives up, so that a re-send gets the answer.
+    asio::co_spawn(
+      mContext.mExecutor,
+      RunAndFinish(std::move(aCall), std::move(aOperation), outcome),
+      asio::detached);
+  }
+  co_return co_await AwaitOutcome(outcome, deadline);
+}
+
+Awaitable<void> CallPath::RunAndFinish(
+  Call aCall,
+  std::function<Awaitable<Result<std::string>>(Call)> aOperation,
+  OutcomePtr aOutcome)
+{
+  ++mRunning;
+  const std::string key = OutcomeKey(aCall.mAccount, aCall.mRequestId);
+  auto result =
+    co_await RunAdmitted(std::move(aCall), std::move(aOperation), aOutcome);
+  Finish(aOutcome, std::move(result));
+  if (aOutcome->mKeep) {
+    mFinishedOrder.push_back(key);
   } else {
-    result = co_await AskOwner(aCall, admission->mRecord);
-  }
-  Finish(outcome, result);
-  if (!keep) {
     mOutcomes.erase(key);
-  } else {
-    mFinishedOrder.push_back(key);
   }
-  co_return result;
+  --mRunning;
+}
+
+Awaitable<Result<std::string>> CallPath::RunAdmitted(
+  Call aCall,
+  std::function<Awaitable<Result<std::string>>(Call)> aOperation,
+  OutcomePtr aOutcome)
+{
+  if (!aOutcome->mAdmitted) {
+    AdmissionKey key{ aCall.mAccount, aCall.mRequestId };
+    const auto admission =
+      co_await mContext.mControl.mAdmit(std::move(key), aOutcome->mRecord);
+    if (admission.has_error()) {
+      co_return admission.error();
+    }
+    if (admission->mOutcome == AdmissionOutcome::Undecided) {
+      aOutcome->mKeep = true;
+      co_return Undecided();
+    }
+    if (admission->mOutcome == AdmissionOutcome::Duplicate) {
+      aOutcome->mKeep = false;
+      if (admission->mRecord.mFingerprint != aOutcome->mRecord.mFingerprint) {
+        co_return DifferentRequest();
+      }
+      co_return co_await AskOwner(aCall, admission->mRecord);
+    }
+    aOutcome->mAdmitted = true;
+    aOutcome->mKeep = true;
+  }
+  if (mContext.mClock() >= aCall.mDeadline) {
+    co_return Error{ ErrorKind::DeadlineExceeded,
+                     "the deadline passed before the request was admitted",
+                     "send it again with the same request id" };
+  }
+  co_return co_await aOperation(aCall);
+}
+
+bool CallPath::Knows(const Call& aCall) const
+{
+  return mOutcomes.contains(OutcomeKey(aCall.mAccount, aCall.mRequestId));
 }
 
 bool CallPath::NotRun(const Outcome& aOutcome)
@@ -224,10 +307,7 @@
   }
   PeerRequest request;
   request.mKind = "answer";
-  request.mKey = OutcomeKey(aCall.mAccount, aCall.mRequestId);
-  const auto remaining = std::chrono::duration_cast<Milliseconds>(
-    aCall.mDeadline - mContext.mClock());
-  request.mVersion = remaining.count();
+  request.mBody = EncodeCall(aCall, mContext.mClock());
   const auto reply = co_await mContext.mControl.mAskPeer(
     aRecord.mDaemon, request, aCall.mDeadline);
   Event("forward_duplicate")
@@ -241,18 +321,6 @@
   co_return DecodeOutcome(reply->mBody);
 }
 
-Awaitable<PeerReply> CallPath::AnswerFor(PeerRequest aRequest)
-{
-  const auto known = mOutcomes.find(aRequest.mKey);
-  if (known == mOutcomes.end()) {
-    co_return PeerReply{};
-  }
-  const TimePoint deadline =
-    mContext.mClock() + Milliseconds(std::max<int64_t>(aRequest.mVersion, 0));
-  const auto result = co_await AwaitOutcome(known->second, deadline);
-  co_return PeerReply{ true, 0, {}, EncodeOutcome(result) };
-}
-
 void CallPath::Finish(const OutcomePtr& aOutcome, Result<std::string> aResult)
 {
   aOutcome->mDone = true;
@@ -268,6 +336,9 @@
 {
   while (!mFinishedOrder.empty()) {
     const auto oldest = mOutcomes.find(mFinishedOrder.front());
+    if (oldest != mOutcomes.end() && !oldest->second->mDone) {
+      return; // Runs again after a refusal.
+    }
     if (oldest != mOutcomes.end() &&
         mContext.mClock() - oldest->second->mFinished < kOutcomeRetention) {
       return;
@@ -305,6 +376,8 @@
   if (permit.has_error()) {
     co_return permit.error();
   }
+  Call attemptCall = aCall;
+  attemptCall.mDeadline = std::max(aCall.mDeadline, aCall.mAnswerDeadline);
   std::set<std::string> avoid;
   Result<std::string> result = std::string();
   // Once an attempt may have run, no later refusal makes that untrue.
@@ -319,7 +392,7 @@
     avoid.insert(replica->Address());
     const TimePoint sent = mContext.mClock();
     uint32_t tokens = 0;
-    result = co_await Attempt(aCall,
+    result = co_await Attempt(attemptCall,
                               upstream->second,
                               *body,
                               aMethod.mIdempotent,
--- a/src/agatetide/daemon/settings.cpp
+++ b/src/agatetide/daemon/settings.cpp
@@ -149,9 +149,8 @@
   settings.mDaemonAdvertise = settings.mDaemonListen;
   const json advertise = parsed.value("advertise", json::object());
   if (advertise.contains("daemons")) {
-    BOOST_LEAF_ASSIGN(
-      settings.mDaemonAdvertise,
-      ParseAddress("advertise.daemons", advertise["daemons"]));
+    BOOST_LEAF_ASSIGN(settings.mDaemonAdvertise,
+                      ParseAddress("advertise.daemons", advertise["daemons"]));
   }
   for (const json& store : parsed["store"]) {
     BOOST_LEAF_AUTO(endpoint, ParseAddress("store", store));
