Tell a crashed upstream by an unanswered probe

Ruled out: slow gossip; holding the error for 200 ms, which is kept for slow links, did not change it.

--- a/include/agatetide/daemon/crash_evidence.hpp
+++ b/include/agatetide/daemon/crash_evidence.hpp
@@ -44,7 +44,7 @@
 
 /// @brief Handles a connection that broke while a request ran. The request
 /// is reported as a suspect when it has no recent completion and the
-/// upstream refuses connections, which tells a crash from a network fault.
+/// upstream does not answer, which tells a crash from a cut connection.
 Awaitable<void> ReportBreak(TrafficContext& aContext,
                             uint64_t aFingerprint,
                             std::string aReplica);
--- a/src/agatetide/daemon/call_path.cpp
+++ b/src/agatetide/daemon/call_path.cpp
@@ -24,6 +24,10 @@
 /// crashes upstreams then takes two with it, which is what quarantines it.
 /// Attempts that were refused without running do not count.
 constexpr unsigned kMaxBrokenAttempts = 2;
+/// The error of a request that may have crashed an upstream is held this
+/// long, so that the news of it reaches the other daemons, also over slow
+/// links, before the caller can send the request again through them.
+constexpr std::chrono::milliseconds kCrashSpreadTime{ 200 };
 
 std::string OutcomeKey(const std::string& aAccount,
                        const std::string& aRequestId)
@@ -487,6 +491,11 @@
       break;
     }
   }
+  if (broken > 0 && result.has_error() &&
+      mContext.mEvidence.Suspicious(fingerprint, mContext.mClock())) {
+    asio::steady_timer spread(mContext.mExecutor, kCrashSpreadTime);
+    co_await spread.async_wait(asio::use_awaitable);
+  }
   if (result.has_error()) {
     Error error = result.error();
     if (mayHaveRun && error.mExecution == Execution::NotRun) {
--- a/src/agatetide/daemon/crash_evidence.cpp
+++ b/src/agatetide/daemon/crash_evidence.cpp
@@ -69,8 +69,8 @@
   const http::CallOptions options{ aContext.mClock() + kProbeTime, true };
   const auto answer =
     co_await aContext.mClient->Call(*endpoint, std::move(probe), options);
-  const bool gone =
-    answer.has_error() && answer.error().mExecution == Execution::NotRun;
+  // A process that dies may still accept the connection and then reset it.
+  const bool gone = answer.has_error();
   // A retry may have been answered in the meantime.
   if (!gone ||
       !aContext.mEvidence.Suspicious(aFingerprint, aContext.mClock())) {
