--- a/include/agatetide/daemon/rollout.hpp
+++ b/include/agatetide/daemon/rollout.hpp
@@ -72,6 +72,8 @@
     /// Whether the stream has sent an event.
     bool mStreaming = false;
     bool mMove = false;
+    /// Streams that broke after their first tokens.
+    unsigned mBroken = 0;
   };
 
   struct Step
--- a/src/agatetide/daemon/rollout.cpp
+++ b/src/agatetide/daemon/rollout.cpp
@@ -1,6 +1,7 @@
 #include "agatetide/daemon/rollout.hpp"
 
 #include "agatetide/base/encoding.hpp"
+#include "agatetide/daemon/crash_evidence.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -621,14 +622,22 @@
     aStep->mHandle + "/" + std::to_string(aIndex) + "/" +
     std::to_string(mContext.mView->mSelf.mIncarnation) + "." +
     std::to_string(mContext.mNextId++);
+  const uint32_t prompt = aIndex / aStep->mRequest.samples_per_prompt();
+  const std::string& promptText =
+    aStep->mRequest.prompts(static_cast<int>(prompt));
+  const uint64_t fingerprint = Hash64(promptText, Hash64(model));
+  if (mContext.mView->mQuarantined.contains(fingerprint)) {
+    co_return Error{ ErrorKind::PermissionDenied,
+                     "the prompt crashed upstreams and is quarantined",
+                     "change the prompt, or ask an operator to look at it" };
+  }
   const auto replica = PickReplica(*aStep, work, upstream, requestId);
   if (replica.has_error()) {
     co_return replica.error();
   }
-  const uint32_t prompt = aIndex / aStep->mRequest.samples_per_prompt();
   platform::CompletionRequest request;
   request.mModel = upstream.model();
-  request.mPrompt = aStep->mRequest.prompts(static_cast<int>(prompt));
+  request.mPrompt = promptText;
   request.mMaxTokens = std::max(1U, aStep->mRequest.max_tokens());
   // A resumed sample goes before those that have not started, since its group
   // waits for it already.
@@ -682,8 +691,16 @@
       .Field("tokens", work.mPartial.mTokens)
       .Field("error", FormatError(done.error()))
       .Write();
+    const bool broke = done.error().mKind == ErrorKind::OutcomeUnknown ||
+                       done.error().mKind == ErrorKind::DataLoss;
+    if (broke && (work.mPartial.mTokens == before || ++work.mBroken > 1)) {
+      asio::co_spawn(mContext.mExecutor,
+                     ReportBreak(mContext, fingerprint, replica->Address()),
+                     asio::detached);
+    }
     co_return done.error();
   }
+  ReportCompletion(mContext, fingerprint);
   aStep->mTypicalSeconds =
     aStep->mTypicalSeconds <= 0.0
       ? Seconds(took)
