--- a/include/agatetide/http/client.hpp
+++ b/include/agatetide/http/client.hpp
@@ -18,6 +18,8 @@
   size_t mMaxIdle = 32;
   /// Idle connections older than this are not used again.
   std::chrono::milliseconds mMaxIdleTime{ 30000 };
+  /// Source IP address of connections; empty lets the system choose.
+  std::string mLocalAddress;
 };
 
 struct CallOptions
--- a/src/agatetide/daemon/control.cpp
+++ b/src/agatetide/daemon/control.cpp
@@ -527,6 +527,11 @@
   co_await mState->mUsage->Release();
   co_await mState->mUpstreams->Release();
   mState->mMembership->Leave();
+  const PeerLinkCounters& counters = mState->mLink->Counters();
+  Event("peer_totals")
+    .Field("peer_datagrams_sent", counters.mDatagramsSent)
+    .Field("peer_bytes_sent", counters.mBytesSent)
+    .Write();
 }
 
 Awaitable<Result<int64_t>> Control::Change(ConfigWrite aWrite)
--- a/src/agatetide/daemon/daemon.cpp
+++ b/src/agatetide/daemon/daemon.cpp
@@ -34,6 +34,18 @@
            "retry later" };
 }
 
+/// Upstreams see requests come from the address that callers use. An
+/// unspecified listen address leaves the choice to the system.
+http::ClientOptions UpstreamClientOptions(const Settings& aSettings)
+{
+  http::ClientOptions options;
+  const std::string& address = aSettings.mCallerListen.mAddress;
+  if (address != "0.0.0.0" && address != "::") {
+    options.mLocalAddress = address;
+  }
+  return options;
+}
+
 /// Counts the calls that wait for the other thread.
 class CallSlot
 {
@@ -66,7 +78,8 @@
                 SteadyClock(),
                 SystemClock(),
                 ProcessRandom(),
-                http::Client::Create(mTrafficContext.get_executor()),
+                http::Client::Create(mTrafficContext.get_executor(),
+                                     UpstreamClientOptions(aSettings)),
                 {},
                 {},
                 {},
--- a/src/agatetide/daemon/peer_link.cpp
+++ b/src/agatetide/daemon/peer_link.cpp
@@ -193,8 +193,10 @@
         const PeerReply reply =
           co_await aSelf->mHooks.mOnRequest(std::move(*request));
         aStream.expires_after(kFrameTimeout);
-        co_await WriteFrame(aStream,
-                            coordination::EncodeMessage(reply, aSelf->mSecret));
+        const std::string bytes =
+          coordination::EncodeMessage(reply, aSelf->mSecret);
+        aSelf->mCounters.mBytesSent += bytes.size();
+        co_await WriteFrame(aStream, bytes);
       }
     }
     --aSelf->mConnections;
--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -163,6 +163,19 @@
     if (error) {
       co_return NotSent(aEndpoint, error);
     }
+    if (!mOptions.mLocalAddress.empty()) {
+      auto& socket = connection->mStream.socket();
+      const auto local = asio::ip::make_address(mOptions.mLocalAddress, error);
+      if (!error) {
+        socket.open(Tcp::endpoint(local, 0).protocol(), error);
+      }
+      if (!error) {
+        socket.bind(Tcp::endpoint(local, 0), error);
+      }
+      if (error) {
+        co_return NotSent(aEndpoint, error);
+      }
+    }
     const SteadyTime limit =
       std::chrono::steady_clock::now() + mOptions.mConnectTimeout;
     connection->mStream.expires_at(std::min(limit, aOptions.mDeadline));
@@ -209,7 +222,7 @@
 {
   auto state = std::make_shared<State>();
   state->mExecutor = std::move(aExecutor);
-  state->mOptions = aOptions;
+  state->mOptions = std::move(aOptions);
   return std::unique_ptr<Client>(new Client(std::move(state)));
 }
 
--- a/tests/doubles/double_engine.cpp
+++ b/tests/doubles/double_engine.cpp
@@ -27,6 +27,7 @@
   int mStepMs = 20;
   int mSwapMs = 300;
   int mLoadLagMs = 500;
+  doubles::RegionDelay mDelay;
 };
 
 constexpr unsigned kTokensPerChunk = 4;
@@ -61,6 +62,11 @@
     if (aRequest.mTarget == "/v1/weights") {
       co_return co_await Swap(json::parse(aRequest.mBody));
     }
+    const auto delay = mOptions.mDelay.For(aRequest.mPeer);
+    if (delay.count() > 0) {
+      asio::steady_timer timer(mContext, delay);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
     co_return Complete(json::parse(aRequest.mBody));
   }
 
@@ -202,6 +208,7 @@
     "step-ms", "", cxxopts::value<int>()->default_value("20"))(
     "swap-ms", "", cxxopts::value<int>()->default_value("300"))(
     "load-lag-ms", "", cxxopts::value<int>()->default_value("500"));
+  doubles::AddRegionDelay(options);
   std::unique_ptr<EngineDouble> engine;
   return doubles::RunDouble(
     options, aCount, aArguments, [&](auto& aContext, const auto& aParsed) {
@@ -210,6 +217,7 @@
       chosen.mStepMs = aParsed["step-ms"].template as<int>();
       chosen.mSwapMs = aParsed["swap-ms"].template as<int>();
       chosen.mLoadLagMs = aParsed["load-lag-ms"].template as<int>();
+      chosen.mDelay = doubles::RegionDelayFrom(aParsed);
       engine = std::make_unique<EngineDouble>(aContext, chosen);
       return [&](http::Request aRequest) {
         return engine->Handle(std::move(aRequest));
--- a/tests/doubles/double_service.cpp
+++ b/tests/doubles/double_service.cpp
@@ -22,10 +22,12 @@
 public:
   ServiceDouble(boost::asio::io_context& aContext,
                 int aServiceMs,
-                unsigned aSlots)
+                unsigned aSlots,
+                doubles::RegionDelay aDelay)
     : mContext(aContext)
     , mServiceMs(aServiceMs)
     , mSlots(aSlots)
+    , mDelay(aDelay)
   {
   }
 
@@ -47,6 +49,11 @@
       mControl = json::parse(aRequest.mBody);
       co_return http::MakeResponse(200, "application/json", "{}");
     }
+    const auto delay = mDelay.For(aRequest.mPeer);
+    if (delay.count() > 0) {
+      boost::asio::steady_timer timer(mContext, delay);
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    }
     co_return co_await Run(std::move(aRequest));
   }
 
@@ -81,6 +88,7 @@
   boost::asio::io_context& mContext;
   int mServiceMs;
   unsigned mSlots;
+  doubles::RegionDelay mDelay;
   unsigned mInside = 0;
   std::map<std::string, unsigned> mRuns;
   uint64_t mTotal = 0;
@@ -96,13 +104,15 @@
   options.add_options()(
     "service-ms", "", cxxopts::value<int>()->default_value("3"))(
     "slots", "", cxxopts::value<unsigned>()->default_value("8"));
+  doubles::AddRegionDelay(options);
   std::unique_ptr<ServiceDouble> service;
   return doubles::RunDouble(
     options, aCount, aArguments, [&](auto& aContext, const auto& aParsed) {
       service = std::make_unique<ServiceDouble>(
         aContext,
         aParsed["service-ms"].template as<int>(),
-        aParsed["slots"].template as<unsigned>());
+        aParsed["slots"].template as<unsigned>(),
+        doubles::RegionDelayFrom(aParsed));
       return [&](http::Request aRequest) {
         return service->Handle(std::move(aRequest));
       };
--- a/tests/harness/deployment.py
+++ b/tests/harness/deployment.py
@@ -23,13 +23,16 @@
 class Deployment:
     """One deployment as described by deploy/<name>/deployment.json."""
 
-    def __init__(self, name, folder, daemons_per_zone=3, build="release", settings=None):
+    def __init__(self, name, folder, daemons_per_zone=3, build="release", settings=None,
+                 double_options=None):
         self.spec = json.loads((ROOT / "deploy" / name / "deployment.json").read_text())
         self.schema = (ROOT / "deploy" / name / "schema.proto").read_text()
         self.folder = pathlib.Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
         self.build = ROOT / "build" / build
         self.extra_settings = settings or {}
+        # Further command line options by program name of the double.
+        self.double_options = double_options or {}
         self.daemons = self._plan_daemons(daemons_per_zone)
         self.replicas = self._plan_replicas()
         self.processes = {}
@@ -51,10 +54,11 @@
         plan = []
         for group_index, upstream in enumerate(self.spec["upstreams"]):
             for index in range(upstream["replicas"]):
-                zone = self.spec["zones"][index % len(self.spec["zones"])]
+                zone_index = index % len(self.spec["zones"])
+                zone = self.spec["zones"][zone_index]
                 plan.append({"upstream": upstream["name"], "kind": upstream["kind"],
                              "address": f"127.{NET}.{20 + group_index}.{index + 1}:8000",
-                             "preemptible": index % 2 == 1, **zone})
+                             "preemptible": index % 2 == 1, "zone_number": zone_index + 1, **zone})
         return plan
 
     def start_process(self, name, command):
@@ -79,7 +83,8 @@
         for replica in self.replicas:
             program = "double_engine" if replica["kind"] == "engine" else "double_service"
             self.start_process(replica["address"],
-                               [self.build / "tests" / program, "--listen", replica["address"]])
+                               [self.build / "tests" / program, "--listen", replica["address"],
+                                "--zone", str(replica["zone_number"]), *self.double_options.get(program, [])])
 
     def settings_of(self, daemon):
         settings = {
--- /dev/null
+++ b/tests/measure.py
@@ -0,0 +1,268 @@
+"""Measures scenarios with real daemons and test doubles on loopback.
+
+Each repetition starts the deployment with the baseline policies and then with
+the current ones, so that both see the same state of the machine. The result
+is one JSON line for each set of policies; figures are medians over the
+repetitions, with the lowest and highest in "spread".
+
+The latency between regions is added by the upstream doubles: a request that
+comes from a daemon of another region waits one round trip before it is
+served. Latency between callers and daemons is not added.
+"""
+
+import argparse
+import datetime
+import json
+import os
+import pathlib
+import re
+import signal
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+from harness import client  # noqa: E402
+from harness.deployment import ROOT, STORE, Deployment  # noqa: E402
+
+BASELINE = {"queue": "fifo", "replica_choice": "round_robin", "concurrency": "fixed", "headroom": "none",
+            "hedging": "none", "retry_budget": "none", "ejection": "none", "addresses": "static"}
+POLICIES = {"baseline": BASELINE, "current": {}}
+
+SERVICE_MS = 60
+SERVICE_SLOTS = 8
+LOOKUP_TIMEOUT_MS = 2000
+WARMUP_S = 2.0
+QUIET_RATE = 25.0
+BACKGROUND_RATE = 6.0
+FLOOD_SHARE = 1.5
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def process_seconds(pid):
+    """Processor time of a process, user and system."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(") ", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def resident_mb(pid):
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    return int(re.search(r"VmRSS:\s+(\d+)", status)[1]) / 1024
+
+
+def peer_bytes(deployment):
+    """Bytes that each daemon sent to others, from its last log line."""
+    total = 0
+    for daemon in deployment.daemons:
+        log = (deployment.folder / f"{daemon['name']}.log").read_text(errors="replace")
+        found = re.findall(r"peer_bytes_sent=(\d+)", log)
+        if not found:
+            return None
+        total += int(found[-1])
+    return total
+
+
+def run_plan(deployment, flows, args, warmup=WARMUP_S):
+    """Runs the load client and returns its report and the daemons' costs."""
+    plan = {"seed": args.seed, "seconds": args.seconds, "warmup_s": warmup, "flows": flows}
+    pids = {d["name"]: deployment.processes[d["name"]].pid for d in deployment.daemons}
+    before = {name: process_seconds(pid) for name, pid in pids.items()}
+    store_before = client.get_json(STORE, "/stats")
+    started = time.monotonic()
+    load = subprocess.run([deployment.build / "tests/load_client"], input=json.dumps(plan), text=True,
+                          stdout=subprocess.PIPE, check=True, timeout=args.seconds + warmup + 60)
+    wall = time.monotonic() - started
+    store_after = client.get_json(STORE, "/stats")
+    report = json.loads(load.stdout)
+    report["store_calls_per_s"] = sum(store_after[k] - store_before[k] for k in ("reads", "writes")) / wall
+    report["daemons"] = {name: {"processor_share": round((process_seconds(pid) - before[name]) / wall, 4),
+                                "resident_mb": round(resident_mb(pid), 1)} for name, pid in pids.items()}
+    return report
+
+
+def stop_daemons(deployment):
+    """Stops the daemons cleanly, so that they log their totals."""
+    for daemon in deployment.daemons:
+        deployment.signal(daemon["name"], signal.SIGTERM)
+    for daemon in deployment.daemons:
+        deployment.processes[daemon["name"]].wait(timeout=20)
+
+
+def start(args, policies, daemons_per_zone=1, double_options=None):
+    """A deployment whose upstreams serve at a known rate."""
+    folder = tempfile.mkdtemp(prefix="agatetide-measure-")
+    settings = {"policies": policies, "log": {"level": "info"}, "address_lifetime_ms": 100, "drain_time_ms": 3000}
+    spec = json.loads((ROOT / "deploy" / args.deployment / "deployment.json").read_text())
+    region_ms = str(int(2 * spec["latency_ms"]["region"]))
+    options = double_options or {
+        "double_service": ["--service-ms", str(SERVICE_MS), "--slots", str(SERVICE_SLOTS), "--region-ms", region_ms],
+        "double_engine": ["--region-ms", region_ms]}
+    deployment = Deployment(args.deployment, folder, daemons_per_zone, settings=settings, double_options=options)
+    base_settings = deployment.settings_of
+
+    def settings_of(daemon):
+        settings = base_settings(daemon)
+        settings["log"]["path"] = str(deployment.folder / f"{daemon['name']}.log")
+        return settings
+
+    deployment.settings_of = settings_of
+    return deployment
+
+
+def capacity(deployment, upstream):
+    """Requests per second that the replicas of a plain service can run."""
+    replicas = sum(1 for r in deployment.replicas if r["upstream"] == upstream)
+    return replicas * SERVICE_SLOTS * 1000 / SERVICE_MS
+
+
+def lookup_upstream(deployment):
+    method = deployment.spec["lookup"]["method"]
+    return next(r["upstream"] for r in deployment.spec["routes"] if r["method"] == method)
+
+
+def caller_accounts(deployment):
+    """Accounts that send lookups; the last one is the one that floods."""
+    return [a for a in deployment.spec["accounts"]
+            if not a.get("operator_role") and not a["name"].endswith("trainer")]
+
+
+def lookup_flow(deployment, account, rate, label):
+    spec = deployment.spec["lookup"]
+    return {"label": label, "account": account, "method": spec["method"], "body": spec["body"],
+            "key": deployment.keys[account], "hosts": [d["callers"] for d in deployment.daemons],
+            "rate": rate, "timeout_ms": LOOKUP_TIMEOUT_MS}
+
+
+def background_flow(deployment):
+    spec = deployment.spec["background"]
+    return {"label": "background/others", "account": spec["account"], "method": spec["method"], "body": spec["body"],
+            "key": deployment.keys[spec["account"]], "hosts": [d["callers"] for d in deployment.daemons],
+            "rate": BACKGROUND_RATE, "timeout_ms": 20000}
+
+
+def quiet_flows(deployment):
+    """Urgent lookups of all accounts but the last at a low rate, and background work."""
+    flows = [lookup_flow(deployment, a["name"], QUIET_RATE, "urgent/others") for a in caller_accounts(deployment)[:-1]]
+    return [*flows, background_flow(deployment)]
+
+
+def broadcast_flows(deployment):
+    flooding = caller_accounts(deployment)[-1]["name"]
+    rate = FLOOD_SHARE * capacity(deployment, lookup_upstream(deployment))
+    return [*quiet_flows(deployment), lookup_flow(deployment, flooding, rate, "urgent/flooding")]
+
+
+def fair_shares(offered, weights, total):
+    """Weighted max-min shares of a capacity."""
+    shares, open_accounts, left = {}, dict(offered), total
+    while open_accounts:
+        unit = left / sum(weights[name] for name in open_accounts)
+        satisfied = [name for name, rate in open_accounts.items() if rate <= unit * weights[name]]
+        if not satisfied:
+            shares.update({name: unit * weights[name] for name in open_accounts})
+            break
+        for name in satisfied:
+            shares[name] = open_accounts.pop(name)
+            left -= shares[name]
+    return shares
+
+
+def worst_served(deployment, report, seconds):
+    """Lowest goodput of an account's lookups against its fair share."""
+    lookups = [f for f in report["flows"] if f["label"].startswith("urgent")]
+    weights = {a["name"]: a.get("weight", 1) for a in deployment.spec["accounts"]}
+    offered = {f["account"]: f["sent"] / seconds for f in lookups}
+    shares = fair_shares(offered, weights, capacity(deployment, lookup_upstream(deployment)))
+    ratios = {f["account"]: f["answered"] / seconds / shares[f["account"]] for f in lookups if shares[f["account"]]}
+    return min(ratios.items(), key=lambda item: item[1])
+
+
+def lookups_once(args, policies, make_flows, prepare=None):
+    """One repetition: starts the deployment, runs the flows, returns figures."""
+    deployment = start(args, policies)
+    with deployment:
+        deployment.configure()
+        if prepare:
+            prepare(deployment)
+        report = run_plan(deployment, make_flows(deployment), args)
+        stop_daemons(deployment)
+        report["peer_bytes"] = peer_bytes(deployment)
+    account, ratio = worst_served(deployment, report, args.seconds)
+    refused = {}
+    for flow in report["flows"]:
+        for kind, count in flow["refused"].items():
+            name = f"{flow['label']} {kind}"
+            refused[name] = refused.get(name, 0) + count
+    sent = sum(f["sent"] for f in report["flows"] if f["label"] == "urgent/others")
+    answered = sum(f["answered"] for f in report["flows"] if f["label"] == "urgent/others")
+    shares = [d["processor_share"] for d in report["daemons"].values()]
+    figures = {"worst_served_ratio": ratio, "store_calls_per_s": report["store_calls_per_s"],
+               "peer_bytes": report["peer_bytes"], "urgent_others_answered": answered / sent if sent else None,
+               "daemon_processor_share": max(shares),
+               "daemon_resident_mb": max(d["resident_mb"] for d in report["daemons"].values())}
+    for label, times in report["labels"].items():
+        for key in ("p50_ms", "p99_ms", "p999_ms"):
+            figures[f"{label} {key}"] = times[key]
+    return figures, {"refused": refused, "worst_served_account": account, "daemons": report["daemons"]}
+
+
+def summarise(name, policy, args, repetitions):
+    """Medians and spread over the repetitions."""
+    line = {"scenario": name, "policies": policy, "deployment": args.deployment, "seed": args.seed,
+            "seconds": args.seconds, "repetitions": len(repetitions),
+            "date": datetime.datetime.now(datetime.timezone.utc).date().isoformat(),
+            "load_average": round(os.getloadavg()[0], 1), "figures": {}, "spread": {}}
+    for key in sorted({key for figures, _ in repetitions for key in figures}):
+        values = [figures[key] for figures, _ in repetitions if figures.get(key) is not None]
+        if values:
+            line["figures"][key] = round(statistics.median(values), 4)
+            line["spread"][key] = [round(min(values), 4), round(max(values), 4)]
+    line["details"] = [details for _, details in repetitions]
+    return line
+
+
+def interleaved(name, args, once):
+    """Repeats a scenario, alternating the baseline and the current policies."""
+    results = {policy: [] for policy in POLICIES}
+    for _ in range(args.repetitions):
+        for policy, settings in POLICIES.items():
+            results[policy].append(once(args, settings))
+    return [summarise(name, policy, args, repetitions) for policy, repetitions in results.items()]
+
+
+def quiet(args):
+    """Urgent lookups of several accounts at a low rate, and background work."""
+    return interleaved("quiet", args, lambda a, p: lookups_once(a, p, quiet_flows))
+
+
+def broadcast(args):
+    """The quiet load and a flood of lookups from one account."""
+    return interleaved("broadcast", args, lambda a, p: lookups_once(a, p, broadcast_flows))
+
+
+SCENARIOS = {"quiet": quiet, "broadcast": broadcast}
+try:
+    from measure_steps import SCENARIOS as STEP_SCENARIOS
+    SCENARIOS.update(STEP_SCENARIOS)
+except ImportError:
+    pass
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("scenario", choices=sorted(SCENARIOS))
+    parser.add_argument("--deployment", default="ashby", choices=["ashby", "stolvaerkstedet"])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=6.0)
+    parser.add_argument("--repetitions", type=int, default=3)
+    args = parser.parse_args()
+    for line in SCENARIOS[args.scenario](args):
+        print(json.dumps(line), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
