--- a/include/agatetide/daemon/api.hpp
+++ b/include/agatetide/daemon/api.hpp
@@ -28,8 +28,9 @@
   Awaitable<coordination::PeerReply> AnswerPeer(
     coordination::PeerRequest aRequest);
 
-  /// @brief Whether steps still generate, so that a shutdown must wait.
-  bool Busy() const { return mRollout.Running() > 0; }
+  /// @brief Whether steps still generate or copies of hedged requests still
+  /// run, so that a shutdown must wait.
+  bool Busy() const { return mRollout.Running() > 0 || mCalls.Copies() > 0; }
 
 private:
   Result<Call> MakeCall(const http::Request& aRequest);
--- a/include/agatetide/daemon/call_path.hpp
+++ b/include/agatetide/daemon/call_path.hpp
@@ -3,8 +3,11 @@
 #include "agatetide/base/awaitable.hpp"
 #include "agatetide/daemon/traffic.hpp"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <deque>
 #include <memory>
+#include <optional>
 
 namespace agatetide::daemon {
 
@@ -33,7 +36,33 @@
   Awaitable<coordination::PeerReply> AnswerFor(
     coordination::PeerRequest aRequest);
 
+  /// @brief Copies of hedged requests that still run, also after their
+  /// request was answered by the other copy.
+  size_t Copies() const { return mCopies; }
+
 private:
+  /// Request data that all copies of a hedged request share.
+  struct HedgedRequest
+  {
+    Call mCall;
+    v1::Upstream mUpstream;
+    std::string mJson;
+  };
+
+  /// First answer of the copies of one request.
+  struct Race
+  {
+    explicit Race(const boost::asio::any_io_executor& aExecutor)
+      : mTimer(aExecutor)
+    {
+    }
+
+    boost::asio::steady_timer mTimer;
+    std::optional<Result<std::string>> mResult;
+    unsigned mPending = 0;
+    bool mMayHaveRun = false;
+  };
+
   /// Outcome of a non-idempotent request that this daemon admitted.
   struct Outcome
   {
@@ -55,6 +84,23 @@
                                          bool aIdempotent,
                                          const std::string& aReplica,
                                          uint32_t& aTokens);
+  /// Attempt() that also feeds the upstream's limit and ejection.
+  Awaitable<Result<std::string>> ObservedAttempt(const Call& aCall,
+                                                 const v1::Upstream& aUpstream,
+                                                 const std::string& aJson,
+                                                 bool aIdempotent,
+                                                 const std::string& aReplica,
+                                                 uint32_t& aTokens);
+  /// Sends a second copy to another replica when the first one takes longer
+  /// than most, and returns the first good answer. Only for idempotent
+  /// requests to plain services.
+  Awaitable<Result<std::string>> HedgedAttempt(
+    std::shared_ptr<const HedgedRequest> aRequest,
+    std::shared_ptr<ReplicaUse> aFirst,
+    Duration aDelay);
+  Awaitable<void> RunCopy(std::shared_ptr<const HedgedRequest> aRequest,
+                          std::shared_ptr<Race> aRace,
+                          std::shared_ptr<ReplicaUse> aReplica);
   Awaitable<Result<std::string>> CallService(const Call& aCall,
                                              const std::string& aJson,
                                              bool aIdempotent,
@@ -76,6 +122,7 @@
   TrafficContext& mContext;
   std::map<std::string, OutcomePtr> mOutcomes;
   std::deque<std::string> mFinishedOrder;
+  size_t mCopies = 0;
 };
 
 /// @brief Fingerprint of a request, for quarantine and for checking that a
--- a/include/agatetide/daemon/gate.hpp
+++ b/include/agatetide/daemon/gate.hpp
@@ -4,6 +4,7 @@
 #include "agatetide/base/clock.hpp"
 #include "agatetide/base/error.hpp"
 #include "agatetide/policy/fair_queue.hpp"
+#include "agatetide/policy/headroom.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -24,6 +25,14 @@
   TimePoint mDeadline{};
 };
 
+struct GateOptions
+{
+  policy::FairQueueOptions mQueue;
+  policy::HeadroomOptions mHeadroom;
+  /// Refuses requests that would wait past their deadline.
+  bool mRefuseEarly = true;
+};
+
 /// @brief Lets a bounded number of requests run against one upstream group
 /// and queues the rest fairly. Owned by the traffic thread.
 class Gate : public std::enable_shared_from_this<Gate>
@@ -33,8 +42,12 @@
   class Permit
   {
   public:
-    explicit Permit(std::shared_ptr<Gate> aGate)
+    Permit(std::shared_ptr<Gate> aGate,
+           policy::RequestClass aClass,
+           std::string aAccount)
       : mGate(std::move(aGate))
+      , mClass(aClass)
+      , mAccount(std::move(aAccount))
     {
     }
     Permit(Permit&&) = default;
@@ -43,22 +56,34 @@
 
   private:
     std::shared_ptr<Gate> mGate;
+    policy::RequestClass mClass;
+    std::string mAccount;
   };
 
-  explicit Gate(policy::FairQueueOptions aOptions)
-    : mQueue(aOptions)
+  Gate(GateOptions aOptions, Clock aClock)
+    : mOptions(aOptions)
+    , mClock(std::move(aClock))
+    , mQueue(aOptions.mQueue)
   {
   }
 
   /// @brief Requests that may run at once.
   void SetLimit(size_t aLimit);
 
+  /// @brief Time that a request usually takes once it runs. Requests with
+  /// less time left are refused, since their answer would come too late.
+  void SetServiceTime(Duration aTime) { mServiceTime = aTime; }
+
   /// @brief Waits for a slot. Errors: ResourceExhausted when the client
-  /// account's queue is full; DeadlineExceeded. Both mean not run.
+  /// account's queue is full or the request would wait past its deadline;
+  /// DeadlineExceeded. All mean not run.
   Awaitable<Result<Permit>> Enter(GateRequest aRequest);
 
   size_t Running() const { return mRunning; }
   size_t Waiting() const { return mQueue.size(); }
+  /// @brief Whether the requests of all accounts together use the limit, so
+  /// that a lower one would matter.
+  bool Full() const { return mQueue.size() > 0 || mRunning >= mLimit; }
 
 private:
   struct Waiter
@@ -67,13 +92,27 @@
     bool mAdmitted = false;
   };
 
-  void Leave();
+  bool MayRun(policy::RequestClass aClass, const std::string& aAccount) const;
+  void Take(policy::RequestClass aClass, const std::string& aAccount);
+  void Leave(policy::RequestClass aClass, const std::string& aAccount);
   void AdmitNext();
+  void CountDeparture();
+  bool WouldBeLate(const policy::QueuedRequest& aRequest,
+                   TimePoint aDeadline) const;
 
+  GateOptions mOptions;
+  Clock mClock;
   policy::FairQueue mQueue;
   std::map<uint64_t, Waiter*> mWaiters;
   size_t mLimit = 1;
+  Duration mServiceTime{};
   size_t mRunning = 0;
+  std::array<size_t, policy::kRequestClasses> mRunningByClass{};
+  std::map<std::string, size_t> mRunningByAccount;
+  /// Requests that left in the last whole interval, per second.
+  double mRate = 0.0;
+  size_t mDepartures = 0;
+  TimePoint mRateSince{};
   uint64_t mNextId = 1;
 };
 
--- a/include/agatetide/daemon/traffic.hpp
+++ b/include/agatetide/daemon/traffic.hpp
@@ -9,7 +9,10 @@
 #include "agatetide/daemon/settings.hpp"
 #include "agatetide/daemon/traffic_view.hpp"
 #include "agatetide/http/client.hpp"
+#include "agatetide/policy/concurrency_limit.hpp"
+#include "agatetide/policy/outlier_ejection.hpp"
 #include "agatetide/policy/replica_choice.hpp"
+#include "agatetide/policy/retry_budget.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -40,6 +43,32 @@
   std::function<bool(TrafficReport)> mReport;
 };
 
+/// @brief This daemon's requests on one replica.
+struct ReplicaLoad
+{
+  uint32_t mRunning = 0;
+  /// Mean of mRunning over about the lag of load reports.
+  double mAverage = 0.0;
+  TimePoint mUpdated{};
+
+  /// Brings mAverage up to date, then changes mRunning.
+  void Change(int aDelta, TimePoint aNow);
+};
+
+/// @brief What the traffic thread has learnt about an upstream group.
+struct UpstreamState
+{
+  explicit UpstreamState(const Settings& aSettings);
+
+  policy::ConcurrencyLimit mLimit;
+  policy::OutlierEjection mEjection;
+  policy::RetryBudget mRetries;
+  policy::RetryBudget mHedges;
+  policy::HedgeDelay mHedgeDelay;
+  /// Mean latency of answers; zero for engines, whose answers differ.
+  Duration mMeanLatency{};
+};
+
 /// @brief What the handlers of the traffic thread share.
 struct TrafficContext
 {
@@ -52,10 +81,11 @@
   ControlCalls mControl;
   TrafficViewPtr mView;
   /// Own running requests by replica address.
-  std::map<std::string, uint32_t, std::less<>> mRunning;
+  std::map<std::string, ReplicaLoad, std::less<>> mRunning;
   std::map<std::string, std::shared_ptr<Gate>> mGates;
   std::map<std::string, uint64_t> mTurns;
   uint64_t mNextId = 1;
+  std::map<std::string, std::unique_ptr<UpstreamState>, std::less<>> mUpstreams;
 };
 
 /// @brief One authenticated request, for as long as it runs.
@@ -77,6 +107,25 @@
 double AccountWeight(const TrafficContext& aContext,
                      const std::string& aAccount);
 
+/// @brief The state of an upstream group, created on first use. The
+/// reference stays valid for as long as the context.
+UpstreamState& StateOf(TrafficContext& aContext, const std::string& aUpstream);
+
+/// @brief How an attempt on a replica ended.
+struct AttemptEnd
+{
+  bool mFailed = false;
+  Duration mLatency{};
+  /// Tokens of the answer; 0 where answers have none.
+  uint32_t mTokens = 0;
+};
+
+/// @brief Feeds an attempt into the limit, the ejection and the hedge delay.
+void ObserveAttempt(TrafficContext& aContext,
+                    const v1::Upstream& aUpstream,
+                    std::string_view aReplica,
+                    const AttemptEnd& aEnd);
+
 /// @brief The gate of an upstream group, created on first use.
 std::shared_ptr<Gate> GateOf(TrafficContext& aContext,
                              const v1::Upstream& aUpstream);
@@ -85,6 +134,7 @@
 class ReplicaUse
 {
 public:
+  /// Precondition: aContext outlives the object.
   ReplicaUse(TrafficContext& aContext, std::string aAddress);
   ReplicaUse(ReplicaUse&& aOther) noexcept;
   ReplicaUse& operator=(ReplicaUse&&) = delete;
--- a/include/agatetide/policy/fair_queue.hpp
+++ b/include/agatetide/policy/fair_queue.hpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -28,7 +29,7 @@
 {
   QueuePolicy mPolicy = QueuePolicy::FairByAccount;
   /// Waiting requests of one client account in one class.
-  size_t mMaxPerAccount = 4096;
+  size_t mMaxPerAccount = 512;
   /// Tokens a client account of weight 1 may take in one turn.
   double mQuantum = 256.0;
 };
@@ -57,8 +58,15 @@
   /// @brief False when the client account's queue is full.
   bool Push(QueuedRequest aRequest);
 
-  /// @brief The request to run next.
-  std::optional<QueuedRequest> Pop();
+  using Filter = std::function<bool(const QueuedRequest&)>;
+
+  /// @brief The request to run next. A client account whose first request
+  /// aMayRun refuses is passed over; empty allows all.
+  std::optional<QueuedRequest> Pop(const Filter& aMayRun = {});
+
+  /// @brief Requests that run before a new one, at most: its account's own
+  /// and those that others get in as many turns, and all of higher classes.
+  double Ahead(const QueuedRequest& aRequest) const;
 
   /// @brief Takes out a request that was given up.
   void Remove(uint64_t aId);
@@ -77,9 +85,11 @@
   {
     std::map<std::string, AccountQueue> mAccounts;
     std::deque<std::string> mTurns;
+    size_t mSize = 0;
   };
 
-  std::optional<QueuedRequest> PopFair(ClassQueue& aQueue);
+  std::optional<QueuedRequest> PopFair(ClassQueue& aQueue,
+                                       const Filter& aMayRun);
   void Forget(ClassQueue& aQueue, const std::string& aAccount);
 
   FairQueueOptions mOptions;
--- /dev/null
+++ b/include/agatetide/policy/retry_budget.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "agatetide/base/clock.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace agatetide::policy {
+
+struct RetryBudgetOptions
+{
+  /// Extra attempts as a share of requests.
+  double mShare = 0.1;
+  /// Attempts that may be saved up; also the budget at the start.
+  double mSaved = 10.0;
+};
+
+/// @brief Bounds retries or hedges to a share of the traffic, so that an
+/// upstream in trouble does not get a multiple of it. Not thread-safe.
+class RetryBudget
+{
+public:
+  explicit RetryBudget(RetryBudgetOptions aOptions)
+    : mOptions(aOptions)
+    , mTokens(aOptions.mSaved)
+  {
+  }
+
+  /// @brief One request that is not an extra attempt.
+  void OnRequest();
+
+  /// @brief Whether an extra attempt may be made; it then counts.
+  bool TryTake();
+
+private:
+  RetryBudgetOptions mOptions;
+  double mTokens;
+};
+
+struct HedgeOptions
+{
+  bool mEnabled = true;
+  double mPercentile = 0.95;
+  /// Latest answers that the delay is taken from.
+  size_t mWindow = 256;
+  size_t mMinAnswers = 64;
+};
+
+/// @brief When to send a second copy of a request: after the time in which
+/// most of the latest answers came. Not thread-safe.
+class HedgeDelay
+{
+public:
+  explicit HedgeDelay(HedgeOptions aOptions)
+    : mOptions(aOptions)
+  {
+  }
+
+  void Observe(Duration aLatency);
+
+  /// @brief Nothing while there are too few answers, or hedging is off.
+  std::optional<Duration> Delay() const { return mDelay; }
+
+private:
+  HedgeOptions mOptions;
+  std::vector<Duration> mLatencies;
+  size_t mNext = 0;
+  std::optional<Duration> mDelay;
+};
+
+} // namespace agatetide::policy
--- a/src/agatetide/daemon/call_path.cpp
+++ b/src/agatetide/daemon/call_path.cpp
@@ -3,6 +3,8 @@
 #include "agatetide/base/encoding.hpp"
 #include "agatetide/platform/engine.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
@@ -309,22 +311,36 @@
   Result<std::string> result = std::string();
   // Once an attempt may have run, no later refusal makes that untrue.
   bool mayHaveRun = false;
+  UpstreamState& state = StateOf(mContext, aRoute.upstream());
+  state.mRetries.OnRequest();
+  state.mHedges.OnRequest();
+  const bool mayHedge = aMethod.mIdempotent &&
+                        ClassOf(aRoute) == policy::RequestClass::Urgent &&
+                        upstream->second.kind() != v1::Upstream::KIND_ENGINE;
   for (unsigned attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    const auto replica =
+    if (attempt > 0 && !state.mRetries.TryTake()) {
+      break;
+    }
+    auto replica =
       UseReplica(mContext, upstream->second, avoid, aCall.mRequestId);
     if (replica.has_error()) {
       result = attempt == 0 ? Result<std::string>(replica.error()) : result;
       break;
     }
-    avoid.insert(replica->Address());
+    const std::string address = replica->Address();
+    avoid.insert(address);
     const TimePoint sent = mContext.mClock();
     uint32_t tokens = 0;
-    result = co_await Attempt(aCall,
-                              upstream->second,
-                              *body,
-                              aMethod.mIdempotent,
-                              replica->Address(),
-                              tokens);
+    const auto delay = state.mHedgeDelay.Delay();
+    if (mayHedge && delay) {
+      const auto request = std::make_shared<const HedgedRequest>(
+        HedgedRequest{ aCall, upstream->second, *body });
+      const auto first = std::make_shared<ReplicaUse>(std::move(*replica));
+      result = co_await HedgedAttempt(request, first, *delay);
+    } else {
+      result = co_await ObservedAttempt(
+        aCall, upstream->second, *body, aMethod.mIdempotent, address, tokens);
+    }
     TrafficReport report;
     report.mAccount = aCall.mAccount;
     report.mTokens = tokens;
@@ -344,7 +360,7 @@
     }
     Event("attempt_failed", LogLevel::Warning)
       .Field("request_id", aCall.mRequestId)
-      .Field("replica", replica->Address())
+      .Field("replica", address)
       .Field("error", FormatError(result.error()))
       .Write();
     if (!MayRetry(result.error(), aMethod.mIdempotent) ||
@@ -363,6 +379,105 @@
     aMethod.mResponseType, *result, encoding);
 }
 
+Awaitable<Result<std::string>> CallPath::ObservedAttempt(
+  const Call& aCall,
+  const v1::Upstream& aUpstream,
+  const std::string& aJson,
+  bool aIdempotent,
+  const std::string& aReplica,
+  uint32_t& aTokens)
+{
+  const TimePoint sent = mContext.mClock();
+  auto result =
+    co_await Attempt(aCall, aUpstream, aJson, aIdempotent, aReplica, aTokens);
+  AttemptEnd end;
+  end.mLatency = mContext.mClock() - sent;
+  end.mTokens = aTokens;
+  // A deadline that passed says more about the caller than the replica.
+  end.mFailed = result.has_error() &&
+                result.error().mKind != ErrorKind::DeadlineExceeded &&
+                result.error().mKind != ErrorKind::InvalidArgument;
+  if (!result.has_error() || end.mFailed) {
+    ObserveAttempt(mContext, aUpstream, aReplica, end);
+  }
+  co_return result;
+}
+
+Awaitable<Result<std::string>> CallPath::HedgedAttempt(
+  std::shared_ptr<const HedgedRequest> aRequest,
+  std::shared_ptr<ReplicaUse> aFirst,
+  Duration aDelay)
+{
+  const auto race = std::make_shared<Race>(mContext.mExecutor);
+  const std::set<std::string> avoid{ aFirst->Address() };
+  race->mPending = 1;
+  asio::co_spawn(mContext.mExecutor,
+                 RunCopy(aRequest, race, std::move(aFirst)),
+                 asio::detached);
+  boost::system::error_code ignored;
+  if (!race->mResult) {
+    race->mTimer.expires_after(aDelay);
+    co_await race->mTimer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  const std::string& upstream = aRequest->mUpstream.name();
+  const auto gate = mContext.mGates.find(upstream);
+  // While requests wait for slots, a copy would delay one of them.
+  const bool spare =
+    gate != mContext.mGates.end() && gate->second->Waiting() == 0;
+  if (!race->mResult && spare &&
+      StateOf(mContext, upstream).mHedges.TryTake()) {
+    auto second = UseReplica(
+      mContext, aRequest->mUpstream, avoid, aRequest->mCall.mRequestId);
+    if (second.has_value()) {
+      ++race->mPending;
+      asio::co_spawn(mContext.mExecutor,
+                     RunCopy(aRequest,
+                             race,
+                             std::make_shared<ReplicaUse>(std::move(*second))),
+                     asio::detached);
+    }
+  }
+  while (!race->mResult) {
+    race->mTimer.expires_at(TimePoint::max());
+    co_await race->mTimer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  if (race->mResult->has_error() && race->mMayHaveRun) {
+    Error error = race->mResult->error();
+    if (error.mExecution == Execution::NotRun) {
+      error.mExecution = Execution::Unknown;
+    }
+    co_return error;
+  }
+  co_return *race->mResult;
+}
+
+Awaitable<void> CallPath::RunCopy(std::shared_ptr<const HedgedRequest> aRequest,
+                                  std::shared_ptr<Race> aRace,
+                                  std::shared_ptr<ReplicaUse> aReplica)
+{
+  ++mCopies;
+  constexpr bool kIdempotent = true;
+  uint32_t tokens = 0;
+  auto result = co_await ObservedAttempt(aRequest->mCall,
+                                         aRequest->mUpstream,
+                                         aRequest->mJson,
+                                         kIdempotent,
+                                         aReplica->Address(),
+                                         tokens);
+  --mCopies;
+  --aRace->mPending;
+  if (result.has_error() && result.error().mExecution != Execution::NotRun) {
+    aRace->mMayHaveRun = true;
+  }
+  // An error counts only when no other copy can still answer.
+  if (!aRace->mResult && (result.has_value() || aRace->mPending == 0)) {
+    aRace->mResult = std::move(result);
+    aRace->mTimer.cancel();
+  }
+}
+
 Awaitable<Result<std::string>> CallPath::Attempt(const Call& aCall,
                                                  const v1::Upstream& aUpstream,
                                                  const std::string& aJson,
--- a/src/agatetide/daemon/gate.cpp
+++ b/src/agatetide/daemon/gate.cpp
@@ -8,10 +8,19 @@
 
 namespace asio = boost::asio;
 
+using policy::RequestClass;
+
+namespace {
+
+/// Interval over which the rate of finished requests is measured.
+constexpr std::chrono::milliseconds kRateInterval{ 500 };
+
+} // namespace
+
 Gate::Permit::~Permit()
 {
   if (mGate) {
-    mGate->Leave();
+    mGate->Leave(mClass, mAccount);
   }
 }
 
@@ -21,19 +30,47 @@
   AdmitNext();
 }
 
+bool Gate::MayRun(RequestClass aClass, const std::string& aAccount) const
+{
+  policy::SlotUse use;
+  use.mLimit = mLimit;
+  use.mRunning = mRunning;
+  use.mBackground =
+    mRunningByClass[static_cast<size_t>(RequestClass::Background)];
+  use.mDeferrable = use.mBackground +
+                    mRunningByClass[static_cast<size_t>(RequestClass::Trainer)];
+  const auto account = mRunningByAccount.find(aAccount);
+  use.mAccount = account == mRunningByAccount.end() ? 0 : account->second;
+  return policy::MayTakeSlot(aClass, use, mOptions.mHeadroom);
+}
+
+bool Gate::WouldBeLate(const policy::QueuedRequest& aRequest,
+                       TimePoint aDeadline) const
+{
+  if (!mOptions.mRefuseEarly || mRate <= 0.0) {
+    return false;
+  }
+  const std::chrono::duration<double> wait(mQueue.Ahead(aRequest) / mRate);
+  return wait + mServiceTime > aDeadline - mClock();
+}
+
 Awaitable<Result<Gate::Permit>> Gate::Enter(GateRequest aRequest)
 {
   const auto self = shared_from_this();
-  if (mRunning < mLimit && mQueue.size() == 0) {
-    ++mRunning;
-    co_return Permit(self);
+  if (mQueue.size() == 0 && MayRun(aRequest.mClass, aRequest.mAccount)) {
+    Take(aRequest.mClass, aRequest.mAccount);
+    co_return Permit(self, aRequest.mClass, aRequest.mAccount);
   }
   const uint64_t id = mNextId++;
-  if (!mQueue.Push({ id,
-                     aRequest.mClass,
-                     aRequest.mAccount,
-                     aRequest.mWeight,
-                     aRequest.mCost })) {
+  policy::QueuedRequest queued{
+    id, aRequest.mClass, aRequest.mAccount, aRequest.mWeight, aRequest.mCost
+  };
+  if (WouldBeLate(queued, aRequest.mDeadline)) {
+    co_return Error{ ErrorKind::ResourceExhausted,
+                     "the request would wait past its deadline",
+                     "send fewer requests at once, or allow more time" };
+  }
+  if (!mQueue.Push(std::move(queued))) {
     co_return Error{ ErrorKind::ResourceExhausted,
                      "the queue of this client account is full",
                      "send fewer requests at once and retry later" };
@@ -42,28 +79,70 @@
                            aRequest.mDeadline);
   Waiter waiter{ &timer, false };
   mWaiters[id] = &waiter;
-  boost::system::error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  // Others may wait for slots that this request may take.
+  AdmitNext();
+  if (!waiter.mAdmitted) {
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
   mWaiters.erase(id);
   if (waiter.mAdmitted) {
-    co_return Permit(self);
+    Permit permit(self, aRequest.mClass, aRequest.mAccount);
+    const Duration needed =
+      mOptions.mRefuseEarly ? mServiceTime : Duration::zero();
+    if (mClock() + needed < aRequest.mDeadline) {
+      co_return permit;
+    }
+  } else {
+    mQueue.Remove(id);
   }
-  mQueue.Remove(id);
   co_return Error{ ErrorKind::DeadlineExceeded,
                    "the deadline passed while the request was queued",
                    "retry later or allow more time" };
 }
 
-void Gate::Leave()
+void Gate::Take(RequestClass aClass, const std::string& aAccount)
+{
+  ++mRunning;
+  ++mRunningByClass[static_cast<size_t>(aClass)];
+  ++mRunningByAccount[aAccount];
+}
+
+void Gate::Leave(RequestClass aClass, const std::string& aAccount)
 {
   --mRunning;
+  --mRunningByClass[static_cast<size_t>(aClass)];
+  const auto account = mRunningByAccount.find(aAccount);
+  if (--account->second == 0) {
+    mRunningByAccount.erase(account);
+  }
+  CountDeparture();
   AdmitNext();
 }
 
+void Gate::CountDeparture()
+{
+  const TimePoint now = mClock();
+  ++mDepartures;
+  const std::chrono::duration<double> passed = now - mRateSince;
+  if (passed >= kRateInterval) {
+    // An interval with a pause in the traffic says little about the rate at
+    // which a full queue is served, so a rate needs a queue now.
+    mRate = mQueue.size() > 0 && passed < 2 * kRateInterval
+              ? static_cast<double>(mDepartures) / passed.count()
+              : 0.0;
+    mDepartures = 0;
+    mRateSince = now;
+  }
+}
+
 void Gate::AdmitNext()
 {
   while (mRunning < mLimit) {
-    const auto next = mQueue.Pop();
+    const auto next = mQueue.Pop([this](const policy::QueuedRequest& aRequest) {
+      return MayRun(aRequest.mClass, aRequest.mAccount);
+    });
     if (!next) {
       return;
     }
@@ -71,7 +150,7 @@
     if (waiter == mWaiters.end() || waiter->second->mAdmitted) {
       continue; // Its deadline has just passed.
     }
-    ++mRunning;
+    Take(next->mClass, next->mAccount);
     waiter->second->mAdmitted = true;
     waiter->second->mTimer->cancel();
   }
--- a/src/agatetide/daemon/traffic.cpp
+++ b/src/agatetide/daemon/traffic.cpp
@@ -1,36 +1,158 @@
 #include "agatetide/daemon/traffic.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace agatetide::daemon {
 
 namespace {
 
-/// Requests that may run at once on one replica.
-constexpr size_t kSlotsPerReplica = 16;
+/// Time over which own requests are averaged; about the lag of load reports.
+constexpr std::chrono::milliseconds kReportLag{ 1000 };
+/// Answers over which the mean latency is taken.
+constexpr int kMeanAnswers = 20;
+/// Waiting requests of the first in first out baseline.
+constexpr size_t kFirstInFirstOutQueue = 4096;
 
-policy::FairQueueOptions QueueOptions(const Settings& aSettings)
+/// Whether the settings choose this policy for a decision.
+bool Chosen(const Settings& aSettings,
+            const char* aDecision,
+            std::string_view aPolicy)
 {
-  policy::FairQueueOptions options;
-  const auto chosen = aSettings.mPolicies.find("queue");
-  if (chosen != aSettings.mPolicies.end() && chosen->second == "fifo") {
-    options.mPolicy = policy::QueuePolicy::FirstInFirstOut;
+  const auto chosen = aSettings.mPolicies.find(aDecision);
+  return chosen != aSettings.mPolicies.end() && chosen->second == aPolicy;
+}
+
+GateOptions MakeGateOptions(const Settings& aSettings)
+{
+  GateOptions options;
+  if (Chosen(aSettings, "queue", "fifo")) {
+    options.mQueue.mPolicy = policy::QueuePolicy::FirstInFirstOut;
+    options.mQueue.mMaxPerAccount = kFirstInFirstOutQueue;
+    options.mRefuseEarly = false;
   }
+  options.mHeadroom.mEnabled = !Chosen(aSettings, "headroom", "none");
   return options;
 }
 
 policy::ReplicaChoiceOptions ChoiceOptions(const Settings& aSettings)
 {
   policy::ReplicaChoiceOptions options;
-  const auto chosen = aSettings.mPolicies.find("replica_choice");
-  if (chosen != aSettings.mPolicies.end() && chosen->second == "round_robin") {
+  if (Chosen(aSettings, "replica_choice", "round_robin")) {
     options.mPolicy = policy::ReplicaPolicy::RoundRobin;
   }
   return options;
 }
 
+policy::ConcurrencyLimitOptions LimitOptions(const Settings& aSettings)
+{
+  policy::ConcurrencyLimitOptions options;
+  if (Chosen(aSettings, "concurrency", "fixed")) {
+    options.mPolicy = policy::LimitPolicy::Fixed;
+  }
+  return options;
+}
+
+policy::OutlierEjectionOptions EjectionOptions(const Settings& aSettings)
+{
+  policy::OutlierEjectionOptions options;
+  options.mEnabled = !Chosen(aSettings, "ejection", "none");
+  return options;
+}
+
+policy::HedgeOptions HedgingOptions(const Settings& aSettings)
+{
+  policy::HedgeOptions options;
+  options.mEnabled = !Chosen(aSettings, "hedging", "none");
+  return options;
+}
+
+policy::RetryBudgetOptions RetryOptions(const Settings& aSettings)
+{
+  constexpr policy::RetryBudgetOptions kUnbounded{ 1e3, 1e6 };
+  return Chosen(aSettings, "retry_budget", "none")
+           ? kUnbounded
+           : policy::RetryBudgetOptions{};
+}
+
+constexpr policy::RetryBudgetOptions kHedgeBudget{ 0.05, 5.0 };
+
+/// Replicas of one region are compared with each other.
+std::string EjectionGroup(const v1::Upstream& aUpstream,
+                          std::string_view aReplica)
+{
+  for (const v1::Replica& replica : aUpstream.replicas()) {
+    if (replica.address() == aReplica) {
+      return aUpstream.name() + "/" + replica.region();
+    }
+  }
+  return aUpstream.name();
+}
+
 } // namespace
 
+void ReplicaLoad::Change(int aDelta, TimePoint aNow)
+{
+  const std::chrono::duration<double> passed = aNow - mUpdated;
+  const double old =
+    std::exp(-passed / std::chrono::duration<double>(kReportLag));
+  mAverage = mAverage * old + mRunning * (1.0 - old);
+  mUpdated = aNow;
+  mRunning += static_cast<uint32_t>(aDelta);
+}
+
+UpstreamState::UpstreamState(const Settings& aSettings)
+  : mLimit(LimitOptions(aSettings))
+  , mEjection(EjectionOptions(aSettings))
+  , mRetries(RetryOptions(aSettings))
+  , mHedges(kHedgeBudget)
+  , mHedgeDelay(HedgingOptions(aSettings))
+{
+}
+
+UpstreamState& StateOf(TrafficContext& aContext, const std::string& aUpstream)
+{
+  auto& state = aContext.mUpstreams[aUpstream];
+  if (!state) {
+    state = std::make_unique<UpstreamState>(aContext.mSettings);
+  }
+  return *state;
+}
+
+void ObserveAttempt(TrafficContext& aContext,
+                    const v1::Upstream& aUpstream,
+                    std::string_view aReplica,
+                    const AttemptEnd& aEnd)
+{
+  UpstreamState& state = StateOf(aContext, aUpstream.name());
+  const TimePoint now = aContext.mClock();
+  // Answers of engines differ in length, so their time counts per token.
+  const Duration latency =
+    aEnd.mTokens > 0 ? aEnd.mLatency / aEnd.mTokens : aEnd.mLatency;
+  state.mEjection.Observe(
+    EjectionGroup(aUpstream, aReplica), aReplica, aEnd.mFailed, latency, now);
+  if (aEnd.mFailed) {
+    return;
+  }
+  const auto gate = aContext.mGates.find(aUpstream.name());
+  if (gate == aContext.mGates.end()) {
+    return;
+  }
+  const bool full = gate->second->Full();
+  // Engines batch and queue by priority themselves; their limit stays.
+  if (aUpstream.kind() != v1::Upstream::KIND_ENGINE) {
+    if (state.mLimit.Observe(aReplica, latency, full, now)) {
+      Event("concurrency_limit", LogLevel::Debug)
+        .Field("upstream", aUpstream.name())
+        .Field("per_replica", state.mLimit.PerReplica())
+        .Field("waiting", gate->second->Waiting())
+        .Write();
+    }
+    state.mHedgeDelay.Observe(latency);
+    state.mMeanLatency += (latency - state.mMeanLatency) / kMeanAnswers;
+  }
+}
+
 double AccountWeight(const TrafficContext& aContext,
                      const std::string& aAccount)
 {
@@ -46,7 +168,8 @@
 {
   auto& gate = aContext.mGates[aUpstream.name()];
   if (!gate) {
-    gate = std::make_shared<Gate>(QueueOptions(aContext.mSettings));
+    gate = std::make_shared<Gate>(MakeGateOptions(aContext.mSettings),
+                                  aContext.mClock);
   }
   const auto usable = std::count_if(aUpstream.replicas().begin(),
                                     aUpstream.replicas().end(),
@@ -55,8 +178,9 @@
                                              !aContext.mView->mLeaving.contains(
                                                aReplica.address());
                                     });
-  gate->SetLimit(
-    std::max<size_t>(1, static_cast<size_t>(usable) * kSlotsPerReplica));
+  const UpstreamState& state = StateOf(aContext, aUpstream.name());
+  gate->SetLimit(state.mLimit.Limit(static_cast<size_t>(usable)));
+  gate->SetServiceTime(state.mMeanLatency);
   return gate;
 }
 
@@ -64,7 +188,7 @@
   : mContext(&aContext)
   , mAddress(std::move(aAddress))
 {
-  ++mContext->mRunning[mAddress];
+  mContext->mRunning[mAddress].Change(1, mContext->mClock());
 }
 
 ReplicaUse::ReplicaUse(ReplicaUse&& aOther) noexcept
@@ -76,7 +200,7 @@
 ReplicaUse::~ReplicaUse()
 {
   if (mContext != nullptr) {
-    --mContext->mRunning[mAddress];
+    mContext->mRunning[mAddress].Change(-1, mContext->mClock());
   }
 }
 
@@ -93,7 +217,14 @@
     candidate.mSameRegion = replica.region() == aContext.mSettings.mRegion;
     candidate.mLeaving =
       replica.leaving() || view.mLeaving.contains(replica.address());
-    candidate.mExcluded = aAvoid.contains(replica.address());
+    const double share =
+      StateOf(aContext, aUpstream.name())
+        .mEjection.Share(aUpstream.name() + "/" + replica.region(),
+                         replica.address(),
+                         aContext.mClock());
+    candidate.mExcluded =
+      aAvoid.contains(replica.address()) ||
+      (share < 1.0 && UniformUnit(aContext.mRandom) >= share);
     if (const auto load = view.mLoads.find(replica.address());
         load != view.mLoads.end()) {
       candidate.mReportedRunning = load->second.mRunning;
@@ -101,14 +232,26 @@
     }
     if (const auto running = aContext.mRunning.find(replica.address());
         running != aContext.mRunning.end()) {
-      candidate.mOwnRunning = running->second;
+      running->second.Change(0, aContext.mClock());
+      candidate.mOwnRunning = running->second.mRunning;
+      candidate.mOwnAverage = running->second.mAverage;
     }
     candidates.push_back(candidate);
   }
-  const auto chosen = policy::ChooseReplica(candidates,
-                                            ChoiceOptions(aContext.mSettings),
-                                            aContext.mRandom,
-                                            aContext.mTurns[aUpstream.name()]);
+  const auto choose = [&] {
+    return policy::ChooseReplica(candidates,
+                                 ChoiceOptions(aContext.mSettings),
+                                 aContext.mRandom,
+                                 aContext.mTurns[aUpstream.name()]);
+  };
+  auto chosen = choose();
+  if (!chosen) {
+    // An ejected replica is better than none.
+    for (policy::ReplicaCandidate& candidate : candidates) {
+      candidate.mExcluded = aAvoid.contains(std::string(candidate.mAddress));
+    }
+    chosen = choose();
+  }
   if (!chosen) {
     return Error{ ErrorKind::Unavailable,
                   "no replica of upstream " + aUpstream.name() + " is usable",
--- /dev/null
+++ b/src/agatetide/policy/concurrency_limit.cpp
@@ -0,0 +1,79 @@
+#include "agatetide/policy/concurrency_limit.hpp"
+
+#include <algorithm>
+
+namespace agatetide::policy {
+
+bool ConcurrencyLimit::Observe(std::string_view aReplica,
+                               Duration aLatency,
+                               bool aFull,
+                               TimePoint aNow)
+{
+  if (mOptions.mPolicy == LimitPolicy::Fixed || aLatency <= Duration::zero()) {
+    return false;
+  }
+  // Requests that were sent under an earlier limit tell nothing about this
+  // one; counting them makes the limit fall far too low.
+  if (aNow - aLatency < mChanged) {
+    return false;
+  }
+  const Duration lowest = Lowest(aReplica, aLatency, aNow);
+  const double ratio =
+    static_cast<double>(lowest.count()) / static_cast<double>(aLatency.count());
+  ++mAnswers;
+  mRatios += ratio;
+  const bool queued =
+    ratio * mOptions.mQueued < 1.0 && aLatency - lowest > mOptions.mSlack;
+  mQueuedAnswers += queued ? 1 : 0;
+  mFull = mFull || aFull;
+  return mAnswers >= mOptions.mWindow && Adjust(aNow);
+}
+
+Duration ConcurrencyLimit::Lowest(std::string_view aReplica,
+                                  Duration aLatency,
+                                  TimePoint aNow)
+{
+  auto found = mBaselines.find(aReplica);
+  if (found == mBaselines.end()) {
+    const Baseline first{ aLatency, aLatency, aNow };
+    found = mBaselines.emplace(std::string(aReplica), first).first;
+  }
+  Baseline& baseline = found->second;
+  if (aNow - baseline.mSince > mOptions.mBaselineLifetime) {
+    baseline = { baseline.mNext, aLatency, aNow };
+  }
+  baseline.mLowest = std::min(baseline.mLowest, aLatency);
+  baseline.mNext = std::min(baseline.mNext, aLatency);
+  return baseline.mLowest;
+}
+
+bool ConcurrencyLimit::Adjust(TimePoint aNow)
+{
+  const double queued =
+    static_cast<double>(mQueuedAnswers) / static_cast<double>(mAnswers);
+  const double before = mPerReplica;
+  // A limit that is not reached tells nothing about a higher or lower one.
+  if (mFull && queued > mOptions.mQueuedShare) {
+    const double ratio = mRatios / static_cast<double>(mAnswers);
+    mPerReplica *= std::max(ratio, mOptions.mLowestFactor);
+    mStarting = false;
+  } else if (mFull) {
+    mPerReplica = mStarting ? mPerReplica * mOptions.mStartGrowth
+                            : mPerReplica + mOptions.mIncrease;
+  }
+  mPerReplica = std::clamp(mPerReplica, mOptions.mLowest, mOptions.mHighest);
+  mChanged = aNow;
+  mAnswers = 0;
+  mQueuedAnswers = 0;
+  mRatios = 0.0;
+  mFull = false;
+  return mPerReplica != before;
+}
+
+size_t ConcurrencyLimit::Limit(size_t aReplicas) const
+{
+  const double limit = mPerReplica * static_cast<double>(aReplicas);
+  return std::max<size_t>(1, static_cast<size_t>(limit));
+}
+
+} // namespace agatetide::policy
--- a/src/agatetide/policy/fair_queue.cpp
+++ b/src/agatetide/policy/fair_queue.cpp
@@ -20,14 +20,16 @@
   }
   waiting.mWeight = aRequest.mWeight;
   waiting.mRequests.push_back(std::move(aRequest));
+  ++queue.mSize;
   ++mSize;
   return true;
 }
 
-std::optional<QueuedRequest> FairQueue::Pop()
+std::optional<QueuedRequest> FairQueue::Pop(const Filter& aMayRun)
 {
   for (ClassQueue& queue : mClasses) {
-    if (auto next = PopFair(queue)) {
+    if (auto next = PopFair(queue, aMayRun)) {
+      --queue.mSize;
       --mSize;
       return next;
     }
@@ -35,11 +37,45 @@
   return std::nullopt;
 }
 
-std::optional<QueuedRequest> FairQueue::PopFair(ClassQueue& aQueue)
+double FairQueue::Ahead(const QueuedRequest& aRequest) const
 {
-  while (!aQueue.mTurns.empty()) {
+  if (mOptions.mPolicy == QueuePolicy::FirstInFirstOut) {
+    return static_cast<double>(mSize);
+  }
+  double higher = 0.0;
+  for (size_t i = 0; i < static_cast<size_t>(aRequest.mClass); ++i) {
+    higher += static_cast<double>(mClasses[i].mSize);
+  }
+  const ClassQueue& queue = mClasses[static_cast<size_t>(aRequest.mClass)];
+  double own = 1.0;
+  double others = 0.0;
+  double otherWeights = 0.0;
+  for (const auto& [account, waiting] : queue.mAccounts) {
+    if (account == aRequest.mAccount) {
+      own += static_cast<double>(waiting.mRequests.size());
+    } else {
+      others += static_cast<double>(waiting.mRequests.size());
+      otherWeights += waiting.mWeight;
+    }
+  }
+  const double turns = own * otherWeights / aRequest.mWeight;
+  return higher + own + std::min(others, turns);
+}
+
+std::optional<QueuedRequest> FairQueue::PopFair(ClassQueue& aQueue,
+                                                const Filter& aMayRun)
+{
+  size_t passedOver = 0;
+  while (passedOver < aQueue.mTurns.size()) {
     const std::string account = aQueue.mTurns.front();
     AccountQueue& waiting = aQueue.mAccounts.at(account);
+    if (aMayRun && !aMayRun(waiting.mRequests.front())) {
+      ++passedOver;
+      aQueue.mTurns.pop_front();
+      aQueue.mTurns.push_back(account);
+      continue;
+    }
+    passedOver = 0;
     if (waiting.mDeficit < waiting.mRequests.front().mCost) {
       waiting.mDeficit += mOptions.mQuantum * waiting.mWeight;
       aQueue.mTurns.pop_front();
@@ -68,6 +104,7 @@
       if (removed == 0) {
         continue;
       }
+      queue.mSize -= removed;
       mSize -= removed;
       if (waiting.mRequests.empty()) {
         Forget(queue, std::string(account));
--- a/src/agatetide/policy/fair_queue_test.cpp
+++ b/src/agatetide/policy/fair_queue_test.cpp
@@ -46,3 +46,30 @@
   cr_assert(queue.size() == 0);
   cr_assert(!queue.Pop());
 }
+
+// Guards against an account without a free slot blocking the others.
+Test(fair_queue, an_account_that_may_not_run_is_passed_over)
+{
+  FairQueue queue(FairQueueOptions{});
+  queue.Push({ 1, RequestClass::Urgent, "large", 1.0, 1.0 });
+  queue.Push({ 2, RequestClass::Urgent, "small", 1.0, 1.0 });
+  const auto notLarge = [](const QueuedRequest& aRequest) {
+    return aRequest.mAccount != "large";
+  };
+  cr_assert(queue.Pop(notLarge)->mId == 2);
+  cr_assert(!queue.Pop(notLarge));
+  cr_assert(queue.Pop()->mId == 1);
+}
+
+// Guards against an early refusal of one account because another floods.
+Test(fair_queue, a_flood_of_another_account_is_not_ahead)
+{
+  FairQueue queue(FairQueueOptions{});
+  for (uint64_t id = 0; id < 400; ++id) {
+    queue.Push({ id, RequestClass::Urgent, "large", 1.0, 1.0 });
+  }
+  const QueuedRequest small{ 1000, RequestClass::Urgent, "small", 1.0, 1.0 };
+  cr_assert(queue.Ahead(small) == 2.0);
+  const QueuedRequest large{ 1001, RequestClass::Urgent, "large", 1.0, 1.0 };
+  cr_assert(queue.Ahead(large) == 401.0);
+}
--- /dev/null
+++ b/src/agatetide/policy/headroom_test.cpp
@@ -0,0 +1,37 @@
+#include "agatetide/policy/headroom.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace agatetide::policy;
+
+// Guards against background or trainer work filling all slots.
+Test(headroom, deferrable_work_leaves_slots_to_urgent_requests)
+{
+  const HeadroomOptions options;
+  const SlotUse background{ 10, 7, 7, 7, 0 };
+  cr_assert(!MayTakeSlot(RequestClass::Background, background, options));
+  cr_assert(MayTakeSlot(RequestClass::Trainer, background, options));
+  const SlotUse trainer{ 10, 9, 9, 7, 0 };
+  cr_assert(!MayTakeSlot(RequestClass::Trainer, trainer, options));
+  cr_assert(MayTakeSlot(RequestClass::Urgent, trainer, options));
+}
+
+// Guards against a flood of one client account filling all slots.
+Test(headroom, one_account_leaves_slots_to_others)
+{
+  const HeadroomOptions options;
+  cr_assert(
+    !MayTakeSlot(RequestClass::Urgent, SlotUse{ 10, 9, 0, 0, 9 }, options));
+  cr_assert(
+    MayTakeSlot(RequestClass::Urgent, SlotUse{ 10, 9, 0, 0, 0 }, options));
+}
+
+// Guards against work that can never run on a small upstream.
+Test(headroom, each_share_allows_one_request)
+{
+  const HeadroomOptions options;
+  cr_assert(
+    MayTakeSlot(RequestClass::Background, SlotUse{ 1, 0, 0, 0, 0 }, options));
+  cr_assert(
+    !MayTakeSlot(RequestClass::Urgent, SlotUse{ 1, 1, 0, 0, 0 }, options));
+}
--- a/src/agatetide/policy/replica_choice.cpp
+++ b/src/agatetide/policy/replica_choice.cpp
@@ -1,61 +1,79 @@
 #include "agatetide/policy/replica_choice.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <vector>
 
 namespace agatetide::policy {
 
 namespace {
 
-double Cost(const ReplicaCandidate& aCandidate,
-            const ReplicaChoiceOptions& aOptions)
+bool Usable(const ReplicaCandidate& aCandidate)
 {
-  // The report may or may not contain this daemon's own requests already;
-  // the larger of the two never counts them twice.
-  const double ahead =
-    std::max<double>(aCandidate.mReportedRunning + aCandidate.mReportedQueued,
-                     aCandidate.mOwnRunning);
-  return ahead + (aCandidate.mSameRegion ? 0.0 : aOptions.mRegionPrice);
+  return !aCandidate.mLeaving && !aCandidate.mExcluded;
 }
 
-std::vector<size_t> Usable(std::span<const ReplicaCandidate> aCandidates)
+/// Moves aSampled random elements to the front and cuts the rest off.
+void Sample(std::vector<size_t>& aIndices,
+            unsigned aSampled,
+            const Random& aRandom)
 {
-  std::vector<size_t> usable;
-  for (size_t i = 0; i < aCandidates.size(); ++i) {
-    if (!aCandidates[i].mLeaving && !aCandidates[i].mExcluded) {
-      usable.push_back(i);
-    }
+  const size_t count = std::min<size_t>(aSampled, aIndices.size());
+  for (size_t i = 0; i < count; ++i) {
+    std::swap(aIndices[i],
+              aIndices[i + UniformBelow(aRandom, aIndices.size() - i)]);
   }
-  return usable;
+  aIndices.resize(count);
 }
 
 } // namespace
 
+double EstimatedRequests(const ReplicaCandidate& aCandidate)
+{
+  const double reported =
+    aCandidate.mReportedRunning + aCandidate.mReportedQueued;
+  return aCandidate.mOwnRunning +
+         std::max(0.0, reported - aCandidate.mOwnAverage);
+}
+
 std::optional<size_t> ChooseReplica(
   std::span<const ReplicaCandidate> aCandidates,
   const ReplicaChoiceOptions& aOptions,
   const Random& aRandom,
   uint64_t& aTurn)
 {
-  std::vector<size_t> usable = Usable(aCandidates);
-  if (usable.empty()) {
+  std::vector<size_t> near;
+  std::vector<size_t> far;
+  const bool roundRobin = aOptions.mPolicy == ReplicaPolicy::RoundRobin;
+  for (size_t i = 0; i < aCandidates.size(); ++i) {
+    if (Usable(aCandidates[i])) {
+      (aCandidates[i].mSameRegion || roundRobin ? near : far).push_back(i);
+    }
+  }
+  if (near.empty() && far.empty()) {
     return std::nullopt;
   }
-  if (aOptions.mPolicy == ReplicaPolicy::RoundRobin) {
-    return usable[aTurn++ % usable.size()];
+  if (roundRobin) {
+    return near[aTurn++ % near.size()];
+  }
+  Sample(near, aOptions.mSampled, aRandom);
+  Sample(far, aOptions.mSampled, aRandom);
+  std::optional<size_t> best;
+  double lowest = std::numeric_limits<double>::infinity();
+  const auto compare = [&](size_t aIndex, double aPrice) {
+    const double cost = EstimatedRequests(aCandidates[aIndex]) + aPrice;
+    if (cost < lowest) {
+      lowest = cost;
+      best = aIndex;
+    }
+  };
+  for (const size_t index : near) {
+    compare(index, 0.0);
   }
-  const size_t sampled = std::min<size_t>(aOptions.mSampled, usable.size());
-  for (size_t i = 0; i < sampled; ++i) {
-    std::swap(usable[i], usable[i + UniformBelow(aRandom, usable.size() - i)]);
+  for (const size_t index : far) {
+    compare(index, aOptions.mRegionPrice);
   }
-  const auto best =
-    std::min_element(usable.begin(),
-                     usable.begin() + static_cast<std::ptrdiff_t>(sampled),
-                     [&](size_t aLeft, size_t aRight) {
-                       return Cost(aCandidates[aLeft], aOptions) <
-                              Cost(aCandidates[aRight], aOptions);
-                     });
-  return *best;
+  return best;
 }
 
 } // namespace agatetide::policy
--- /dev/null
+++ b/src/agatetide/policy/replica_choice_test.cpp
@@ -0,0 +1,69 @@
+#include "agatetide/policy/replica_choice.hpp"
+
+#include <criterion/criterion.h>
+
+#include <vector>
+
+using namespace agatetide;
+using namespace agatetide::policy;
+
+namespace {
+
+std::vector<ReplicaCandidate> NearAndFar(size_t aNear, size_t aFar)
+{
+  std::vector<ReplicaCandidate> candidates(aNear + aFar);
+  for (size_t i = aNear; i < candidates.size(); ++i) {
+    candidates[i].mSameRegion = false;
+  }
+  return candidates;
+}
+
+} // namespace
+
+// Guards against a sample without the idle replicas of the own region.
+Test(replica_choice, an_idle_upstream_is_not_used_over_regions)
+{
+  const auto candidates = NearAndFar(2, 8);
+  const Random random = SeededRandom(1);
+  uint64_t turn = 0;
+  for (unsigned i = 0; i < 1000; ++i) {
+    const auto chosen = ChooseReplica(candidates, {}, random, turn);
+    cr_assert(candidates[*chosen].mSameRegion);
+  }
+}
+
+// Guards against a full region being used while others are idle.
+Test(replica_choice, a_loaded_region_spills_to_another)
+{
+  auto candidates = NearAndFar(2, 2);
+  candidates[0].mOwnRunning = 20;
+  candidates[1].mReportedQueued = 20;
+  const Random random = SeededRandom(1);
+  uint64_t turn = 0;
+  const auto chosen = ChooseReplica(candidates, {}, random, turn);
+  cr_assert(!candidates[*chosen].mSameRegion);
+}
+
+// Guards against own requests being counted twice, in the report and here.
+Test(replica_choice, a_report_counts_only_the_requests_of_others)
+{
+  ReplicaCandidate candidate;
+  candidate.mReportedRunning = 10;
+  candidate.mOwnRunning = 6;
+  candidate.mOwnAverage = 4.0;
+  cr_assert(EstimatedRequests(candidate) == 12.0);
+  candidate.mOwnAverage = 30.0;
+  cr_assert(EstimatedRequests(candidate) == 6.0);
+}
+
+// Guards against a leaving or ejected replica getting work.
+Test(replica_choice, unusable_replicas_are_not_chosen)
+{
+  auto candidates = NearAndFar(1, 1);
+  candidates[0].mLeaving = true;
+  const Random random = SeededRandom(1);
+  uint64_t turn = 0;
+  cr_assert(*ChooseReplica(candidates, {}, random, turn) == 1);
+  candidates[1].mExcluded = true;
+  cr_assert(!ChooseReplica(candidates, {}, random, turn));
+}
--- a/tests/measure.py
+++ b/tests/measure.py
@@ -94,7 +94,7 @@
 def start(args, policies, daemons_per_zone=1, double_options=None):
     """A deployment whose upstreams serve at a known rate."""
     folder = tempfile.mkdtemp(prefix="agatetide-measure-")
-    settings = {"policies": policies, "log": {"level": "info"}, "address_lifetime_ms": 100, "drain_time_ms": 3000}
+    settings = {"policies": policies, "log": {"level": args.log_level}, "address_lifetime_ms": 100, "drain_time_ms": 3000}
     spec = json.loads((ROOT / "deploy" / args.deployment / "deployment.json").read_text())
     region_ms = str(int(2 * spec["latency_ms"]["region"]))
     options = double_options or {
@@ -258,6 +258,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=6.0)
     parser.add_argument("--repetitions", type=int, default=3)
+    parser.add_argument("--log-level", default="info", choices=["debug", "info"])
     args = parser.parse_args()
     for line in SCENARIOS[args.scenario](args):
         print(json.dumps(line), flush=True)
