--- a/include/agatetide/daemon/gate.hpp
+++ b/include/agatetide/daemon/gate.hpp
@@ -3,6 +3,7 @@
 #include "agatetide/base/awaitable.hpp"
 #include "agatetide/base/clock.hpp"
 #include "agatetide/base/error.hpp"
+#include "agatetide/policy/concurrency_limit.hpp"
 #include "agatetide/policy/fair_queue.hpp"
 #include "agatetide/policy/headroom.hpp"
 
@@ -81,9 +82,15 @@
 
   size_t Running() const { return mRunning; }
   size_t Waiting() const { return mQueue.size(); }
-  /// @brief Whether the requests of all accounts together use the limit, so
-  /// that a lower one would matter.
-  bool Full() const { return mQueue.size() > 0 || mRunning >= mLimit; }
+  /// @brief How far the limit is in use.
+  policy::LimitUse Use() const
+  {
+    if (mRunning >= mLimit) {
+      return policy::LimitUse::Full;
+    }
+    return mQueue.size() > 0 ? policy::LimitUse::Waiting
+                             : policy::LimitUse::Free;
+  }
 
 private:
   struct Waiter
--- a/include/agatetide/policy/concurrency_limit.hpp
+++ b/include/agatetide/policy/concurrency_limit.hpp
@@ -15,6 +15,15 @@
   Adaptive,
 };
 
+/// @brief Whether a limit is in use: not at all, by requests that wait for
+/// slots which headroom keeps free, or up to the last slot.
+enum class LimitUse
+{
+  Free,
+  Waiting,
+  Full,
+};
+
 struct ConcurrencyLimitOptions
 {
   LimitPolicy mPolicy = LimitPolicy::Adaptive;
@@ -61,11 +70,11 @@
   }
 
   /// @brief One answered request. aLatency is the time in the upstream, or
-  /// the time per token where answers differ in length. aFull tells whether
+  /// the time per token where answers differ in length. aUse tells how far
   /// the limit was in use. Returns whether the limit changed.
   bool Observe(std::string_view aReplica,
                Duration aLatency,
-               bool aFull,
+               LimitUse aUse,
                TimePoint aNow);
 
   double PerReplica() const { return mPerReplica; }
@@ -92,7 +101,7 @@
   /// Sum of the ratios of lowest latency to latency.
   double mRatios = 0.0;
   bool mStarting = true;
-  bool mFull = false;
+  LimitUse mUse = LimitUse::Free;
   TimePoint mChanged{};
 };
 
--- a/src/agatetide/daemon/traffic.cpp
+++ b/src/agatetide/daemon/traffic.cpp
@@ -138,10 +138,10 @@
   if (gate == aContext.mGates.end()) {
     return;
   }
-  const bool full = gate->second->Full();
+  const policy::LimitUse use = gate->second->Use();
   // Engines batch and queue by priority themselves; their limit stays.
   if (aUpstream.kind() != v1::Upstream::KIND_ENGINE) {
-    if (state.mLimit.Observe(aReplica, latency, full, now)) {
+    if (state.mLimit.Observe(aReplica, latency, use, now)) {
       Event("concurrency_limit", LogLevel::Debug)
         .Field("upstream", aUpstream.name())
         .Field("per_replica", state.mLimit.PerReplica())
--- a/src/agatetide/policy/concurrency_limit.cpp
+++ b/src/agatetide/policy/concurrency_limit.cpp
@@ -6,7 +6,7 @@
 
 bool ConcurrencyLimit::Observe(std::string_view aReplica,
                                Duration aLatency,
-                               bool aFull,
+                               LimitUse aUse,
                                TimePoint aNow)
 {
   if (mOptions.mPolicy == LimitPolicy::Fixed || aLatency <= Duration::zero()) {
@@ -25,7 +25,7 @@
   const bool queued =
     ratio * mOptions.mQueued < 1.0 && aLatency - lowest > mOptions.mSlack;
   mQueuedAnswers += queued ? 1 : 0;
-  mFull = mFull || aFull;
+  mUse = std::max(mUse, aUse);
   return mAnswers >= mOptions.mWindow && Adjust(aNow);
 }
 
@@ -52,12 +52,14 @@
   const double queued =
     static_cast<double>(mQueuedAnswers) / static_cast<double>(mAnswers);
   const double before = mPerReplica;
-  // A limit that is not reached tells nothing about a higher or lower one.
-  if (mFull && queued > mOptions.mQueuedShare) {
+  // A limit that is not in use tells nothing about a higher or lower one, and
+  // slots that headroom keeps free leave room to grow only when they are used.
+  if (mUse != LimitUse::Free && queued > mOptions.mQueuedShare) {
     const double ratio = mRatios / static_cast<double>(mAnswers);
     mPerReplica *= std::max(ratio, mOptions.mLowestFactor);
     mStarting = false;
-  } else if (mFull) {
+  } else if (mUse == LimitUse::Full ||
+             (mStarting && mUse == LimitUse::Waiting)) {
     mPerReplica = mStarting ? mPerReplica * mOptions.mStartGrowth
                             : mPerReplica + mOptions.mIncrease;
   }
@@ -66,7 +68,7 @@
   mAnswers = 0;
   mQueuedAnswers = 0;
   mRatios = 0.0;
-  mFull = false;
+  mUse = LimitUse::Free;
   return mPerReplica != before;
 }
 
--- a/src/agatetide/policy/concurrency_limit_test.cpp
+++ b/src/agatetide/policy/concurrency_limit_test.cpp
@@ -16,7 +16,7 @@
   for (unsigned i = 0; i < aRounds; ++i) {
     aNow += std::chrono::milliseconds(100);
     for (unsigned j = 0; j < ConcurrencyLimitOptions{}.mWindow; ++j) {
-      aLimit.Observe("a", aLatency, true, aNow);
+      aLimit.Observe("a", aLatency, LimitUse::Full, aNow);
     }
   }
 }
@@ -86,7 +86,8 @@
   Feed(limit, 1, Milliseconds(40), now);
   const size_t once = limit.Limit(4);
   for (unsigned i = 0; i < 1000; ++i) {
-    limit.Observe("a", Milliseconds(40), true, now + Milliseconds(20));
+    limit.Observe(
+      "a", Milliseconds(40), LimitUse::Full, now + Milliseconds(20));
   }
   cr_assert(limit.Limit(4) == once);
 }
