Ignore report noise in the replica estimate; add the overhead scenario

Cause: a load report that differs from the own average by its sampling noise was taken for other daemons' requests, so near replicas were loaded unevenly; the limit grew by more per step than its signal resolves.

--- a/include/agatetide/policy/concurrency_limit.hpp
+++ b/include/agatetide/policy/concurrency_limit.hpp
@@ -48,7 +48,7 @@
   /// Lowest factor of one decrease.
   double mLowestFactor = 0.5;
   /// Growth per adjustment, in requests per replica.
-  double mIncrease = 0.1;
+  double mIncrease = 0.04;
   /// Age at which a replica's lowest latency is measured anew, so that a
   /// lasting change of the service time is not taken for queueing.
   Duration mBaselineLifetime = std::chrono::seconds(30);
--- a/src/agatetide/policy/replica_choice.cpp
+++ b/src/agatetide/policy/replica_choice.cpp
@@ -1,6 +1,7 @@
 #include "agatetide/policy/replica_choice.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <vector>
 
@@ -32,8 +33,11 @@
 {
   const double reported =
     aCandidate.mReportedRunning + aCandidate.mReportedQueued;
-  return aCandidate.mOwnRunning +
-         std::max(0.0, reported - aCandidate.mOwnAverage);
+  // The report is a sample of a number that varies by about its square root;
+  // a smaller difference is no sign of other daemons' requests.
+  const double explained =
+    aCandidate.mOwnAverage + std::sqrt(aCandidate.mOwnAverage);
+  return aCandidate.mOwnRunning + std::max(0.0, reported - explained);
 }
 
 std::optional<size_t> ChooseReplica(
--- a/tests/measure.py
+++ b/tests/measure.py
@@ -26,7 +26,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
 from harness import client  # noqa: E402
-from harness.deployment import ROOT, STORE, Deployment  # noqa: E402
+from harness.deployment import NET, ROOT, STORE, Deployment, reachable, wait_until  # noqa: E402
 
 BASELINE = {"queue": "fifo", "replica_choice": "round_robin", "concurrency": "fixed", "headroom": "none",
             "hedging": "none", "retry_budget": "none", "ejection": "none", "addresses": "static"}
@@ -39,6 +39,8 @@
 QUIET_RATE = 25.0
 BACKGROUND_RATE = 6.0
 FLOOD_SHARE = 1.5
+OVERHEAD_RATE = 200.0
+ECHO = f"127.{NET}.0.12:2400"
 TICKS = os.sysconf("SC_CLK_TCK")
 
 
@@ -243,7 +245,54 @@
     return interleaved("broadcast", args, lambda a, p: lookups_once(a, p, broadcast_flows))
 
 
-SCENARIOS = {"quiet": quiet, "broadcast": broadcast}
+def lookup_pair(deployment, args):
+    """The same lookup sent to a replica and through the daemon of its region."""
+    spec = deployment.spec["lookup"]
+    daemon = deployment.daemons[0]
+    replica = next(r for r in deployment.replicas
+                   if r["upstream"] == lookup_upstream(deployment) and r["region"] == daemon["region"])
+    through = lookup_flow(deployment, spec["account"], OVERHEAD_RATE, "through the daemon")
+    through["hosts"] = [daemon["callers"]]
+    direct = {**through, "label": "direct", "hosts": [replica["address"]], "key": ""}
+    return run_plan(deployment, [direct, through], args)["labels"]
+
+
+def requests_per_core(pid, flow, args):
+    """Requests per second of processor time of one process, in a closed loop."""
+    before = process_seconds(pid)
+    plan = {"seed": args.seed, "seconds": args.seconds, "warmup_s": 0.0, "flows": [{**flow, "closed": 16}]}
+    load = subprocess.run([ROOT / "build/release/tests/load_client"], input=json.dumps(plan), text=True,
+                          stdout=subprocess.PIPE, check=True, timeout=args.seconds + 60)
+    return json.loads(load.stdout)["flows"][0]["answered"] / (process_seconds(pid) - before)
+
+
+def overhead_once(args, policies):
+    """Latency that the daemon adds, and its requests per core against an echo."""
+    options = {"double_service": ["--service-ms", "0", "--slots", "1000"]}
+    deployment = start(args, policies, double_options=options)
+    with deployment:
+        deployment.configure()
+        deployment.start_process("echo", [deployment.build / "tests/double_echo", "--listen", ECHO])
+        wait_until(lambda: reachable(ECHO, "/"), 10, "echo")
+        labels = lookup_pair(deployment, args)
+        daemon = deployment.daemons[0]
+        flow = lookup_flow(deployment, deployment.spec["lookup"]["account"], 0.0, "closed")
+        flow["hosts"] = [daemon["callers"]]
+        served = requests_per_core(deployment.processes[daemon["name"]].pid, flow, args)
+        echoed = requests_per_core(deployment.processes["echo"].pid, {**flow, "hosts": [ECHO], "key": ""}, args)
+    through, direct = labels["through the daemon"], labels["direct"]
+    figures = {f"added {key}": through[key] - direct[key] for key in ("p50_ms", "p99_ms", "p999_ms")}
+    figures.update({f"direct {key}": direct[key] for key in ("p50_ms", "p99_ms")})
+    figures.update({"requests_per_core": served, "echo_requests_per_core": echoed, "share_of_echo": served / echoed})
+    return figures, {}
+
+
+def overhead(args):
+    """The daemon's own cost: added latency, and requests per core."""
+    return interleaved("overhead", args, overhead_once)
+
+
+SCENARIOS = {"quiet": quiet, "broadcast": broadcast, "overhead": overhead}
 try:
     from measure_steps import SCENARIOS as STEP_SCENARIOS
     SCENARIOS.update(STEP_SCENARIOS)
