--- a/tests/measure.py
+++ b/tests/measure.py
@@ -245,6 +245,15 @@
     return interleaved("broadcast", args, lambda a, p: lookups_once(a, p, broadcast_flows))
 
 
+def slow_replica(args):
+    """The quiet load while one replica takes ten times as long as the others."""
+    def prepare(deployment):
+        replica = next(r for r in deployment.replicas if r["upstream"] == lookup_upstream(deployment))
+        client.control(replica["address"], {"service_ms": 10 * SERVICE_MS})
+
+    return interleaved("slow_replica", args, lambda a, p: lookups_once(a, p, quiet_flows, prepare))
+
+
 def lookup_pair(deployment, args):
     """The same lookup sent to a replica and through the daemon of its region."""
     spec = deployment.spec["lookup"]
@@ -292,7 +301,7 @@
     return interleaved("overhead", args, overhead_once)
 
 
-SCENARIOS = {"quiet": quiet, "broadcast": broadcast, "overhead": overhead}
+SCENARIOS = {"quiet": quiet, "broadcast": broadcast, "slow_replica": slow_replica, "overhead": overhead}
 try:
     from measure_steps import SCENARIOS as STEP_SCENARIOS
     SCENARIOS.update(STEP_SCENARIOS)
