--- a/src/agatetide/daemon/rollout.cpp
+++ b/src/agatetide/daemon/rollout.cpp
@@ -252,7 +252,7 @@
     return load != mContext.mView->mLoads.end() &&
            !mContext.mView->mLeaving.contains(address) &&
            load->second.mQueued == 0 && load->second.mRunning < slots &&
-           (own == mContext.mRunning.end() || own->second < slots);
+           (own == mContext.mRunning.end() || own->second.mRunning < slots);
   };
   return static_cast<size_t>(std::count_if(
     upstream->replicas().begin(), upstream->replicas().end(), free));
@@ -543,7 +543,7 @@
       ++cheap;
       const auto running = mContext.mRunning.find(address);
       const uint32_t own =
-        running == mContext.mRunning.end() ? 0 : running->second;
+        running == mContext.mRunning.end() ? 0 : running->second.mRunning;
       cheapRunning += load == mContext.mView->mLoads.end()
                         ? own
                         : std::max(own, load->second.mRunning);
--- a/tests/doubles/double_engine.cpp
+++ b/tests/doubles/double_engine.cpp
@@ -33,6 +33,7 @@
   /// One of so many samples is long: it uses all of max_tokens, the others a
   /// third. 0 gives every sample max_tokens.
   unsigned mLongEvery = 0;
+  doubles::RegionDelay mDelay;
 };
 
 constexpr unsigned kTokensPerChunk = 4;
@@ -67,6 +68,11 @@
     if (aRequest.mTarget == "/v1/weights") {
       co_return co_await Swap(json::parse(aRequest.mBody));
     }
+    const auto delay = mOptions.mDelay.For(aRequest.mPeer);
+    if (delay.count() > 0) {
+      asio::steady_timer timer(mContext, delay);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
     co_return Complete(json::parse(aRequest.mBody));
   }
 
@@ -239,6 +245,7 @@
     "load-lag-ms", "", cxxopts::value<int>()->default_value("500"))(
     "activate-ms", "", cxxopts::value<int>()->default_value("0"))(
     "long-every", "", cxxopts::value<unsigned>()->default_value("0"));
+  doubles::AddRegionDelay(options);
   std::unique_ptr<EngineDouble> engine;
   return doubles::RunDouble(
     options, aCount, aArguments, [&](auto& aContext, const auto& aParsed) {
@@ -249,6 +256,7 @@
       chosen.mLoadLagMs = aParsed["load-lag-ms"].template as<int>();
       chosen.mActivateMs = aParsed["activate-ms"].template as<int>();
       chosen.mLongEvery = aParsed["long-every"].template as<unsigned>();
+      chosen.mDelay = doubles::RegionDelayFrom(aParsed);
       engine = std::make_unique<EngineDouble>(aContext, chosen);
       return [&](http::Request aRequest) {
         return engine->Handle(std::move(aRequest));
