--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -92,18 +92,24 @@
     return lines_of(["/usr/bin/python3", "tests/faults.py", "--seed", str(args.seed)])
 
 
+def ctl(_args):
+    return lines_of(["/usr/bin/python3", "tests/ctl_test.py"])
+
+
 GROUPS = {
     "lint": lint,
     "unit": unit,
     "model": model,
     "integration": integration,
+    "ctl": ctl,
     "faults": faults,
 }
 
 
 def available(name):
     """Whether the files of a group exist."""
-    script = {"model": "tests/model.py", "integration": "tests/integration.py", "faults": "tests/faults.py"}
+    script = {"model": "tests/model.py", "integration": "tests/integration.py",
+              "ctl": "tests/ctl_test.py", "faults": "tests/faults.py"}
     return name not in script or (ROOT / script[name]).exists()
 
 
