Bound what malformed input can cost, and fuzz the entries

Cause: cereal resizes containers to the length that a message states. A body whose schema fitted no engine, or any other exception of a handler, left the coroutine and ended the process. protobuf wrote one line to standard error for each malformed message. Ruled out: a smaller limit on the message size, because a short message can state any length. Conclusion: lengths are compared with the bytes that are left, invalid bools and enumerators are refused, exceptions become a counted error, and the sanitizers group fails on one allocation above 64 MiB.

--- a/include/agatetide/daemon/call_path.hpp
+++ b/include/agatetide/daemon/call_path.hpp
@@ -74,6 +74,7 @@
   static bool NotRun(const Outcome& aOutcome);
 
   TrafficContext& mContext;
+  LogLimiter mAttemptLog;
   std::map<std::string, OutcomePtr> mOutcomes;
   std::deque<std::string> mFinishedOrder;
 };
--- a/include/agatetide/http/server.hpp
+++ b/include/agatetide/http/server.hpp
@@ -29,6 +29,10 @@
   uint64_t mAccepted = 0;
   uint64_t mRefusedConnections = 0;
   uint64_t mMalformedRequests = 0;
+  /// Requests that did not arrive within the transfer time.
+  uint64_t mSlowRequests = 0;
+  /// Requests whose handler threw.
+  uint64_t mHandlerFailures = 0;
 };
 
 using Handler = std::function<Awaitable<Response>(Request)>;
--- /dev/null
+++ b/src/agatetide/coordination/input_archive.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <algorithm>
+#include <bit>
+#include <cstring>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <vector>
+
+namespace agatetide::coordination {
+
+/// @brief Reads what cereal's portable binary archive wrote.
+///
+/// cereal resizes a container to the length that the input states before it
+/// reads the elements. Here a stated length cannot allocate more than the
+/// input holds: strings are compared with the remaining bytes and vectors
+/// grow with each element that was read. Throws cereal::Exception.
+class InputArchive
+  : public cereal::InputArchive<InputArchive, cereal::AllowEmptyClassElision>
+{
+public:
+  explicit InputArchive(std::string_view aBytes)
+    : cereal::InputArchive<InputArchive, cereal::AllowEmptyClassElision>(this)
+    , mBytes(aBytes)
+  {
+    uint8_t littleEndian = 0;
+    Read(&littleEndian, 1);
+    mSwap = (littleEndian == 1) != (std::endian::native == std::endian::little);
+  }
+
+  template<class Number>
+  void LoadNumber(Number& aNumber)
+  {
+    Read(&aNumber, sizeof aNumber);
+    if (mSwap) {
+      auto* bytes = reinterpret_cast<unsigned char*>(&aNumber);
+      std::reverse(bytes, bytes + sizeof aNumber);
+    }
+  }
+
+  uint64_t LoadLength()
+  {
+    uint64_t length = 0;
+    LoadNumber(length);
+    if (length > mBytes.size()) {
+      throw cereal::Exception("length exceeds the input");
+    }
+    return length;
+  }
+
+  void Read(void* aTarget, size_t aSize)
+  {
+    if (aSize > mBytes.size()) {
+      throw cereal::Exception("input ends early");
+    }
+    std::memcpy(aTarget, mBytes.data(), aSize);
+    mBytes.remove_prefix(aSize);
+  }
+
+  bool AtEnd() const { return mBytes.empty(); }
+
+private:
+  std::string_view mBytes;
+  bool mSwap = false;
+};
+
+template<class Number>
+std::enable_if_t<std::is_arithmetic_v<Number>> CEREAL_LOAD_FUNCTION_NAME(
+  InputArchive& aArchive,
+  Number& aNumber)
+{
+  aArchive.LoadNumber(aNumber);
+}
+
+/// A byte other than 0 and 1 is no bool; storing it in one is undefined.
+inline void CEREAL_LOAD_FUNCTION_NAME(InputArchive& aArchive, bool& aValue)
+{
+  uint8_t byte = 0;
+  aArchive.LoadNumber(byte);
+  if (byte > 1) {
+    throw cereal::Exception("invalid bool");
+  }
+  aValue = byte == 1;
+}
+
+inline void CEREAL_LOAD_FUNCTION_NAME(InputArchive& aArchive,
+                                      std::string& aText)
+{
+  aText.resize(aArchive.LoadLength());
+  aArchive.Read(aText.data(), aText.size());
+}
+
+template<class Item>
+void CEREAL_LOAD_FUNCTION_NAME(InputArchive& aArchive,
+                               std::vector<Item>& aItems)
+{
+  aItems.clear();
+  for (uint64_t left = aArchive.LoadLength(); left > 0; --left) {
+    Item item;
+    aArchive(item);
+    aItems.push_back(std::move(item));
+  }
+}
+
+} // namespace agatetide::coordination
+
+namespace cereal::traits::detail {
+template<>
+struct get_output_from_input<agatetide::coordination::InputArchive>
+{
+  using type = cereal::PortableBinaryOutputArchive;
+};
+} // namespace cereal::traits::detail
--- a/src/agatetide/coordination/messages.cpp
+++ b/src/agatetide/coordination/messages.cpp
@@ -1,8 +1,7 @@
 #include "agatetide/coordination/messages.hpp"
 
 #include "agatetide/base/encoding.hpp"
-
-#include <cereal/archives/portable_binary.hpp>
+#include "agatetide/coordination/input_archive.hpp"
 
 #include <sstream>
 
@@ -21,6 +20,31 @@
            "check that all daemons share cluster_secret and version" };
 }
 
+bool Valid(const MemberUpdate& aUpdate)
+{
+  return aUpdate.mState <= MemberState::Left;
+}
+
+bool Valid(const Datagram& aDatagram)
+{
+  return aDatagram.mKind <= DatagramKind::ProbeRequest &&
+         Valid(aDatagram.mSender) &&
+         std::all_of(
+           aDatagram.mUpdates.begin(),
+           aDatagram.mUpdates.end(),
+           [](const MemberUpdate& aUpdate) { return Valid(aUpdate); });
+}
+
+bool Valid(const PeerRequest&)
+{
+  return true;
+}
+
+bool Valid(const PeerReply&)
+{
+  return true;
+}
+
 } // namespace
 
 template<class Message>
@@ -55,10 +79,12 @@
     return InvalidMessage("authentication code");
   }
   try {
-    std::istringstream stream{ std::string(body) };
-    cereal::PortableBinaryInputArchive archive(stream);
+    InputArchive archive(body);
     Message message;
     archive(message);
+    if (!archive.AtEnd() || !Valid(message)) {
+      return InvalidMessage("body");
+    }
     return message;
   } catch (const std::exception&) {
     return InvalidMessage("body");
--- a/src/agatetide/daemon/admin.cpp
+++ b/src/agatetide/daemon/admin.cpp
@@ -64,6 +64,12 @@
     return Invalid("keys cannot be written directly",
                    "use GrantKey and WithdrawKey");
   }
+  if (aObject.has_account() &&
+      aObject.account().name().find_first_of("/\n") != std::string::npos) {
+    // Store keys of admission records join the account and the request id.
+    return Invalid("the account name contains a slash or a line break",
+                   "choose a name without them");
+  }
   if (aObject.has_upstream()) {
     for (const v1::Replica& replica : aObject.upstream().replicas()) {
       const auto endpoint = http::ParseEndpoint(replica.address());
--- a/src/agatetide/daemon/call_path.cpp
+++ b/src/agatetide/daemon/call_path.cpp
@@ -248,7 +248,8 @@
     co_return PeerReply{};
   }
   const TimePoint deadline =
-    mContext.mClock() + Milliseconds(std::max<int64_t>(aRequest.mVersion, 0));
+    mContext.mClock() +
+    Milliseconds(std::clamp<int64_t>(aRequest.mVersion, 0, 3600000));
   const auto result = co_await AwaitOutcome(known->second, deadline);
   co_return PeerReply{ true, 0, {}, EncodeOutcome(result) };
 }
@@ -342,11 +343,14 @@
       report.mFingerprint = Fingerprint(aCall);
       mContext.mControl.mReport(report);
     }
-    Event("attempt_failed", LogLevel::Warning)
-      .Field("request_id", aCall.mRequestId)
-      .Field("replica", replica->Address())
-      .Field("error", FormatError(result.error()))
-      .Write();
+    if (mAttemptLog.Allow(mContext.mClock())) {
+      Event("attempt_failed", LogLevel::Warning)
+        .Field("request_id", aCall.mRequestId)
+        .Field("replica", replica->Address())
+        .Field("error", FormatError(result.error()))
+        .Field("suppressed", mAttemptLog.TakeSuppressed())
+        .Write();
+    }
     if (!MayRetry(result.error(), aMethod.mIdempotent) ||
         mContext.mClock() >= aCall.mDeadline) {
       break;
@@ -434,7 +438,15 @@
   if (endpoint.has_error()) {
     co_return endpoint.error();
   }
-  const json body = json::parse(aJson);
+  const json body = json::parse(aJson, nullptr, false);
+  if (!body.is_object() ||
+      !body.value("/prompt"_json_pointer, json("")).is_string() ||
+      !body.value("/max_tokens"_json_pointer, json(0U)).is_number_unsigned()) {
+    co_return Error{ ErrorKind::InvalidArgument,
+                     "the body does not fit an engine",
+                     "the schema must declare prompt as string and max_tokens "
+                     "as uint32" };
+  }
   platform::CompletionRequest request;
   request.mModel = aUpstream.model();
   request.mPrompt = body.value("prompt", "");
--- a/src/agatetide/daemon/peer_link.cpp
+++ b/src/agatetide/daemon/peer_link.cpp
@@ -152,7 +152,11 @@
         continue;
       }
       ++mCounters.mDatagramsReceived;
-      mHooks.mOnDatagram(*datagram);
+      try {
+        mHooks.mOnDatagram(*datagram);
+      } catch (const std::exception&) {
+        ++mCounters.mDatagramsInvalid;
+      }
     }
   }
 
@@ -176,13 +180,28 @@
     }
   }
 
+  /// A body that another version of the daemon wrote may not be readable;
+  /// the exception must not end the process.
+  static Awaitable<std::optional<PeerReply>> Answer(State& aSelf,
+                                                    PeerRequest aRequest)
+  {
+    try {
+      co_return co_await aSelf.mHooks.mOnRequest(std::move(aRequest));
+    } catch (const std::exception&) {
+      ++aSelf.mCounters.mRequestsInvalid;
+    }
+    co_return std::nullopt;
+  }
+
   static Awaitable<void> ServePeer(std::shared_ptr<State> aSelf,
                                    boost::beast::tcp_stream aStream)
   {
     ++aSelf->mConnections;
     aStream.expires_after(kFrameTimeout);
     const auto frame = co_await ReadFrame(aStream);
-    if (frame) {
+    if (!frame) {
+      ++aSelf->mCounters.mRequestsInvalid; // Cut, too slow or too long.
+    } else {
       auto request =
         coordination::DecodeMessage<PeerRequest>(*frame, aSelf->mSecret);
       if (request.has_error()) {
@@ -190,11 +209,13 @@
       } else {
         ++aSelf->mCounters.mRequests;
         aStream.expires_never();
-        const PeerReply reply =
-          co_await aSelf->mHooks.mOnRequest(std::move(*request));
+        const auto reply = co_await Answer(*aSelf, std::move(*request));
         aStream.expires_after(kFrameTimeout);
-        co_await WriteFrame(aStream,
-                            coordination::EncodeMessage(reply, aSelf->mSecret));
+        const std::string bytes =
+          reply ? coordination::EncodeMessage(*reply, aSelf->mSecret) : "";
+        if (reply && co_await WriteFrame(aStream, bytes)) {
+          aSelf->mCounters.mBytesSent += bytes.size();
+        }
       }
     }
     --aSelf->mConnections;
--- a/src/agatetide/http/server.cpp
+++ b/src/agatetide/http/server.cpp
@@ -181,13 +181,34 @@
 
 namespace {
 
+/// An exception that left the coroutine would end the process.
+template<class ServerState>
+Awaitable<Response> Handle(std::shared_ptr<ServerState> aState,
+                           Request aRequest)
+{
+  const std::string id(FindHeader(aRequest.mHeaders, "x-request-id"));
+  std::string reason;
+  try {
+    co_return co_await aState->mHandler(std::move(aRequest));
+  } catch (const std::exception& error) {
+    reason = error.what();
+  }
+  ++aState->mCounters.mHandlerFailures;
+  const Error failure{ ErrorKind::Internal,
+                       "the request could not be processed: " + reason,
+                       "report the request to the operators",
+                       Execution::Unknown };
+  co_return MakeErrorResponse(failure, id);
+}
+
 template<class ServerState>
 Awaitable<void> Serve(std::shared_ptr<ServerState> aState,
                       beast::tcp_stream aStream)
 {
   const Counted connection(aState->mConnections);
   const ServerOptions& options = aState->mOptions;
-  aStream.socket().set_option(Tcp::no_delay(true));
+  ErrorCode closed;
+  aStream.socket().set_option(Tcp::no_delay(true), closed);
   beast::flat_buffer buffer;
   bool keepAlive = true;
   while (keepAlive) {
@@ -211,8 +232,11 @@
       buffer,
       parser,
       asio::redirect_error(asio::use_awaitable, error));
-    if (error == beast::error::timeout ||
-        error == beast::http::error::end_of_stream ||
+    if (error == beast::error::timeout) {
+      ++aState->mCounters.mSlowRequests;
+      co_return;
+    }
+    if (error == beast::http::error::end_of_stream ||
         error == asio::error::connection_reset) {
       co_return;
     }
@@ -225,7 +249,7 @@
     keepAlive = parser.get().keep_alive();
     aStream.expires_never();
     Response response =
-      co_await aState->mHandler(ToRequest(parser.release(), PeerName(aStream)));
+      co_await Handle(aState, ToRequest(parser.release(), PeerName(aStream)));
     keepAlive = keepAlive && !aState->mStopping;
     const bool written =
       response.mStream
--- a/src/agatetide/schema/schema_set.cpp
+++ b/src/agatetide/schema/schema_set.cpp
@@ -117,6 +117,10 @@
 Result<std::shared_ptr<const SchemaSet>> SchemaSet::Create(
   std::span<const SchemaFile> aFiles)
 {
+  // protobuf writes a line to standard error for each malformed message,
+  // which callers could repeat without limit; the errors are returned instead.
+  static const auto kPreviousHandler = pb::SetLogHandler(nullptr);
+  static_cast<void>(kPreviousHandler);
   auto state = std::make_unique<State>(aFiles);
   for (const SchemaFile& file : aFiles) {
     const pb::FileDescriptor* descriptor = state->mImporter.Import(file.mName);
--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -96,6 +96,20 @@
     return lines_of(["/usr/bin/python3", "tests/ctl_test.py"])
 
 
+def sanitizers(args):
+    """Builds only the programs that handle bad input, with sanitizers, and runs them."""
+    for command in (["cmake", "--preset", "asan"],
+                    ["cmake", "--build", "--preset", "asan", "-j", str(args.jobs), "--target", "fuzz_input"]):
+        code, output = run(command)
+        if code != 0:
+            print(output)
+            return [("sanitizers_build", False)]
+    # Freed memory is reused soon, so that the program can measure its growth,
+    # and one allocation above 64 MiB ends it.
+    options = "ASAN_OPTIONS=quarantine_size_mb=8:max_allocation_size_mb=64"
+    return lines_of(["env", options, "build/asan/tests/fuzz_input", str(args.seed)])
+
+
 GROUPS = {
     "lint": lint,
     "unit": unit,
@@ -103,6 +117,7 @@
     "integration": integration,
     "ctl": ctl,
     "faults": faults,
+    "sanitizers": sanitizers,
 }
 
 
@@ -117,6 +132,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("groups", nargs="*", choices=[*GROUPS, []])
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--jobs", type=int, default=4, help="build jobs of the sanitizers group")
     args = parser.parse_args()
 
     code, output = run(["scripts/build", "release"])
