Add metrics, log limits and checks of request ids

Cause: nothing showed refusals, queue lengths, store calls or invalid datagrams; refusals before a call starts were not logged at all; a request id could be 16 KiB long although it becomes a store key. Ruled out: labels for client accounts or methods, which callers or operators could multiply without bound. Conclusion: /metrics is in Prometheus text form with fixed label sets and the upstream groups; refusals and failed attempts are logged once a second with the count of what was left out; callers get at most half of the file descriptors.

--- a/include/agatetide/daemon/api.hpp
+++ b/include/agatetide/daemon/api.hpp
@@ -3,6 +3,7 @@
 #include "agatetide/base/awaitable.hpp"
 #include "agatetide/daemon/admin.hpp"
 #include "agatetide/daemon/call_path.hpp"
+#include "agatetide/daemon/metrics.hpp"
 #include "agatetide/daemon/rollout.hpp"
 #include "agatetide/http/message.hpp"
 
@@ -13,8 +14,10 @@
 class Api
 {
 public:
-  explicit Api(TrafficContext& aContext)
+  /// aServerState reads the state of the server that calls Handle().
+  Api(TrafficContext& aContext, std::function<ServerState()> aServerState)
     : mContext(aContext)
+    , mServerState(std::move(aServerState))
     , mCalls(aContext)
     , mRollout(aContext)
     , mAdmin(aContext)
@@ -43,7 +46,14 @@
   Result<std::string> Locate(const Call& aCall) const;
   http::Response Ready() const;
 
+  /// Counts a request that got no further than its headers, and logs it
+  /// within the limit.
+  http::Response Refuse(const http::Request& aRequest, const Error& aError);
+
   TrafficContext& mContext;
+  std::function<ServerState()> mServerState;
+  Metrics mMetrics;
+  LogLimiter mRefusalLog;
   CallPath mCalls;
   Rollout mRollout;
   Admin mAdmin;
--- a/include/agatetide/daemon/traffic_view.hpp
+++ b/include/agatetide/daemon/traffic_view.hpp
@@ -3,6 +3,7 @@
 #include "agatetide/base/clock.hpp"
 #include "agatetide/coordination/membership.hpp"
 #include "agatetide/daemon/config_snapshot.hpp"
+#include "agatetide/daemon/metrics.hpp"
 #include "agatetide/platform/engine.hpp"
 
 #include <map>
@@ -31,6 +32,7 @@
   std::set<uint64_t> mQuarantined;
   /// Holder by duty.
   std::map<std::string, std::string> mDuties;
+  ControlCounters mCounters;
 };
 
 using TrafficViewPtr = std::shared_ptr<const TrafficView>;
--- a/src/agatetide/daemon/api.cpp
+++ b/src/agatetide/daemon/api.cpp
@@ -21,6 +21,8 @@
 constexpr std::string_view kLocateMethod = "agatetide.v1.Directory/Locate";
 constexpr Milliseconds kDefaultTimeout{ 30000 };
 constexpr Milliseconds kMaxTimeout{ 3600000 };
+/// Request ids become store keys and log fields.
+constexpr size_t kMaxRequestIdBytes = 128;
 constexpr std::string_view kBootstrapAccount = "bootstrap";
 
 /// Decodes the body of a built-in call.
@@ -80,6 +82,22 @@
   return std::min(Milliseconds(value), kMaxTimeout);
 }
 
+/// Ids are store keys, so only visible ASCII characters are accepted.
+Result<std::string> CallerRequestId(const http::Request& aRequest)
+{
+  const std::string_view id =
+    http::FindHeader(aRequest.mHeaders, "x-request-id");
+  const bool printable = std::all_of(id.begin(), id.end(), [](char aChar) {
+    return aChar > ' ' && aChar < 127;
+  });
+  if (id.size() > kMaxRequestIdBytes || !printable) {
+    return Error{ ErrorKind::InvalidArgument,
+                  "the header x-request-id is too long or not printable",
+                  "send at most 128 visible ASCII characters" };
+  }
+  return std::string(id);
+}
+
 Error NotTrusted(const TrafficView& aView)
 {
   std::string others;
@@ -105,11 +123,14 @@
   if (aRequest.mTarget == "/readyz") {
     co_return Ready();
   }
-  const std::string givenId(
-    http::FindHeader(aRequest.mHeaders, "x-request-id"));
+  if (aRequest.mTarget == "/metrics") {
+    co_return http::MakeResponse(200,
+                                 "text/plain; version=0.0.4",
+                                 mMetrics.Text(mContext, mServerState()));
+  }
   auto call = MakeCall(aRequest);
   if (call.has_error()) {
-    co_return http::MakeErrorResponse(call.error(), givenId);
+    co_return Refuse(aRequest, call.error());
   }
   const Call described{
     call->mRequestId, call->mCallerId, call->mAccount, call->mMethod
@@ -119,6 +140,10 @@
   const auto result = co_await Route(std::move(*call));
   const auto took =
     std::chrono::duration<double, std::milli>(mContext.mClock() - started);
+  const Error failure = result.has_error() ? result.error() : Error();
+  mMetrics.CountRequest(MethodClass(mContext, described.mMethod),
+                        result.has_error() ? &failure : nullptr,
+                        took);
   Event("call")
     .Field("request_id", described.mRequestId)
     .Field("method", described.mMethod)
@@ -126,6 +151,7 @@
     .Field("took_ms", took.count())
     .Field("result",
            result.has_error() ? ErrorKindName(result.error().mKind) : "ok")
+    .Field("reason", result.has_error() ? result.error().mMessage : "")
     .Write();
   if (result.has_error()) {
     co_return http::MakeErrorResponse(result.error(), described.mRequestId);
@@ -136,6 +162,23 @@
   co_return response;
 }
 
+http::Response Api::Refuse(const http::Request& aRequest, const Error& aError)
+{
+  const std::string_view givenId =
+    http::FindHeader(aRequest.mHeaders, "x-request-id");
+  mMetrics.CountRequest("refused", &aError, std::chrono::milliseconds(0));
+  if (mRefusalLog.Allow(mContext.mClock())) {
+    Event("refused", LogLevel::Warning)
+      .Field("request_id", givenId.substr(0, kMaxRequestIdBytes))
+      .Field("method", std::string_view(aRequest.mTarget).substr(0, 200))
+      .Field("peer", aRequest.mPeer)
+      .Field("error", FormatError(aError))
+      .Field("suppressed", mRefusalLog.TakeSuppressed())
+      .Write();
+  }
+  return http::MakeErrorResponse(aError, givenId);
+}
+
 http::Response Api::Ready() const
 {
   const TrafficView& view = *mContext.mView;
@@ -164,7 +207,11 @@
     return account.error();
   }
   call.mAccount = std::move(*account);
-  call.mRequestId = http::FindHeader(aRequest.mHeaders, "x-request-id");
+  auto requestId = CallerRequestId(aRequest);
+  if (requestId.has_error()) {
+    return requestId.error();
+  }
+  call.mRequestId = std::move(*requestId);
   call.mCallerId = !call.mRequestId.empty();
   if (!call.mCallerId) {
     call.mRequestId = SecureHex(8);
--- a/src/agatetide/daemon/control.cpp
+++ b/src/agatetide/daemon/control.cpp
@@ -50,6 +50,18 @@
   return self;
 }
 
+Awaitable<Result<StoreReply>> CallCounted(StoreCall aStore,
+                                          StoreRequest aRequest,
+                                          ControlCounters& aCounters)
+{
+  ++aCounters.mStoreCalls;
+  auto reply = co_await aStore(std::move(aRequest));
+  if (reply.has_error()) {
+    ++aCounters.mStoreErrors;
+  }
+  co_return reply;
+}
+
 std::vector<http::Endpoint> StoreEndpoints(const Settings& aSettings)
 {
   return aSettings.mStore;
@@ -69,8 +81,13 @@
     , mWallClock(SystemClock())
     , mRandom(ProcessRandom())
     , mClient(http::Client::Create(mExecutor))
-    , mStore(platform::MakeEtcdStore(*mClient, { StoreEndpoints(aSettings) }))
   {
+    mStore = [this,
+              store = platform::MakeEtcdStore(*mClient,
+                                              { StoreEndpoints(mSettings) })](
+               StoreRequest aRequest) {
+      return CallCounted(store, std::move(aRequest), mCounters);
+    };
   }
 
   Result<bool> Open()
@@ -370,6 +387,11 @@
     for (const SharedFact& fact : mMembership->Facts(kLeaseTopic)) {
       view->mDuties[fact.mKey] = fact.mValue;
     }
+    const PeerLinkCounters& link = mLink->Counters();
+    view->mCounters = { mCounters.mStoreCalls,  mCounters.mStoreErrors,
+                        link.mDatagramsSent,    link.mDatagramsReceived,
+                        link.mDatagramsInvalid, link.mBytesSent,
+                        link.mRequests,         link.mRequestsInvalid };
     mHooks.mPublish(std::move(view));
   }
 
@@ -452,6 +474,7 @@
   WallClock mWallClock;
   Random mRandom;
   std::unique_ptr<http::Client> mClient;
+  ControlCounters mCounters;
   StoreCall mStore;
   ConfigLog mLog;
   std::shared_ptr<const ConfigSnapshot> mSnapshot =
--- a/src/agatetide/daemon/daemon.cpp
+++ b/src/agatetide/daemon/daemon.cpp
@@ -11,6 +11,9 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <cstdlib>
@@ -27,6 +30,20 @@
 /// Calls of the traffic thread that may wait for the control thread at once.
 constexpr size_t kMaxControlCalls = 4096;
 
+/// Connections that callers may hold. They get half of the descriptors, so
+/// that a flood of callers leaves some for the store, peers and upstreams.
+size_t MaxCallerConnections()
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+    return 512;
+  }
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+  getrlimit(RLIMIT_NOFILE, &limit);
+  return static_cast<size_t>(limit.rlim_cur / 2);
+}
+
 Error ControlBusy()
 {
   return { ErrorKind::ResourceExhausted,
@@ -159,10 +176,16 @@
       MakeSnapshot(std::make_shared<coordination::ConfigState>(), nullptr);
     view->mSelf = mControl->Self();
     mTraffic.mView = std::move(view);
-    mApi.emplace(mTraffic);
+    mApi.emplace(mTraffic, [this] {
+      return ServerState{ mServer->Running(),
+                          mServer->Connections(),
+                          mServer->Counters() };
+    });
     http::ServerOptions options;
     options.mAddress = mSettings.mCallerListen.mAddress;
     options.mPort = mSettings.mCallerListen.mPort;
+    options.mMaxConnections =
+      std::min(options.mMaxConnections, MaxCallerConnections());
     auto server = http::Server::Create(
       mTrafficContext.get_executor(), options, [this](http::Request aRequest) {
         return mApi->Handle(std::move(aRequest));
--- a/src/agatetide/daemon/traffic.cpp
+++ b/src/agatetide/daemon/traffic.cpp
@@ -115,7 +115,7 @@
                   "retry later, or check the upstream's replicas" };
   }
   const policy::ReplicaCandidate& replica = candidates[*chosen];
-  Event("route", LogLevel::Debug)
+  Event("route")
     .Field("request_id", aRequestId)
     .Field("upstream", aUpstream.name())
     .Field("replica", replica.mAddress)
