--- a/include/agatetide/daemon/call_path.hpp
+++ b/include/agatetide/daemon/call_path.hpp
@@ -140,6 +140,7 @@
 
   TrafficContext& mContext;
   size_t mRunning = 0;
+  LogLimiter mAttemptLog;
   std::map<std::string, OutcomePtr> mOutcomes;
   std::deque<std::string> mFinishedOrder;
   size_t mCopies = 0;
--- a/src/agatetide/daemon/control.cpp
+++ b/src/agatetide/daemon/control.cpp
@@ -62,21 +62,17 @@
   return self;
 }
 
-/// Calls to the platform store; each counts against its rate.
-struct StoreCounters
+Awaitable<Result<StoreReply>> CallCounted(StoreCall aStore,
+                                          StoreRequest aRequest,
+                                          ControlCounters& aCounters)
 {
-  uint64_t mReads = 0;
-  uint64_t mWrites = 0;
-};
-
-StoreCall CountCalls(StoreCall aStore, std::shared_ptr<StoreCounters> aCounters)
-{
-  return [store = std::move(aStore),
-          counters = std::move(aCounters)](StoreRequest aRequest) {
-    const bool read = std::holds_alternative<RangeRequest>(aRequest);
-    ++(read ? counters->mReads : counters->mWrites);
-    return store(std::move(aRequest));
-  };
+  const bool read = std::holds_alternative<RangeRequest>(aRequest);
+  ++(read ? aCounters.mStoreReads : aCounters.mStoreWrites);
+  auto reply = co_await aStore(std::move(aRequest));
+  if (reply.has_error()) {
+    ++aCounters.mStoreErrors;
+  }
+  co_return reply;
 }
 
 } // namespace
@@ -93,10 +89,12 @@
     , mWallClock(SystemClock())
     , mRandom(ProcessRandom())
     , mClient(http::Client::Create(mExecutor))
-    , mStoreCounters(std::make_shared<StoreCounters>())
-    , mStore(CountCalls(platform::MakeEtcdStore(*mClient, { aSettings.mStore }),
-                        mStoreCounters))
   {
+    mStore = [this,
+              store = platform::MakeEtcdStore(*mClient, { mSettings.mStore })](
+               StoreRequest aRequest) {
+      return CallCounted(store, std::move(aRequest), mCounters);
+    };
   }
 
   Result<bool> Open()
@@ -344,8 +342,8 @@
         .Field("datagrams_received", link.mDatagramsReceived)
         .Field("datagrams_invalid", link.mDatagramsInvalid)
         .Field("peer_requests", link.mRequests)
-        .Field("store_reads", mStoreCounters->mReads)
-        .Field("store_writes", mStoreCounters->mWrites)
+        .Field("store_reads", mCounters.mStoreReads)
+        .Field("store_writes", mCounters.mStoreWrites)
         .Write();
     }
   }
@@ -475,6 +473,12 @@
       }
     }
     mQuarantines = view->mQuarantined.size();
+    const PeerLinkCounters& link = mLink->Counters();
+    view->mCounters = { mCounters.mStoreReads,   mCounters.mStoreWrites,
+                        mCounters.mStoreErrors,  link.mDatagramsSent,
+                        link.mDatagramsReceived, link.mDatagramsInvalid,
+                        link.mBytesSent,         link.mRequests,
+                        link.mRequestsInvalid };
     mLastView = view;
     mHooks.mPublish(std::move(view));
   }
@@ -574,7 +578,7 @@
   WallClock mWallClock;
   Random mRandom;
   std::unique_ptr<http::Client> mClient;
-  std::shared_ptr<StoreCounters> mStoreCounters;
+  ControlCounters mCounters;
   StoreCall mStore;
   ConfigLog mLog;
   std::shared_ptr<const ConfigSnapshot> mSnapshot =
--- a/src/agatetide/http/server.cpp
+++ b/src/agatetide/http/server.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
 #include <optional>
 
 namespace agatetide::http {
@@ -41,6 +42,8 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds kRefusalLinger{ 1000 };
+
 /// Counts something for as long as it lives.
 class Counted
 {
@@ -182,13 +185,48 @@
 
 namespace {
 
+/// Closing a connection with unread input resets it, and the caller may lose
+/// the refusal. Reads and drops the rest for a limited time first.
+Awaitable<void> CloseAfterRefusal(beast::tcp_stream& aStream)
+{
+  ErrorCode error;
+  aStream.socket().shutdown(Tcp::socket::shutdown_send, error);
+  std::array<char, 16384> dropped{};
+  aStream.expires_after(kRefusalLinger);
+  while (!error) {
+    co_await aStream.async_read_some(
+      asio::buffer(dropped), asio::redirect_error(asio::use_awaitable, error));
+  }
+}
+
+/// An exception that left the coroutine would end the process.
+template<class ServerState>
+Awaitable<Response> Handle(std::shared_ptr<ServerState> aState,
+                           Request aRequest)
+{
+  const std::string id(FindHeader(aRequest.mHeaders, "x-request-id"));
+  std::string reason;
+  try {
+    co_return co_await aState->mHandler(std::move(aRequest));
+  } catch (const std::exception& error) {
+    reason = error.what();
+  }
+  ++aState->mCounters.mHandlerFailures;
+  const Error failure{ ErrorKind::Internal,
+                       "the request could not be processed: " + reason,
+                       "report the request to the operators",
+                       Execution::Unknown };
+  co_return MakeErrorResponse(failure, id);
+}
+
 template<class ServerState>
 Awaitable<void> Serve(std::shared_ptr<ServerState> aState,
                       beast::tcp_stream aStream)
 {
   const Counted connection(aState->mConnections);
   const ServerOptions& options = aState->mOptions;
-  aStream.socket().set_option(Tcp::no_delay(true));
+  ErrorCode closed;
+  aStream.socket().set_option(Tcp::no_delay(true), closed);
   beast::flat_buffer buffer;
   bool keepAlive = true;
   while (keepAlive) {
@@ -212,8 +250,11 @@
       buffer,
       parser,
       asio::redirect_error(asio::use_awaitable, error));
-    if (error == beast::error::timeout ||
-        error == beast::http::error::end_of_stream ||
+    if (error == beast::error::timeout) {
+      ++aState->mCounters.mSlowRequests;
+      co_return;
+    }
+    if (error == beast::http::error::end_of_stream ||
         error == asio::error::connection_reset) {
       co_return;
     }
@@ -221,12 +262,13 @@
       ++aState->mCounters.mMalformedRequests;
       Response refusal = MakeErrorResponse(ReadError(error), "");
       co_await WriteWhole(aStream, refusal, false, options.mTransferTimeout);
+      co_await CloseAfterRefusal(aStream);
       co_return;
     }
     keepAlive = parser.get().keep_alive();
     aStream.expires_never();
     Response response =
-      co_await aState->mHandler(ToRequest(parser.release(), PeerName(aStream)));
+      co_await Handle(aState, ToRequest(parser.release(), PeerName(aStream)));
     keepAlive = keepAlive && !aState->mStopping && !aState->mClosing;
     const bool written =
       response.mStream
