Give engines the fixed concurrency limit

Cause: the adaptive limit starts at 4 requests per replica and grows with observed answers, but answers of engines are not observed, so that engines stayed at 4.

--- a/src/agatetide/daemon/traffic.cpp
+++ b/src/agatetide/daemon/traffic.cpp
@@ -163,6 +163,20 @@
            : found->second.weight();
 }
 
+namespace {
+
+/// Engines batch and queue by priority themselves and no latency is observed
+/// for their limit. At the adaptive start value of 4 a step took three times
+/// as long as at 16.
+size_t EngineLimit(size_t aReplicas)
+{
+  const auto perReplica =
+    static_cast<size_t>(policy::ConcurrencyLimitOptions{}.mFixed);
+  return std::max<size_t>(1, aReplicas * perReplica);
+}
+
+} // namespace
+
 std::shared_ptr<Gate> GateOf(TrafficContext& aContext,
                              const v1::Upstream& aUpstream)
 {
@@ -179,7 +193,10 @@
                                                aReplica.address());
                                     });
   const UpstreamState& state = StateOf(aContext, aUpstream.name());
-  gate->SetLimit(state.mLimit.Limit(static_cast<size_t>(usable)));
+  const auto replicas = static_cast<size_t>(usable);
+  gate->SetLimit(aUpstream.kind() == v1::Upstream::KIND_ENGINE
+                   ? EngineLimit(replicas)
+                   : state.mLimit.Limit(replicas));
   gate->SetServiceTime(state.mMeanLatency);
   return gate;
 }
--- a/tests/measure_scale.py
+++ b/tests/measure_scale.py
@@ -20,7 +20,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
 from harness import client  # noqa: E402
-from harness.deployment import NET, STORE, Deployment, ready  # noqa: E402
+from harness.deployment import NET, PLATFORM, STORE, Deployment, ready  # noqa: E402
 
 ZONES = [{"availability_zone": f"zone-{i}", "region": f"region-{i % 3}"} for i in range(8)]
 BASE = {"daemons": 9, "replicas": 18, "accounts": 8, "changes_per_minute": 0}
@@ -60,7 +60,8 @@
             zone = ZONES[index % len(ZONES)]
             host = f"127.{NET}.{index % len(ZONES) + 1}.{index // len(ZONES) + 1}"
             plan.append({"name": f"daemon-{index}", "callers": f"{host}:7000",
-                         "daemons": f"{host}:7100", **zone})
+                         "daemons": f"{host}:7100", "advertised": f"{host}:7100",
+                         "ip": host, "store": STORE, "platform": PLATFORM, **zone})
         return plan
 
     def _plan_replicas(self):
