--- a/src/agatetide/daemon/rollout.cpp
+++ b/src/agatetide/daemon/rollout.cpp
@@ -421,9 +421,8 @@
   Wake(*aStep);
 }
 
-/// Whether an interrupted sample goes on without a pause and in the slot that
-/// it has: it moves by decision, or it has gained
-/// tokens, so that the tries cannot go on for ever.
+/// Whether an interrupted sample goes on at once and keeps its slot: it moves
+/// by decision, or it has gained tokens, so that the tries are bounded.
 bool Rollout::MovesAtOnce(const Work& aWork, uint32_t aBefore) const
 {
   return aWork.mMove || aWork.mPartial.mTokens > aBefore;
