--- a/include/agatetide/base/clock.hpp
+++ b/include/agatetide/base/clock.hpp
@@ -19,6 +19,11 @@
 /// @brief The runtime's monotonic clock. Thread-safe.
 Clock SteadyClock();
 
+/// @brief A monotonic clock that also counts the time during which the host
+/// was suspended. For ages of facts that other hosts may change meanwhile.
+/// Thread-safe.
+Clock BootClock();
+
 /// @brief The system's wall clock. Thread-safe.
 WallClock SystemClock();
 
--- a/include/agatetide/coordination/store.hpp
+++ b/include/agatetide/coordination/store.hpp
@@ -3,6 +3,7 @@
 #include "agatetide/base/awaitable.hpp"
 #include "agatetide/base/error.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -101,6 +102,34 @@
 /// answer is OutcomeUnknown must be read back before it is repeated.
 using StoreCall = std::function<Awaitable<Result<StoreReply>>(StoreRequest)>;
 
+/// @brief Waits for changes of keys with a prefix after a revision.
+struct WatchRequest
+{
+  std::string mPrefix;
+  int64_t mAfterRevision = 0;
+  std::chrono::milliseconds mWait{ 0 };
+};
+
+/// @brief One change; mValue is empty when the key was removed.
+struct StoreChange
+{
+  StoreEntry mEntry;
+  bool mRemoved = false;
+};
+
+struct WatchReply
+{
+  std::vector<StoreChange> mChanges;
+  /// Continue from here.
+  int64_t mRevision = 0;
+  /// The history before the revision is gone; read the keys again.
+  bool mCompacted = false;
+};
+
+/// @brief Waits for changes. An empty reply means that the wait has passed.
+/// Errors: as StoreCall.
+using WatchCall = std::function<Awaitable<Result<WatchReply>>(WatchRequest)>;
+
 /// @brief The end of the range that covers every key with this prefix.
 std::string PrefixEnd(std::string_view aPrefix);
 
--- /dev/null
+++ b/include/agatetide/duty/leadership.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "agatetide/coordination/lease.hpp"
+#include "agatetide/fleet/fleet_view.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+namespace agatetide::duty {
+
+struct LeadershipOptions
+{
+  std::string mKey = "agatetide/leader";
+  int64_t mTtlSeconds = 4;
+  Milliseconds mRenewInterval{ 1200 };
+  /// Daemons that do not lead look this often whether the lease is free;
+  /// sooner when the leader's host has gone.
+  Milliseconds mTryInterval{ 5000 };
+  /// Time between acquiring the lease and the first act, so that calls of the
+  /// holder before have arrived.
+  Milliseconds mSettleTime{ 1200 };
+};
+
+/// @brief The lease of the daemon that carries out the singleton duties.
+/// Not thread-safe: owned by the executor of the daemon.
+class Leadership
+{
+public:
+  /// @brief Errors: those of coordination::Lease::Create().
+  static Result<Leadership> Create(LeadershipOptions aOptions,
+                                   coordination::StoreCall aStore,
+                                   Clock aClock,
+                                   std::string aHost,
+                                   const fleet::FleetView& aView);
+
+  /// @brief Renews the lease, or takes it when it is free. Call it several
+  /// times a second.
+  Awaitable<void> Maintain();
+
+  /// @brief Gives the lease up and takes it no more.
+  Awaitable<void> Resign();
+
+  /// @brief Whether this daemon may act now. Check it immediately before
+  /// each act.
+  bool MayAct() const;
+
+  /// @brief Grows with each holder. Precondition: MayAct().
+  int64_t FencingNumber() const { return mLease.FencingNumber(); }
+
+private:
+  Leadership(LeadershipOptions aOptions,
+             coordination::Lease aLease,
+             Clock aClock,
+             std::string aHost,
+             const fleet::FleetView& aView);
+
+  LeadershipOptions mOptions;
+  coordination::Lease mLease;
+  Clock mClock;
+  std::string mHost;
+  const fleet::FleetView* mView;
+  TimePoint mLastTry{};
+  bool mResigned = false;
+};
+
+} // namespace agatetide::duty
--- /dev/null
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "agatetide/base/steady_wall_clock.hpp"
+#include "agatetide/duty/leadership.hpp"
+#include "agatetide/duty/usage_ledger.hpp"
+#include "agatetide/duty/version_mover.hpp"
+#include "agatetide/entry/host_registry.hpp"
+#include "agatetide/request/forwarder.hpp"
+#include "agatetide/steps/step_service.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace agatetide::entry {
+
+/// @brief The newest version of a model, as its trainer named it.
+struct NamedVersion
+{
+  std::string mModel;
+  int64_t mVersion = 0;
+};
+
+/// @brief One value that the operator or a trainer wrote; at most one field
+/// is set.
+struct OperatorEntry
+{
+  std::shared_ptr<const fleet::ServiceConfig> mConfig;
+  std::optional<NamedVersion> mVersion;
+  /// A host with a disk that is to be emptied.
+  std::optional<std::string> mHostToEmpty;
+};
+
+/// @brief Connects the daemon to a platform.
+struct PlatformHooks
+{
+  coordination::StoreCall mStore;
+  coordination::WatchCall mWatch;
+  request::UpstreamCall mCall;
+  request::UpstreamStream mStream;
+  duty::SendOrder mSendOrder;
+  duty::ReadStatus mReadStatus;
+  duty::ReportUsage mReportUsage;
+  /// Keys of the operator and of replicas in the store.
+  std::string mOperatorPrefix;
+  std::string mReplicaPrefix;
+  /// Errors: InvalidArgument when the value cannot be read.
+  std::function<Result<OperatorEntry>(const coordination::StoreEntry&)>
+    mDecodeOperator;
+  std::function<Result<fleet::Replica>(const coordination::StoreEntry&)>
+    mDecodeReplica;
+  /// What to write when a host with a disk is empty.
+  std::function<coordination::StorePut(std::string_view aHost)> mHostEmptied;
+};
+
+struct EntryOptions
+{
+  fleet::EntryHost mSelf;
+  /// Region by availability zone.
+  std::map<std::string, std::string, std::less<>> mRegions;
+  /// A withdrawn key stops working within this time.
+  Milliseconds mRevocationTime{ 5000 };
+  duty::UsageOptions mUsage;
+};
+
+/// @brief The parts of a daemon on an entry host, wired together. All run on
+/// one executor. Not thread-safe.
+class EntryDaemon
+{
+public:
+  /// @brief Errors: those of Leadership::Create().
+  static Result<std::unique_ptr<EntryDaemon>> Create(
+    boost::asio::any_io_executor aExecutor,
+    EntryOptions aOptions,
+    PlatformHooks aHooks);
+
+  /// @brief Starts all loops. Call once.
+  void Start();
+
+  /// @brief Gives duties up and takes this host out of the registry.
+  Awaitable<void> Leave();
+
+  /// @brief Stores what was counted, as the last act of the process.
+  Awaitable<void> StoreUsage();
+
+  /// @brief Whether callers may be sent here.
+  bool Ready() const { return !mDraining && mView.Config() != nullptr; }
+
+  const fleet::FleetView& View() const { return mView; }
+  request::Forwarder& Forward() { return mForwarder; }
+  steps::StepService& Steps() { return mSteps; }
+  steps::StepRunner& Runner() { return mRunner; }
+
+  /// @brief Counts a request of a client account that began at a time of
+  /// this daemon's clock.
+  void CountUsage(const std::string& aAccount, TimePoint aBegan);
+
+  TimePoint Now() const { return mClock(); }
+
+  /// @brief Called with each configuration that is taken. May be empty.
+  std::function<void(const fleet::ServiceConfig&)> mOnConfig;
+
+private:
+  EntryDaemon(boost::asio::any_io_executor aExecutor,
+              EntryOptions aOptions,
+              PlatformHooks aHooks);
+
+  Awaitable<void> FollowOperator();
+  Awaitable<void> FollowReplicas();
+  Awaitable<void> Lead();
+  Awaitable<void> CountLoop();
+  Awaitable<void> RecoverLoop();
+  void TakeOperatorEntry(const coordination::StoreEntry& aEntry);
+  void TakeReplica(const coordination::StoreEntry& aEntry);
+  void ResetReplicas(const std::vector<coordination::StoreEntry>& aEntries);
+  void ChangeReplica(const coordination::StoreChange& aChange);
+  void RemoveLapsedReplicas();
+  Awaitable<void> AnswerEmptiedHosts();
+  bool TakesOver(const steps::StepRecord& aRecord) const;
+
+  boost::asio::any_io_executor mExecutor;
+  EntryOptions mOptions;
+  PlatformHooks mHooks;
+  /// For timers and deadlines.
+  Clock mClock;
+  /// For the age of what other hosts may change while this one is suspended.
+  Clock mBootClock;
+  SteadyWallClock mWallClock;
+  std::string mOwner;
+  fleet::FleetView mView;
+  request::ReplicaPool mPool;
+  request::Forwarder mForwarder;
+  steps::StepStore mStepStore;
+  steps::StepContext mStepContext;
+  steps::StepRunner mRunner;
+  steps::StepService mSteps;
+  HostRegistry mRegistry;
+  duty::UsageLedger mUsage;
+  std::optional<duty::Leadership> mLeadership;
+  std::optional<duty::VersionMover> mMover;
+  bool mDraining = false;
+  bool mHostsChanged = true;
+  TimePoint mStoreFailed{};
+  /// Replicas whose registration went while the store was away.
+  std::map<std::string, TimePoint, std::less<>> mLapsedReplicas;
+  std::set<std::string> mHostsToEmpty;
+  std::set<std::string> mHostsEmptied;
+};
+
+} // namespace agatetide::entry
--- /dev/null
+++ b/include/agatetide/entry/host_registry.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "agatetide/entry/prefix_watcher.hpp"
+#include "agatetide/fleet/fleet_view.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace agatetide::entry {
+
+struct HostRegistryOptions
+{
+  int64_t mTtlSeconds = 4;
+  Milliseconds mRenewInterval{ 1200 };
+  /// When many hosts vanish at once, their leases have probably lapsed with
+  /// the store; they stay known for this long.
+  Milliseconds mLapseTime{ 3000 };
+};
+
+/// @brief Registers this host in the store under a lease and follows the
+/// other hosts. Not thread-safe: owned by the executor of the daemon.
+class HostRegistry
+{
+public:
+  HostRegistry(HostRegistryOptions aOptions,
+               fleet::EntryHost aSelf,
+               fleet::FleetView& aView,
+               coordination::StoreCall aStore,
+               coordination::WatchCall aWatch,
+               Clock aClock);
+
+  /// @brief Keeps the registration until Leave() is called.
+  Awaitable<void> Register();
+
+  /// @brief Follows the registrations of all hosts.
+  Awaitable<void> Follow();
+
+  /// @brief Takes this host out of the registry.
+  Awaitable<void> Leave();
+
+  /// @brief Called when the set of hosts has changed.
+  std::function<void()> mOnChange;
+
+private:
+  Awaitable<bool> Renew();
+  void Reset(const std::vector<coordination::StoreEntry>& aEntries);
+  void Change(const coordination::StoreChange& aChange);
+  void Publish();
+
+  HostRegistryOptions mOptions;
+  fleet::EntryHost mSelf;
+  fleet::FleetView& mView;
+  coordination::StoreCall mStore;
+  coordination::WatchCall mWatch;
+  Clock mClock;
+  int64_t mLease = 0;
+  bool mLeaving = false;
+  std::map<std::string, fleet::EntryHost, std::less<>> mRegistered;
+  /// Hosts whose registration is gone, with the time until which they stay.
+  std::map<std::string, std::pair<fleet::EntryHost, TimePoint>> mLapsed;
+};
+
+} // namespace agatetide::entry
--- /dev/null
+++ b/include/agatetide/entry/prefix_watcher.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "agatetide/base/awaitable.hpp"
+#include "agatetide/base/clock.hpp"
+#include "agatetide/coordination/store.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace agatetide::entry {
+
+struct PrefixWatchOptions
+{
+  std::string mPrefix;
+  /// Longest wait of one watch.
+  Milliseconds mWait{ 1500 };
+  Milliseconds mRetryPause{ 200 };
+};
+
+struct PrefixWatchHooks
+{
+  /// All entries, after a start or lost history.
+  std::function<void(const std::vector<coordination::StoreEntry>&)> mReset;
+  std::function<void(const coordination::StoreChange&)> mChange;
+  /// All changes before this time are known. May be empty.
+  std::function<void(TimePoint)> mConfirmed;
+  /// The store did not answer. May be empty.
+  std::function<void(const Error&)> mFailed;
+};
+
+/// @brief Follows the keys of the store with a prefix, until the executor
+/// stops. The confirmation counts from before a watch was sent; a watch that
+/// was cut before its time confirms nothing, since the store may cut it after
+/// changes that it did not send.
+Awaitable<void> WatchPrefix(PrefixWatchOptions aOptions,
+                            PrefixWatchHooks aHooks,
+                            coordination::StoreCall aStore,
+                            coordination::WatchCall aWatch,
+                            Clock aClock);
+
+} // namespace agatetide::entry
--- /dev/null
+++ b/include/agatetide/fleet/fleet_view.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "agatetide/base/clock.hpp"
+#include "agatetide/fleet/replica.hpp"
+#include "agatetide/fleet/service_config.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace agatetide::fleet {
+
+/// @brief A daemon that callers may use.
+struct EntryHost
+{
+  std::string mName;
+  /// Address for callers.
+  std::string mAddress;
+  std::string mAvailabilityZone;
+  std::string mRegion;
+  /// Tells one start of the process from another.
+  std::string mIncarnation;
+};
+
+/// @brief What this daemon knows of the deployment. Written by the watchers,
+/// read by requests, steps and duties. Not thread-safe: owned by the
+/// executor of the daemon.
+class FleetView
+{
+public:
+  FleetView(Clock aClock, std::string aAvailabilityZone, std::string aRegion);
+
+  /// @brief The newest configuration; null until one is known.
+  const std::shared_ptr<const ServiceConfig>& Config() const { return mConfig; }
+
+  /// @brief Takes a configuration unless a newer one is known already.
+  /// Returns whether it was taken.
+  bool Accept(std::shared_ptr<const ServiceConfig> aConfig);
+
+  /// @brief Records that the copy was the newest at aProof.
+  void Confirm(TimePoint aProof);
+
+  /// @brief Whether the copy was confirmed recently enough for requests with
+  /// keys.
+  bool Trusted() const;
+
+  /// @brief Age of the last confirmation.
+  Duration ProofAge() const { return mClock() - mProof; }
+
+  const std::map<std::string, Replica, std::less<>>& Replicas() const
+  {
+    return mReplicas;
+  }
+  void Put(Replica aReplica);
+  void Remove(std::string_view aId);
+  /// @brief Replaces all replicas.
+  void Reset(std::map<std::string, Replica, std::less<>> aReplicas);
+  const Replica* Find(std::string_view aId) const;
+
+  /// @brief Newest version of each model that was named by its trainer.
+  const std::map<std::string, int64_t, std::less<>>& NamedVersions() const
+  {
+    return mNamedVersions;
+  }
+  void NameVersion(const std::string& aModel, int64_t aVersion);
+
+  const std::map<std::string, EntryHost, std::less<>>& Hosts() const
+  {
+    return mHosts;
+  }
+  void SetHosts(std::map<std::string, EntryHost, std::less<>> aHosts);
+
+  /// @brief The region of an availability zone; empty when it is not known.
+  std::string RegionOf(std::string_view aAvailabilityZone) const;
+  void SetRegions(std::map<std::string, std::string, std::less<>> aRegions)
+  {
+    mRegions = std::move(aRegions);
+  }
+
+  const std::string& AvailabilityZone() const { return mAvailabilityZone; }
+  const std::string& Region() const { return mRegion; }
+
+  /// @brief Longest age of a confirmation that Trusted() accepts.
+  void SetTrustTime(Duration aTime) { mTrustTime = aTime; }
+
+  /// @brief Called after each change of configuration or replicas.
+  std::function<void()> mOnChange;
+
+private:
+  void Changed() const;
+
+  Clock mClock;
+  std::string mAvailabilityZone;
+  std::string mRegion;
+  std::shared_ptr<const ServiceConfig> mConfig;
+  TimePoint mProof{};
+  Duration mTrustTime = std::chrono::milliseconds(4000);
+  std::map<std::string, Replica, std::less<>> mReplicas;
+  std::map<std::string, int64_t, std::less<>> mNamedVersions;
+  std::map<std::string, EntryHost, std::less<>> mHosts;
+  std::map<std::string, std::string, std::less<>> mRegions;
+};
+
+} // namespace agatetide::fleet
--- a/include/agatetide/http/client.hpp
+++ b/include/agatetide/http/client.hpp
@@ -28,9 +28,11 @@
 class Abort
 {
 public:
-  /// @brief Closes the connection of the call, if it runs. The call fails.
-  void operator()() const
+  /// @brief Closes the connection of the call, or ends the call as soon as
+  /// it is connected. The call fails.
+  void operator()()
   {
+    mRequested = true;
     if (mClose) {
       mClose();
     }
@@ -39,6 +41,7 @@
 private:
   friend class Client;
   std::function<void()> mClose;
+  bool mRequested = false;
 };
 
 struct CallOptions
@@ -50,6 +53,12 @@
   /// Longest time without any byte of the answer, within the deadline; 0
   /// means the deadline alone.
   std::chrono::milliseconds mIdleTimeout{ 0 };
+  /// Takes an answer without length or chunks as whole when the connection
+  /// ends without a reset.
+  bool mAllowEndByClose = false;
+  /// Called with the status and the header before the body; false cancels
+  /// the call.
+  std::function<bool(const Response&)> mOnHeader;
   /// Lets the caller end the call; may be null.
   std::shared_ptr<Abort> mAbort;
 };
--- a/include/agatetide/http/message.hpp
+++ b/include/agatetide/http/message.hpp
@@ -4,6 +4,7 @@
 #include "agatetide/base/error.hpp"
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,6 +17,26 @@
   std::string mValue;
 };
 
+/// @brief Tells a handler that its caller has closed the connection.
+/// Not thread-safe; owned by the server's executor.
+class CallerWatch
+{
+public:
+  /// @brief Whether the caller has gone.
+  bool Gone() const { return mGone; }
+
+  /// @brief Sets what to do when the caller goes; called at most once, and
+  /// at once if the caller has gone already. An empty function clears it.
+  void OnGone(std::function<void()> aNotify);
+
+  /// @brief Called by the server.
+  void MarkGone();
+
+private:
+  bool mGone = false;
+  std::function<void()> mNotify;
+};
+
 /// @brief A request with its whole body.
 struct Request
 {
@@ -25,6 +46,8 @@
   std::string mBody;
   /// Address of the sender; filled in by the server.
   std::string mPeer;
+  /// Filled in by the server; null in requests that are sent.
+  std::shared_ptr<CallerWatch> mCaller;
 };
 
 /// @brief Writes one chunk of a streamed answer.
--- a/include/agatetide/http/server.hpp
+++ b/include/agatetide/http/server.hpp
@@ -24,6 +24,14 @@
   std::chrono::milliseconds mIdleTimeout{ 120000 };
 };
 
+/// @brief The part of the options that may change while the server runs.
+struct ServerLimits
+{
+  size_t mMaxHeaderBytes = size_t{ 16 } << 10U;
+  size_t mMaxBodyBytes = size_t{ 8 } << 20U;
+  std::chrono::milliseconds mIdleTimeout{ 120000 };
+};
+
 struct ServerCounters
 {
   uint64_t mAccepted = 0;
@@ -56,6 +64,9 @@
   /// @brief The bound port.
   uint16_t Port() const;
 
+  /// @brief Changes what callers may send from their next request on.
+  void SetLimits(const ServerLimits& aLimits);
+
   /// @brief Answers carry "connection: close" from now on, so that callers
   /// move to other hosts between requests.
   void CloseAfterAnswers();
--- /dev/null
+++ b/include/agatetide/policy/weight_homes.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace agatetide::policy {
+
+enum class HomePolicy
+{
+  /// Every replica follows every model.
+  AllModels,
+  /// Each replica follows one model, so that a version is loaded once by as
+  /// many replicas as its share of the service.
+  OneModel,
+};
+
+/// @brief A replica as the assignment sees it.
+struct HomeReplica
+{
+  std::string mId;
+  std::string mAvailabilityZone;
+  /// Weight version by model.
+  std::map<std::string, int64_t, std::less<>> mVersions;
+};
+
+/// @brief Which models each replica follows. Keeps assignments as replicas
+/// come and go; new replicas go to the model with the fewest in their zone.
+/// Not thread-safe.
+class WeightHomes
+{
+public:
+  explicit WeightHomes(HomePolicy aPolicy = HomePolicy::OneModel)
+    : mPolicy(aPolicy)
+  {
+  }
+
+  /// @brief Brings the assignment up to date. aNamed holds the newest version
+  /// of each model; a replica without an assignment that is ahead in one
+  /// model is taken to follow it.
+  void Update(std::span<const HomeReplica> aReplicas,
+              const std::map<std::string, int64_t, std::less<>>& aNamed);
+
+  /// @brief Whether the replica follows the model.
+  bool Follows(const std::string& aReplicaId, const std::string& aModel) const;
+
+private:
+  std::string Choose(
+    const HomeReplica& aReplica,
+    std::span<const HomeReplica> aReplicas,
+    const std::map<std::string, int64_t, std::less<>>& aNamed) const;
+
+  HomePolicy mPolicy;
+  /// Model by replica id.
+  std::map<std::string, std::string, std::less<>> mHomes;
+};
+
+} // namespace agatetide::policy
--- a/src/agatetide/base/clock.cpp
+++ b/src/agatetide/base/clock.cpp
@@ -1,5 +1,7 @@
 #include "agatetide/base/clock.hpp"
 
+#include <ctime>
+
 namespace agatetide {
 
 Clock SteadyClock()
@@ -7,6 +9,16 @@
   return [] { return std::chrono::steady_clock::now(); };
 }
 
+Clock BootClock()
+{
+  return [] {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return TimePoint(std::chrono::seconds(now.tv_sec) +
+                     std::chrono::nanoseconds(now.tv_nsec));
+  };
+}
+
 WallClock SystemClock()
 {
   return [] {
--- /dev/null
+++ b/src/agatetide/base/steady_wall_clock.cpp
@@ -0,0 +1,44 @@
+#include "agatetide/base/steady_wall_clock.hpp"
+
+#include <cstdlib>
+
+namespace agatetide {
+
+namespace {
+
+/// Larger differences are steps.
+constexpr int64_t kLargestCorrectionMs = 300;
+constexpr std::chrono::seconds kStepAccepted{ 60 };
+
+int64_t MillisecondsOf(TimePoint aTime)
+{
+  return std::chrono::duration_cast<Milliseconds>(aTime.time_since_epoch())
+    .count();
+}
+
+} // namespace
+
+SteadyWallClock::SteadyWallClock(Clock aMonotonic, WallClock aSystem)
+  : mMonotonic(std::move(aMonotonic))
+  , mSystem(std::move(aSystem))
+  , mOffset(mSystem() - MillisecondsOf(mMonotonic()))
+{
+}
+
+int64_t SteadyWallClock::Now()
+{
+  const TimePoint now = mMonotonic();
+  const int64_t offset = mSystem() - MillisecondsOf(now);
+  if (std::llabs(offset - mOffset) <= kLargestCorrectionMs) {
+    mOffset = offset;
+    mStepSeen.reset();
+  } else if (!mStepSeen) {
+    mStepSeen = now;
+  } else if (now - *mStepSeen > kStepAccepted) {
+    mOffset = offset;
+    mStepSeen.reset();
+  }
+  return MillisecondsOf(now) + mOffset;
+}
+
+} // namespace agatetide
--- a/src/agatetide/daemon/main.cpp
+++ b/src/agatetide/daemon/main.cpp
@@ -1,6 +1,7 @@
 #include "agatetide/base/event_log.hpp"
 #include "agatetide/daemon/daemon.hpp"
 #include "agatetide/daemon/settings.hpp"
+#include "platform/run.hpp"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <cxxopts.hpp>
@@ -64,6 +65,18 @@
   return code;
 }
 
+int RunOnPlatform(const std::string& aRole)
+{
+  if (aRole == "entry") {
+    return adapter::RunEntryHost();
+  }
+  if (aRole == "disk") {
+    return adapter::RunDiskHost();
+  }
+  std::cerr << "agatetided: --platform-role is neither entry nor disk\n";
+  return Usage;
+}
+
 } // namespace
 
 int main(int aCount, char** aArguments)
@@ -73,7 +86,11 @@
                         "Settings file, JSON with comments",
                         cxxopts::value<std::string>())(
     "check-config", "Check the settings file and exit")(
-    "version", "Print the version")("help", "Print this text");
+    "platform-role",
+    "Run on the users' platform as \"entry\" or \"disk\", with the settings "
+    "that it writes",
+    cxxopts::value<std::string>())("version", "Print the version")(
+    "help", "Print this text");
   try {
     const auto parsed = options.parse(aCount, aArguments);
     if (parsed.count("help") > 0) {
@@ -84,6 +101,9 @@
       std::cout << "agatetided " AGATETIDE_VERSION "\n";
       return Normal;
     }
+    if (parsed.count("platform-role") > 0) {
+      return RunOnPlatform(parsed["platform-role"].as<std::string>());
+    }
     if (parsed.count("settings") == 0) {
       std::cerr << "agatetided: --settings is missing; see --help\n";
       return Usage;
--- /dev/null
+++ b/src/agatetide/duty/usage_ledger.cpp
@@ -0,0 +1,190 @@
+#include "agatetide/duty/usage_ledger.hpp"
+
+#include "agatetide/base/event_log.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace agatetide::duty {
+
+using namespace coordination;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view kCountsPrefix = "agatetide/usage/";
+constexpr std::string_view kSealPrefix = "agatetide/usage-sealed/";
+
+std::string CountsPrefix(int64_t aWindow)
+{
+  return std::string(kCountsPrefix) + std::to_string(aWindow) + "/";
+}
+
+std::string SealKey(int64_t aWindow)
+{
+  return std::string(kSealPrefix) + std::to_string(aWindow);
+}
+
+std::string Encode(const AccountCounts& aCounts)
+{
+  return json(aCounts).dump();
+}
+
+/// Nothing when the value does not hold counts.
+std::optional<AccountCounts> Decode(const std::string& aText)
+{
+  const json value = json::parse(aText, nullptr, false);
+  if (!value.is_object()) {
+    return std::nullopt;
+  }
+  AccountCounts counts;
+  for (const auto& [account, count] : value.items()) {
+    if (!count.is_number_unsigned()) {
+      return std::nullopt;
+    }
+    counts[account] = count.get<uint64_t>();
+  }
+  return counts;
+}
+
+} // namespace
+
+UsageLedger::UsageLedger(UsageOptions aOptions,
+                         StoreCall aStore,
+                         WallClock aWallClock,
+                         std::string aCounter,
+                         std::string aHost,
+                         const fleet::FleetView& aView)
+  : mOptions(aOptions)
+  , mStore(std::move(aStore))
+  , mWallClock(std::move(aWallClock))
+  , mCounter(std::move(aCounter))
+  , mHost(std::move(aHost))
+  , mView(aView)
+  , mNextToStore(WindowAt(mWallClock()))
+{
+}
+
+int64_t UsageLedger::WindowAt(int64_t aWall) const
+{
+  return aWall / mOptions.mWindow.count();
+}
+
+int64_t UsageLedger::EndOf(int64_t aWindow) const
+{
+  return (aWindow + 1) * mOptions.mWindow.count();
+}
+
+void UsageLedger::Count(const std::string& aAccount, int64_t aWall)
+{
+  // A window that is stored takes no more counts; the next one is close.
+  const int64_t window = std::max(WindowAt(aWall), mNextToStore);
+  ++mCounts[window][aAccount];
+}
+
+Awaitable<void> UsageLedger::Store(bool aAll)
+{
+  const int64_t now = mWallClock();
+  while (aAll ? mNextToStore <= WindowAt(now)
+              : EndOf(mNextToStore) + mOptions.mStoreAfter.count() <= now) {
+    const int64_t window = mNextToStore;
+    TransactionRequest write;
+    write.mPuts.push_back(
+      { CountsPrefix(window) + mCounter, Encode(mCounts[window]) });
+    StoreRequest request = std::move(write);
+    const auto written = co_await mStore(std::move(request));
+    const bool old = EndOf(window) + mOptions.mGiveUp.count() < now;
+    if (written.has_error() && !old) {
+      co_return;
+    }
+    if (written.has_error()) {
+      Event("usage_lost", LogLevel::Error)
+        .Field("window", window)
+        .Field("error", FormatError(written.error()))
+        .Write();
+    }
+    mCounts.erase(window);
+    ++mNextToStore;
+  }
+}
+
+/// The sealed sum of a window; nothing while counts of live daemons are
+/// missing and may still come.
+Awaitable<Result<std::optional<AccountCounts>>> UsageLedger::Seal(
+  int64_t aWindow,
+  bool aLate)
+{
+  std::string prefix = CountsPrefix(aWindow);
+  const size_t prefixLength = prefix.size();
+  const auto stored = co_await ReadPrefix(mStore, std::move(prefix));
+  if (stored.has_error()) {
+    co_return stored.error();
+  }
+  AccountCounts sum;
+  std::set<std::string> hosts;
+  for (const StoreEntry& entry : stored->mEntries) {
+    const std::string counter = entry.mKey.substr(prefixLength);
+    hosts.insert(counter.substr(0, counter.find('#')));
+    if (const auto counts = Decode(entry.mValue)) {
+      for (const auto& [account, count] : *counts) {
+        sum[account] += count;
+      }
+    }
+  }
+  for (const auto& [name, host] : mView.Hosts()) {
+    if (!aLate && !hosts.contains(name)) {
+      co_return std::optional<AccountCounts>();
+    }
+  }
+  const std::string key = SealKey(aWindow);
+  TransactionRequest create;
+  create.mCompares.push_back({ key, 0 });
+  create.mPuts.push_back({ key, Encode(sum) });
+  create.mReadOnFailure.push_back(key);
+  StoreRequest request = std::move(create);
+  const auto created = co_await mStore(std::move(request));
+  if (created.has_error()) {
+    co_return created.error();
+  }
+  if (created->mSucceeded) {
+    co_return std::optional<AccountCounts>(std::move(sum));
+  }
+  for (const StoreEntry& entry : created->mEntries) {
+    if (entry.mKey == key) {
+      co_return Decode(entry.mValue);
+    }
+  }
+  co_return std::optional<AccountCounts>();
+}
+
+Awaitable<void> UsageLedger::Report(const Leadership& aLeadership,
+                                    ReportUsage aReport)
+{
+  const int64_t now = mWallClock();
+  const int64_t oldest = WindowAt(now - mOptions.mGiveUp.count());
+  if (!mReportedThrough || *mReportedThrough < oldest) {
+    mReportedThrough = oldest;
+  }
+  while (EndOf(*mReportedThrough + 1) + mOptions.mReportAfter.count() <= now) {
+    const int64_t window = *mReportedThrough + 1;
+    const bool late = EndOf(window) + mOptions.mReportLatest.count() <= now;
+    const auto counts = co_await Seal(window, late);
+    if (counts.has_error() || !counts->has_value() || !aLeadership.MayAct()) {
+      co_return;
+    }
+    const auto sent =
+      co_await aReport(window, **counts, aLeadership.FencingNumber());
+    Event("usage_report")
+      .Field("window", window)
+      .Field("accounts", static_cast<uint64_t>((*counts)->size()))
+      .Field("result", sent.has_error() ? FormatError(sent.error()) : "sent")
+      .Write();
+    if (sent.has_error()) {
+      co_return;
+    }
+    mReportedThrough = window;
+  }
+}
+
+} // namespace agatetide::duty
--- /dev/null
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -0,0 +1,378 @@
+#include "agatetide/entry/entry_daemon.hpp"
+
+#include "agatetide/base/encoding.hpp"
+#include "agatetide/base/event_log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace agatetide::entry {
+
+namespace asio = boost::asio;
+using namespace coordination;
+
+namespace {
+
+/// Time between the check of a key and the start of its request at a
+/// replica, with a margin.
+constexpr std::chrono::milliseconds kRevocationMargin{ 700 };
+constexpr std::chrono::milliseconds kDutyInterval{ 100 };
+constexpr std::chrono::milliseconds kCountInterval{ 250 };
+/// The leader looks for steps without an owner this often.
+constexpr std::chrono::milliseconds kRecoverInterval{ 4000 };
+/// A change of the hosts is acted on after this time, since several often
+/// change together.
+constexpr std::chrono::milliseconds kRecoverDelay{ 400 };
+/// Registrations that went while the store was away come back within this
+/// time if their replica lives.
+constexpr std::chrono::milliseconds kLapseTime{ 2300 };
+/// An outage counts as recent for this long after the last failed call.
+constexpr std::chrono::milliseconds kOutageMemory{ 3000 };
+
+} // namespace
+
+Result<std::unique_ptr<EntryDaemon>> EntryDaemon::Create(
+  asio::any_io_executor aExecutor,
+  EntryOptions aOptions,
+  PlatformHooks aHooks)
+{
+  std::unique_ptr<EntryDaemon> daemon(new EntryDaemon(
+    std::move(aExecutor), std::move(aOptions), std::move(aHooks)));
+  auto leadership = duty::Leadership::Create({},
+                                             daemon->mHooks.mStore,
+                                             daemon->mBootClock,
+                                             daemon->mOptions.mSelf.mName,
+                                             daemon->mView);
+  if (leadership.has_error()) {
+    return leadership.error();
+  }
+  daemon->mLeadership.emplace(std::move(*leadership));
+  daemon->mMover.emplace(duty::VersionMoverOptions{},
+                         daemon->mExecutor,
+                         daemon->mView,
+                         *daemon->mLeadership,
+                         daemon->mHooks.mSendOrder,
+                         daemon->mHooks.mReadStatus,
+                         daemon->mClock);
+  return daemon;
+}
+
+EntryDaemon::EntryDaemon(asio::any_io_executor aExecutor,
+                         EntryOptions aOptions,
+                         PlatformHooks aHooks)
+  : mExecutor(std::move(aExecutor))
+  , mOptions(std::move(aOptions))
+  , mHooks(std::move(aHooks))
+  , mClock(SteadyClock())
+  , mBootClock(BootClock())
+  , mWallClock(mBootClock, SystemClock())
+  , mOwner(steps::OwnerName(mOptions.mSelf.mName, mOptions.mSelf.mIncarnation))
+  , mView(mBootClock, mOptions.mSelf.mAvailabilityZone, mOptions.mSelf.mRegion)
+  , mPool(mView, mClock, ProcessRandom())
+  , mForwarder(mExecutor, mPool, mHooks.mCall, mClock, ProcessRandom())
+  , mStepStore(mHooks.mStore, mHooks.mWatch)
+  , mStepContext{ mExecutor,      mView,
+                  mPool,          mForwarder,
+                  mHooks.mStream, mStepStore,
+                  mClock,         [this] { return mWallClock.Now(); },
+                  mOwner }
+  , mRunner(mStepContext)
+  , mSteps(mStepContext, mRunner)
+  , mRegistry({},
+              mOptions.mSelf,
+              mView,
+              mHooks.mStore,
+              mHooks.mWatch,
+              mBootClock)
+  , mUsage(
+      mOptions.mUsage,
+      mHooks.mStore,
+      [this] { return mWallClock.Now(); },
+      mOwner,
+      mOptions.mSelf.mName,
+      mView)
+{
+  mView.SetRegions(mOptions.mRegions);
+  mView.SetTrustTime(mOptions.mRevocationTime - kRevocationMargin);
+  mView.mOnChange = [this] { mRunner.Pump(); };
+  mRegistry.mOnChange = [this] { mHostsChanged = true; };
+}
+
+void EntryDaemon::Start()
+{
+  mRunner.Start();
+  asio::co_spawn(mExecutor, FollowOperator(), asio::detached);
+  asio::co_spawn(mExecutor, FollowReplicas(), asio::detached);
+  asio::co_spawn(mExecutor, mRegistry.Register(), asio::detached);
+  asio::co_spawn(mExecutor, mRegistry.Follow(), asio::detached);
+  asio::co_spawn(mExecutor, Lead(), asio::detached);
+  asio::co_spawn(mExecutor, CountLoop(), asio::detached);
+  asio::co_spawn(mExecutor, RecoverLoop(), asio::detached);
+}
+
+Awaitable<void> EntryDaemon::Leave()
+{
+  mDraining = true;
+  co_await mRegistry.Leave();
+  co_await mLeadership->Resign();
+}
+
+Awaitable<void> EntryDaemon::StoreUsage()
+{
+  co_await mUsage.Store(true);
+}
+
+void EntryDaemon::CountUsage(const std::string& aAccount, TimePoint aBegan)
+{
+  const auto age = std::chrono::duration_cast<Milliseconds>(mClock() - aBegan);
+  mUsage.Count(aAccount, mWallClock.Now() - age.count());
+}
+
+Awaitable<void> EntryDaemon::FollowOperator()
+{
+  PrefixWatchOptions options;
+  options.mPrefix = mHooks.mOperatorPrefix;
+  PrefixWatchHooks hooks;
+  hooks.mReset = [this](const std::vector<StoreEntry>& aEntries) {
+    for (const StoreEntry& entry : aEntries) {
+      TakeOperatorEntry(entry);
+    }
+  };
+  hooks.mChange = [this](const StoreChange& aChange) {
+    if (!aChange.mRemoved) {
+      TakeOperatorEntry(aChange.mEntry);
+    }
+  };
+  hooks.mConfirmed = [this](TimePoint aProof) { mView.Confirm(aProof); };
+  hooks.mFailed = [this](const Error& aError) {
+    if (mClock() - mStoreFailed > kOutageMemory) {
+      Event("store_lost", LogLevel::Warning)
+        .Field("error", FormatError(aError))
+        .Write();
+    }
+    mStoreFailed = mClock();
+  };
+  co_await WatchPrefix(std::move(options),
+                       std::move(hooks),
+                       mHooks.mStore,
+                       mHooks.mWatch,
+                       mBootClock);
+}
+
+void EntryDaemon::TakeOperatorEntry(const StoreEntry& aEntry)
+{
+  const auto decoded = mHooks.mDecodeOperator(aEntry);
+  if (decoded.has_error()) {
+    Event("operator_entry_ignored", LogLevel::Warning)
+      .Field("key", aEntry.mKey)
+      .Field("error", FormatError(decoded.error()))
+      .Write();
+    return;
+  }
+  if (decoded->mConfig && mView.Accept(decoded->mConfig)) {
+    Event("config")
+      .Field("version", decoded->mConfig->mVersion)
+      .Field("revision", aEntry.mModRevision)
+      .Write();
+    if (mOnConfig) {
+      mOnConfig(*decoded->mConfig);
+    }
+  }
+  if (decoded->mVersion) {
+    Event("version_named")
+      .Field("model", decoded->mVersion->mModel)
+      .Field("version", decoded->mVersion->mVersion)
+      .Write();
+    mView.NameVersion(decoded->mVersion->mModel, decoded->mVersion->mVersion);
+  }
+  if (decoded->mHostToEmpty) {
+    mHostsToEmpty.insert(*decoded->mHostToEmpty);
+  }
+}
+
+Awaitable<void> EntryDaemon::FollowReplicas()
+{
+  PrefixWatchOptions options;
+  options.mPrefix = mHooks.mReplicaPrefix;
+  PrefixWatchHooks hooks;
+  hooks.mReset = [this](const std::vector<StoreEntry>& aEntries) {
+    ResetReplicas(aEntries);
+  };
+  hooks.mChange = [this](const StoreChange& aChange) {
+    ChangeReplica(aChange);
+  };
+  hooks.mConfirmed = [this](TimePoint) { RemoveLapsedReplicas(); };
+  hooks.mFailed = [this](const Error&) { mStoreFailed = mClock(); };
+  co_await WatchPrefix(std::move(options),
+                       std::move(hooks),
+                       mHooks.mStore,
+                       mHooks.mWatch,
+                       mBootClock);
+}
+
+void EntryDaemon::TakeReplica(const StoreEntry& aEntry)
+{
+  auto replica = mHooks.mDecodeReplica(aEntry);
+  if (replica.has_error()) {
+    Event("replica_ignored", LogLevel::Warning)
+      .Field("key", aEntry.mKey)
+      .Field("error", FormatError(replica.error()))
+      .Write();
+    return;
+  }
+  const fleet::Replica* known = mView.Find(replica->mId);
+  if (known == nullptr || known->mDraining != replica->mDraining) {
+    Event("replica")
+      .Field("replica", replica->mId)
+      .Field("upstream", replica->mService)
+      .Field("availability_zone", replica->mAvailabilityZone)
+      .Field("draining", replica->mDraining)
+      .Write();
+  }
+  mLapsedReplicas.erase(replica->mId);
+  mView.Put(std::move(*replica));
+}
+
+void EntryDaemon::ResetReplicas(const std::vector<StoreEntry>& aEntries)
+{
+  std::set<std::string_view> present;
+  for (const StoreEntry& entry : aEntries) {
+    present.insert(
+      std::string_view(entry.mKey).substr(mHooks.mReplicaPrefix.size()));
+    TakeReplica(entry);
+  }
+  for (const auto& [id, replica] : mView.Replicas()) {
+    if (!present.contains(id)) {
+      mLapsedReplicas.try_emplace(id, mClock() + kLapseTime);
+    }
+  }
+  RemoveLapsedReplicas();
+}
+
+void EntryDaemon::ChangeReplica(const StoreChange& aChange)
+{
+  if (!aChange.mRemoved) {
+    TakeReplica(aChange.mEntry);
+    return;
+  }
+  const std::string id =
+    aChange.mEntry.mKey.substr(mHooks.mReplicaPrefix.size());
+  const bool outage =
+    mStoreFailed != TimePoint{} && mClock() - mStoreFailed < kOutageMemory;
+  mLapsedReplicas.try_emplace(id, outage ? mClock() + kLapseTime : mClock());
+  RemoveLapsedReplicas();
+}
+
+void EntryDaemon::RemoveLapsedReplicas()
+{
+  for (auto lapsed = mLapsedReplicas.begin();
+       lapsed != mLapsedReplicas.end();) {
+    if (mClock() < lapsed->second) {
+      ++lapsed;
+      continue;
+    }
+    Event("replica_gone").Field("replica", lapsed->first).Write();
+    mView.Remove(lapsed->first);
+    lapsed = mLapsedReplicas.erase(lapsed);
+  }
+}
+
+Awaitable<void> EntryDaemon::Lead()
+{
+  asio::steady_timer timer(mExecutor);
+  while (!mDraining) {
+    timer.expires_after(kDutyInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+    co_await mLeadership->Maintain();
+    mMover->Review();
+    if (mLeadership->MayAct()) {
+      co_await AnswerEmptiedHosts();
+    }
+  }
+}
+
+/// Hosts with a disk hold nothing that must last, so they are empty at once.
+Awaitable<void> EntryDaemon::AnswerEmptiedHosts()
+{
+  const std::set<std::string> hosts = mHostsToEmpty;
+  for (const std::string& host : hosts) {
+    if (mHostsEmptied.contains(host)) {
+      continue;
+    }
+    TransactionRequest write;
+    write.mPuts.push_back(mHooks.mHostEmptied(host));
+    StoreRequest request = std::move(write);
+    const auto written = co_await mHooks.mStore(std::move(request));
+    if (written.has_value()) {
+      mHostsEmptied.insert(host);
+      Event("host_emptied").Field("host", host).Write();
+    }
+  }
+}
+
+Awaitable<void> EntryDaemon::CountLoop()
+{
+  asio::steady_timer timer(mExecutor);
+  for (;;) {
+    timer.expires_after(kCountInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+    co_await mUsage.Store(false);
+    if (mLeadership->MayAct()) {
+      co_await mUsage.Report(*mLeadership, mHooks.mReportUsage);
+    }
+  }
+}
+
+/// Each step without an owner goes to one daemon of its region, the one with
+/// the highest hash of step and host; the leader takes what is left.
+bool EntryDaemon::TakesOver(const steps::StepRecord& aRecord) const
+{
+  std::string best;
+  uint64_t highest = 0;
+  for (const bool anyRegion : { false, true }) {
+    for (const auto& [name, host] : mView.Hosts()) {
+      if (!anyRegion && host.mRegion != aRecord.mRegion) {
+        continue;
+      }
+      const uint64_t hash = Hash64(name, Hash64(aRecord.mId));
+      if (best.empty() || hash > highest) {
+        best = name;
+        highest = hash;
+      }
+    }
+    if (!best.empty()) {
+      break;
+    }
+  }
+  return best == mOptions.mSelf.mName;
+}
+
+Awaitable<void> EntryDaemon::RecoverLoop()
+{
+  asio::steady_timer timer(mExecutor);
+  TimePoint last = mClock();
+  while (!mDraining) {
+    timer.expires_after(kRecoverDelay);
+    co_await timer.async_wait(asio::use_awaitable);
+    const bool leads = mLeadership->MayAct();
+    const bool due = leads && mClock() - last >= kRecoverInterval;
+    if (!mHostsChanged && !due) {
+      continue;
+    }
+    mHostsChanged = false;
+    last = mClock();
+    std::set<std::string> live;
+    for (const auto& [name, host] : mView.Hosts()) {
+      live.insert(steps::OwnerName(name, host.mIncarnation));
+    }
+    std::function<bool(const steps::StepRecord&)> mine =
+      [this, due](const steps::StepRecord& aRecord) {
+        return due || TakesOver(aRecord);
+      };
+    co_await mSteps.Recover(std::move(live), std::move(mine), due);
+  }
+}
+
+} // namespace agatetide::entry
--- /dev/null
+++ b/src/agatetide/entry/host_registry.cpp
@@ -0,0 +1,194 @@
+#include "agatetide/entry/host_registry.hpp"
+
+#include "agatetide/base/event_log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+namespace agatetide::entry {
+
+using namespace coordination;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view kHostPrefix = "agatetide/host/";
+
+std::string Encode(const fleet::EntryHost& aHost)
+{
+  return json{
+    { "address", aHost.mAddress },
+    { "availability_zone", aHost.mAvailabilityZone },
+    { "region", aHost.mRegion },
+    { "incarnation", aHost.mIncarnation }
+  }.dump();
+}
+
+std::optional<fleet::EntryHost> Decode(const StoreEntry& aEntry)
+{
+  const json value = json::parse(aEntry.mValue, nullptr, false);
+  const auto text = [&](const char* aName) {
+    const auto found = value.find(aName);
+    return found != value.end() && found->is_string()
+             ? found->get<std::string>()
+             : std::string();
+  };
+  if (!value.is_object() || text("address").empty()) {
+    return std::nullopt;
+  }
+  return fleet::EntryHost{ aEntry.mKey.substr(kHostPrefix.size()),
+                           text("address"),
+                           text("availability_zone"),
+                           text("region"),
+                           text("incarnation") };
+}
+
+} // namespace
+
+HostRegistry::HostRegistry(HostRegistryOptions aOptions,
+                           fleet::EntryHost aSelf,
+                           fleet::FleetView& aView,
+                           StoreCall aStore,
+                           WatchCall aWatch,
+                           Clock aClock)
+  : mOptions(aOptions)
+  , mSelf(std::move(aSelf))
+  , mView(aView)
+  , mStore(std::move(aStore))
+  , mWatch(std::move(aWatch))
+  , mClock(std::move(aClock))
+{
+}
+
+Awaitable<bool> HostRegistry::Renew()
+{
+  if (mLease != 0) {
+    StoreRequest request = LeaseKeepAliveRequest{ mLease };
+    const auto kept = co_await mStore(std::move(request));
+    if (kept.has_error()) {
+      co_return false;
+    }
+    if (kept->mTtlSeconds > 0) {
+      co_return true;
+    }
+    mLease = 0;
+  }
+  StoreRequest grant = LeaseGrantRequest{ mOptions.mTtlSeconds };
+  const auto granted = co_await mStore(std::move(grant));
+  if (granted.has_error()) {
+    co_return false;
+  }
+  TransactionRequest put;
+  put.mPuts.push_back(
+    { std::string(kHostPrefix) + mSelf.mName, Encode(mSelf), granted->mLease });
+  StoreRequest request = std::move(put);
+  const auto written = co_await mStore(std::move(request));
+  if (written.has_error() || !written->mSucceeded) {
+    co_return false;
+  }
+  mLease = granted->mLease;
+  Event("host_registered").Field("host", mSelf.mName).Write();
+  co_return true;
+}
+
+Awaitable<void> HostRegistry::Register()
+{
+  constexpr Milliseconds kRetryPause{ 300 };
+  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+  while (!mLeaving) {
+    const bool renewed = co_await Renew();
+    timer.expires_after(renewed ? mOptions.mRenewInterval : kRetryPause);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    Publish();
+  }
+}
+
+Awaitable<void> HostRegistry::Leave()
+{
+  mLeaving = true;
+  if (mLease != 0) {
+    StoreRequest request = LeaseRevokeRequest{ mLease };
+    co_await mStore(std::move(request));
+  }
+}
+
+Awaitable<void> HostRegistry::Follow()
+{
+  PrefixWatchOptions options;
+  options.mPrefix = kHostPrefix;
+  options.mWait = Milliseconds(10000);
+  PrefixWatchHooks hooks;
+  hooks.mReset = [this](const std::vector<StoreEntry>& aEntries) {
+    Reset(aEntries);
+  };
+  hooks.mChange = [this](const StoreChange& aChange) { Change(aChange); };
+  co_await WatchPrefix(
+    std::move(options), std::move(hooks), mStore, mWatch, mClock);
+}
+
+void HostRegistry::Reset(const std::vector<StoreEntry>& aEntries)
+{
+  const auto before = std::move(mRegistered);
+  mRegistered.clear();
+  for (const StoreEntry& entry : aEntries) {
+    if (auto host = Decode(entry)) {
+      std::string name = host->mName;
+      mRegistered.insert_or_assign(std::move(name), std::move(*host));
+    }
+  }
+  for (const auto& [name, host] : before) {
+    if (!mRegistered.contains(name)) {
+      mLapsed[name] = { host, mClock() + mOptions.mLapseTime };
+    }
+  }
+  Publish();
+}
+
+void HostRegistry::Change(const StoreChange& aChange)
+{
+  const std::string name = aChange.mEntry.mKey.substr(kHostPrefix.size());
+  if (aChange.mRemoved) {
+    const auto found = mRegistered.find(name);
+    if (found != mRegistered.end()) {
+      mLapsed[name] = { found->second, mClock() + mOptions.mLapseTime };
+      mRegistered.erase(found);
+    }
+  } else if (auto host = Decode(aChange.mEntry)) {
+    mRegistered.insert_or_assign(name, std::move(*host));
+  }
+  Publish();
+}
+
+void HostRegistry::Publish()
+{
+  std::erase_if(mLapsed, [&](const auto& aItem) {
+    return mRegistered.contains(aItem.first) || mClock() >= aItem.second.second;
+  });
+  auto hosts = mRegistered;
+  // One host that vanishes is gone; many at once are probably still there.
+  if (mLapsed.size() > 1 && mLapsed.size() >= mRegistered.size()) {
+    for (const auto& [name, lapsed] : mLapsed) {
+      hosts.try_emplace(name, lapsed.first);
+    }
+  }
+  if (!mLeaving) {
+    hosts.insert_or_assign(mSelf.mName, mSelf);
+  }
+  bool changed = hosts.size() != mView.Hosts().size();
+  for (const auto& [name, host] : hosts) {
+    const auto known = mView.Hosts().find(name);
+    changed = changed || known == mView.Hosts().end() ||
+              known->second.mIncarnation != host.mIncarnation;
+  }
+  if (changed) {
+    mView.SetHosts(std::move(hosts));
+    if (mOnChange) {
+      mOnChange();
+    }
+  }
+}
+
+} // namespace agatetide::entry
--- /dev/null
+++ b/src/agatetide/fleet/fleet_view.cpp
@@ -0,0 +1,89 @@
+#include "agatetide/fleet/fleet_view.hpp"
+
+#include <algorithm>
+
+namespace agatetide::fleet {
+
+FleetView::FleetView(Clock aClock,
+                     std::string aAvailabilityZone,
+                     std::string aRegion)
+  : mClock(std::move(aClock))
+  , mAvailabilityZone(std::move(aAvailabilityZone))
+  , mRegion(std::move(aRegion))
+{
+}
+
+bool FleetView::Accept(std::shared_ptr<const ServiceConfig> aConfig)
+{
+  if (mConfig && aConfig->mVersion <= mConfig->mVersion) {
+    return false;
+  }
+  mConfig = std::move(aConfig);
+  Changed();
+  return true;
+}
+
+void FleetView::Confirm(TimePoint aProof)
+{
+  mProof = std::max(mProof, aProof);
+}
+
+bool FleetView::Trusted() const
+{
+  return mConfig && mProof != TimePoint{} && ProofAge() < mTrustTime;
+}
+
+void FleetView::Put(Replica aReplica)
+{
+  std::string id = aReplica.mId;
+  mReplicas.insert_or_assign(std::move(id), std::move(aReplica));
+  Changed();
+}
+
+void FleetView::Remove(std::string_view aId)
+{
+  const auto found = mReplicas.find(aId);
+  if (found != mReplicas.end()) {
+    mReplicas.erase(found);
+    Changed();
+  }
+}
+
+void FleetView::Reset(std::map<std::string, Replica, std::less<>> aReplicas)
+{
+  mReplicas = std::move(aReplicas);
+  Changed();
+}
+
+const Replica* FleetView::Find(std::string_view aId) const
+{
+  const auto found = mReplicas.find(aId);
+  return found == mReplicas.end() ? nullptr : &found->second;
+}
+
+void FleetView::NameVersion(const std::string& aModel, int64_t aVersion)
+{
+  int64_t& known = mNamedVersions[aModel];
+  known = std::max(known, aVersion);
+  Changed();
+}
+
+void FleetView::SetHosts(std::map<std::string, EntryHost, std::less<>> aHosts)
+{
+  mHosts = std::move(aHosts);
+}
+
+std::string FleetView::RegionOf(std::string_view aAvailabilityZone) const
+{
+  const auto found = mRegions.find(aAvailabilityZone);
+  return found == mRegions.end() ? std::string() : found->second;
+}
+
+void FleetView::Changed() const
+{
+  if (mOnChange) {
+    mOnChange();
+  }
+}
+
+} // namespace agatetide::fleet
--- /dev/null
+++ b/src/agatetide/fleet/service_config.cpp
@@ -0,0 +1,42 @@
+#include "agatetide/fleet/service_config.hpp"
+
+namespace agatetide::fleet {
+
+void ServiceConfig::IndexKeys()
+{
+  mAccountOfKey.clear();
+  for (const auto& [name, account] : mAccounts) {
+    for (const std::string& key : account.mKeys) {
+      mAccountOfKey[key] = name;
+    }
+  }
+}
+
+const Route* ServiceConfig::FindRoute(std::string_view aHost,
+                                      std::string_view aPath) const
+{
+  const std::string_view path = aPath.substr(0, aPath.find('?'));
+  const Route* best = nullptr;
+  for (const Route& route : mRoutes) {
+    if (route.mHost != aHost || !path.starts_with(route.mPathPrefix)) {
+      continue;
+    }
+    if (best == nullptr ||
+        route.mPathPrefix.size() > best->mPathPrefix.size()) {
+      best = &route;
+    }
+  }
+  return best;
+}
+
+const ClientAccount* ServiceConfig::FindAccount(std::string_view aKey) const
+{
+  const auto name = mAccountOfKey.find(aKey);
+  if (name == mAccountOfKey.end()) {
+    return nullptr;
+  }
+  const auto account = mAccounts.find(name->second);
+  return account == mAccounts.end() ? nullptr : &account->second;
+}
+
+} // namespace agatetide::fleet
--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 
 #include <array>
+#include <charconv>
 #include <deque>
 #include <map>
 #include <optional>
@@ -31,6 +32,8 @@
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
   SteadyTime mIdleSince{};
+  /// From the server's "keep-alive: timeout"; the longest time otherwise.
+  std::chrono::milliseconds mMaxIdleTime = std::chrono::hours(1);
 };
 
 using ConnectionPtr = std::unique_ptr<Connection>;
@@ -55,6 +58,13 @@
            Execution::Unknown };
 }
 
+Error CanceledCall()
+{
+  return {
+    ErrorKind::Canceled, "the call was canceled", "none", Execution::Unknown
+  };
+}
+
 Error CutAnswer(const Endpoint& aEndpoint)
 {
   return { ErrorKind::DataLoss,
@@ -95,6 +105,26 @@
   return response;
 }
 
+/// How long the server keeps an idle connection, less a margin for a request
+/// that is under way when the time ends.
+std::chrono::milliseconds IdleTimeOf(const Response& aResponse)
+{
+  constexpr std::chrono::milliseconds kMargin{ 300 };
+  constexpr std::string_view kKey = "timeout=";
+  const std::string_view text = FindHeader(aResponse.mHeaders, "keep-alive");
+  const size_t found = text.find(kKey);
+  unsigned seconds = 0;
+  if (found != std::string_view::npos) {
+    const std::string_view digits = text.substr(found + kKey.size());
+    const auto read =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (read.ec == std::errc()) {
+      return std::chrono::seconds(seconds) - kMargin;
+    }
+  }
+  return std::chrono::hours(1);
+}
+
 /// Whether an idle connection is still open and silent. A server that closed
 /// it, or sent something unasked, must not get a further request.
 bool Usable(Connection& aConnection)
@@ -131,7 +161,8 @@
     while (!found->second.empty()) {
       ConnectionPtr connection = std::move(found->second.back());
       found->second.pop_back();
-      if (now - connection->mIdleSince < mOptions.mMaxIdleTime &&
+      if (now - connection->mIdleSince <
+            std::min(mOptions.mMaxIdleTime, connection->mMaxIdleTime) &&
           Usable(*connection)) {
         return connection;
       }
@@ -268,6 +299,9 @@
     parser.skip(true);
   }
   const std::shared_ptr<Abort> abort = aOptions.mAbort;
+  if (abort && abort->mRequested) {
+    co_return CanceledCall();
+  }
   if (abort) {
     abort->mClose = [stream = &connection->mStream] { stream->close(); };
   }
@@ -290,14 +324,18 @@
     connection->mBuffer,
     parser,
     asio::redirect_error(asio::use_awaitable, error));
+  const auto aborted = [&] { return abort && abort->mRequested; };
   if (error) {
-    co_return Interrupted(aEndpoint, error);
+    co_return aborted() ? CanceledCall() : Interrupted(aEndpoint, error);
   }
-  if (parser.get().need_eof()) {
+  if (parser.get().need_eof() && !aOptions.mAllowEndByClose) {
     // Without a length or chunks, a cut answer looks like a whole one.
     co_return CutAnswer(aEndpoint);
   }
   Response response = HeaderOf(parser.get());
+  if (aOptions.mOnHeader && !aOptions.mOnHeader(response)) {
+    co_return CanceledCall();
+  }
   std::array<char, 16384> piece{};
   while (!parser.is_done()) {
     parser.get().body().data = piece.data();
@@ -316,9 +354,10 @@
     if (response.mStatus != 200) {
       response.mBody.append(part);
     } else if (!part.empty() && !aSink(part)) {
-      co_return Error{
-        ErrorKind::Canceled, "the call was canceled", "none", Execution::Unknown
-      };
+      co_return CanceledCall();
+    }
+    if (error && aborted()) {
+      co_return CanceledCall();
     }
     if (error == beast::error::timeout) {
       co_return Interrupted(aEndpoint, error);
@@ -328,6 +367,7 @@
     }
   }
   if (parser.keep_alive()) {
+    connection->mMaxIdleTime = IdleTimeOf(response);
     state->Keep(aEndpoint, std::move(connection));
   }
   co_return response;
--- a/src/agatetide/http/message.cpp
+++ b/src/agatetide/http/message.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <utility>
 
 namespace agatetide::http {
 
@@ -43,6 +44,22 @@
 
 } // namespace
 
+void CallerWatch::OnGone(std::function<void()> aNotify)
+{
+  mNotify = std::move(aNotify);
+  if (mGone && mNotify) {
+    std::exchange(mNotify, nullptr)();
+  }
+}
+
+void CallerWatch::MarkGone()
+{
+  mGone = true;
+  if (mNotify) {
+    std::exchange(mNotify, nullptr)();
+  }
+}
+
 std::string_view FindHeader(const std::vector<Header>& aHeaders,
                             std::string_view aName)
 {
--- a/src/agatetide/http/server.cpp
+++ b/src/agatetide/http/server.cpp
@@ -199,6 +199,52 @@
   }
 }
 
+/// Watches a connection while its request is handled. A caller that sends
+/// its next request early is not gone.
+class ConnectionWatch
+{
+public:
+  ConnectionWatch(beast::tcp_stream& aStream,
+                  std::shared_ptr<CallerWatch> aWatch)
+    : mSocket(aStream.socket())
+    , mWatch(std::move(aWatch))
+    , mActive(std::make_shared<bool>(true))
+  {
+    mSocket.async_wait(Tcp::socket::wait_read,
+                       [this, active = mActive](const ErrorCode& aError) {
+                         if (*active && !aError) {
+                           Look();
+                         }
+                       });
+  }
+  ~ConnectionWatch()
+  {
+    *mActive = false;
+    ErrorCode ignored;
+    mSocket.cancel(ignored);
+    mWatch->OnGone({});
+  }
+  ConnectionWatch(const ConnectionWatch&) = delete;
+  ConnectionWatch& operator=(const ConnectionWatch&) = delete;
+
+private:
+  void Look()
+  {
+    char byte = 0;
+    ErrorCode error;
+    mSocket.non_blocking(true, error);
+    mSocket.receive(
+      asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    if (error && error != asio::error::would_block) {
+      mWatch->MarkGone();
+    }
+  }
+
+  Tcp::socket& mSocket;
+  std::shared_ptr<CallerWatch> mWatch;
+  std::shared_ptr<bool> mActive;
+};
+
 /// An exception that left the coroutine would end the process.
 template<class ServerState>
 Awaitable<Response> Handle(std::shared_ptr<ServerState> aState,
@@ -267,8 +313,16 @@
     }
     keepAlive = parser.get().keep_alive();
     aStream.expires_never();
-    Response response =
-      co_await Handle(aState, ToRequest(parser.release(), PeerName(aStream)));
+    Request request = ToRequest(parser.release(), PeerName(aStream));
+    request.mCaller = std::make_shared<CallerWatch>();
+    const auto caller = request.mCaller;
+    std::optional<ConnectionWatch> watch;
+    watch.emplace(aStream, caller);
+    Response response = co_await Handle(aState, std::move(request));
+    watch.reset();
+    if (caller->Gone()) {
+      co_return;
+    }
     keepAlive = keepAlive && !aState->mStopping && !aState->mClosing;
     const bool written =
       response.mStream
@@ -380,6 +434,13 @@
   mState->mAcceptor.close(ignored);
 }
 
+void Server::SetLimits(const ServerLimits& aLimits)
+{
+  mState->mOptions.mMaxHeaderBytes = aLimits.mMaxHeaderBytes;
+  mState->mOptions.mMaxBodyBytes = aLimits.mMaxBodyBytes;
+  mState->mOptions.mIdleTimeout = aLimits.mIdleTimeout;
+}
+
 size_t Server::Running() const
 {
   return mState->mRunning;
--- /dev/null
+++ b/src/agatetide/policy/item_placement.cpp
@@ -0,0 +1,50 @@
+#include "agatetide/policy/item_placement.hpp"
+
+#include <limits>
+
+namespace agatetide::policy {
+
+namespace {
+
+double Cost(const ItemCandidate& aCandidate,
+            const ItemPlacementOptions& aOptions)
+{
+  const double load = aCandidate.mRunning / aCandidate.mSlots;
+  if (aOptions.mPolicy == ItemPolicy::LeastLoaded) {
+    return load;
+  }
+  return load + (aCandidate.mSameRegion ? 0.0 : aOptions.mOtherRegion) -
+         (aCandidate.mPromptKnown ? aOptions.mPromptKnown : 0.0) +
+         (aCandidate.mSlowness - 1.0) * aOptions.mSlowness;
+}
+
+} // namespace
+
+std::optional<size_t> PlaceItem(std::span<const ItemCandidate> aCandidates,
+                                const ItemPlacementOptions& aOptions)
+{
+  std::optional<size_t> best;
+  double lowest = std::numeric_limits<double>::infinity();
+  for (size_t i = 0; i < aCandidates.size(); ++i) {
+    if (aCandidates[i].mRunning + 1.0 > aCandidates[i].mSlots) {
+      continue;
+    }
+    const double cost = Cost(aCandidates[i], aOptions);
+    if (cost < lowest) {
+      lowest = cost;
+      best = i;
+    }
+  }
+  return best;
+}
+
+bool ShouldMoveItem(double aOwnSlowness,
+                    double aBestSlowness,
+                    unsigned aEvents,
+                    const ItemMoveOptions& aOptions)
+{
+  return aEvents >= aOptions.mMinEvents &&
+         aOwnSlowness > aOptions.mMoveFactor * aBestSlowness;
+}
+
+} // namespace agatetide::policy
--- /dev/null
+++ b/src/agatetide/request/forwarder.cpp
@@ -0,0 +1,269 @@
+#include "agatetide/request/forwarder.hpp"
+
+#include "agatetide/base/event_log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace agatetide::request {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Refusals of one request before it is answered as refused. They cost the
+/// replicas next to nothing.
+constexpr unsigned kMaxRefusals = 6;
+/// A replica that is full gets no new request for this long.
+constexpr std::chrono::milliseconds kFullPause{ 40 };
+/// A replica that cannot be reached gets no new request for this long.
+constexpr std::chrono::milliseconds kUnreachablePause{ 500 };
+/// Share of the target latency after which an answer is waited for at a
+/// second replica while too few answers are known.
+constexpr double kDefaultHedgeShare = 0.6;
+
+} // namespace
+
+/// The attempts of one request.
+struct Forwarder::Race
+{
+  Race(const asio::any_io_executor& aExecutor, ForwardRequest aRequest)
+    : mTimer(aExecutor)
+    , mRequest(std::move(aRequest))
+  {
+  }
+
+  asio::steady_timer mTimer;
+  ForwardRequest mRequest;
+  std::string mService;
+  std::set<std::string> mUsed;
+  std::vector<std::shared_ptr<http::Abort>> mAborts;
+  unsigned mPending = 0;
+  /// Attempts that a replica may have run, or that are under way.
+  unsigned mAttempts = 0;
+  unsigned mRefusals = 0;
+  bool mMayHaveRun = false;
+  bool mBegun = false;
+  bool mGone = false;
+  bool mFailed = false;
+  std::optional<UpstreamAnswer> mGood;
+  /// A failure that a replica answered itself.
+  std::optional<UpstreamAnswer> mRejected;
+  std::optional<Error> mError;
+};
+
+Forwarder::Forwarder(asio::any_io_executor aExecutor,
+                     ReplicaPool& aPool,
+                     UpstreamCall aCall,
+                     Clock aClock,
+                     Random aRandom)
+  : mExecutor(std::move(aExecutor))
+  , mPool(aPool)
+  , mCall(std::move(aCall))
+  , mClock(std::move(aClock))
+  , mRandom(std::move(aRandom))
+{
+}
+
+std::string Forwarder::ChooseService(const fleet::Route& aRoute) const
+{
+  double total = 0.0;
+  for (const fleet::WeightedService& service : aRoute.mServices) {
+    total += service.mWeight;
+  }
+  double point = UniformUnit(mRandom) * total;
+  for (const fleet::WeightedService& service : aRoute.mServices) {
+    point -= service.mWeight;
+    if (point < 0.0) {
+      return service.mService;
+    }
+  }
+  return aRoute.mServices.empty() ? std::string()
+                                  : aRoute.mServices.back().mService;
+}
+
+Duration Forwarder::HedgeAfter(const Race& aRace)
+{
+  const auto share = std::chrono::duration_cast<Duration>(
+    aRace.mRequest.mRoute.mTargetLatency * kDefaultHedgeShare);
+  const auto known = mServices[aRace.mService].mDelay.Delay();
+  return known ? std::max<Duration>(*known, share / 4) : share;
+}
+
+Awaitable<Result<UpstreamAnswer>> Forwarder::Run(ForwardRequest aRequest)
+{
+  const auto race = std::make_shared<Race>(mExecutor, std::move(aRequest));
+  const ForwardRequest& request = race->mRequest;
+  race->mService = ChooseService(request.mRoute);
+  ServiceState& state = mServices[race->mService];
+  state.mHedges.OnRequest();
+  if (request.mCaller) {
+    request.mCaller->OnGone([race] {
+      race->mGone = true;
+      race->mTimer.cancel();
+    });
+  }
+  const bool idempotent = request.mRoute.mKind == fleet::RouteKind::Idempotent;
+  TimePoint hedgeAt = mClock() + HedgeAfter(*race);
+  StartAttempt(race);
+  while (!race->mGood && !race->mGone && mClock() < request.mDeadline) {
+    const bool another = race->mAttempts < request.mRoute.mMaxAttempts &&
+                         (idempotent || !race->mMayHaveRun) &&
+                         race->mRefusals < kMaxRefusals;
+    if (race->mPending == 0 && (!another || !StartAttempt(race))) {
+      break;
+    }
+    if (race->mPending == 1 && idempotent && another && mClock() >= hedgeAt) {
+      hedgeAt = request.mDeadline;
+      if (state.mHedges.TryTake()) {
+        StartAttempt(race);
+      }
+    }
+    const bool mayHedge = idempotent && another;
+    race->mTimer.expires_at(mayHedge ? std::min(hedgeAt, request.mDeadline)
+                                     : request.mDeadline);
+    boost::system::error_code ignored;
+    co_await race->mTimer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  if (request.mCaller) {
+    request.mCaller->OnGone({});
+  }
+  for (const auto& abort : race->mAborts) {
+    (*abort)();
+  }
+  co_return Outcome(*race);
+}
+
+bool Forwarder::StartAttempt(const std::shared_ptr<Race>& aRace)
+{
+  ReplicaWish wish{ aRace->mService, aRace->mUsed, {} };
+  auto use = mPool.Choose(wish, aRace->mRequest.mPrototype.mId);
+  if (!use) {
+    return false;
+  }
+  aRace->mUsed.insert(use->Replica().mId);
+  ++aRace->mPending;
+  ++aRace->mAttempts;
+  const auto abort = std::make_shared<http::Abort>();
+  aRace->mAborts.push_back(abort);
+  asio::co_spawn(
+    mExecutor, Attempt(aRace, std::move(*use), abort), asio::detached);
+  return true;
+}
+
+Awaitable<void> Forwarder::Attempt(std::shared_ptr<Race> aRace,
+                                   ReplicaPool::Use aUse,
+                                   std::shared_ptr<http::Abort> aAbort)
+{
+  UpstreamRequest request = aRace->mRequest.mPrototype;
+  request.mReplicaId = aUse.Replica().mId;
+  request.mDeadline = aRace->mRequest.mDeadline;
+  const TimePoint sent = mClock();
+  auto result =
+    co_await mCall(aUse.Replica().mEndpoint, std::move(request), aAbort);
+  --aRace->mPending;
+  Finish(*aRace, aUse.Replica(), std::move(result), sent);
+  aRace->mTimer.cancel();
+}
+
+void Forwarder::Finish(Race& aRace,
+                       const fleet::Replica& aReplica,
+                       Result<UpstreamAnswer> aResult,
+                       TimePoint aSent)
+{
+  const Duration took = mClock() - aSent;
+  const bool notRun = aResult.has_value()
+                        ? aResult->mNotRun || aResult->mMisdirected
+                        : aResult.error().mExecution == Execution::NotRun;
+  if (!notRun) {
+    aRace.mMayHaveRun = true;
+    if (!aRace.mBegun && aRace.mRequest.mOnBegun) {
+      aRace.mRequest.mOnBegun(aSent);
+    }
+    aRace.mBegun = true;
+  } else {
+    --aRace.mAttempts;
+    ++aRace.mRefusals;
+  }
+  if (aResult.has_error()) {
+    const Error& error = aResult.error();
+    if (error.mKind != ErrorKind::Canceled) {
+      mPool.Observe(aReplica, { true, took });
+      Event("attempt_failed", LogLevel::Warning)
+        .Field("request_id", aRace.mRequest.mPrototype.mId)
+        .Field("replica", aReplica.mId)
+        .Field("error", FormatError(error))
+        .Write();
+    }
+    if (notRun) {
+      mPool.Suspend(aReplica.mId, kUnreachablePause);
+    }
+    aRace.mError = error;
+    return;
+  }
+  if (aResult->mLoad) {
+    mPool.Report(aReplica.mId, *aResult->mLoad);
+  }
+  if (notRun) {
+    mPool.Suspend(aReplica.mId,
+                  aResult->mMisdirected ? Duration(kUnreachablePause)
+                                        : Duration(kFullPause));
+    return;
+  }
+  const bool good = aResult->mStatus < 500;
+  mPool.Observe(aReplica, { !good, took });
+  if (!good) {
+    if (aRace.mRequest.mOnRejected) {
+      aRace.mRequest.mOnRejected();
+    }
+    aRace.mRejected = std::move(*aResult);
+    return;
+  }
+  mServices[aRace.mService].mDelay.Observe(took);
+  if (!aRace.mGood) {
+    aRace.mGood = std::move(*aResult);
+  }
+}
+
+Result<UpstreamAnswer> Forwarder::Outcome(Race& aRace) const
+{
+  if (aRace.mGood) {
+    return std::move(*aRace.mGood);
+  }
+  if (aRace.mGone) {
+    return Error{ ErrorKind::Canceled,
+                  "the caller closed the connection",
+                  "none",
+                  Execution::Unknown };
+  }
+  if (aRace.mRejected && aRace.mPending == 0) {
+    return std::move(*aRace.mRejected);
+  }
+  const bool mayRun = aRace.mMayHaveRun || aRace.mPending > 0;
+  if (mClock() >= aRace.mRequest.mDeadline) {
+    return Error{ ErrorKind::DeadlineExceeded,
+                  "no replica answered in time",
+                  "allow more time, or retry if the request is idempotent",
+                  mayRun ? Execution::Unknown : Execution::NotRun };
+  }
+  if (mayRun) {
+    return Error{ ErrorKind::OutcomeUnknown,
+                  aRace.mError ? aRace.mError->mMessage
+                               : std::string("no whole answer"),
+                  "the request may have run; repeat it only if it is "
+                  "idempotent",
+                  Execution::Unknown };
+  }
+  return Error{ ErrorKind::Unavailable,
+                "no replica of " + aRace.mService + " could run the request",
+                "retry after a short pause",
+                Execution::NotRun };
+}
+
+} // namespace agatetide::request
--- /dev/null
+++ b/src/agatetide/steps/step_runner.cpp
@@ -0,0 +1,665 @@
+#include "agatetide/steps/step_runner.hpp"
+
+#include "agatetide/base/event_log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace agatetide::steps {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds kReviewInterval{ 100 };
+/// A record that was not confirmed for this long is read again, so that the
+/// end of a step is noticed soon.
+constexpr std::chrono::milliseconds kConfirmInterval{ 900 };
+/// Pause between two entries of a step's log.
+constexpr std::chrono::milliseconds kCommitPause{ 60 };
+constexpr std::chrono::milliseconds kCommitRetryPause{ 150 };
+/// Bytes of results in one entry of the log.
+constexpr size_t kEntryBytes = size_t{ 600 } << 10U;
+/// A stream without any event for this long goes on elsewhere.
+constexpr std::chrono::milliseconds kStreamIdleTimeout{ 1500 };
+constexpr std::chrono::milliseconds kBusyPause{ 40 };
+constexpr std::chrono::milliseconds kBrokenPause{ 100 };
+constexpr std::chrono::milliseconds kScorePause{ 60 };
+/// A replica that broke a stream gets no new item for this long.
+constexpr std::chrono::milliseconds kBrokenSuspension{ 1000 };
+/// Longest time that a replica is given for one stream.
+constexpr std::chrono::seconds kMaxStreamTime{ 30 };
+/// Results of a stopped step are kept in memory for this long.
+constexpr std::chrono::seconds kStoppedRetention{ 15 };
+/// The speed of a replica is forgotten after this time without events.
+constexpr std::chrono::seconds kSpeedLifetime{ 4 };
+constexpr double kSpeedWeight = 0.3;
+
+double Seconds(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+std::string JoinLines(const std::vector<std::string>& aLines)
+{
+  std::string text;
+  for (const std::string& line : aLines) {
+    if (&line != &aLines.front()) {
+      text += '\n';
+    }
+    text += line;
+  }
+  return text;
+}
+
+/// Items of groups with long members first, since the longest item decides
+/// when the step is whole; items of a group stay together.
+std::vector<size_t> StartOrder(const std::vector<StepItem>& aItems)
+{
+  std::map<std::string, uint32_t> longest;
+  for (const StepItem& item : aItems) {
+    uint32_t& tokens = longest[item.mGroup];
+    tokens = std::max(tokens, item.mExpectedTokens);
+  }
+  std::vector<size_t> order(aItems.size());
+  for (size_t i = 0; i < order.size(); ++i) {
+    order[i] = i;
+  }
+  std::stable_sort(
+    order.begin(), order.end(), [&](size_t aLeft, size_t aRight) {
+      return longest[aItems[aLeft].mGroup] > longest[aItems[aRight].mGroup];
+    });
+  return order;
+}
+
+} // namespace
+
+StepRunner::StepRunner(StepContext aContext)
+  : mContext(std::move(aContext))
+{
+}
+
+void StepRunner::Start()
+{
+  asio::co_spawn(mContext.mExecutor, Review(), asio::detached);
+}
+
+OwnedStepPtr StepRunner::Find(std::string_view aId) const
+{
+  const auto found = mSteps.find(aId);
+  return found == mSteps.end() ? nullptr : found->second;
+}
+
+OwnedStepPtr StepRunner::Adopt(StepRecord aRecord,
+                               std::vector<StepItem> aItems,
+                               LogPart aLog)
+{
+  auto step = std::make_shared<OwnedStep>();
+  step->mRecord = std::move(aRecord);
+  step->mItems = std::move(aItems);
+  step->mOrder = StartOrder(step->mItems);
+  step->mWork.resize(step->mItems.size());
+  step->mListed = std::move(aLog.mResults);
+  step->mNextEntry = aLog.mEntries;
+  step->mConfirmed = mContext.mClock();
+  step->mCommitTimer = std::make_unique<asio::steady_timer>(mContext.mExecutor);
+  std::set<std::string_view> listed;
+  for (const ItemResult& result : step->mListed) {
+    listed.insert(result.mId);
+  }
+  for (size_t i = 0; i < step->mItems.size(); ++i) {
+    if (listed.contains(step->mItems[i].mId)) {
+      step->mWork[i].mState = ItemWork::State::Done;
+    }
+  }
+  mSteps[step->mRecord.mId] = step;
+  if (step->Whole() || step->mRecord.mEnded) {
+    Stop(step, false);
+  } else {
+    asio::co_spawn(mContext.mExecutor, Commit(step), asio::detached);
+    Pump();
+  }
+  return step;
+}
+
+void StepRunner::Stop(const OwnedStepPtr& aStep, bool aSuperseded)
+{
+  if (aStep->mStopped) {
+    return;
+  }
+  aStep->mStopped = true;
+  aStep->mSuperseded = aSuperseded;
+  aStep->mStoppedAt = mContext.mClock();
+  Event("step_stopped")
+    .Field("step", aStep->mRecord.mId)
+    .Field("reason",
+           aSuperseded      ? "superseded"
+           : aStep->Whole() ? "whole"
+                            : "ended")
+    .Field("listed", static_cast<uint64_t>(aStep->mListed.size()))
+    .Field("items", static_cast<uint64_t>(aStep->mItems.size()))
+    .Write();
+  for (ItemWork& work : aStep->mWork) {
+    if (work.mAbort) {
+      (*work.mAbort)();
+    }
+  }
+  aStep->mCommitTimer->cancel();
+  Wake(*aStep);
+}
+
+void StepRunner::Wake(OwnedStep& aStep)
+{
+  for (asio::steady_timer* waiter : aStep.mWaiters) {
+    waiter->cancel();
+  }
+}
+
+Awaitable<void> StepRunner::AwaitResults(OwnedStepPtr aStep,
+                                         size_t aKnown,
+                                         Milliseconds aWait)
+{
+  const TimePoint limit = mContext.mClock() + aWait;
+  asio::steady_timer timer(mContext.mExecutor);
+  const auto place = aStep->mWaiters.insert(aStep->mWaiters.end(), &timer);
+  while (aStep->mListed.size() <= aKnown && !aStep->mStopped &&
+         mContext.mClock() < limit) {
+    timer.expires_after(limit - mContext.mClock());
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  aStep->mWaiters.erase(place);
+}
+
+Awaitable<void> StepRunner::Review()
+{
+  asio::steady_timer timer(mContext.mExecutor);
+  for (;;) {
+    timer.expires_after(kReviewInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+    const auto steps = mSteps;
+    for (const auto& [id, step] : steps) {
+      if (step->mStopped) {
+        continue;
+      }
+      GiveUpOld(step);
+      MoveStragglers(step);
+      if (mContext.mClock() - step->mConfirmed > kConfirmInterval) {
+        step->mConfirmed = mContext.mClock();
+        asio::co_spawn(mContext.mExecutor, Confirm(step), asio::detached);
+      }
+    }
+    ForgetStopped();
+    Pump();
+  }
+}
+
+void StepRunner::ForgetStopped()
+{
+  std::erase_if(mSteps, [&](const auto& aItem) {
+    const OwnedStep& step = *aItem.second;
+    return step.mStopped && step.mWaiters.empty() &&
+           mContext.mClock() - step.mStoppedAt > kStoppedRetention;
+  });
+}
+
+/// Reads the record again, to notice that the step was ended or taken over.
+Awaitable<void> StepRunner::Confirm(OwnedStepPtr aStep)
+{
+  const int64_t revision = aStep->mRecord.mRevision;
+  const auto record = co_await mContext.mStore.Load(aStep->mRecord.mId);
+  if (record.has_error() || aStep->mStopped ||
+      aStep->mRecord.mRevision != revision) {
+    co_return;
+  }
+  if (!record->has_value() || (*record)->mOwner != mContext.mOwner) {
+    Stop(aStep, true);
+  } else if ((*record)->mEnded) {
+    Stop(aStep, false);
+  }
+}
+
+const fleet::Route* StepRunner::RouteOf(const OwnedStep& aStep) const
+{
+  const auto& config = mContext.mView.Config();
+  return config ? config->FindRoute(aStep.mRecord.mHost, aStep.mRecord.mPath)
+                : nullptr;
+}
+
+/// Items that may be given up are listed as dead, so that the step ends.
+void StepRunner::GiveUpOld(const OwnedStepPtr& aStep)
+{
+  const fleet::Route* route = RouteOf(*aStep);
+  if (route == nullptr || mContext.mWallClock() - aStep->mRecord.mSubmitted <
+                            route->mRetention.count()) {
+    return;
+  }
+  for (size_t i = 0; i < aStep->mWork.size(); ++i) {
+    ItemWork& work = aStep->mWork[i];
+    if (work.mState == ItemWork::State::Waiting) {
+      Finish(aStep, i, ItemState::Dead, {});
+    } else if (work.mAbort) {
+      (*work.mAbort)();
+    }
+  }
+}
+
+void StepRunner::Pump()
+{
+  std::vector<OwnedStepPtr> steps;
+  for (const auto& [id, step] : mSteps) {
+    if (!step->mStopped) {
+      steps.push_back(step);
+    }
+  }
+  std::sort(
+    steps.begin(), steps.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft->mRecord.mSubmitted < aRight->mRecord.mSubmitted;
+    });
+  for (const OwnedStepPtr& step : steps) {
+    PumpStep(step);
+  }
+}
+
+/// Started samples go first: their group waits for them already.
+bool StepRunner::PumpStep(const OwnedStepPtr& aStep)
+{
+  const fleet::Route* found = RouteOf(*aStep);
+  if (found == nullptr || found->mServices.empty()) {
+    return false;
+  }
+  const fleet::Route route = *found;
+  const TimePoint now = mContext.mClock();
+  for (const bool started : { true, false }) {
+    for (const size_t index : aStep->mOrder) {
+      const ItemWork& work = aStep->mWork[index];
+      if (work.mState != ItemWork::State::Waiting || work.mNotBefore > now ||
+          work.mEvents.empty() == started) {
+        continue;
+      }
+      if (!StartItem(aStep, index, route)) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+bool StepRunner::MayRun(const OwnedStep& aStep,
+                        const fleet::Replica& aReplica) const
+{
+  const auto version = aReplica.mVersions.find(aStep.mRecord.mModel);
+  return version != aReplica.mVersions.end() &&
+         version->second >= aStep.mRecord.mMinVersion &&
+         mContext.mPool.Usable(aReplica);
+}
+
+double StepRunner::Slowness(std::string_view aReplicaId) const
+{
+  const auto found = mSpeeds.find(aReplicaId);
+  if (found == mSpeeds.end() || mTypicalSpeed <= 0.0 ||
+      mContext.mClock() - found->second.mUpdated > kSpeedLifetime) {
+    return 1.0;
+  }
+  return found->second.mSecondsPerEvent / mTypicalSpeed;
+}
+
+bool StepRunner::StartItem(const OwnedStepPtr& aStep,
+                           size_t aIndex,
+                           const fleet::Route& aRoute)
+{
+  std::vector<policy::ItemCandidate> candidates;
+  std::vector<const fleet::Replica*> replicas;
+  const auto& prompts = aStep->mPromptReplicas[aStep->mItems[aIndex].mGroup];
+  for (const auto& [id, replica] : mContext.mView.Replicas()) {
+    const auto serves = [&](const fleet::WeightedService& aService) {
+      return aService.mService == replica.mService;
+    };
+    if (std::none_of(
+          aRoute.mServices.begin(), aRoute.mServices.end(), serves) ||
+        !MayRun(*aStep, replica)) {
+      continue;
+    }
+    policy::ItemCandidate candidate;
+    candidate.mRunning = mContext.mPool.EstimatedRequests(replica);
+    candidate.mSlots = replica.mSlots;
+    candidate.mSameRegion =
+      mContext.mView.RegionOf(replica.mAvailabilityZone) ==
+      mContext.mView.Region();
+    candidate.mPromptKnown = prompts.contains(id);
+    candidate.mSlowness = Slowness(id);
+    candidates.push_back(candidate);
+    replicas.push_back(&replica);
+  }
+  const auto chosen = policy::PlaceItem(candidates, mPlacement);
+  if (!chosen) {
+    return false;
+  }
+  const fleet::Replica& replica = *replicas[*chosen];
+  auto use = mContext.mPool.Take(replica.mId);
+  if (!use) {
+    return false;
+  }
+  Event("item_placed", LogLevel::Debug)
+    .Field("step", aStep->mRecord.mId)
+    .Field("item", aStep->mItems[aIndex].mId)
+    .Field("replica", replica.mId)
+    .Field("running", candidates[*chosen].mRunning)
+    .Field("slowness", candidates[*chosen].mSlowness)
+    .Field("events", static_cast<uint64_t>(aStep->mWork[aIndex].mEvents.size()))
+    .Write();
+  aStep->mPromptReplicas[aStep->mItems[aIndex].mGroup].insert(replica.mId);
+  ItemWork& work = aStep->mWork[aIndex];
+  work.mState = ItemWork::State::Running;
+  work.mReplica = replica.mId;
+  work.mAbort = std::make_shared<http::Abort>();
+  work.mStreamStart = mContext.mClock();
+  work.mStreamEvents = 0;
+  asio::co_spawn(mContext.mExecutor,
+                 RunItem(aStep, aIndex, std::move(*use), aRoute),
+                 asio::detached);
+  return true;
+}
+
+bool StepRunner::TakeEvent(OwnedStep& aStep,
+                           size_t aIndex,
+                           const fleet::Route& aRoute,
+                           const fleet::Replica& aReplica,
+                           request::StreamEvent aEvent)
+{
+  ItemWork& work = aStep.mWork[aIndex];
+  if (aStep.mStopped || aEvent.mNumber != work.mEvents.size() + 1) {
+    return false;
+  }
+  if (aEvent.mVersion) {
+    const bool known = std::find(work.mVersions.begin(),
+                                 work.mVersions.end(),
+                                 *aEvent.mVersion) != work.mVersions.end();
+    const bool tooOld = *aEvent.mVersion < aStep.mRecord.mMinVersion;
+    const bool mixed =
+      aRoute.mSingleVersion && !known && !work.mVersions.empty();
+    if (tooOld || mixed) {
+      Event("sample_restarted", LogLevel::Warning)
+        .Field("item", aStep.mItems[aIndex].mId)
+        .Field("replica", aReplica.mId)
+        .Field("version", *aEvent.mVersion)
+        .Field("reason", tooOld ? "version too old" : "version changed")
+        .Write();
+      work.mEvents.clear();
+      work.mVersions.clear();
+      return false;
+    }
+    if (!known) {
+      work.mVersions.push_back(*aEvent.mVersion);
+    }
+  }
+  work.mEvents.push_back(std::move(aEvent.mData));
+  if (work.mStreamEvents++ == 0) {
+    // Counted from the first event, which includes the prompt.
+    work.mStreamStart = mContext.mClock();
+  }
+  return true;
+}
+
+void StepRunner::ObserveSpeed(const std::string& aReplicaId,
+                              const ItemWork& aWork)
+{
+  if (aWork.mStreamEvents < 2) {
+    return;
+  }
+  const double seconds =
+    Seconds(mContext.mClock() - aWork.mStreamStart) / (aWork.mStreamEvents - 1);
+  Speed& speed = mSpeeds[aReplicaId];
+  const bool fresh = mContext.mClock() - speed.mUpdated < kSpeedLifetime;
+  speed.mSecondsPerEvent =
+    fresh
+      ? speed.mSecondsPerEvent * (1.0 - kSpeedWeight) + seconds * kSpeedWeight
+      : seconds;
+  speed.mUpdated = mContext.mClock();
+  std::vector<double> all;
+  for (const auto& [id, known] : mSpeeds) {
+    if (mContext.mClock() - known.mUpdated < kSpeedLifetime) {
+      all.push_back(known.mSecondsPerEvent);
+    }
+  }
+  const auto middle = all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2);
+  std::nth_element(all.begin(), middle, all.end());
+  mTypicalSpeed = *middle;
+}
+
+Awaitable<void> StepRunner::RunItem(OwnedStepPtr aStep,
+                                    size_t aIndex,
+                                    request::ReplicaPool::Use aUse,
+                                    fleet::Route aRoute)
+{
+  ++mRunningItems;
+  const StepItem& item = aStep->mItems[aIndex];
+  ItemWork& work = aStep->mWork[aIndex];
+  const fleet::Replica replica = aUse.Replica();
+  request::UpstreamRequest request;
+  request.mId = item.mId;
+  request.mTarget = item.mPath;
+  request.mHeaders = item.mHeaders;
+  request.mHeaders.push_back({ "host", aStep->mRecord.mHost });
+  request.mBody = item.mBody;
+  request.mAccount = aStep->mRecord.mAccount;
+  request.mReplicaId = replica.mId;
+  request.mDeadline = mContext.mClock() + kMaxStreamTime;
+  if (!work.mEvents.empty()) {
+    request.mResumeAfter = static_cast<uint32_t>(work.mEvents.size());
+  }
+  request::StreamOptions options;
+  options.mAbort = work.mAbort;
+  options.mIdleTimeout = kStreamIdleTimeout;
+  options.mSink =
+    [this, aStep, aIndex, &aRoute, &replica](request::StreamEvent aEvent) {
+      return TakeEvent(*aStep, aIndex, aRoute, replica, std::move(aEvent));
+    };
+  const auto answer = co_await mContext.mStream(
+    replica.mEndpoint, std::move(request), std::move(options));
+  work.mAbort.reset();
+  ObserveSpeed(replica.mId, work);
+  --mRunningItems;
+  if (aStep->mStopped) {
+    co_return;
+  }
+  work.mState = ItemWork::State::Waiting;
+  const TimePoint now = mContext.mClock();
+  if (answer.has_error()) {
+    const bool moved = answer.error().mKind == ErrorKind::Canceled;
+    Event("item_interrupted", LogLevel::Warning)
+      .Field("step", aStep->mRecord.mId)
+      .Field("item", item.mId)
+      .Field("replica", replica.mId)
+      .Field("events", static_cast<uint64_t>(work.mEvents.size()))
+      .Field("error", FormatError(answer.error()))
+      .Write();
+    if (!moved) {
+      mContext.mPool.Suspend(replica.mId, kBrokenSuspension);
+    }
+    work.mNotBefore = work.mStreamEvents > 0 ? now : now + kBrokenPause;
+  } else {
+    if (answer->mLoad) {
+      mContext.mPool.Report(replica.mId, *answer->mLoad);
+    }
+    if (answer->Succeeded()) {
+      work.mState = ItemWork::State::Scoring;
+    } else if (answer->mNotRun || answer->mMisdirected) {
+      mContext.mPool.Suspend(replica.mId, kBusyPause);
+    } else if (answer->mStatus == 422) {
+      Finish(aStep, aIndex, ItemState::Dead, {});
+    } else if (++work.mFailures >= aRoute.mMaxAttempts &&
+               answer->mStatus == 500) {
+      Finish(aStep, aIndex, ItemState::Dead, {});
+    } else {
+      work.mNotBefore = now + kBrokenPause;
+    }
+  }
+  if (work.mState == ItemWork::State::Scoring) {
+    asio::co_spawn(mContext.mExecutor, Score(aStep, aIndex), asio::detached);
+  }
+  Pump();
+}
+
+/// Calls the scoring service until it has scored the text, or has failed it
+/// as often as its route allows.
+Awaitable<void> StepRunner::Score(OwnedStepPtr aStep, size_t aIndex)
+{
+  const auto& scoring = aStep->mItems[aIndex].mScoring;
+  if (!scoring) {
+    Finish(aStep, aIndex, ItemState::Completed, {});
+    co_return;
+  }
+  const auto failures = std::make_shared<unsigned>(0);
+  asio::steady_timer timer(mContext.mExecutor);
+  while (!aStep->mStopped) {
+    const auto& config = mContext.mView.Config();
+    const fleet::Route* route =
+      config ? config->FindRoute(scoring->mHost, scoring->mPath) : nullptr;
+    if (route != nullptr) {
+      request::ForwardRequest request;
+      request.mRoute = *route;
+      request.mPrototype.mId = scoring->mId;
+      request.mPrototype.mTarget = scoring->mPath;
+      request.mPrototype.mHeaders.push_back({ "host", scoring->mHost });
+      request.mPrototype.mBody = scoring->mBody;
+      request.mDeadline = mContext.mClock() + route->mTimeout;
+      request.mOnRejected = [failures] { ++*failures; };
+      const unsigned allowed = route->mMaxAttempts;
+      const auto answer = co_await mContext.mForwarder.Run(std::move(request));
+      if (aStep->mStopped) {
+        co_return;
+      }
+      if (answer.has_value() && answer->Succeeded()) {
+        Finish(aStep, aIndex, ItemState::Completed, answer->mSignature);
+        co_return;
+      }
+      if (*failures >= allowed) {
+        Event("sample_not_scored", LogLevel::Warning)
+          .Field("item", aStep->mItems[aIndex].mId)
+          .Field("failures", *failures)
+          .Write();
+        Finish(aStep, aIndex, ItemState::Dead, {});
+        co_return;
+      }
+    }
+    timer.expires_after(kScorePause);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+void StepRunner::Finish(const OwnedStepPtr& aStep,
+                        size_t aIndex,
+                        ItemState aState,
+                        std::string aScore)
+{
+  ItemWork& work = aStep->mWork[aIndex];
+  if (work.mState == ItemWork::State::Done) {
+    return;
+  }
+  work.mState = ItemWork::State::Done;
+  ItemResult result;
+  result.mId = aStep->mItems[aIndex].mId;
+  result.mState = aState;
+  if (aState == ItemState::Completed) {
+    result.mText = JoinLines(work.mEvents);
+    result.mVersions = work.mVersions;
+    result.mScore = std::move(aScore);
+  }
+  work.mEvents = {};
+  aStep->mPending.push_back(std::move(result));
+  aStep->mCommitTimer->cancel();
+}
+
+/// Lists pending results, one entry of the log at a time.
+Awaitable<void> StepRunner::Commit(OwnedStepPtr aStep)
+{
+  asio::steady_timer pause(mContext.mExecutor);
+  while (!aStep->mStopped) {
+    if (aStep->mPending.empty()) {
+      aStep->mCommitTimer->expires_at(TimePoint::max());
+      boost::system::error_code ignored;
+      co_await aStep->mCommitTimer->async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+      continue;
+    }
+    std::vector<ItemResult> batch;
+    size_t bytes = 0;
+    while (batch.size() < aStep->mPending.size() && bytes < kEntryBytes) {
+      bytes += aStep->mPending[batch.size()].mText.size();
+      batch.push_back(aStep->mPending[batch.size()]);
+    }
+    const std::string encoded = EncodeResults(batch);
+    AppendOutcome outcome = AppendOutcome::Retry;
+    while (outcome == AppendOutcome::Retry && !aStep->mStopped) {
+      outcome = co_await mContext.mStore.Append(
+        aStep->mRecord, aStep->mNextEntry, encoded);
+      if (outcome == AppendOutcome::Retry) {
+        pause.expires_after(kCommitRetryPause);
+        co_await pause.async_wait(asio::use_awaitable);
+      }
+    }
+    if (outcome == AppendOutcome::Superseded) {
+      Stop(aStep, true);
+    }
+    if (outcome != AppendOutcome::Listed) {
+      co_return;
+    }
+    aStep->mConfirmed = mContext.mClock();
+    ++aStep->mNextEntry;
+    aStep->mPending.erase(aStep->mPending.begin(),
+                          aStep->mPending.begin() +
+                            static_cast<std::ptrdiff_t>(batch.size()));
+    for (ItemResult& result : batch) {
+      aStep->mListed.push_back(std::move(result));
+    }
+    Wake(*aStep);
+    if (aStep->Whole()) {
+      Stop(aStep, false);
+      co_return;
+    }
+    pause.expires_after(kCommitPause);
+    co_await pause.async_wait(asio::use_awaitable);
+  }
+}
+
+/// Streams on slow replicas go on at faster ones with free slots.
+void StepRunner::MoveStragglers(const OwnedStepPtr& aStep)
+{
+  double best = 0.0;
+  for (const auto& [id, replica] : mContext.mView.Replicas()) {
+    if (MayRun(*aStep, replica) &&
+        mContext.mPool.EstimatedRequests(replica) + 1.0 <= replica.mSlots) {
+      const double slowness = Slowness(id);
+      best = best == 0.0 ? slowness : std::min(best, slowness);
+    }
+  }
+  if (best == 0.0 || mTypicalSpeed <= 0.0) {
+    return;
+  }
+  for (ItemWork& work : aStep->mWork) {
+    if (work.mState != ItemWork::State::Running || !work.mAbort ||
+        work.mStreamEvents < 2) {
+      continue;
+    }
+    const double own = Seconds(mContext.mClock() - work.mStreamStart) /
+                       (work.mStreamEvents - 1) / mTypicalSpeed;
+    if (policy::ShouldMoveItem(own, best, work.mStreamEvents, mMoves)) {
+      ObserveSpeed(work.mReplica, work);
+      Event("item_moved")
+        .Field("step", aStep->mRecord.mId)
+        .Field("replica", work.mReplica)
+        .Field("slowness", own)
+        .Field("best", best)
+        .Write();
+      (*work.mAbort)();
+    }
+  }
+}
+
+} // namespace agatetide::steps
--- /dev/null
+++ b/src/agatetide/steps/step_store.cpp
@@ -0,0 +1,281 @@
+#include "agatetide/steps/step_store.hpp"
+
+#include <cstdio>
+
+namespace agatetide::steps {
+
+using namespace coordination;
+
+namespace {
+
+constexpr std::string_view kRecordPrefix = "agatetide/step/";
+constexpr std::string_view kItemsPrefix = "agatetide/step-items/";
+constexpr std::string_view kLogPrefix = "agatetide/step-log/";
+/// Bytes of one value; the store takes 1 MiB of the text that encodes them.
+constexpr size_t kChunkBytes = size_t{ 700 } << 10U;
+/// Deletions in one transaction of the store.
+constexpr size_t kMaxDeletes = 30;
+
+std::string RecordKey(std::string_view aId)
+{
+  return std::string(kRecordPrefix) + std::string(aId);
+}
+
+std::string Numbered(std::string_view aPrefix,
+                     std::string_view aId,
+                     uint32_t aNumber)
+{
+  char digits[16];
+  std::snprintf(digits, sizeof digits, "/%06u", aNumber);
+  return std::string(aPrefix) + std::string(aId) + digits;
+}
+
+/// A record as an entry of the store holds it.
+std::optional<StepRecord> RecordOf(const StoreEntry& aEntry)
+{
+  auto record = DecodeRecord(aEntry.mValue);
+  if (record.has_error()) {
+    return std::nullopt;
+  }
+  record->mRevision = aEntry.mModRevision;
+  return *record;
+}
+
+const StoreEntry* FindEntry(const std::vector<StoreEntry>& aEntries,
+                            std::string_view aKey)
+{
+  for (const StoreEntry& entry : aEntries) {
+    if (entry.mKey == aKey && entry.mModRevision != 0) {
+      return &entry;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace
+
+StepStore::StepStore(StoreCall aStore, WatchCall aWatch)
+  : mStore(std::move(aStore))
+  , mWatch(std::move(aWatch))
+{
+}
+
+Awaitable<CreateReply> StepStore::Create(StepRecord aRecord,
+                                         const std::vector<StepItem>& aItems)
+{
+  const std::string items = EncodeItems(aItems);
+  TransactionRequest create;
+  aRecord.mItems = static_cast<uint32_t>(aItems.size());
+  aRecord.mChunks = 0;
+  for (size_t at = 0; at < items.size(); at += kChunkBytes) {
+    create.mPuts.push_back(
+      { Numbered(kItemsPrefix, aRecord.mId, aRecord.mChunks++),
+        items.substr(at, kChunkBytes) });
+  }
+  const std::string key = RecordKey(aRecord.mId);
+  create.mCompares.push_back({ key, 0 });
+  create.mPuts.push_back({ key, EncodeRecord(aRecord) });
+  create.mReadOnFailure.push_back(key);
+  StoreRequest request = std::move(create);
+  const auto created = co_await mStore(std::move(request));
+  CreateReply reply;
+  if (created.has_value() && created->mSucceeded) {
+    reply.mOutcome = CreateOutcome::Kept;
+    reply.mRecord = std::move(aRecord);
+    reply.mRecord.mRevision = created->mRevision;
+    co_return reply;
+  }
+  if (created.has_error()) {
+    reply.mOutcome = created.error().mExecution == Execution::NotRun
+                       ? CreateOutcome::NotKept
+                       : CreateOutcome::Unknown;
+    reply.mReason = FormatError(created.error());
+    co_return reply;
+  }
+  const StoreEntry* entry = FindEntry(created->mEntries, key);
+  const auto record = entry == nullptr ? std::nullopt : RecordOf(*entry);
+  if (!record) {
+    reply.mReason = "the stored record cannot be read";
+    co_return reply;
+  }
+  reply.mOutcome = CreateOutcome::Exists;
+  reply.mRecord = *record;
+  co_return reply;
+}
+
+Awaitable<Result<std::optional<StepRecord>>> StepStore::Load(std::string aId)
+{
+  std::string key = RecordKey(aId);
+  const auto entry = co_await ReadKey(mStore, std::move(key));
+  if (entry.has_error()) {
+    co_return entry.error();
+  }
+  if (!entry->has_value()) {
+    co_return std::optional<StepRecord>();
+  }
+  auto record = DecodeRecord((*entry)->mValue);
+  if (record.has_error()) {
+    co_return record.error();
+  }
+  record->mRevision = (*entry)->mModRevision;
+  co_return std::optional<StepRecord>(std::move(*record));
+}
+
+Awaitable<Result<std::vector<StepRecord>>> StepStore::List()
+{
+  std::string prefix(kRecordPrefix);
+  const auto reply = co_await ReadPrefix(mStore, std::move(prefix));
+  if (reply.has_error()) {
+    co_return reply.error();
+  }
+  std::vector<StepRecord> records;
+  for (const StoreEntry& entry : reply->mEntries) {
+    if (auto record = RecordOf(entry)) {
+      records.push_back(std::move(*record));
+    }
+  }
+  co_return records;
+}
+
+Awaitable<Result<std::vector<StepItem>>> StepStore::LoadItems(
+  StepRecord aRecord)
+{
+  std::string bytes;
+  for (uint32_t chunk = 0; chunk < aRecord.mChunks; ++chunk) {
+    std::string key = Numbered(kItemsPrefix, aRecord.mId, chunk);
+    const auto entry = co_await ReadKey(mStore, std::move(key));
+    if (entry.has_error()) {
+      co_return entry.error();
+    }
+    if (!entry->has_value()) {
+      co_return Error{ ErrorKind::DataLoss,
+                       "the items of step " + aRecord.mId + " are missing",
+                       "hand the step in again" };
+    }
+    bytes += (*entry)->mValue;
+  }
+  co_return DecodeItems(bytes);
+}
+
+Awaitable<AppendOutcome> StepStore::Append(StepRecord aRecord,
+                                           uint32_t aEntry,
+                                           std::string aResults)
+{
+  const std::string recordKey = RecordKey(aRecord.mId);
+  const std::string key = Numbered(kLogPrefix, aRecord.mId, aEntry);
+  TransactionRequest append;
+  append.mCompares.push_back({ recordKey, aRecord.mRevision });
+  append.mCompares.push_back({ key, 0 });
+  append.mPuts.push_back({ key, aResults });
+  append.mReadOnFailure = { recordKey, key };
+  StoreRequest request = std::move(append);
+  const auto appended = co_await mStore(std::move(request));
+  if (appended.has_error()) {
+    co_return AppendOutcome::Retry;
+  }
+  if (appended->mSucceeded) {
+    co_return AppendOutcome::Listed;
+  }
+  const StoreEntry* listed = FindEntry(appended->mEntries, key);
+  if (listed != nullptr && listed->mValue == aResults) {
+    // An earlier try took effect without an answer.
+    co_return AppendOutcome::Listed;
+  }
+  co_return AppendOutcome::Superseded;
+}
+
+Awaitable<Result<LogPart>> StepStore::ReadLog(std::string aId, uint32_t aFrom)
+{
+  const std::string prefix = std::string(kLogPrefix) + aId + "/";
+  StoreRequest request =
+    RangeRequest{ Numbered(kLogPrefix, aId, aFrom), PrefixEnd(prefix), 0 };
+  const auto reply = co_await mStore(std::move(request));
+  if (reply.has_error()) {
+    co_return reply.error();
+  }
+  LogPart part;
+  part.mRevision = reply->mRevision;
+  for (const StoreEntry& entry : reply->mEntries) {
+    if (entry.mKey != Numbered(kLogPrefix, aId, aFrom + part.mEntries)) {
+      break;
+    }
+    auto results = DecodeResults(entry.mValue);
+    if (results.has_error()) {
+      co_return results.error();
+    }
+    ++part.mEntries;
+    for (ItemResult& result : *results) {
+      part.mResults.push_back(std::move(result));
+    }
+  }
+  co_return part;
+}
+
+Awaitable<Result<bool>> StepStore::AwaitLog(std::string aId,
+                                            int64_t aAfterRevision,
+                                            std::chrono::milliseconds aWait)
+{
+  WatchRequest request{ std::string(kLogPrefix) + aId + "/",
+                        aAfterRevision,
+                        aWait };
+  const auto reply = co_await mWatch(std::move(request));
+  if (reply.has_error()) {
+    co_return reply.error();
+  }
+  co_return reply->mCompacted || !reply->mChanges.empty();
+}
+
+Awaitable<Result<std::optional<StepRecord>>> StepStore::Replace(
+  StepRecord aRecord)
+{
+  const std::string key = RecordKey(aRecord.mId);
+  const std::string value = EncodeRecord(aRecord);
+  TransactionRequest replace;
+  replace.mCompares.push_back({ key, aRecord.mRevision });
+  replace.mPuts.push_back({ key, value });
+  replace.mReadOnFailure.push_back(key);
+  StoreRequest request = std::move(replace);
+  const auto replaced = co_await mStore(std::move(request));
+  if (replaced.has_error()) {
+    co_return replaced.error();
+  }
+  if (replaced->mSucceeded) {
+    aRecord.mRevision = replaced->mRevision;
+    co_return std::optional<StepRecord>(std::move(aRecord));
+  }
+  const StoreEntry* entry = FindEntry(replaced->mEntries, key);
+  if (entry != nullptr && entry->mValue == value) {
+    // An earlier try took effect without an answer.
+    aRecord.mRevision = entry->mModRevision;
+    co_return std::optional<StepRecord>(std::move(aRecord));
+  }
+  co_return std::optional<StepRecord>();
+}
+
+Awaitable<Result<bool>> StepStore::Delete(StepRecord aRecord,
+                                          uint32_t aLogEntries)
+{
+  std::vector<std::string> keys;
+  for (uint32_t chunk = 0; chunk < aRecord.mChunks; ++chunk) {
+    keys.push_back(Numbered(kItemsPrefix, aRecord.mId, chunk));
+  }
+  for (uint32_t entry = 0; entry < aLogEntries; ++entry) {
+    keys.push_back(Numbered(kLogPrefix, aRecord.mId, entry));
+  }
+  // The record goes last, so that an interrupted deletion is repeated.
+  keys.push_back(RecordKey(aRecord.mId));
+  for (size_t at = 0; at < keys.size(); at += kMaxDeletes) {
+    TransactionRequest remove;
+    for (size_t i = at; i < std::min(keys.size(), at + kMaxDeletes); ++i) {
+      remove.mDeletes.push_back({ keys[i] });
+    }
+    StoreRequest request = std::move(remove);
+    const auto removed = co_await mStore(std::move(request));
+    if (removed.has_error()) {
+      co_return removed.error();
+    }
+  }
+  co_return true;
+}
+
+} // namespace agatetide::steps
