Pass parts of a streamed answer on as they arrive

Cause: the HTTP client read streams with async_read, which returns only when the 16 KiB piece is full or the answer ends. Change: async_read_some.

--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -341,7 +341,7 @@
     parser.get().body().data = piece.data();
     parser.get().body().size = piece.size();
     limitSilence();
-    co_await beast::http::async_read(
+    co_await beast::http::async_read_some(
       connection->mStream,
       connection->mBuffer,
       parser,
