Recognise the model that a replica follows after a change of leader

Cause: a new leader derived the homes of replicas from a lag of more than one version. Change: a replica follows the model whose newest version is nearest to its own by a margin; replicas with such a model are assigned first.

--- a/include/agatetide/policy/weight_homes.hpp
+++ b/include/agatetide/policy/weight_homes.hpp
@@ -38,8 +38,8 @@
   }
 
   /// @brief Brings the assignment up to date. aNamed holds the newest version
-  /// of each model; a replica without an assignment that is ahead in one
-  /// model is taken to follow it.
+  /// of each model; a replica without an assignment that is much nearer to
+  /// the newest version of one model than of the others follows it.
   void Update(std::span<const HomeReplica> aReplicas,
               const std::map<std::string, int64_t, std::less<>>& aNamed);
 
@@ -47,10 +47,12 @@
   bool Follows(const std::string& aReplicaId, const std::string& aModel) const;
 
 private:
-  std::string Choose(
+  static std::vector<std::string> Candidates(
     const HomeReplica& aReplica,
-    std::span<const HomeReplica> aReplicas,
-    const std::map<std::string, int64_t, std::less<>>& aNamed) const;
+    const std::map<std::string, int64_t, std::less<>>& aNamed);
+  std::string Choose(const HomeReplica& aReplica,
+                     std::span<const std::string> aCandidates,
+                     std::span<const HomeReplica> aReplicas) const;
 
   HomePolicy mPolicy;
   /// Model by replica id.
--- a/src/agatetide/policy/weight_homes.cpp
+++ b/src/agatetide/policy/weight_homes.cpp
@@ -1,10 +1,19 @@
 #include "agatetide/policy/weight_homes.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <set>
+#include <utility>
 
 namespace agatetide::policy {
 
+namespace {
+
+/// Version of weights that replicas start with.
+constexpr int64_t kFirstVersion = 1;
+
+} // namespace
+
 bool WeightHomes::Follows(const std::string& aReplicaId,
                           const std::string& aModel) const
 {
@@ -15,37 +24,52 @@
   return found != mHomes.end() && found->second == aModel;
 }
 
-/// The model in which the replica is ahead of the others; otherwise the one
-/// with the fewest replicas, in its zone first.
-std::string WeightHomes::Choose(
+/// Models whose newest version is nearest to the replica's own; all models
+/// while the replica has loaded none.
+std::vector<std::string> WeightHomes::Candidates(
   const HomeReplica& aReplica,
-  std::span<const HomeReplica> aReplicas,
-  const std::map<std::string, int64_t, std::less<>>& aNamed) const
+  const std::map<std::string, int64_t, std::less<>>& aNamed)
 {
-  std::map<std::string, std::pair<size_t, size_t>> followers;
+  const bool loaded =
+    std::any_of(aReplica.mVersions.begin(),
+                aReplica.mVersions.end(),
+                [](const auto& aItem) { return aItem.second > kFirstVersion; });
+  std::map<std::string, int64_t> lags;
+  int64_t least = std::numeric_limits<int64_t>::max();
   for (const auto& [model, version] : aReplica.mVersions) {
-    followers[model] = {};
+    const auto named = aNamed.find(model);
+    lags[model] = named == aNamed.end() ? 0 : named->second - version;
+    least = std::min(least, lags[model]);
   }
-  for (const HomeReplica& other : aReplicas) {
-    const auto home = mHomes.find(other.mId);
-    if (home == mHomes.end() || !followers.contains(home->second)) {
-      continue;
+  std::vector<std::string> candidates;
+  for (const auto& [model, lag] : lags) {
+    if (!loaded || lag <= least + 1) {
+      candidates.push_back(model);
     }
-    auto& [inZone, all] = followers[home->second];
-    inZone += other.mAvailabilityZone == aReplica.mAvailabilityZone ? 1 : 0;
-    ++all;
   }
+  return candidates;
+}
+
+/// The candidate with the fewest replicas, in the replica's zone first.
+std::string WeightHomes::Choose(const HomeReplica& aReplica,
+                                std::span<const std::string> aCandidates,
+                                std::span<const HomeReplica> aReplicas) const
+{
   std::string best;
-  int64_t bestLag = 0;
-  for (const auto& [model, version] : aReplica.mVersions) {
-    const auto named = aNamed.find(model);
-    const int64_t lag = named == aNamed.end() ? 0 : named->second - version;
-    const bool behind = lag > 1;
-    const bool bestBehind = bestLag > 1;
-    if (best.empty() || behind < bestBehind ||
-        (behind == bestBehind && followers[model] < followers[best])) {
+  std::pair<size_t, size_t> fewest;
+  for (const std::string& model : aCandidates) {
+    std::pair<size_t, size_t> followers;
+    for (const HomeReplica& other : aReplicas) {
+      const auto home = mHomes.find(other.mId);
+      if (home != mHomes.end() && home->second == model) {
+        ++followers.second;
+        followers.first +=
+          other.mAvailabilityZone == aReplica.mAvailabilityZone ? 1 : 0;
+      }
+    }
+    if (best.empty() || followers < fewest) {
       best = model;
-      bestLag = lag;
+      fewest = followers;
     }
   }
   return best;
@@ -61,9 +85,14 @@
   }
   std::erase_if(
     mHomes, [&](const auto& aItem) { return !present.contains(aItem.first); });
-  for (const HomeReplica& replica : aReplicas) {
-    if (!mHomes.contains(replica.mId) && !replica.mVersions.empty()) {
-      mHomes[replica.mId] = Choose(replica, aReplicas, aNamed);
+  // Replicas that follow a model already go first: the others fill up.
+  for (const bool settled : { true, false }) {
+    for (const HomeReplica& replica : aReplicas) {
+      const auto candidates = Candidates(replica, aNamed);
+      if (!mHomes.contains(replica.mId) && !candidates.empty() &&
+          (candidates.size() == 1) == settled) {
+        mHomes[replica.mId] = Choose(replica, candidates, aReplicas);
+      }
     }
   }
 }
