Let a draining host finish its steps

Ruled out: the trainers' timing (their submissions were on time) and the engines (free slots throughout). Change: the registration says that a host drains. It gets no new callers, steps or take-overs, and keeps its steps until it stops. The leader counts as gone when its host drains. Host and leader leases last 3 s instead of 4 s.

--- a/include/agatetide/duty/leadership.hpp
+++ b/include/agatetide/duty/leadership.hpp
@@ -10,14 +10,14 @@
 struct LeadershipOptions
 {
   std::string mKey = "agatetide/leader";
-  int64_t mTtlSeconds = 4;
-  Milliseconds mRenewInterval{ 1200 };
+  int64_t mTtlSeconds = 3;
+  Milliseconds mRenewInterval{ 800 };
   /// Daemons that do not lead look this often whether the lease is free;
   /// sooner when the leader's host has gone.
   Milliseconds mTryInterval{ 5000 };
   /// Time between acquiring the lease and the first act, so that calls of the
   /// holder before have arrived.
-  Milliseconds mSettleTime{ 1200 };
+  Milliseconds mSettleTime{ 1000 };
 };
 
 /// @brief The lease of the daemon that carries out the singleton duties.
@@ -53,6 +53,8 @@
              std::string aHost,
              const fleet::FleetView& aView);
 
+  bool HolderGone() const;
+
   LeadershipOptions mOptions;
   coordination::Lease mLease;
   Clock mClock;
--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -79,11 +79,12 @@
   /// @brief Starts all loops. Call once.
   void Start();
 
-  /// @brief Gives duties up and takes this host out of the registry.
-  Awaitable<void> Leave();
+  /// @brief Gives duties up and asks for no new callers. Steps go on.
+  Awaitable<void> BeginDrain();
 
-  /// @brief Stores what was counted, as the last act of the process.
-  Awaitable<void> StoreUsage();
+  /// @brief Stores what other hosts need to go on, and takes this host out of
+  /// the registry, as the last act of the process.
+  Awaitable<void> Leave();
 
   /// @brief Whether callers may be sent here.
   bool Ready() const { return !mDraining && mView.Config() != nullptr; }
--- a/include/agatetide/entry/host_registry.hpp
+++ b/include/agatetide/entry/host_registry.hpp
@@ -11,8 +11,8 @@
 
 struct HostRegistryOptions
 {
-  int64_t mTtlSeconds = 4;
-  Milliseconds mRenewInterval{ 1200 };
+  int64_t mTtlSeconds = 3;
+  Milliseconds mRenewInterval{ 800 };
   /// When many hosts vanish at once, their leases have probably lapsed with
   /// the store; they stay known for this long.
   Milliseconds mLapseTime{ 3000 };
@@ -36,6 +36,9 @@
   /// @brief Follows the registrations of all hosts.
   Awaitable<void> Follow();
 
+  /// @brief Tells the other hosts that this one takes no new work.
+  Awaitable<void> BeginDrain();
+
   /// @brief Takes this host out of the registry.
   Awaitable<void> Leave();
 
@@ -44,6 +47,7 @@
 
 private:
   Awaitable<bool> Renew();
+  Awaitable<bool> Write(int64_t aLease);
   void Reset(const std::vector<coordination::StoreEntry>& aEntries);
   void Change(const coordination::StoreChange& aChange);
   void Publish();
--- a/include/agatetide/fleet/fleet_view.hpp
+++ b/include/agatetide/fleet/fleet_view.hpp
@@ -23,6 +23,8 @@
   std::string mRegion;
   /// Tells one start of the process from another.
   std::string mIncarnation;
+  /// Takes no new callers and steps, and finishes what it has.
+  bool mDraining = false;
 };
 
 /// @brief What this daemon knows of the deployment. Written by the watchers,
--- a/src/agatetide/duty/leadership.cpp
+++ b/src/agatetide/duty/leadership.cpp
@@ -44,6 +44,16 @@
          mClock() - mLease.HeldSince() >= mOptions.mSettleTime;
 }
 
+/// Whether the holder's host left the registry or is about to.
+bool Leadership::HolderGone() const
+{
+  if (mLease.Holder().empty()) {
+    return false;
+  }
+  const auto host = mView->Hosts().find(mLease.Holder());
+  return host == mView->Hosts().end() || host->second.mDraining;
+}
+
 Awaitable<void> Leadership::Maintain()
 {
   if (mResigned) {
@@ -51,8 +61,7 @@
   }
   const TimePoint now = mClock();
   const bool held = mLease.Held();
-  const bool holderGone = !held && !mLease.Holder().empty() &&
-                          !mView->Hosts().contains(mLease.Holder());
+  const bool holderGone = !held && HolderGone();
   Duration interval = mOptions.mTryInterval;
   if (held || holderGone) {
     interval = mOptions.mRenewInterval;
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -112,16 +112,17 @@
   asio::co_spawn(mExecutor, RecoverLoop(), asio::detached);
 }
 
-Awaitable<void> EntryDaemon::Leave()
+Awaitable<void> EntryDaemon::BeginDrain()
 {
   mDraining = true;
-  co_await mRegistry.Leave();
+  co_await mRegistry.BeginDrain();
   co_await mLeadership->Resign();
 }
 
-Awaitable<void> EntryDaemon::StoreUsage()
+Awaitable<void> EntryDaemon::Leave()
 {
   co_await mUsage.Store(true);
+  co_await mRegistry.Leave();
 }
 
 void EntryDaemon::CountUsage(const std::string& aAccount, TimePoint aBegan)
@@ -333,7 +334,7 @@
   uint64_t highest = 0;
   for (const bool anyRegion : { false, true }) {
     for (const auto& [name, host] : mView.Hosts()) {
-      if (!anyRegion && host.mRegion != aRecord.mRegion) {
+      if (host.mDraining || (!anyRegion && host.mRegion != aRecord.mRegion)) {
         continue;
       }
       const uint64_t hash = Hash64(name, Hash64(aRecord.mId));
--- a/src/agatetide/entry/host_registry.cpp
+++ b/src/agatetide/entry/host_registry.cpp
@@ -23,7 +23,8 @@
     { "address", aHost.mAddress },
     { "availability_zone", aHost.mAvailabilityZone },
     { "region", aHost.mRegion },
-    { "incarnation", aHost.mIncarnation }
+    { "incarnation", aHost.mIncarnation },
+    { "draining", aHost.mDraining }
   }.dump();
 }
 
@@ -39,11 +40,14 @@
   if (!value.is_object() || text("address").empty()) {
     return std::nullopt;
   }
-  return fleet::EntryHost{ aEntry.mKey.substr(kHostPrefix.size()),
-                           text("address"),
-                           text("availability_zone"),
-                           text("region"),
-                           text("incarnation") };
+  fleet::EntryHost host;
+  host.mName = aEntry.mKey.substr(kHostPrefix.size());
+  host.mAddress = text("address");
+  host.mAvailabilityZone = text("availability_zone");
+  host.mRegion = text("region");
+  host.mIncarnation = text("incarnation");
+  host.mDraining = value.value("draining", json(false)) == json(true);
+  return host;
 }
 
 } // namespace
@@ -81,17 +85,31 @@
   if (granted.has_error()) {
     co_return false;
   }
+  const bool written = co_await Write(granted->mLease);
+  if (written) {
+    mLease = granted->mLease;
+    Event("host_registered").Field("host", mSelf.mName).Write();
+  }
+  co_return written;
+}
+
+Awaitable<bool> HostRegistry::Write(int64_t aLease)
+{
   TransactionRequest put;
   put.mPuts.push_back(
-    { std::string(kHostPrefix) + mSelf.mName, Encode(mSelf), granted->mLease });
+    { std::string(kHostPrefix) + mSelf.mName, Encode(mSelf), aLease });
   StoreRequest request = std::move(put);
   const auto written = co_await mStore(std::move(request));
-  if (written.has_error() || !written->mSucceeded) {
-    co_return false;
+  co_return written.has_value() && written->mSucceeded;
+}
+
+Awaitable<void> HostRegistry::BeginDrain()
+{
+  mSelf.mDraining = true;
+  Publish();
+  if (mLease != 0) {
+    co_await Write(mLease);
   }
-  mLease = granted->mLease;
-  Event("host_registered").Field("host", mSelf.mName).Write();
-  co_return true;
 }
 
 Awaitable<void> HostRegistry::Register()
@@ -181,7 +199,8 @@
   for (const auto& [name, host] : hosts) {
     const auto known = mView.Hosts().find(name);
     changed = changed || known == mView.Hosts().end() ||
-              known->second.mIncarnation != host.mIncarnation;
+              known->second.mIncarnation != host.mIncarnation ||
+              known->second.mDraining != host.mDraining;
   }
   if (changed) {
     mView.SetHosts(std::move(hosts));
