Keep partial samples in the store; start items by their own expected length

Cause: a step that changes hands began all its running samples anew. Ruled out: scoring (0.2 s) and the store. Change: items start by their own expected tokens.

--- a/include/agatetide/steps/step.hpp
+++ b/include/agatetide/steps/step.hpp
@@ -92,6 +92,15 @@
   std::string mScore;
 };
 
+/// @brief The text of a sample that is still being generated.
+struct PartialSample
+{
+  std::string mId;
+  /// Data of the events so far.
+  std::vector<std::string> mEvents;
+  std::vector<int64_t> mVersions;
+};
+
 /// @brief Names one start of a daemon.
 std::string OwnerName(std::string_view aHost, std::string_view aIncarnation);
 
@@ -99,9 +108,12 @@
 std::string EncodeItems(const std::vector<StepItem>& aItems);
 std::string EncodeResults(const std::vector<ItemResult>& aResults);
 
+std::string EncodePartials(const std::vector<PartialSample>& aSamples);
+
 /// @brief Errors of all: DataLoss when the bytes do not decode.
 Result<StepRecord> DecodeRecord(std::string_view aBytes);
 Result<std::vector<StepItem>> DecodeItems(std::string_view aBytes);
 Result<std::vector<ItemResult>> DecodeResults(std::string_view aBytes);
+Result<std::vector<PartialSample>> DecodePartials(std::string_view aBytes);
 
 } // namespace agatetide::steps
--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -55,6 +55,11 @@
   std::shared_ptr<http::Abort> mAbort;
   TimePoint mStreamStart{};
   unsigned mStreamEvents = 0;
+  /// Streams that were started.
+  unsigned mStreams = 0;
+  /// Start of the first stream, and end of the last one.
+  TimePoint mFirstStart{};
+  TimePoint mTextEnd{};
 };
 
 /// @brief A step that this process runs.
@@ -73,9 +78,14 @@
   /// The step was ended, is whole, or belongs to another process.
   bool mStopped = false;
   bool mSuperseded = false;
+  /// When this process began to run the step.
+  TimePoint mAdopted{};
   /// When the store last confirmed the record.
   TimePoint mConfirmed{};
   TimePoint mStoppedAt{};
+  /// When the partial samples were last kept, and their events.
+  TimePoint mCheckpoint{};
+  size_t mCheckpointEvents = 0;
   std::list<boost::asio::steady_timer*> mWaiters;
   std::unique_ptr<boost::asio::steady_timer> mCommitTimer;
 
@@ -94,10 +104,14 @@
   /// @brief Starts the review of running steps. Call once.
   void Start();
 
-  /// @brief Runs a step from what its log holds.
+  /// @brief Runs a step from what its log and its partial samples hold.
   OwnedStepPtr Adopt(StepRecord aRecord,
                      std::vector<StepItem> aItems,
-                     LogPart aLog);
+                     LogPart aLog,
+                     std::vector<PartialSample> aPartials);
+
+  /// @brief Keeps the partial samples of all running steps in the store.
+  Awaitable<void> Checkpoint();
 
   /// @brief The step, as long as its results are kept here; null otherwise.
   OwnedStepPtr Find(std::string_view aId) const;
@@ -127,6 +141,7 @@
   Awaitable<void> Review();
   Awaitable<void> Confirm(OwnedStepPtr aStep);
   Awaitable<void> Commit(OwnedStepPtr aStep);
+  Awaitable<void> CheckpointStep(OwnedStepPtr aStep);
   bool PumpStep(const OwnedStepPtr& aStep);
   bool StartItem(const OwnedStepPtr& aStep,
                  size_t aIndex,
--- a/include/agatetide/steps/step_store.hpp
+++ b/include/agatetide/steps/step_store.hpp
@@ -89,6 +89,15 @@
   /// the stored record, or nullopt when it has changed.
   Awaitable<Result<std::optional<StepRecord>>> Replace(StepRecord aRecord);
 
+  /// @brief Keeps the texts of running samples, in place of those kept
+  /// before. Nothing is lost but work when it fails.
+  Awaitable<Result<bool>> StorePartials(
+    std::string aId,
+    const std::vector<PartialSample>& aSamples);
+
+  /// @brief The texts that were kept last; empty when there are none.
+  Awaitable<Result<std::vector<PartialSample>>> LoadPartials(std::string aId);
+
   /// @brief Forgets a step.
   Awaitable<Result<bool>> Delete(StepRecord aRecord, uint32_t aLogEntries);
 
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -121,6 +121,7 @@
 
 Awaitable<void> EntryDaemon::Leave()
 {
+  co_await mRunner.Checkpoint();
   co_await mUsage.Store(true);
   co_await mRegistry.Leave();
 }
--- a/src/agatetide/steps/step.cpp
+++ b/src/agatetide/steps/step.cpp
@@ -70,6 +70,12 @@
            aResult.mScore);
 }
 
+template<class Archive>
+void serialize(Archive& aArchive, PartialSample& aSample)
+{
+  aArchive(aSample.mId, aSample.mEvents, aSample.mVersions);
+}
+
 namespace {
 
 template<class Value>
@@ -121,6 +127,11 @@
   return Encode(aResults);
 }
 
+std::string EncodePartials(const std::vector<PartialSample>& aSamples)
+{
+  return Encode(aSamples);
+}
+
 Result<StepRecord> DecodeRecord(std::string_view aBytes)
 {
   return Decode<StepRecord>(aBytes, "step record");
@@ -136,4 +147,9 @@
   return Decode<std::vector<ItemResult>>(aBytes, "step results");
 }
 
+Result<std::vector<PartialSample>> DecodePartials(std::string_view aBytes)
+{
+  return Decode<std::vector<PartialSample>>(aBytes, "partial samples");
+}
+
 } // namespace agatetide::steps
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <numeric>
 
 namespace agatetide::steps {
 
@@ -19,6 +20,8 @@
 /// A record that was not confirmed for this long is read again, so that the
 /// end of a step is noticed soon.
 constexpr std::chrono::milliseconds kConfirmInterval{ 900 };
+/// Partial samples are kept this often, so that a take-over repeats little.
+constexpr std::chrono::milliseconds kCheckpointInterval{ 1000 };
 /// Pause between two entries of a step's log.
 constexpr std::chrono::milliseconds kCommitPause{ 60 };
 constexpr std::chrono::milliseconds kCommitRetryPause{ 150 };
@@ -44,6 +47,11 @@
   return std::chrono::duration<double>(aTime).count();
 }
 
+int64_t InMilliseconds(Duration aTime)
+{
+  return std::chrono::duration_cast<Milliseconds>(aTime).count();
+}
+
 std::string JoinLines(const std::vector<std::string>& aLines)
 {
   std::string text;
@@ -56,22 +64,14 @@
   return text;
 }
 
-/// Items of groups with long members first, since the longest item decides
-/// when the step is whole; items of a group stay together.
+/// Long items first, since the longest one decides when the step is whole.
 std::vector<size_t> StartOrder(const std::vector<StepItem>& aItems)
 {
-  std::map<std::string, uint32_t> longest;
-  for (const StepItem& item : aItems) {
-    uint32_t& tokens = longest[item.mGroup];
-    tokens = std::max(tokens, item.mExpectedTokens);
-  }
   std::vector<size_t> order(aItems.size());
-  for (size_t i = 0; i < order.size(); ++i) {
-    order[i] = i;
-  }
+  std::iota(order.begin(), order.end(), size_t{ 0 });
   std::stable_sort(
     order.begin(), order.end(), [&](size_t aLeft, size_t aRight) {
-      return longest[aItems[aLeft].mGroup] > longest[aItems[aRight].mGroup];
+      return aItems[aLeft].mExpectedTokens > aItems[aRight].mExpectedTokens;
     });
   return order;
 }
@@ -96,7 +96,8 @@
 
 OwnedStepPtr StepRunner::Adopt(StepRecord aRecord,
                                std::vector<StepItem> aItems,
-                               LogPart aLog)
+                               LogPart aLog,
+                               std::vector<PartialSample> aPartials)
 {
   auto step = std::make_shared<OwnedStep>();
   step->mRecord = std::move(aRecord);
@@ -105,17 +106,28 @@
   step->mWork.resize(step->mItems.size());
   step->mListed = std::move(aLog.mResults);
   step->mNextEntry = aLog.mEntries;
-  step->mConfirmed = mContext.mClock();
+  step->mAdopted = mContext.mClock();
+  step->mConfirmed = step->mAdopted;
   step->mCommitTimer = std::make_unique<asio::steady_timer>(mContext.mExecutor);
   std::set<std::string_view> listed;
   for (const ItemResult& result : step->mListed) {
     listed.insert(result.mId);
   }
+  std::map<std::string_view, PartialSample*> partials;
+  for (PartialSample& partial : aPartials) {
+    partials[partial.mId] = &partial;
+  }
   for (size_t i = 0; i < step->mItems.size(); ++i) {
-    if (listed.contains(step->mItems[i].mId)) {
+    const std::string& id = step->mItems[i].mId;
+    if (listed.contains(id)) {
       step->mWork[i].mState = ItemWork::State::Done;
+    } else if (const auto partial = partials.find(id);
+               partial != partials.end()) {
+      step->mWork[i].mEvents = std::move(partial->second->mEvents);
+      step->mWork[i].mVersions = std::move(partial->second->mVersions);
     }
   }
+  step->mCheckpoint = mContext.mClock();
   mSteps[step->mRecord.mId] = step;
   if (step->Whole() || step->mRecord.mEnded) {
     Stop(step, false);
@@ -193,6 +205,11 @@
         step->mConfirmed = mContext.mClock();
         asio::co_spawn(mContext.mExecutor, Confirm(step), asio::detached);
       }
+      if (mContext.mClock() - step->mCheckpoint > kCheckpointInterval) {
+        step->mCheckpoint = mContext.mClock();
+        asio::co_spawn(
+          mContext.mExecutor, CheckpointStep(step), asio::detached);
+      }
     }
     ForgetStopped();
     Pump();
@@ -208,6 +225,41 @@
   });
 }
 
+Awaitable<void> StepRunner::Checkpoint()
+{
+  const auto steps = mSteps;
+  for (const auto& [id, step] : steps) {
+    if (!step->mStopped) {
+      co_await CheckpointStep(step);
+    }
+  }
+}
+
+Awaitable<void> StepRunner::CheckpointStep(OwnedStepPtr aStep)
+{
+  std::vector<PartialSample> samples;
+  size_t events = 0;
+  for (size_t i = 0; i < aStep->mItems.size(); ++i) {
+    const ItemWork& work = aStep->mWork[i];
+    if (work.mState != ItemWork::State::Done && !work.mEvents.empty()) {
+      samples.push_back({ aStep->mItems[i].mId, work.mEvents, work.mVersions });
+      events += work.mEvents.size();
+    }
+  }
+  if (events == 0 || events == aStep->mCheckpointEvents) {
+    co_return;
+  }
+  aStep->mCheckpointEvents = events;
+  const auto stored =
+    co_await mContext.mStore.StorePartials(aStep->mRecord.mId, samples);
+  if (stored.has_error()) {
+    Event("checkpoint_failed", LogLevel::Warning)
+      .Field("step", aStep->mRecord.mId)
+      .Field("error", FormatError(stored.error()))
+      .Write();
+  }
+}
+
 /// Reads the record again, to notice that the step was ended or taken over.
 Awaitable<void> StepRunner::Confirm(OwnedStepPtr aStep)
 {
@@ -360,6 +412,9 @@
   work.mAbort = std::make_shared<http::Abort>();
   work.mStreamStart = mContext.mClock();
   work.mStreamEvents = 0;
+  if (work.mStreams++ == 0) {
+    work.mFirstStart = work.mStreamStart;
+  }
   asio::co_spawn(mContext.mExecutor,
                  RunItem(aStep, aIndex, std::move(*use), aRoute),
                  asio::detached);
@@ -489,6 +544,7 @@
     }
     if (answer->Succeeded()) {
       work.mState = ItemWork::State::Scoring;
+      work.mTextEnd = now;
     } else if (answer->mNotRun || answer->mMisdirected) {
       mContext.mPool.Suspend(replica.mId, kBusyPause);
     } else if (answer->mStatus == 422) {
@@ -563,6 +619,19 @@
     return;
   }
   work.mState = ItemWork::State::Done;
+  const TimePoint now = mContext.mClock();
+  Event("sample")
+    .Field("step", aStep->mRecord.mId)
+    .Field("item", aStep->mItems[aIndex].mId)
+    .Field("state", aState == ItemState::Completed ? "completed" : "dead")
+    .Field("replica", work.mReplica)
+    .Field("expected_tokens", aStep->mItems[aIndex].mExpectedTokens)
+    .Field("events", static_cast<uint64_t>(work.mEvents.size()))
+    .Field("streams", work.mStreams)
+    .Field("waited_ms", InMilliseconds(work.mFirstStart - aStep->mAdopted))
+    .Field("text_ms", InMilliseconds(work.mTextEnd - work.mFirstStart))
+    .Field("score_ms", InMilliseconds(now - work.mTextEnd))
+    .Write();
   ItemResult result;
   result.mId = aStep->mItems[aIndex].mId;
   result.mState = aState;
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -104,7 +104,7 @@
   }
   if (own) {
     if (!mRunner.Find(record.mId)) {
-      mRunner.Adopt(reply.mRecord, std::move(aSubmission.mItems), {});
+      mRunner.Adopt(reply.mRecord, std::move(aSubmission.mItems), {}, {});
     }
     co_return SubmitOutcome::Accepted;
   }
@@ -352,10 +352,16 @@
     co_return;
   }
   auto log = co_await mContext.mStore.ReadLog(aRecord.mId, 0);
+  // Without the partial samples the step only repeats work.
+  auto partials = co_await mContext.mStore.LoadPartials(aRecord.mId);
   if (log.has_error() || mRunner.Find(aRecord.mId)) {
     co_return;
   }
-  mRunner.Adopt(std::move(aRecord), std::move(*items), std::move(*log));
+  mRunner.Adopt(std::move(aRecord),
+                std::move(*items),
+                std::move(*log),
+                partials.has_value() ? std::move(*partials)
+                                     : std::vector<PartialSample>());
 }
 
 Awaitable<void> StepService::TakeOver(StepRecord aRecord)
--- a/src/agatetide/steps/step_store.cpp
+++ b/src/agatetide/steps/step_store.cpp
@@ -11,6 +11,7 @@
 constexpr std::string_view kRecordPrefix = "agatetide/step/";
 constexpr std::string_view kItemsPrefix = "agatetide/step-items/";
 constexpr std::string_view kLogPrefix = "agatetide/step-log/";
+constexpr std::string_view kPartialsPrefix = "agatetide/step-partials/";
 /// Bytes of one value; the store takes 1 MiB of the text that encodes them.
 constexpr size_t kChunkBytes = size_t{ 700 } << 10U;
 /// Deletions in one transaction of the store.
@@ -252,6 +253,35 @@
   co_return std::optional<StepRecord>();
 }
 
+Awaitable<Result<bool>> StepStore::StorePartials(
+  std::string aId,
+  const std::vector<PartialSample>& aSamples)
+{
+  TransactionRequest write;
+  write.mPuts.push_back(
+    { std::string(kPartialsPrefix) + aId, EncodePartials(aSamples) });
+  StoreRequest request = std::move(write);
+  const auto written = co_await mStore(std::move(request));
+  if (written.has_error()) {
+    co_return written.error();
+  }
+  co_return true;
+}
+
+Awaitable<Result<std::vector<PartialSample>>> StepStore::LoadPartials(
+  std::string aId)
+{
+  std::string key = std::string(kPartialsPrefix) + aId;
+  const auto entry = co_await ReadKey(mStore, std::move(key));
+  if (entry.has_error()) {
+    co_return entry.error();
+  }
+  if (!entry->has_value()) {
+    co_return std::vector<PartialSample>();
+  }
+  co_return DecodePartials((*entry)->mValue);
+}
+
 Awaitable<Result<bool>> StepStore::Delete(StepRecord aRecord,
                                           uint32_t aLogEntries)
 {
@@ -262,6 +292,7 @@
   for (uint32_t entry = 0; entry < aLogEntries; ++entry) {
     keys.push_back(Numbered(kLogPrefix, aRecord.mId, entry));
   }
+  keys.push_back(std::string(kPartialsPrefix) + aRecord.mId);
   // The record goes last, so that an interrupted deletion is repeated.
   keys.push_back(RecordKey(aRecord.mId));
   for (size_t at = 0; at < keys.size(); at += kMaxDeletes) {
