Share replicas among models by the work that they bring

Change: the record of a step has its expected tokens; the leader sums those of the last 20 s by model and hands over one replica at a time.

--- a/include/agatetide/duty/version_mover.hpp
+++ b/include/agatetide/duty/version_mover.hpp
@@ -69,6 +69,9 @@
                ReadStatus aRead,
                Clock aClock);
 
+  /// @brief Sets how much work each model brings.
+  void SetDemand(const std::map<std::string, double, std::less<>>& aDemand);
+
   /// @brief Starts the orders that are due. Call it several times a second.
   void Review();
 
@@ -84,7 +87,7 @@
   Awaitable<void> Order(fleet::Replica aReplica,
                         std::string aModel,
                         int64_t aVersion);
-  void Assign();
+  std::vector<policy::HomeReplica> HomeReplicas() const;
 
   VersionMoverOptions mOptions;
   boost::asio::any_io_executor mExecutor;
--- a/include/agatetide/policy/weight_homes.hpp
+++ b/include/agatetide/policy/weight_homes.hpp
@@ -27,7 +27,8 @@
 };
 
 /// @brief Which models each replica follows. Keeps assignments as replicas
-/// come and go; new replicas go to the model with the fewest in their zone.
+/// come and go; a new replica goes to the model with the most work for each
+/// of its replicas.
 /// Not thread-safe.
 class WeightHomes
 {
@@ -43,6 +44,12 @@
   void Update(std::span<const HomeReplica> aReplicas,
               const std::map<std::string, int64_t, std::less<>>& aNamed);
 
+  /// @brief Sets how much work each model brings; models without an entry
+  /// count as the least of the others. Hands at most one replica over to
+  /// another model, since each costs a load of weights.
+  void SetDemand(std::span<const HomeReplica> aReplicas,
+                 const std::map<std::string, double, std::less<>>& aDemand);
+
   /// @brief Whether the replica follows the model.
   bool Follows(const std::string& aReplicaId, const std::string& aModel) const;
 
@@ -54,7 +61,10 @@
                      std::span<const std::string> aCandidates,
                      std::span<const HomeReplica> aReplicas) const;
 
+  double DemandOf(const std::string& aModel) const;
+
   HomePolicy mPolicy;
+  std::map<std::string, double, std::less<>> mDemand;
   /// Model by replica id.
   std::map<std::string, std::string, std::less<>> mHomes;
 };
--- a/include/agatetide/steps/step.hpp
+++ b/include/agatetide/steps/step.hpp
@@ -61,6 +61,8 @@
   int64_t mMinVersion = 0;
   uint32_t mDesired = 0;
   uint32_t mItems = 0;
+  /// Sum over all items, by the trainer's estimates.
+  uint64_t mExpectedTokens = 0;
   /// Values that hold the items.
   uint32_t mChunks = 0;
   /// Unix milliseconds of the submission.
--- a/include/agatetide/steps/step_service.hpp
+++ b/include/agatetide/steps/step_service.hpp
@@ -31,6 +31,8 @@
   size_t mMaxCachedBytes = size_t{ 6 } << 20U;
   /// Ended steps are forgotten this long after their submission.
   Milliseconds mRetention{ 180000 };
+  /// Steps that were handed in since count as demand.
+  Milliseconds mDemandTime{ 20000 };
 };
 
 /// @brief Accepts steps, and answers for any step of any daemon from the
@@ -70,6 +72,13 @@
                           std::function<bool(const StepRecord&)> aMine,
                           bool aCollect);
 
+  /// @brief Expected tokens of the steps that were handed in lately, by
+  /// model, as of the last Recover().
+  const std::map<std::string, double, std::less<>>& Demand() const
+  {
+    return mDemand;
+  }
+
 private:
   /// What is known of a step of another daemon.
   struct CachedStep
@@ -103,6 +112,7 @@
   StepServiceOptions mOptions;
   std::map<std::string, CachedStepPtr, std::less<>> mCache;
   std::set<std::string> mUnresolved;
+  std::map<std::string, double, std::less<>> mDemand;
 };
 
 } // namespace agatetide::steps
--- a/src/agatetide/duty/version_mover.cpp
+++ b/src/agatetide/duty/version_mover.cpp
@@ -54,7 +54,7 @@
 {
 }
 
-void VersionMover::Assign()
+std::vector<policy::HomeReplica> VersionMover::HomeReplicas() const
 {
   std::vector<policy::HomeReplica> replicas;
   for (const auto& [id, replica] : mView.Replicas()) {
@@ -62,7 +62,18 @@
       replicas.push_back({ id, replica.mAvailabilityZone, replica.mVersions });
     }
   }
+  return replicas;
+}
+
+void VersionMover::SetDemand(
+  const std::map<std::string, double, std::less<>>& aDemand)
+{
+  if (!mLeadership.MayAct()) {
+    return;
+  }
+  const auto replicas = HomeReplicas();
   mHomes.Update(replicas, mView.NamedVersions());
+  mHomes.SetDemand(replicas, aDemand);
 }
 
 void VersionMover::Review()
@@ -71,7 +82,7 @@
     mMoves.clear();
     return;
   }
-  Assign();
+  mHomes.Update(HomeReplicas(), mView.NamedVersions());
   const TimePoint now = mClock();
   std::map<std::string, unsigned> replicas;
   std::map<std::string, unsigned> loading;
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -374,6 +374,9 @@
         return due || TakesOver(aRecord);
       };
     co_await mSteps.Recover(std::move(live), std::move(mine), due);
+    if (due) {
+      mMover->SetDemand(mSteps.Demand());
+    }
   }
 }
 
--- a/src/agatetide/policy/weight_homes.cpp
+++ b/src/agatetide/policy/weight_homes.cpp
@@ -50,31 +50,98 @@
   return candidates;
 }
 
-/// The candidate with the fewest replicas, in the replica's zone first.
+double WeightHomes::DemandOf(const std::string& aModel) const
+{
+  const auto found = mDemand.find(aModel);
+  if (found != mDemand.end()) {
+    return found->second;
+  }
+  double least = mDemand.empty() ? 1.0 : std::numeric_limits<double>::max();
+  for (const auto& [model, demand] : mDemand) {
+    least = std::min(least, demand);
+  }
+  return least;
+}
+
+/// The candidate with the most work for each replica once this one follows
+/// it, and the fewest replicas in the zone.
 std::string WeightHomes::Choose(const HomeReplica& aReplica,
                                 std::span<const std::string> aCandidates,
                                 std::span<const HomeReplica> aReplicas) const
 {
   std::string best;
-  std::pair<size_t, size_t> fewest;
+  std::pair<double, size_t> lowest;
   for (const std::string& model : aCandidates) {
-    std::pair<size_t, size_t> followers;
+    size_t followers = 0;
+    size_t inZone = 0;
     for (const HomeReplica& other : aReplicas) {
       const auto home = mHomes.find(other.mId);
       if (home != mHomes.end() && home->second == model) {
-        ++followers.second;
-        followers.first +=
-          other.mAvailabilityZone == aReplica.mAvailabilityZone ? 1 : 0;
+        ++followers;
+        inZone += other.mAvailabilityZone == aReplica.mAvailabilityZone ? 1 : 0;
       }
     }
-    if (best.empty() || followers < fewest) {
+    const std::pair<double, size_t> cost{
+      static_cast<double>(followers + 1) / DemandOf(model), inZone
+    };
+    if (best.empty() || cost < lowest) {
       best = model;
-      fewest = followers;
+      lowest = cost;
     }
   }
   return best;
 }
 
+void WeightHomes::SetDemand(
+  std::span<const HomeReplica> aReplicas,
+  const std::map<std::string, double, std::less<>>& aDemand)
+{
+  // A model whose share is off by less keeps its replicas.
+  constexpr double kTolerance = 0.7;
+  mDemand = aDemand;
+  std::erase_if(mDemand, [](const auto& aItem) { return aItem.second <= 0.0; });
+  std::map<std::string, double> surplus;
+  double total = 0.0;
+  for (const HomeReplica& replica : aReplicas) {
+    const auto home = mHomes.find(replica.mId);
+    if (home != mHomes.end()) {
+      surplus[home->second] += 1.0;
+      total += 1.0;
+    }
+  }
+  double demand = 0.0;
+  for (const auto& [model, followers] : surplus) {
+    demand += DemandOf(model);
+  }
+  for (auto& [model, followers] : surplus) {
+    followers -= std::max(1.0, total * DemandOf(model) / demand);
+  }
+  const auto less = [](const auto& aLeft, const auto& aRight) {
+    return aLeft.second < aRight.second;
+  };
+  const auto [needs, has] =
+    std::minmax_element(surplus.begin(), surplus.end(), less);
+  if (surplus.size() < 2 || has->second < kTolerance ||
+      needs->second > -kTolerance) {
+    return;
+  }
+  // The replica nearest to the newest version of its new model.
+  std::string chosen;
+  int64_t newest = 0;
+  for (const HomeReplica& replica : aReplicas) {
+    const auto home = mHomes.find(replica.mId);
+    const auto version = replica.mVersions.find(needs->first);
+    if (home != mHomes.end() && home->second == has->first &&
+        version != replica.mVersions.end() && version->second > newest) {
+      chosen = replica.mId;
+      newest = version->second;
+    }
+  }
+  if (!chosen.empty()) {
+    mHomes[chosen] = needs->first;
+  }
+}
+
 void WeightHomes::Update(
   std::span<const HomeReplica> aReplicas,
   const std::map<std::string, int64_t, std::less<>>& aNamed)
--- a/src/agatetide/policy/weight_homes_test.cpp
+++ b/src/agatetide/policy/weight_homes_test.cpp
@@ -84,3 +84,29 @@
   homes.Update(replicas, named);
   cr_expect(homes.Follows("a-new", "second"));
 }
+
+// Guards against two models with the same number of replicas where one brings
+// twice the work: its steps took 8 s, those of the other 4 s.
+Test(weight_homes, shares_replicas_by_demand)
+{
+  const auto replicas = MakeReplicas(8);
+  WeightHomes homes;
+  homes.Update(replicas, {});
+  for (int i = 0; i < 4; ++i) {
+    homes.SetDemand(replicas, { { "first", 1000.0 }, { "second", 2000.0 } });
+  }
+  cr_expect_eq(CountFollowers(homes, replicas, "first"), 3);
+  cr_expect_eq(CountFollowers(homes, replicas, "second"), 5);
+}
+
+// Guards against a model without work that loses its last replica.
+Test(weight_homes, leaves_each_model_a_replica)
+{
+  const auto replicas = MakeReplicas(4);
+  WeightHomes homes;
+  homes.Update(replicas, {});
+  for (int i = 0; i < 8; ++i) {
+    homes.SetDemand(replicas, { { "first", 1.0 }, { "second", 5000.0 } });
+  }
+  cr_expect_eq(CountFollowers(homes, replicas, "first"), 1);
+}
--- a/src/agatetide/steps/step.cpp
+++ b/src/agatetide/steps/step.cpp
@@ -53,6 +53,7 @@
            aRecord.mMinVersion,
            aRecord.mDesired,
            aRecord.mItems,
+           aRecord.mExpectedTokens,
            aRecord.mChunks,
            aRecord.mSubmitted,
            aRecord.mOwner,
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -65,6 +65,9 @@
   record.mModel = aSubmission.mModel;
   record.mMinVersion = aSubmission.mMinVersion;
   record.mDesired = aSubmission.mDesired;
+  for (const StepItem& item : aSubmission.mItems) {
+    record.mExpectedTokens += item.mExpectedTokens;
+  }
   record.mSubmitted = mContext.mWallClock();
   record.mOwner = mContext.mOwner;
   record.mRegion = mContext.mView.Region();
@@ -393,8 +396,12 @@
   if (records.has_error()) {
     co_return;
   }
+  mDemand.clear();
   for (const StepRecord& record : *records) {
     const int64_t age = mContext.mWallClock() - record.mSubmitted;
+    if (age < mOptions.mDemandTime.count()) {
+      mDemand[record.mModel] += static_cast<double>(record.mExpectedTokens);
+    }
     if (aCollect && record.mEnded && age > mOptions.mRetention.count()) {
       const auto log = co_await mContext.mStore.ReadLog(record.mId, 0);
       if (log.has_value()) {
