Move the replicas that are furthest behind first; succeed a restarted leader

Only two replicas load at once, and the mover gave both places to the first model by name, whose trainer named versions as fast as they loaded; before that no leader acted for 6.9 s, since the host of the one that was killed was registered again and the others looked for a free lease only every 5 s. Ruled out: free slots (48 at that time) and the store. Change: moves are ordered by how many versions a replica is behind, then by how long its model has waited (policy/move_order, baseline AsFound); the lease names the leader's incarnation, so a restarted leader counts as gone.

--- a/include/agatetide/duty/leadership.hpp
+++ b/include/agatetide/duty/leadership.hpp
@@ -25,11 +25,14 @@
 class Leadership
 {
 public:
-  /// @brief Errors: those of coordination::Lease::Create().
+  /// @brief aHost and aIncarnation name this start of the daemon.
+  /// Precondition: aView outlives the object. Errors: those of
+  /// coordination::Lease::Create().
   static Result<Leadership> Create(LeadershipOptions aOptions,
                                    coordination::StoreCall aStore,
                                    Clock aClock,
-                                   std::string aHost,
+                                   const std::string& aHost,
+                                   const std::string& aIncarnation,
                                    const fleet::FleetView& aView);
 
   /// @brief Renews the lease, or takes it when it is free. Call it several
@@ -50,7 +53,6 @@
   Leadership(LeadershipOptions aOptions,
              coordination::Lease aLease,
              Clock aClock,
-             std::string aHost,
              const fleet::FleetView& aView);
 
   bool HolderGone() const;
@@ -58,7 +60,6 @@
   LeadershipOptions mOptions;
   coordination::Lease mLease;
   Clock mClock;
-  std::string mHost;
   const fleet::FleetView* mView;
   TimePoint mLastTry{};
   bool mResigned = false;
--- a/include/agatetide/duty/version_mover.hpp
+++ b/include/agatetide/duty/version_mover.hpp
@@ -2,6 +2,7 @@
 
 #include "agatetide/duty/leadership.hpp"
 #include "agatetide/fleet/fleet_view.hpp"
+#include "agatetide/policy/move_order.hpp"
 #include "agatetide/policy/weight_homes.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -87,6 +88,16 @@
   Awaitable<void> Order(fleet::Replica aReplica,
                         std::string aModel,
                         int64_t aVersion);
+  /// A replica that follows a model and is behind.
+  struct Candidate
+  {
+    const fleet::Replica* mReplica = nullptr;
+    std::string mModel;
+    int64_t mVersion = 0;
+  };
+
+  std::vector<Candidate> Behind() const;
+  void ForgetFinished();
   std::vector<policy::HomeReplica> HomeReplicas() const;
 
   VersionMoverOptions mOptions;
@@ -97,6 +108,9 @@
   ReadStatus mRead;
   Clock mClock;
   policy::WeightHomes mHomes;
+  policy::MoveOrderPolicy mOrder = policy::MoveOrderPolicy::FurthestBehind;
+  /// When a replica was last ordered to load the model.
+  std::map<std::string, TimePoint, std::less<>> mModelMoved;
   /// By replica id.
   std::map<std::string, Move, std::less<>> mMoves;
 };
--- a/src/agatetide/duty/leadership.cpp
+++ b/src/agatetide/duty/leadership.cpp
@@ -4,36 +4,42 @@
 
 namespace agatetide::duty {
 
+namespace {
+
+/// The lease's value: host and incarnation.
+std::string HolderName(std::string_view aHost, std::string_view aIncarnation)
+{
+  return std::string(aHost) + "#" + std::string(aIncarnation);
+}
+
+} // namespace
+
 Result<Leadership> Leadership::Create(LeadershipOptions aOptions,
                                       coordination::StoreCall aStore,
                                       Clock aClock,
-                                      std::string aHost,
+                                      const std::string& aHost,
+                                      const std::string& aIncarnation,
                                       const fleet::FleetView& aView)
 {
   coordination::LeaseOptions lease;
   lease.mKey = aOptions.mKey;
-  lease.mHolder = aHost;
+  lease.mHolder = HolderName(aHost, aIncarnation);
   lease.mTtlSeconds = aOptions.mTtlSeconds;
   auto created = coordination::Lease::Create(lease, std::move(aStore), aClock);
   if (created.has_error()) {
     return created.error();
   }
-  return Leadership(std::move(aOptions),
-                    std::move(*created),
-                    std::move(aClock),
-                    std::move(aHost),
-                    aView);
+  return Leadership(
+    std::move(aOptions), std::move(*created), std::move(aClock), aView);
 }
 
 Leadership::Leadership(LeadershipOptions aOptions,
                        coordination::Lease aLease,
                        Clock aClock,
-                       std::string aHost,
                        const fleet::FleetView& aView)
   : mOptions(std::move(aOptions))
   , mLease(std::move(aLease))
   , mClock(std::move(aClock))
-  , mHost(std::move(aHost))
   , mView(&aView)
 {
 }
@@ -44,14 +50,16 @@
          mClock() - mLease.HeldSince() >= mOptions.mSettleTime;
 }
 
-/// Whether the holder's host left the registry or is about to.
+/// Whether the holder's process has ended or is about to.
 bool Leadership::HolderGone() const
 {
-  if (mLease.Holder().empty()) {
+  const std::string& holder = mLease.Holder();
+  if (holder.empty()) {
     return false;
   }
-  const auto host = mView->Hosts().find(mLease.Holder());
-  return host == mView->Hosts().end() || host->second.mDraining;
+  const auto host = mView->Hosts().find(holder.substr(0, holder.find('#')));
+  return host == mView->Hosts().end() || host->second.mDraining ||
+         HolderName(host->first, host->second.mIncarnation) != holder;
 }
 
 Awaitable<void> Leadership::Maintain()
@@ -73,7 +81,6 @@
   const auto renewed = co_await mLease.Renew();
   if (mLease.Held() != held) {
     Event("leadership")
-      .Field("host", mHost)
       .Field("held", mLease.Held())
       .Field("holder", mLease.Holder())
       .Field("fencing_number", mLease.FencingNumber())
--- /dev/null
+++ b/src/agatetide/duty/leadership_test.cpp
@@ -0,0 +1,89 @@
+#include "agatetide/duty/leadership.hpp"
+
+#include "agatetide/coordination/test_store.hpp"
+
+#include <boost/asio/detached.hpp>
+#include <criterion/criterion.h>
+
+using namespace agatetide;
+using namespace agatetide::coordination;
+using namespace agatetide::duty;
+
+namespace {
+
+constexpr std::chrono::milliseconds kTick{ 100 };
+
+/// Two daemons that share a store and see the same hosts.
+struct Fixture
+{
+  Fixture() { SetHosts("1", "1"); }
+
+  void SetHosts(const std::string& aFirst, const std::string& aSecond)
+  {
+    fleet::EntryHost first;
+    first.mName = "first";
+    first.mIncarnation = aFirst;
+    fleet::EntryHost second;
+    second.mName = "second";
+    second.mIncarnation = aSecond;
+    mView.SetHosts({ { "first", first }, { "second", second } });
+  }
+
+  Leadership Make(const std::string& aHost, const std::string& aIncarnation)
+  {
+    return Leadership::Create({},
+                              mStore.AsCall(),
+                              mStore.mClock.AsClock(),
+                              aHost,
+                              aIncarnation,
+                              mView)
+      .value();
+  }
+
+  void Run(Leadership& aLeadership, std::chrono::milliseconds aTime)
+  {
+    for (auto passed = kTick; passed <= aTime; passed += kTick) {
+      boost::asio::io_context context;
+      boost::asio::co_spawn(
+        context, aLeadership.Maintain(), boost::asio::detached);
+      context.run();
+      mStore.mClock.Advance(kTick);
+    }
+  }
+
+  FaultyStore mStore;
+  fleet::FleetView mView{ mStore.mClock.AsClock(), "zone", "region" };
+};
+
+} // namespace
+
+// Guards against duties that rest for up to 5 s after the leader's process was
+// killed and is back: its host is registered again, but no longer leads.
+Test(leadership, a_restarted_leader_is_succeeded_when_its_lease_ends)
+{
+  Fixture fixture;
+  Leadership first = fixture.Make("first", "1");
+  fixture.Run(first, std::chrono::milliseconds(1500));
+  cr_assert(first.MayAct());
+  Leadership second = fixture.Make("second", "1");
+  fixture.Run(second, kTick);
+  fixture.SetHosts("2", "1");
+  // Lease of 3 s, one renewal interval and the time to settle.
+  fixture.Run(second, std::chrono::milliseconds(3000 + 800 + 1000 + 200));
+  cr_expect(second.MayAct());
+}
+
+// Guards against two daemons that act at the same time.
+Test(leadership, acts_only_after_the_lease_before_has_ended)
+{
+  Fixture fixture;
+  Leadership first = fixture.Make("first", "1");
+  fixture.Run(first, std::chrono::milliseconds(1500));
+  Leadership second = fixture.Make("second", "1");
+  fixture.SetHosts("2", "1");
+  for (int i = 0; i < 60; ++i) {
+    fixture.Run(second, kTick);
+    cr_assert(!(first.MayAct() && second.MayAct()));
+  }
+  cr_expect(second.MayAct());
+}
--- a/src/agatetide/duty/version_mover.cpp
+++ b/src/agatetide/duty/version_mover.cpp
@@ -76,6 +76,35 @@
   mHomes.SetDemand(replicas, aDemand);
 }
 
+/// Forgets moves whose effect is seen, or that should be looked at again.
+void VersionMover::ForgetFinished()
+{
+  const TimePoint now = mClock();
+  std::erase_if(mMoves, [&](const auto& aItem) {
+    const Move& move = aItem.second;
+    const fleet::Replica* replica = mView.Find(aItem.first);
+    const bool done =
+      replica == nullptr ||
+      VersionOf(replica->mVersions, move.mModel) >= move.mVersion;
+    return !move.mSending && (done || now >= move.mAgainAt);
+  });
+}
+
+std::vector<VersionMover::Candidate> VersionMover::Behind() const
+{
+  std::vector<Candidate> behind;
+  for (const auto& [model, version] : mView.NamedVersions()) {
+    for (const auto& [id, replica] : mView.Replicas()) {
+      const int64_t has = VersionOf(replica.mVersions, model);
+      if (!replica.mDraining && has > 0 && has < version &&
+          mHomes.Follows(id, model) && !mMoves.contains(id)) {
+        behind.push_back({ &replica, model, version });
+      }
+    }
+  }
+  return behind;
+}
+
 void VersionMover::Review()
 {
   if (!mLeadership.MayAct()) {
@@ -83,43 +112,37 @@
     return;
   }
   mHomes.Update(HomeReplicas(), mView.NamedVersions());
-  const TimePoint now = mClock();
+  ForgetFinished();
   std::map<std::string, unsigned> replicas;
   std::map<std::string, unsigned> loading;
   for (const auto& [id, replica] : mView.Replicas()) {
     ++replicas[replica.mService];
-    const auto move = mMoves.find(id);
-    if (move == mMoves.end()) {
-      continue;
-    }
-    const Move& known = move->second;
-    const bool done =
-      VersionOf(replica.mVersions, known.mModel) >= known.mVersion;
-    if (!known.mSending && (done || now >= known.mAgainAt)) {
-      mMoves.erase(move);
-    } else {
-      ++loading[replica.mService];
-    }
+    loading[replica.mService] += mMoves.contains(id) ? 1 : 0;
   }
-  std::erase_if(mMoves, [&](const auto& aItem) {
-    return !aItem.second.mSending && mView.Find(aItem.first) == nullptr;
-  });
-  for (const auto& [model, version] : mView.NamedVersions()) {
-    for (const auto& [id, replica] : mView.Replicas()) {
-      const int64_t has = VersionOf(replica.mVersions, model);
-      const auto atOnce =
-        std::max(mOptions.mLeastAtOnce,
-                 static_cast<unsigned>(replicas[replica.mService] *
-                                       mOptions.mShareAtOnce));
-      if (replica.mDraining || has == 0 || has >= version ||
-          !mHomes.Follows(id, model) || mMoves.contains(id) ||
-          loading[replica.mService] >= atOnce) {
-        continue;
-      }
-      ++loading[replica.mService];
-      mMoves[id] = { model, version, true, {} };
-      asio::co_spawn(mExecutor, Order(replica, model, version), asio::detached);
+  const std::vector<Candidate> behind = Behind();
+  std::vector<policy::PendingMove> order;
+  for (size_t i = 0; i < behind.size(); ++i) {
+    const Candidate& candidate = behind[i];
+    order.push_back(
+      { i,
+        candidate.mVersion -
+          VersionOf(candidate.mReplica->mVersions, candidate.mModel),
+        mModelMoved[candidate.mModel] });
+  }
+  policy::OrderMoves(order, mOrder);
+  for (const policy::PendingMove& next : order) {
+    const auto& [replica, model, version] = behind[next.mIndex];
+    const auto atOnce =
+      std::max(mOptions.mLeastAtOnce,
+               static_cast<unsigned>(replicas[replica->mService] *
+                                     mOptions.mShareAtOnce));
+    if (loading[replica->mService] >= atOnce || mMoves.contains(replica->mId)) {
+      continue;
     }
+    ++loading[replica->mService];
+    mMoves[replica->mId] = { model, version, true, {} };
+    mModelMoved[model] = mClock();
+    asio::co_spawn(mExecutor, Order(*replica, model, version), asio::detached);
   }
 }
 
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -40,11 +40,13 @@
 {
   std::unique_ptr<EntryDaemon> daemon(new EntryDaemon(
     std::move(aExecutor), std::move(aOptions), std::move(aHooks)));
-  auto leadership = duty::Leadership::Create({},
-                                             daemon->mHooks.mStore,
-                                             daemon->mBootClock,
-                                             daemon->mOptions.mSelf.mName,
-                                             daemon->mView);
+  auto leadership =
+    duty::Leadership::Create({},
+                             daemon->mHooks.mStore,
+                             daemon->mBootClock,
+                             daemon->mOptions.mSelf.mName,
+                             daemon->mOptions.mSelf.mIncarnation,
+                             daemon->mView);
   if (leadership.has_error()) {
     return leadership.error();
   }
