--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -75,6 +75,8 @@
   std::vector<ItemResult> mListed;
   std::vector<ItemResult> mPending;
   uint32_t mNextEntry = 0;
+  /// When the log was last extended.
+  TimePoint mCommitted{};
   /// The step was ended, is whole, or belongs to another process.
   bool mStopped = false;
   bool mSuperseded = false;
@@ -90,6 +92,10 @@
   std::unique_ptr<boost::asio::steady_timer> mCommitTimer;
 
   bool Whole() const { return mListed.size() == mItems.size(); }
+
+  /// @brief Whether the pending results make as many groups whole as the
+  /// trainer waits for, or more: it reads on as soon as they are listed.
+  bool CompletesGroups() const;
 };
 
 using OwnedStepPtr = std::shared_ptr<OwnedStep>;
--- a/src/agatetide/base/steady_wall_clock.cpp
+++ b/src/agatetide/base/steady_wall_clock.cpp
@@ -29,12 +29,11 @@
 {
   const TimePoint now = mMonotonic();
   const int64_t offset = mSystem() - MillisecondsOf(now);
-  if (std::llabs(offset - mOffset) <= kLargestCorrectionMs) {
-    mOffset = offset;
-    mStepSeen.reset();
-  } else if (!mStepSeen) {
+  const bool step = std::llabs(offset - mOffset) > kLargestCorrectionMs;
+  if (step && !mStepSeen) {
     mStepSeen = now;
-  } else if (now - *mStepSeen > kStepAccepted) {
+  }
+  if (!step || now - *mStepSeen > kStepAccepted) {
     mOffset = offset;
     mStepSeen.reset();
   }
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -18,6 +18,11 @@
 /// Time between the check of a key and the start of its request at a
 /// replica, with a margin.
 constexpr std::chrono::milliseconds kRevocationMargin{ 700 };
+/// The confirmation of a watch counts from its start, so two of them must
+/// fit into the time for which a copy is trusted.
+constexpr std::chrono::milliseconds kOperatorWatch{ 1800 };
+/// A lost connection is noticed within this time and the watch's margin.
+constexpr std::chrono::milliseconds kReplicaWatch{ 2900 };
 constexpr std::chrono::milliseconds kDutyInterval{ 100 };
 constexpr std::chrono::milliseconds kCountInterval{ 250 };
 /// The leader looks for steps without an owner this often.
@@ -138,6 +143,7 @@
 {
   PrefixWatchOptions options;
   options.mPrefix = mHooks.mOperatorPrefix;
+  options.mWait = kOperatorWatch;
   PrefixWatchHooks hooks;
   hooks.mReset = [this](const std::vector<StoreEntry>& aEntries) {
     for (const StoreEntry& entry : aEntries) {
@@ -200,6 +206,7 @@
 {
   PrefixWatchOptions options;
   options.mPrefix = mHooks.mReplicaPrefix;
+  options.mWait = kReplicaWatch;
   PrefixWatchHooks hooks;
   hooks.mReset = [this](const std::vector<StoreEntry>& aEntries) {
     ResetReplicas(aEntries);
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -22,8 +22,8 @@
 constexpr std::chrono::milliseconds kConfirmInterval{ 900 };
 /// Partial samples are kept this often, so that a take-over repeats little.
 constexpr std::chrono::milliseconds kCheckpointInterval{ 1000 };
-/// Pause between two entries of a step's log.
-constexpr std::chrono::milliseconds kCommitPause{ 60 };
+/// Longest pause between two entries of a step's log.
+constexpr std::chrono::milliseconds kCommitPause{ 300 };
 constexpr std::chrono::milliseconds kCommitRetryPause{ 150 };
 /// Bytes of results in one entry of the log.
 constexpr size_t kEntryBytes = size_t{ 600 } << 10U;
@@ -78,6 +78,21 @@
 
 } // namespace
 
+bool OwnedStep::CompletesGroups() const
+{
+  std::map<std::string_view, size_t> missing;
+  for (size_t i = 0; i < mItems.size(); ++i) {
+    missing[mItems[i].mGroup] +=
+      mWork[i].mState == ItemWork::State::Done ? 0 : 1;
+  }
+  const auto whole =
+    std::count_if(missing.begin(), missing.end(), [](const auto& aItem) {
+      return aItem.second == 0;
+    });
+  return static_cast<size_t>(whole) >=
+         std::min<size_t>(mRecord.mDesired, missing.size());
+}
+
 StepRunner::StepRunner(StepContext aContext)
   : mContext(std::move(aContext))
 {
@@ -650,8 +665,12 @@
 {
   asio::steady_timer pause(mContext.mExecutor);
   while (!aStep->mStopped) {
-    if (aStep->mPending.empty()) {
-      aStep->mCommitTimer->expires_at(TimePoint::max());
+    const TimePoint due = aStep->mCommitted + kCommitPause;
+    const bool wait = aStep->mPending.empty() ||
+                      (mContext.mClock() < due && !aStep->CompletesGroups());
+    if (wait) {
+      aStep->mCommitTimer->expires_at(aStep->mPending.empty() ? TimePoint::max()
+                                                              : due);
       boost::system::error_code ignored;
       co_await aStep->mCommitTimer->async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
@@ -692,8 +711,7 @@
       Stop(aStep, false);
       co_return;
     }
-    pause.expires_after(kCommitPause);
-    co_await pause.async_wait(asio::use_awaitable);
+    aStep->mCommitted = mContext.mClock();
   }
 }
 
