--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -156,6 +156,18 @@
                           size_t aIndex,
                           request::ReplicaPool::Use aUse,
                           fleet::Route aRoute);
+  request::UpstreamRequest MakeRequest(const OwnedStep& aStep,
+                                       size_t aIndex,
+                                       std::string aReplicaId) const;
+  void TakeBreak(OwnedStep& aStep,
+                 size_t aIndex,
+                 const fleet::Replica& aReplica,
+                 const Error& aError);
+  void TakeAnswer(const OwnedStepPtr& aStep,
+                  size_t aIndex,
+                  const fleet::Replica& aReplica,
+                  const fleet::Route& aRoute,
+                  const request::UpstreamAnswer& aAnswer);
   bool TakeEvent(OwnedStep& aStep,
                  size_t aIndex,
                  const fleet::Route& aRoute,
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -41,6 +41,10 @@
 /// The speed of a replica is forgotten after this time without events.
 constexpr std::chrono::seconds kSpeedLifetime{ 4 };
 constexpr double kSpeedWeight = 0.3;
+/// Status of a failed attempt at an item.
+constexpr unsigned kFailedStatus = 500;
+/// Status of an item that no attempt can complete.
+constexpr unsigned kImpossibleStatus = 422;
 
 double Seconds(Duration aTime)
 {
@@ -502,27 +506,35 @@
   mTypicalSpeed = *middle;
 }
 
-Awaitable<void> StepRunner::RunItem(OwnedStepPtr aStep,
-                                    size_t aIndex,
-                                    request::ReplicaPool::Use aUse,
-                                    fleet::Route aRoute)
+request::UpstreamRequest StepRunner::MakeRequest(const OwnedStep& aStep,
+                                                 size_t aIndex,
+                                                 std::string aReplicaId) const
 {
-  ++mRunningItems;
-  const StepItem& item = aStep->mItems[aIndex];
-  ItemWork& work = aStep->mWork[aIndex];
-  const fleet::Replica replica = aUse.Replica();
+  const StepItem& item = aStep.mItems[aIndex];
+  const ItemWork& work = aStep.mWork[aIndex];
   request::UpstreamRequest request;
   request.mId = item.mId;
   request.mTarget = item.mPath;
   request.mHeaders = item.mHeaders;
-  request.mHeaders.push_back({ "host", aStep->mRecord.mHost });
+  request.mHeaders.push_back({ "host", aStep.mRecord.mHost });
   request.mBody = item.mBody;
-  request.mAccount = aStep->mRecord.mAccount;
-  request.mReplicaId = replica.mId;
+  request.mAccount = aStep.mRecord.mAccount;
+  request.mReplicaId = std::move(aReplicaId);
   request.mDeadline = mContext.mClock() + kMaxStreamTime;
   if (!work.mEvents.empty()) {
     request.mResumeAfter = static_cast<uint32_t>(work.mEvents.size());
   }
+  return request;
+}
+
+Awaitable<void> StepRunner::RunItem(OwnedStepPtr aStep,
+                                    size_t aIndex,
+                                    request::ReplicaPool::Use aUse,
+                                    fleet::Route aRoute)
+{
+  ++mRunningItems;
+  ItemWork& work = aStep->mWork[aIndex];
+  const fleet::Replica& replica = aUse.Replica();
   request::StreamOptions options;
   options.mAbort = work.mAbort;
   options.mIdleTimeout = kStreamIdleTimeout;
@@ -530,6 +542,7 @@
     [this, aStep, aIndex, &aRoute, &replica](request::StreamEvent aEvent) {
       return TakeEvent(*aStep, aIndex, aRoute, replica, std::move(aEvent));
     };
+  request::UpstreamRequest request = MakeRequest(*aStep, aIndex, replica.mId);
   const auto answer = co_await mContext.mStream(
     replica.mEndpoint, std::move(request), std::move(options));
   work.mAbort.reset();
@@ -539,42 +552,65 @@
     co_return;
   }
   work.mState = ItemWork::State::Waiting;
-  const TimePoint now = mContext.mClock();
   if (answer.has_error()) {
-    const bool moved = answer.error().mKind == ErrorKind::Canceled;
-    Event("item_interrupted", LogLevel::Warning)
-      .Field("step", aStep->mRecord.mId)
-      .Field("item", item.mId)
-      .Field("replica", replica.mId)
-      .Field("events", static_cast<uint64_t>(work.mEvents.size()))
-      .Field("error", FormatError(answer.error()))
-      .Write();
-    if (!moved) {
-      mContext.mPool.Suspend(replica.mId, kBrokenSuspension);
-    }
-    work.mNotBefore = work.mStreamEvents > 0 ? now : now + kBrokenPause;
+    TakeBreak(*aStep, aIndex, replica, answer.error());
   } else {
-    if (answer->mLoad) {
-      mContext.mPool.Report(replica.mId, *answer->mLoad);
-    }
-    if (answer->Succeeded()) {
-      work.mState = ItemWork::State::Scoring;
-      work.mTextEnd = now;
-    } else if (answer->mNotRun || answer->mMisdirected) {
-      mContext.mPool.Suspend(replica.mId, kBusyPause);
-    } else if (answer->mStatus == 422) {
-      Finish(aStep, aIndex, ItemState::Dead, {});
-    } else if (++work.mFailures >= aRoute.mMaxAttempts &&
-               answer->mStatus == 500) {
-      Finish(aStep, aIndex, ItemState::Dead, {});
-    } else {
-      work.mNotBefore = now + kBrokenPause;
-    }
+    TakeAnswer(aStep, aIndex, replica, aRoute, *answer);
   }
-  if (work.mState == ItemWork::State::Scoring) {
+  Pump();
+}
+
+/// The stream broke, or was ended to go on elsewhere.
+void StepRunner::TakeBreak(OwnedStep& aStep,
+                           size_t aIndex,
+                           const fleet::Replica& aReplica,
+                           const Error& aError)
+{
+  ItemWork& work = aStep.mWork[aIndex];
+  Event("item_interrupted", LogLevel::Warning)
+    .Field("step", aStep.mRecord.mId)
+    .Field("item", aStep.mItems[aIndex].mId)
+    .Field("replica", aReplica.mId)
+    .Field("events", static_cast<uint64_t>(work.mEvents.size()))
+    .Field("error", FormatError(aError))
+    .Write();
+  if (aError.mKind != ErrorKind::Canceled) {
+    mContext.mPool.Suspend(aReplica.mId, kBrokenSuspension);
+  }
+  work.mNotBefore = mContext.mClock();
+  if (work.mStreamEvents == 0) {
+    work.mNotBefore += kBrokenPause;
+  }
+}
+
+/// A whole answer: the text is complete, or the replica refused or failed.
+void StepRunner::TakeAnswer(const OwnedStepPtr& aStep,
+                            size_t aIndex,
+                            const fleet::Replica& aReplica,
+                            const fleet::Route& aRoute,
+                            const request::UpstreamAnswer& aAnswer)
+{
+  ItemWork& work = aStep->mWork[aIndex];
+  if (aAnswer.mLoad) {
+    mContext.mPool.Report(aReplica.mId, *aAnswer.mLoad);
+  }
+  if (aAnswer.Succeeded()) {
+    work.mState = ItemWork::State::Scoring;
+    work.mTextEnd = mContext.mClock();
     asio::co_spawn(mContext.mExecutor, Score(aStep, aIndex), asio::detached);
+    return;
   }
-  Pump();
+  if (aAnswer.mNotRun || aAnswer.mMisdirected) {
+    mContext.mPool.Suspend(aReplica.mId, kBusyPause);
+    return;
+  }
+  work.mFailures += aAnswer.mStatus == kFailedStatus ? 1 : 0;
+  if (aAnswer.mStatus == kImpossibleStatus ||
+      work.mFailures >= aRoute.mMaxAttempts) {
+    Finish(aStep, aIndex, ItemState::Dead, {});
+    return;
+  }
+  work.mNotBefore = mContext.mClock() + kBrokenPause;
 }
 
 /// Calls the scoring service until it has scored the text, or has failed it
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -251,7 +251,7 @@
   if (found.has_error()) {
     co_return found.error();
   }
-  const CachedStepPtr step = *found;
+  const CachedStepPtr& step = *found;
   const size_t total = step->mRecord.mItems;
   while (step->mResults.size() <= aFrom && step->mResults.size() < total) {
     int64_t revision = 0;
@@ -298,7 +298,7 @@
   if (found.has_error()) {
     co_return found.error();
   }
-  const CachedStepPtr step = *found;
+  const CachedStepPtr& step = *found;
   if (step->mItems.empty()) {
     auto items = co_await mContext.mStore.LoadItems(step->mRecord);
     if (items.has_error()) {
--- /dev/null
+++ b/tests/harness/users_platform.py
@@ -0,0 +1,249 @@
+"""Stand-in for the users' platform: store, replicas, platform API.
+
+Speaks the parts of the published protocol that the tests need, on loopback.
+"""
+
+import base64
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+    allow_reuse_address = True
+    request_queue_size = 128
+
+
+def serve(handle):
+    """Serves handle(handler, method, path, query, body) on a free port."""
+
+    class Handler(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+        disable_nagle_algorithm = True
+
+        def run(self):
+            length = int(self.headers.get("content-length") or 0)
+            body = self.rfile.read(length) if length else b""
+            parts = urlsplit(self.path)
+            query = {k: v[0] for k, v in parse_qs(parts.query).items()}
+            try:
+                handle(self, self.command, parts.path, query, body)
+            except (BrokenPipeError, ConnectionResetError):
+                self.close_connection = True
+
+        do_GET = do_POST = do_DELETE = run
+
+        def reply(self, status, value=None, headers=()):
+            data = value if isinstance(value, bytes) else json.dumps(value if value is not None else {}).encode()
+            self.send_response(status)
+            for name, text in headers:
+                self.send_header(name, text)
+            self.send_header("Content-Length", str(len(data)))
+            self.end_headers()
+            self.wfile.write(data)
+
+        def log_message(self, *_args):
+            pass
+
+    server = Server(("127.0.0.1", 0), Handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
+
+
+class Store:
+    """The metadata store."""
+
+    def __init__(self):
+        self.lock = threading.Condition()
+        self.revision = 1
+        self.items = {}
+        self.history = []
+        self.leases = {}
+        self.refuse = False
+        self.server = serve(self.handle)
+        self.address = "127.0.0.1:%d" % self.server.server_port
+        threading.Thread(target=self.expire, daemon=True).start()
+
+    def put(self, key, value, lease=0):
+        with self.lock:
+            self.write(key, json.dumps(value).encode(), lease)
+            self.lock.notify_all()
+
+    def remove(self, key):
+        with self.lock:
+            self.erase(key)
+            self.lock.notify_all()
+
+    def value(self, key):
+        with self.lock:
+            item = self.items.get(key)
+            return json.loads(base64.b64decode(item["value"])) if item else None
+
+    def keys(self, prefix):
+        with self.lock:
+            return sorted(k for k in self.items if k.startswith(prefix))
+
+    def write(self, key, data, lease):
+        self.revision += 1
+        old = self.items.get(key)
+        item = {"key": key, "value": base64.b64encode(data).decode(), "revision": self.revision,
+                "created": old["created"] if old else self.revision, "lease": lease}
+        self.items[key] = item
+        self.history.append(item)
+
+    def erase(self, key):
+        if self.items.pop(key, None):
+            self.revision += 1
+            self.history.append({"key": key, "revision": self.revision, "removed": True})
+
+    def expire(self):
+        while True:
+            time.sleep(0.05)
+            with self.lock:
+                for lease in [k for k, (end, _) in self.leases.items() if end < time.monotonic()]:
+                    self.end(lease)
+
+    def end(self, lease):
+        self.leases.pop(lease, None)
+        for key in [k for k, item in self.items.items() if item["lease"] == lease]:
+            self.erase(key)
+        self.lock.notify_all()
+
+    def handle(self, handler, method, path, query, body):
+        if self.refuse:
+            handler.reply(503)
+            return
+        with self.lock:
+            status, value = self.answer(method, path, query, json.loads(body) if body else {})
+        handler.reply(status, value)
+
+    def answer(self, method, path, query, body):
+        if path == "/kv-key":
+            item = self.items.get(query["key"])
+            return (200, dict(item, storeRevision=self.revision)) if item else (404, {"storeRevision": self.revision})
+        if path == "/kv-range":
+            found = [self.items[k] for k in sorted(self.items)
+                     if k.startswith(query["pathPrefix"]) and k > query.get("after", "")]
+            return 200, {"items": found[:500], "truncated": len(found) > 500, "storeRevision": self.revision}
+        if path == "/kv-watch":
+            return self.watch(query)
+        if path == "/kv-txn":
+            return self.commit(body)
+        if path == "/kv-lease":
+            self.revision += 1
+            self.leases[self.revision] = (time.monotonic() + body["ttlMs"] / 1000, body["ttlMs"])
+            return 200, {"lease": self.revision, "ttlMs": body["ttlMs"]}
+        lease = int(path.rsplit("/", 1)[1])
+        if lease not in self.leases:
+            return 404, {}
+        if method == "DELETE":
+            self.end(lease)
+            return 200, {}
+        ttl = self.leases[lease][1]
+        self.leases[lease] = (time.monotonic() + ttl / 1000, ttl)
+        return 200, {"ttlMs": ttl}
+
+    def watch(self, query):
+        end = time.monotonic() + int(query["waitMs"]) / 1000
+        after = int(query["after"])
+        while True:
+            events = [e for e in self.history if e["revision"] > after and e["key"].startswith(query["pathPrefix"])]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "storeRevision": self.revision}
+            self.lock.wait(left)
+
+    def commit(self, body):
+        for row in body["expected"]:
+            item = self.items.get(row["key"])
+            if (item["revision"] if item else 0) != row["revision"]:
+                found = [self.items[r["key"]] for r in body["expected"] if r["key"] in self.items]
+                return 412, {"items": found}
+        if any(w.get("lease") and w["lease"] not in self.leases for w in body["writes"]):
+            return 404, {}
+        for row in body["writes"]:
+            self.write(row["key"], base64.b64decode(row["value"]), row.get("lease", 0))
+        for key in body["remove"]:
+            self.erase(key)
+        self.lock.notify_all()
+        return 200, {"revision": self.revision}
+
+
+class Replica:
+    """A replica of a plain service or, with versions, an engine."""
+
+    def __init__(self, store, name, service, zone, versions=None, events=4, pause=0.0):
+        self.store, self.name, self.service, self.zone = store, name, service, zone
+        self.versions = dict(versions or {})
+        self.events, self.pause = events, pause
+        self.orders = []
+        self.seen = []
+        self.state = "ready"
+        self.server = serve(self.handle)
+        self.address = "127.0.0.1:%d" % self.server.server_port
+        self.register()
+
+    def register(self):
+        models = [{"name": m, "version": v, "adapters": []} for m, v in self.versions.items()]
+        self.store.put("servers/" + self.name, {
+            "service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
+            "slots": 8, "state": self.state, "coldLeftMs": 0, "models": models, "seq": 1})
+
+    def drain(self):
+        self.state = "draining"
+        self.register()
+
+    def handle(self, handler, method, path, _query, body):
+        headers = handler.headers
+        if headers.get("Expect-Instance") not in (None, self.name):
+            handler.reply(421)
+            return
+        if path == "/report":
+            models = [{"name": m, "version": v} for m, v in self.versions.items()]
+            handler.reply(200, {"busy": False, "seq": len(self.orders), "models": models})
+            return
+        if path == "/order":
+            order = json.loads(body)
+            self.orders.append(order)
+            self.versions[order["model"]] = order["version"]
+            handler.reply(202)
+            self.register()
+            return
+        self.seen.append((headers.get("Attempt-Id"), path, dict(headers.items()), body))
+        if headers.get("Model"):
+            self.stream(handler, headers)
+            return
+        if self.pause:
+            time.sleep(self.pause)
+        handler.reply(200, b"answer to " + body, [("Attempt-Id", headers["Attempt-Id"]),
+                                                  ("Response-Signature", "signed-" + headers["Attempt-Id"])])
+
+    def stream(self, handler, headers):
+        handler.send_response(200)
+        for name, text in (("Attempt-Id", headers["Attempt-Id"]), ("Response-Signature", "s"),
+                           ("Weight-Versions", str(self.versions[headers["Model"]])),
+                           ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")):
+            handler.send_header(name, text)
+        handler.end_headers()
+        for number in range(int(headers.get("Last-Event-Id") or 0) + 1, self.events + 1):
+            time.sleep(self.pause)
+            text = ("id: %d\ndata: %s-%d\n\n" % (number, headers["Attempt-Id"], number)).encode()
+            handler.wfile.write(b"%x\r\n%s\r\n" % (len(text), text))
+        handler.wfile.write(b"0\r\n\r\n")
+
+
+class Cloud:
+    """The platform's API for reports."""
+
+    def __init__(self):
+        self.reports = []
+        self.server = serve(self.handle)
+        self.address = "127.0.0.1:%d" % self.server.server_port
+
+    def handle(self, handler, _method, path, _query, body):
+        self.reports.append((path, json.loads(body), handler.headers["Lease-Holder"],
+                             int(handler.headers["Fencing-Token"])))
+        handler.reply(200)
--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -88,6 +88,10 @@
     return lines_of(["/usr/bin/python3", "tests/integration.py"])
 
 
+def users_platform(_args):
+    return lines_of(["/usr/bin/python3", "tests/users_platform.py"])
+
+
 def examples(_args):
     return lines_of(["/usr/bin/python3", "tests/examples.py"])
 
@@ -124,6 +128,7 @@
     "model": model,
     "examples": examples,
     "integration": integration,
+    "users_platform": users_platform,
     "ctl": ctl,
     "bad_input": bad_input,
     "faults": faults,
--- /dev/null
+++ b/tests/users_platform.py
@@ -0,0 +1,342 @@
+"""Daemons on a stand-in of the users' platform: the whole path and its faults.
+
+Prints "ok NAME" or "FAIL NAME reason" for each test.
+"""
+
+import base64
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import traceback
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from harness.users_platform import Cloud, Replica, Store  # noqa: E402
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+DAEMON = ROOT / "build/release/agatetided"
+HOST = "site.example"
+WINDOW_S = 1
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Daemon:
+    """One entry host."""
+
+    def __init__(self, site, name):
+        self.name = name
+        self.front, self.directory, self.ready = free_port(), free_port(), free_port()
+        settings = {
+            "node": name, "zone": "z1", "region": "r1", "zones": {"z1": "r1"},
+            "listen": {"front": "127.0.0.1:%d" % self.front, "ready": "127.0.0.1:%d" % self.ready,
+                       "directory": "127.0.0.1:%d" % self.directory},
+            "limits": {"maxFds": 1024},
+            "bounds": {"revokeMs": 5000, "graceS": 2, "usageWindowS": WINDOW_S, "ttl_max_s": 5},
+            "platform": {"address": site.store.address}, "cloudApi": {"address": site.cloud.address}}
+        self.folder = tempfile.TemporaryDirectory()
+        path = pathlib.Path(self.folder.name) / "node.json"
+        path.write_text(json.dumps(settings))
+        self.log = open(pathlib.Path(self.folder.name) / "log", "w+")
+        self.process = subprocess.Popen([str(DAEMON), "--platform-role", "entry"], stdout=self.log,
+                                        stderr=self.log, env={**os.environ, "AGATETIDE_NODE_FILE": str(path)})
+        until(lambda: self.is_ready(), name + " is ready", self.process)
+
+    def is_ready(self):
+        try:
+            return self.call("GET", "/readyz", port=self.ready)[0] == 200
+        except OSError:
+            return False
+
+    def call(self, method, path, body=None, headers=None, port=None, timeout=8):
+        connection = http.client.HTTPConnection("127.0.0.1", port or self.front, timeout=timeout)
+        with contextlib.closing(connection):
+            connection.request(method, path, body=body, headers={"Host": HOST, **(headers or {})})
+            answer = connection.getresponse()
+            return answer.status, answer.read(), dict(answer.getheaders())
+
+    def stop(self, how=signal.SIGKILL):
+        self.process.send_signal(how)
+        return self.process.wait(10)
+
+
+def until(condition, what, process=None, timeout=12):
+    end = time.monotonic() + timeout
+    while time.monotonic() < end:
+        if condition():
+            return
+        if process is not None and process.poll() is not None:
+            raise AssertionError("%s: the process ended with %d" % (what, process.returncode))
+        time.sleep(0.03)
+    raise AssertionError("timed out: " + what)
+
+
+def config(version=2, keys=("key-a",), **changes):
+    route = {"host": HOST, "priority": 2, "maxAttempts": 3, "timeoutMs": 4000, "targetLatencyMs": 500}
+    routes = [
+        {**route, "name": "open", "pathPrefix": "/open/", "routeType": "idempotent", "service": "plain", "anonymous": True},
+        {**route, "name": "keyed", "pathPrefix": "/keyed/", "routeType": "idempotent", "service": "plain"},
+        {**route, "name": "step", "pathPrefix": "/step/", "routeType": "rollout", "service": "engine",
+         "dueMs": 5000, "retentionS": 40}]
+    return {"version": version, "routes": routes, "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 1000000},
+            "services": [{"name": "plain"}, {"name": "engine", "engine": {"slots": 8}}],
+            "tenants": [{"name": "acct", "apiKeys": list(keys)}], **changes}
+
+
+class Site:
+    def __init__(self, daemons=1, plain=2, engines=2, events=4, pause=0.0):
+        self.store, self.cloud = Store(), Cloud()
+        self.store.put("op/config", config())
+        self.plain = [Replica(self.store, "plain-%d" % i, "plain", "z1") for i in range(plain)]
+        self.engines = [Replica(self.store, "engine-%d" % i, "engine", "z1", {"m": 1}, events, pause)
+                        for i in range(engines)]
+        self.daemons = [Daemon(self, "host-%d" % i) for i in range(daemons)]
+        until(lambda: self.lookup(self.daemons[0], "warm")[0] == 200, "a first lookup")
+        until(lambda: all(len(self.addresses(d)) == daemons for d in self.daemons), "all hosts are known")
+
+    def addresses(self, daemon):
+        body = daemon.call("GET", "/resolve?name=%s&region=r1&zone=z1" % HOST, port=daemon.directory)[1]
+        return json.loads(body).get("addrs", [])
+
+    def lookup(self, daemon, ident, path="/open/1", **headers):
+        return daemon.call("POST", path, b"question", {"Attempt-Id": ident, "Timeout-Ms": "3000", **headers})
+
+    def submit(self, daemon, ident="step-1", items=6, **fields):
+        job = {"step": 0, "model": "m", "minVersion": 1, "desired": 1, "items": [
+            {"id": "%s-item-%d" % (ident, i), "path": "/step/x/%d" % i, "headers": {"Model": "m", "Length-Hint": "64"},
+             "body": base64.b64encode(b"prompt").decode(), "tokens": 10, "group": "g",
+             "scorer": {"id": "%s-score-%d" % (ident, i), "host": HOST, "path": "/open/score",
+                        "body": base64.b64encode(b"score").decode()}} for i in range(items)], **fields}
+        return daemon.call("POST", "/step/" + ident, json.dumps(job),
+                           {"Attempt-Id": ident, "Authorization": "Bearer key-a"})[0]
+
+    def read(self, daemon, ident="step-1", after=0):
+        status, body, _ = daemon.call("GET", "/lots/%s?after=%d" % (ident, after),
+                                      headers={"Authorization": "Bearer key-a", "Wait-Ms": "300"})
+        return json.loads(body) if status == 200 else {"status": status, "results": [], "nextToken": after}
+
+    def read_all(self, daemon, total, ident="step-1"):
+        results = []
+
+        def more():
+            results.extend(self.read(daemon, ident, len(results))["results"])
+            return len(results) == total
+
+        until(more, "%d results of %s" % (total, ident))
+        return results
+
+    def close(self):
+        for daemon in self.daemons:
+            if daemon.process.poll() is None:
+                daemon.stop()
+            daemon.log.close()
+            daemon.folder.cleanup()
+
+
+def check(condition, what):
+    if not condition:
+        raise AssertionError(what)
+
+
+def lookup_reaches_a_named_replica(site):
+    status, body, headers = site.lookup(site.daemons[0], "id-1", Authorization="Bearer secret", Tenant="forged")
+    check(status == 200 and body == b"answer to question", "answer %s %r" % (status, body))
+    check(headers["Response-Signature"] == "signed-id-1", "signature")
+    seen = [s for r in site.plain for s in r.seen if s[0] == "id-1"]
+    check(len(seen) == 1, "one replica ran it")
+    names = {name.lower() for name in seen[0][2]}
+    check("authorization" not in names and "tenant" not in names, "key or forged account passed on")
+    check(int(seen[0][2]["Timeout-Ms"]) <= 3000, "time passed on")
+
+
+def unknown_routes_and_keys_are_refused(site):
+    daemon = site.daemons[0]
+    check(site.lookup(daemon, "a", "/none/1")[0] == 404, "no route")
+    check(site.lookup(daemon, "b", "/keyed/1")[0] == 401, "no key")
+    check(site.lookup(daemon, "c", "/keyed/1", Authorization="Bearer wrong")[0] == 401, "wrong key")
+    check(site.lookup(daemon, "d", "/keyed/1", Authorization="Bearer key-a")[0] == 200, "right key")
+    seen = [s for r in site.plain for s in r.seen if s[0] == "d"]
+    check(seen[0][2]["Tenant"] == "acct", "the account's name is set")
+
+
+def withdrawn_key_stops_at_once_and_without_the_store_in_time(site):
+    daemon = site.daemons[0]
+    site.store.put("op/config", config(3, ("key-b",)))
+    until(lambda: site.lookup(daemon, "a", "/keyed/1", Authorization="Bearer key-a")[0] == 401, "the key is refused", timeout=3)
+    check(site.lookup(daemon, "b", "/keyed/1", Authorization="Bearer key-b")[0] == 200, "the new key works")
+    site.store.refuse = True
+    time.sleep(5)
+    check(site.lookup(daemon, "c", "/keyed/1", Authorization="Bearer key-b")[0] == 503, "keys need a fresh copy")
+    check(site.lookup(daemon, "d")[0] == 200, "open routes go on")
+
+
+def step_is_accepted_once_and_read_at_any_daemon(site):
+    first, second = site.daemons
+    check(site.submit(first) == 202 and site.submit(second) == 202, "accepted twice")
+    results = site.read_all(second, 6)
+    check(len({r["id"] for r in results}) == 6, "each item once")
+    for result in results:
+        text = "\n".join("%s-%d" % (result["id"], n) for n in range(1, 5))
+        check(result["text"] == text and result["versions"] == [1], "whole text")
+        check(result["score"] == "signed-" + result["id"].replace("item", "score"), "score")
+    check([r["id"] for r in site.read_all(first, 6)] == [r["id"] for r in results], "same positions")
+    ran = [s[0] for r in site.engines for s in r.seen]
+    check(len(ran) == len(set(ran)), "no item ran twice")
+    body = first.call("GET", "/items/step-1?id=step-1-item-0", headers={"Authorization": "Bearer key-a"})
+    check(body[:2] == (200, b"prompt"), "body of an item")
+
+
+def step_of_a_killed_daemon_is_taken_over(site):
+    first, second = site.daemons
+    check(site.submit(first) == 202, "accepted")
+    time.sleep(1.6)
+    first.stop()
+    results = site.read_all(second, 6)
+    check(all(r["text"].count("\n") == site.engines[0].events - 1 for r in results), "whole texts")
+    resumed = [s for r in site.engines for s in r.seen if int(s[2].get("Last-Event-Id") or 0) > 0]
+    check(resumed, "samples were resumed from the store")
+
+
+def ended_step_starts_nothing_more(site):
+    first, second = site.daemons
+    site.submit(first, items=40)
+    time.sleep(0.3)
+    ended = second.call("DELETE", "/lots/step-1", headers={"Authorization": "Bearer key-a"})[0]
+    check(ended == 200, "ended")
+    time.sleep(2)
+    before = sum(len(r.seen) for r in site.engines)
+    time.sleep(1)
+    check(sum(len(r.seen) for r in site.engines) == before, "items started after the end")
+
+
+def leaving_replica_gets_nothing_new(site):
+    site.plain[0].drain()
+    time.sleep(0.5)
+    before = len(site.plain[0].seen)
+    for i in range(20):
+        check(site.lookup(site.daemons[0], "n%d" % i)[0] == 200, "served")
+    check(len(site.plain[0].seen) == before, "the leaving replica was used")
+
+
+def named_version_reaches_the_replicas_once(site):
+    until(lambda: site.store.keys("agatetide/leader"), "a leader")
+    time.sleep(1.2)
+    site.store.put("op/version/m", {"model": "m", "version": 2})
+    until(lambda: all(r.versions["m"] == 2 for r in site.engines), "all replicas have the version")
+    time.sleep(0.5)
+    for replica in site.engines:
+        check(len(replica.orders) == 1, "one order")
+        check(replica.orders[0]["expected"] == 0, "guarded against late orders")
+    check(len({o["fence"] for r in site.engines for o in r.orders}) == 1, "one holder")
+    check(site.submit(site.daemons[0], minVersion=2) == 202, "accepted")
+    check(all(r["versions"] == [2] for r in site.read_all(site.daemons[0], 6)), "versions are named")
+
+
+def usage_windows_are_sealed_and_reported_once(site):
+    for i in range(10):
+        site.lookup(site.daemons[i % 2], "u%d" % i, "/keyed/1", Authorization="Bearer key-a")
+
+    def total():
+        return sum(body["counts"].get("acct", 0) for body in by_window().values())
+
+    def by_window():
+        return {body["window"]: body for path, body, *_ in site.cloud.reports if path == "/usage"}
+
+    until(lambda: total() == 10, "all requests are reported", timeout=15)
+    windows = [body["window"] for path, body, *_ in site.cloud.reports]
+    check(len(windows) == len(set(windows)), "a window was reported twice")
+    check(len({fence for *_, fence in site.cloud.reports}) == 1, "one holder")
+
+
+def host_to_be_emptied_is_answered(site):
+    site.store.put("op/retire/disk-1", {"durationS": 5})
+    until(lambda: site.store.value("status/retire/disk-1") == {"state": "completed"}, "the answer")
+
+
+def malformed_input_is_refused_and_harmless(site):
+    daemon = site.daemons[0]
+    key = {"Authorization": "Bearer key-a"}
+    for body in (b"", b"{", b"[]", b'{"items":[]}', b'{"items":[{"id":"x"}]}',
+                 b'{"items":[{"id":"a/b","path":"/p","body":""}]}',
+                 b'{"items":[{"id":"x","path":"/p","body":"!"}]}',
+                 b'{"items":[{"id":"x","path":"/p","body":""},{"id":"x","path":"/p","body":""}]}'):
+        status = daemon.call("POST", "/step/x", body, {"Attempt-Id": "bad", **key})[0]
+        check(status == 400, "%r gave %d" % (body, status))
+    check(daemon.call("POST", "/step/x", b"{}", key)[0] == 400, "no id")
+    check(daemon.call("GET", "/lots/..%2f?after=x", headers=key)[0] == 400, "bad id")
+    check(daemon.call("GET", "/lots/none", headers=key)[0] == 404, "unknown step")
+    check(daemon.call("POST", "/open/1", b"x" * 1100000, {"Attempt-Id": "big"})[0] in (413, 429), "large body")
+    check(daemon.call("POST", "/open/1", b"", {"Attempt-Id": "h", "X": "y" * 5000})[0] in (400, 431, 429), "large header")
+    with socket.create_connection(("127.0.0.1", daemon.front)) as raw:
+        raw.sendall(b"nonsense\r\n\r\n")
+        check(b"400" in raw.recv(200), "no HTTP")
+    for key_name, value in (("servers/bad", "text"), ("servers/half", {"service": "plain"}),
+                            ("servers/port", {"service": "plain", "address": "x", "slots": 1, "state": "ready"}),
+                            ("op/config", {"version": "x"}), ("op/config", 7), ("op/version/m", {}), ("op/other", [])):
+        site.store.put(key_name, value)
+    time.sleep(0.5)
+    check(site.lookup(daemon, "after")[0] == 200, "still serves")
+    check(daemon.process.poll() is None, "still runs")
+
+
+def draining_host_finishes_and_leaves(site):
+    first, second = site.daemons
+    site.submit(first)
+    first.process.send_signal(signal.SIGTERM)
+    until(lambda: len(site.addresses(second)) == 1, "the host left the answers", timeout=3)
+    check(not first.is_ready(), "not ready")
+    check(site.submit(first, "step-2") == 503, "no new step")
+    check(site.lookup(first, "late")[0] == 200, "still serves who comes")
+    check(first.process.wait(10) == 0, "exit code")
+    check(len(site.read_all(second, 6)) == 6, "the step is whole")
+
+
+TESTS = [
+    (lookup_reaches_a_named_replica, {}),
+    (unknown_routes_and_keys_are_refused, {}),
+    (withdrawn_key_stops_at_once_and_without_the_store_in_time, {}),
+    (step_is_accepted_once_and_read_at_any_daemon, {"daemons": 2}),
+    (step_of_a_killed_daemon_is_taken_over, {"daemons": 2, "events": 12, "pause": 0.25}),
+    (ended_step_starts_nothing_more, {"daemons": 2, "events": 8, "pause": 0.1}),
+    (leaving_replica_gets_nothing_new, {}),
+    (named_version_reaches_the_replicas_once, {"daemons": 2}),
+    (usage_windows_are_sealed_and_reported_once, {"daemons": 2}),
+    (host_to_be_emptied_is_answered, {}),
+    (malformed_input_is_refused_and_harmless, {}),
+    (draining_host_finishes_and_leaves, {"daemons": 2, "events": 6, "pause": 0.1}),
+]
+
+
+def main():
+    failed = False
+    for test, options in TESTS:
+        if len(sys.argv) > 1 and test.__name__ not in sys.argv[1:]:
+            continue
+        site = None
+        try:
+            site = Site(**options)
+            test(site)
+            print("ok users_platform." + test.__name__, flush=True)
+        except Exception as error:  # pylint: disable=broad-except
+            failed = True
+            print("FAIL users_platform.%s %s" % (test.__name__, error), flush=True)
+            traceback.print_exc()
+        finally:
+            if site is not None:
+                site.close()
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
