--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -63,6 +63,7 @@
         self.history = []
         self.leases = {}
         self.refuse = False
+        self.silent = False
         self.server = serve(self.handle)
         self.address = "127.0.0.1:%d" % self.server.server_port
         threading.Thread(target=self.expire, daemon=True).start()
@@ -113,6 +114,8 @@
         self.lock.notify_all()
 
     def handle(self, handler, method, path, query, body):
+        while self.silent:
+            time.sleep(0.1)
         if self.refuse:
             handler.reply(503)
             return
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -302,7 +302,16 @@
     check(len(site.read_all(second, 6)) == 6, "the step is whole")
 
 
+def host_stops_in_time_without_the_store(site):
+    first = site.daemons[0]
+    site.submit(first)
+    site.store.silent = True
+    first.process.send_signal(signal.SIGTERM)
+    check(first.process.wait(2) == 0, "exit code")
+
+
 TESTS = [
+    (host_stops_in_time_without_the_store, {"events": 20, "pause": 0.2}),
     (lookup_reaches_a_named_replica, {}),
     (unknown_routes_and_keys_are_refused, {}),
     (withdrawn_key_stops_at_once_and_without_the_store_in_time, {}),
