Follow the store once for each availability zone

Change: the first host of an availability zone, in an order that all compute, watches the store; the others ask it (entry/zone_watch, cereal over HTTP on the hosts' internal port) and get changes with the age of the proof, counted so that delay and suspension only make it older. Who gets no answer, or an answer without a fresh proof, watches the store itself. Watches last 1.4, 1.8 and 2.5 s instead of 1.8, 2.9 and 10 s, so that a silent daemon is noticed within the bounds of keys and draining replicas.

--- a/include/agatetide/coordination/store.hpp
+++ b/include/agatetide/coordination/store.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatetide/base/awaitable.hpp"
+#include "agatetide/base/clock.hpp"
 #include "agatetide/base/error.hpp"
 
 #include <chrono>
@@ -124,6 +125,9 @@
   int64_t mRevision = 0;
   /// The history before the revision is gone; read the keys again.
   bool mCompacted = false;
+  /// All changes before this time are part of the reply or were known before.
+  /// Nothing when that has to be concluded from how long the watch took.
+  std::optional<TimePoint> mProof;
 };
 
 /// @brief Waits for changes. An empty reply means that the wait has passed.
--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -5,6 +5,7 @@
 #include "agatetide/duty/usage_ledger.hpp"
 #include "agatetide/duty/version_mover.hpp"
 #include "agatetide/entry/host_registry.hpp"
+#include "agatetide/entry/peer_channel.hpp"
 #include "agatetide/request/forwarder.hpp"
 #include "agatetide/steps/step_service.hpp"
 
@@ -58,6 +59,8 @@
 struct EntryOptions
 {
   fleet::EntryHost mSelf;
+  /// Where other daemons are answered; port 0 means nowhere.
+  http::Endpoint mPeerListen;
   /// Region by availability zone.
   std::map<std::string, std::string, std::less<>> mRegions;
   /// A withdrawn key stops working within this time.
@@ -70,7 +73,7 @@
 class EntryDaemon
 {
 public:
-  /// @brief Errors: those of Leadership::Create().
+  /// @brief Errors: those of Leadership::Create() and PeerChannel::Create().
   static Result<std::unique_ptr<EntryDaemon>> Create(
     boost::asio::any_io_executor aExecutor,
     EntryOptions aOptions,
@@ -108,6 +111,8 @@
               EntryOptions aOptions,
               PlatformHooks aHooks);
 
+  /// Follows keys of the store, through another daemon of the zone if any.
+  Awaitable<void> Follow(PrefixWatchOptions aOptions, PrefixWatchHooks aHooks);
   Awaitable<void> FollowOperator();
   Awaitable<void> FollowReplicas();
   Awaitable<void> Lead();
@@ -131,6 +136,8 @@
   SteadyWallClock mWallClock;
   std::string mOwner;
   fleet::FleetView mView;
+  std::unique_ptr<PeerChannel> mPeers;
+  ZoneWatch mZoneWatch;
   request::ReplicaPool mPool;
   request::Forwarder mForwarder;
   steps::StepStore mStepStore;
--- a/include/agatetide/entry/prefix_watcher.hpp
+++ b/include/agatetide/entry/prefix_watcher.hpp
@@ -31,9 +31,7 @@
 };
 
 /// @brief Follows the keys of the store with a prefix, until the executor
-/// stops. The confirmation counts from before a watch was sent; a watch that
-/// was cut before its time confirms nothing, since the store may cut it after
-/// changes that it did not send.
+/// stops. What a watch confirms follows from coordination::ProofOfWatch().
 Awaitable<void> WatchPrefix(PrefixWatchOptions aOptions,
                             PrefixWatchHooks aHooks,
                             coordination::StoreCall aStore,
--- /dev/null
+++ b/include/agatetide/entry/zone_watch.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "agatetide/coordination/watch_history.hpp"
+#include "agatetide/coordination/watch_messages.hpp"
+#include "agatetide/fleet/fleet_view.hpp"
+#include "agatetide/http/message.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace agatetide::entry {
+
+/// @brief Asks another daemon for changes, within aTimeout.
+/// Errors: Unavailable when it does not answer or cannot tell.
+using AskPeer = std::function<Awaitable<Result<coordination::PeerWatchReply>>(
+  http::Endpoint aPeer,
+  coordination::PeerWatchRequest aRequest,
+  Milliseconds aTimeout)>;
+
+struct ZoneWatchOptions
+{
+  /// Time beyond a watch's wait in which a daemon has to bring a newer proof,
+  /// and in which its answer has to arrive.
+  Milliseconds mPeerMargin{ 300 };
+  /// A daemon that could not tell is not asked again for this long.
+  Milliseconds mAvoidTime{ 3000 };
+  /// The first watch at the store after that ends soon, to get a proof.
+  Milliseconds mCatchUpWait{ 50 };
+};
+
+/// @brief Follows the store once for each availability zone: the daemon that
+/// comes first in an order of the zone's hosts watches the store, the others
+/// ask it. A daemon that gets no answer watches the store itself.
+///
+/// Every answer carries the age of its proof, counted so that delay and
+/// suspension only make it older. Daemons ask only those before them in the
+/// order, so no two ask each other. Not thread-safe: owned by the executor of
+/// the daemon.
+class ZoneWatch
+{
+public:
+  /// @brief aClock counts suspensions. aView outlives the object.
+  ZoneWatch(ZoneWatchOptions aOptions,
+            boost::asio::any_io_executor aExecutor,
+            Clock aClock,
+            std::string aSelf,
+            const fleet::FleetView& aView,
+            coordination::WatchCall aStore,
+            AskPeer aAsk);
+
+  /// @brief Waits for changes, at another daemon or at the store. The reply
+  /// has a proof unless the watch was cut. Errors: as WatchCall.
+  Awaitable<Result<coordination::WatchReply>> Watch(
+    coordination::WatchRequest aRequest);
+
+  /// @brief Answers another daemon as soon as there are changes or a newer
+  /// proof. Errors: Unavailable when this daemon cannot tell.
+  Awaitable<Result<coordination::PeerWatchReply>> Serve(
+    coordination::PeerWatchRequest aRequest);
+
+  /// @brief The host to ask now; nothing when this one watches the store.
+  std::optional<std::string> Peer() const;
+
+private:
+  /// What is known under one prefix, and who waits for more.
+  struct Prefix
+  {
+    coordination::WatchHistory mHistory;
+    /// The last watch has failed.
+    bool mLost = false;
+    /// The host that was asked last, or the store.
+    std::string mSource;
+    std::list<boost::asio::steady_timer*> mWaiters;
+  };
+
+  Awaitable<Result<coordination::WatchReply>> WatchAtPeer(
+    std::string aPeer,
+    coordination::WatchRequest aRequest);
+  Awaitable<Result<coordination::WatchReply>> WatchAtStore(
+    coordination::WatchRequest aRequest);
+  void LogSource(const std::string& aPrefix, std::string aSource);
+  void Record(const coordination::WatchRequest& aRequest,
+              const Result<coordination::WatchReply>& aReply);
+  bool CanTell(const Prefix& aPrefix,
+               const coordination::PeerWatchRequest& aRequest) const;
+  Duration MaxProofAge(const coordination::PeerWatchRequest& aRequest) const;
+
+  ZoneWatchOptions mOptions;
+  boost::asio::any_io_executor mExecutor;
+  Clock mClock;
+  std::string mSelf;
+  const fleet::FleetView& mView;
+  coordination::WatchCall mStore;
+  AskPeer mAsk;
+  std::map<std::string, Prefix, std::less<>> mPrefixes;
+  /// Until when a host is not asked.
+  std::map<std::string, TimePoint, std::less<>> mAvoided;
+};
+
+} // namespace agatetide::entry
--- a/include/agatetide/fleet/fleet_view.hpp
+++ b/include/agatetide/fleet/fleet_view.hpp
@@ -19,6 +19,8 @@
   std::string mName;
   /// Address for callers.
   std::string mAddress;
+  /// Address for other daemons; empty when it serves none.
+  std::string mPeerAddress;
   std::string mAvailabilityZone;
   std::string mRegion;
   /// Tells one start of the process from another.
--- a/src/agatetide/coordination/messages.cpp
+++ b/src/agatetide/coordination/messages.cpp
@@ -1,9 +1,7 @@
 #include "agatetide/coordination/messages.hpp"
 
 #include "agatetide/base/encoding.hpp"
-#include "agatetide/coordination/input_archive.hpp"
-
-#include <sstream>
+#include "agatetide/coordination/portable_bytes.hpp"
 
 namespace agatetide::coordination {
 
@@ -50,12 +48,7 @@
 template<class Message>
 std::string EncodeMessage(const Message& aMessage, std::string_view aSecret)
 {
-  std::ostringstream stream;
-  {
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(aMessage);
-  }
-  std::string body = std::move(stream).str();
+  const std::string body = EncodePortable(aMessage);
   std::string bytes(kMagic);
   bytes += HmacSha256(aSecret, body).substr(0, kCodeBytes);
   bytes += body;
@@ -78,17 +71,12 @@
                          code)) {
     return InvalidMessage("authentication code");
   }
-  try {
-    InputArchive archive(body);
-    Message message;
-    archive(message);
-    if (!archive.AtEnd() || !Valid(message)) {
-      return InvalidMessage("body");
-    }
-    return message;
-  } catch (const std::exception&) {
+  auto message =
+    DecodePortable<Message>(body, "the message", ErrorKind::InvalidArgument);
+  if (message.has_error() || !Valid(*message)) {
     return InvalidMessage("body");
   }
+  return message;
 }
 
 template std::string EncodeMessage(const Datagram&, std::string_view);
--- /dev/null
+++ b/src/agatetide/coordination/watch_messages.cpp
@@ -0,0 +1,53 @@
+#include "agatetide/coordination/watch_messages.hpp"
+
+#include "agatetide/coordination/portable_bytes.hpp"
+
+namespace agatetide::coordination {
+
+template<class Archive>
+void serialize(Archive& aArchive, StoreChange& aChange)
+{
+  aArchive(aChange.mEntry.mKey,
+           aChange.mEntry.mValue,
+           aChange.mEntry.mCreateRevision,
+           aChange.mEntry.mModRevision,
+           aChange.mEntry.mLease,
+           aChange.mRemoved);
+}
+
+template<class Archive>
+void serialize(Archive& aArchive, PeerWatchRequest& aRequest)
+{
+  aArchive(aRequest.mPrefix, aRequest.mAfterRevision, aRequest.mWaitMs);
+}
+
+template<class Archive>
+void serialize(Archive& aArchive, PeerWatchReply& aReply)
+{
+  aArchive(
+    aReply.mChanges, aReply.mRevision, aReply.mWaitedMs, aReply.mProofAgeMs);
+}
+
+std::string Encode(const PeerWatchRequest& aRequest)
+{
+  return EncodePortable(aRequest);
+}
+
+std::string Encode(const PeerWatchReply& aReply)
+{
+  return EncodePortable(aReply);
+}
+
+Result<PeerWatchRequest> DecodePeerWatchRequest(std::string_view aBytes)
+{
+  return DecodePortable<PeerWatchRequest>(
+    aBytes, "the request of another daemon", ErrorKind::InvalidArgument);
+}
+
+Result<PeerWatchReply> DecodePeerWatchReply(std::string_view aBytes)
+{
+  return DecodePortable<PeerWatchReply>(
+    aBytes, "the reply of another daemon", ErrorKind::InvalidArgument);
+}
+
+} // namespace agatetide::coordination
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -18,11 +18,12 @@
 /// Time between the check of a key and the start of its request at a
 /// replica, with a margin.
 constexpr std::chrono::milliseconds kRevocationMargin{ 700 };
-/// The confirmation of a watch counts from its start, so two of them must
-/// fit into the time for which a copy is trusted.
-constexpr std::chrono::milliseconds kOperatorWatch{ 1800 };
+/// The confirmation of a watch counts from its start, so two of them and the
+/// failure of the daemon that is asked must fit into the time for which a copy
+/// is trusted.
+constexpr std::chrono::milliseconds kOperatorWatch{ 1400 };
 /// A lost connection is noticed within this time and the watch's margin.
-constexpr std::chrono::milliseconds kReplicaWatch{ 2900 };
+constexpr std::chrono::milliseconds kReplicaWatch{ 1800 };
 constexpr std::chrono::milliseconds kDutyInterval{ 100 };
 constexpr std::chrono::milliseconds kCountInterval{ 250 };
 /// The leader looks for steps without an owner this often.
@@ -56,6 +57,16 @@
     return leadership.error();
   }
   daemon->mLeadership.emplace(std::move(*leadership));
+  auto peers = PeerChannel::Create(
+    daemon->mExecutor,
+    daemon->mOptions.mPeerListen,
+    [zone = &daemon->mZoneWatch](PeerWatchRequest aRequest) {
+      return zone->Serve(std::move(aRequest));
+    });
+  if (peers.has_error()) {
+    return peers.error();
+  }
+  daemon->mPeers = std::move(*peers);
   daemon->mMover.emplace(duty::VersionMoverOptions{},
                          daemon->mExecutor,
                          daemon->mView,
@@ -77,6 +88,18 @@
   , mWallClock(mBootClock, SystemClock())
   , mOwner(steps::OwnerName(mOptions.mSelf.mName, mOptions.mSelf.mIncarnation))
   , mView(mBootClock, mOptions.mSelf.mAvailabilityZone, mOptions.mSelf.mRegion)
+  , mZoneWatch({},
+               mExecutor,
+               mBootClock,
+               mOptions.mSelf.mName,
+               mView,
+               mHooks.mWatch,
+               [this](http::Endpoint aPeer,
+                      PeerWatchRequest aRequest,
+                      Milliseconds aTimeout) {
+                 return mPeers->Ask(
+                   std::move(aPeer), std::move(aRequest), aTimeout);
+               })
   , mPool(mView, mClock, ProcessRandom())
   , mForwarder(mExecutor, mPool, mHooks.mCall, mClock, ProcessRandom())
   , mStepStore(mHooks.mStore, mHooks.mWatch)
@@ -87,12 +110,15 @@
                   mOwner }
   , mRunner(mStepContext)
   , mSteps(mStepContext, mRunner)
-  , mRegistry({},
-              mOptions.mSelf,
-              mView,
-              mHooks.mStore,
-              mHooks.mWatch,
-              mBootClock)
+  , mRegistry(
+      {},
+      mOptions.mSelf,
+      mView,
+      mHooks.mStore,
+      [this](WatchRequest aRequest) {
+        return mZoneWatch.Watch(std::move(aRequest));
+      },
+      mBootClock)
   , mUsage(
       mOptions.mUsage,
       mHooks.mStore,
@@ -139,6 +165,19 @@
   mUsage.Count(aAccount, mWallClock.Now() - age.count());
 }
 
+Awaitable<void> EntryDaemon::Follow(PrefixWatchOptions aOptions,
+                                    PrefixWatchHooks aHooks)
+{
+  return WatchPrefix(
+    std::move(aOptions),
+    std::move(aHooks),
+    mHooks.mStore,
+    [this](WatchRequest aRequest) {
+      return mZoneWatch.Watch(std::move(aRequest));
+    },
+    mBootClock);
+}
+
 Awaitable<void> EntryDaemon::FollowOperator()
 {
   PrefixWatchOptions options;
@@ -164,11 +203,7 @@
     }
     mStoreFailed = mClock();
   };
-  co_await WatchPrefix(std::move(options),
-                       std::move(hooks),
-                       mHooks.mStore,
-                       mHooks.mWatch,
-                       mBootClock);
+  co_await Follow(std::move(options), std::move(hooks));
 }
 
 void EntryDaemon::TakeOperatorEntry(const StoreEntry& aEntry)
@@ -216,11 +251,7 @@
   };
   hooks.mConfirmed = [this](TimePoint) { RemoveLapsedReplicas(); };
   hooks.mFailed = [this](const Error&) { mStoreFailed = mClock(); };
-  co_await WatchPrefix(std::move(options),
-                       std::move(hooks),
-                       mHooks.mStore,
-                       mHooks.mWatch,
-                       mBootClock);
+  co_await Follow(std::move(options), std::move(hooks));
 }
 
 void EntryDaemon::TakeReplica(const StoreEntry& aEntry)
--- a/src/agatetide/entry/host_registry.cpp
+++ b/src/agatetide/entry/host_registry.cpp
@@ -16,11 +16,13 @@
 namespace {
 
 constexpr std::string_view kHostPrefix = "agatetide/host/";
+constexpr std::chrono::milliseconds kHostWatch{ 2500 };
 
 std::string Encode(const fleet::EntryHost& aHost)
 {
   return json{
     { "address", aHost.mAddress },
+    { "peer_address", aHost.mPeerAddress },
     { "availability_zone", aHost.mAvailabilityZone },
     { "region", aHost.mRegion },
     { "incarnation", aHost.mIncarnation },
@@ -43,6 +45,7 @@
   fleet::EntryHost host;
   host.mName = aEntry.mKey.substr(kHostPrefix.size());
   host.mAddress = text("address");
+  host.mPeerAddress = text("peer_address");
   host.mAvailabilityZone = text("availability_zone");
   host.mRegion = text("region");
   host.mIncarnation = text("incarnation");
@@ -137,7 +140,7 @@
 {
   PrefixWatchOptions options;
   options.mPrefix = kHostPrefix;
-  options.mWait = Milliseconds(10000);
+  options.mWait = kHostWatch;
   PrefixWatchHooks hooks;
   hooks.mReset = [this](const std::vector<StoreEntry>& aEntries) {
     Reset(aEntries);
--- a/src/agatetide/entry/prefix_watcher.cpp
+++ b/src/agatetide/entry/prefix_watcher.cpp
@@ -1,5 +1,7 @@
 #include "agatetide/entry/prefix_watcher.hpp"
 
+#include "agatetide/coordination/watch_history.hpp"
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -25,7 +27,6 @@
                             WatchCall aWatch,
                             Clock aClock)
 {
-  constexpr Milliseconds kCutMargin{ 100 };
   bool known = false;
   int64_t revision = 0;
   for (;;) {
@@ -65,12 +66,11 @@
       aHooks.mChange(change);
     }
     revision = std::max(revision, news->mRevision);
-    const bool whole =
-      !news->mChanges.empty() || aClock() - sent + kCutMargin >= aOptions.mWait;
-    if (whole && aHooks.mConfirmed) {
-      aHooks.mConfirmed(sent);
+    const auto proof = ProofOfWatch(*news, sent, aClock(), aOptions.mWait);
+    if (proof && aHooks.mConfirmed) {
+      aHooks.mConfirmed(*proof);
     }
-    if (!whole) {
+    if (!proof) {
       co_await Pause(aOptions.mRetryPause);
     }
   }
--- /dev/null
+++ b/src/agatetide/entry/zone_watch.cpp
@@ -0,0 +1,205 @@
+#include "agatetide/entry/zone_watch.hpp"
+
+#include "agatetide/base/encoding.hpp"
+#include "agatetide/base/event_log.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace agatetide::entry {
+
+namespace asio = boost::asio;
+using namespace coordination;
+
+namespace {
+
+/// Longest wait that another daemon may ask for.
+constexpr std::chrono::seconds kMaxWait{ 30 };
+
+/// Place of a host in the order of its availability zone. Every daemon
+/// computes the same.
+std::pair<uint64_t, std::string_view> Rank(std::string_view aHost)
+{
+  return { Hash64(aHost), aHost };
+}
+
+Error CannotTell(std::string_view aPrefix)
+{
+  return { ErrorKind::Unavailable,
+           "this daemon does not know the latest changes under " +
+             std::string(aPrefix),
+           "watch the store" };
+}
+
+} // namespace
+
+ZoneWatch::ZoneWatch(ZoneWatchOptions aOptions,
+                     asio::any_io_executor aExecutor,
+                     Clock aClock,
+                     std::string aSelf,
+                     const fleet::FleetView& aView,
+                     WatchCall aStore,
+                     AskPeer aAsk)
+  : mOptions(aOptions)
+  , mExecutor(std::move(aExecutor))
+  , mClock(std::move(aClock))
+  , mSelf(std::move(aSelf))
+  , mView(aView)
+  , mStore(std::move(aStore))
+  , mAsk(std::move(aAsk))
+{
+}
+
+std::optional<std::string> ZoneWatch::Peer() const
+{
+  std::optional<std::string> first;
+  for (const auto& [name, host] : mView.Hosts()) {
+    const auto avoided = mAvoided.find(name);
+    if (host.mAvailabilityZone != mView.AvailabilityZone() || host.mDraining ||
+        host.mPeerAddress.empty() ||
+        Rank(name) >= Rank(first ? *first : mSelf) ||
+        (avoided != mAvoided.end() && mClock() < avoided->second)) {
+      continue;
+    }
+    first = name;
+  }
+  return first;
+}
+
+Awaitable<Result<WatchReply>> ZoneWatch::Watch(WatchRequest aRequest)
+{
+  const auto peer = Peer();
+  LogSource(aRequest.mPrefix, peer.value_or("store"));
+  if (peer) {
+    auto reply = co_await WatchAtPeer(*peer, aRequest);
+    if (reply.has_value()) {
+      Record(aRequest, reply);
+      co_return reply;
+    }
+    Event("peer_avoided")
+      .Field("host", *peer)
+      .Field("prefix", aRequest.mPrefix)
+      .Field("error", FormatError(reply.error()))
+      .Write();
+    mAvoided[*peer] = mClock() + mOptions.mAvoidTime;
+    aRequest.mWait = std::min(aRequest.mWait, mOptions.mCatchUpWait);
+  }
+  const auto reply = co_await WatchAtStore(aRequest);
+  Record(aRequest, reply);
+  co_return reply;
+}
+
+void ZoneWatch::LogSource(const std::string& aPrefix, std::string aSource)
+{
+  std::string& known = mPrefixes[aPrefix].mSource;
+  if (known != aSource) {
+    Event("watch_source")
+      .Field("prefix", aPrefix)
+      .Field("source", aSource)
+      .Field("before", known)
+      .Write();
+    known = std::move(aSource);
+  }
+}
+
+Awaitable<Result<WatchReply>> ZoneWatch::WatchAtStore(WatchRequest aRequest)
+{
+  const TimePoint sent = mClock();
+  auto reply = co_await mStore(aRequest);
+  if (reply.has_value()) {
+    reply->mProof = ProofOfWatch(*reply, sent, mClock(), aRequest.mWait);
+  }
+  co_return reply;
+}
+
+Awaitable<Result<WatchReply>> ZoneWatch::WatchAtPeer(std::string aPeer,
+                                                     WatchRequest aRequest)
+{
+  const auto host = mView.Hosts().find(aPeer);
+  const auto endpoint = http::ParseEndpoint(host->second.mPeerAddress);
+  if (endpoint.has_error()) {
+    co_return endpoint.error();
+  }
+  const TimePoint sent = mClock();
+  PeerWatchRequest question{ aRequest.mPrefix,
+                             aRequest.mAfterRevision,
+                             aRequest.mWait.count() };
+  auto answer = co_await mAsk(
+    *endpoint, std::move(question), aRequest.mWait + 2 * mOptions.mPeerMargin);
+  if (answer.has_error()) {
+    co_return answer.error();
+  }
+  WatchReply reply;
+  reply.mChanges = std::move(answer->mChanges);
+  reply.mRevision = answer->mRevision;
+  // The question arrived after it was sent, so the reply was made no earlier
+  // than this.
+  const TimePoint made = sent + Milliseconds(answer->mWaitedMs);
+  reply.mProof = std::min(made, mClock()) - Milliseconds(answer->mProofAgeMs);
+  co_return reply;
+}
+
+void ZoneWatch::Record(const WatchRequest& aRequest,
+                       const Result<WatchReply>& aReply)
+{
+  Prefix& prefix = mPrefixes[aRequest.mPrefix];
+  prefix.mLost = aReply.has_error();
+  if (aReply.has_value()) {
+    prefix.mHistory.Record(aRequest.mAfterRevision, *aReply);
+  }
+  for (asio::steady_timer* waiter : prefix.mWaiters) {
+    waiter->cancel();
+  }
+}
+
+/// The proof of a watch dates from its start, so that it is as old as two
+/// watches when the next one ends.
+Duration ZoneWatch::MaxProofAge(const PeerWatchRequest& aRequest) const
+{
+  return 2 * Milliseconds(aRequest.mWaitMs) + mOptions.mPeerMargin;
+}
+
+bool ZoneWatch::CanTell(const Prefix& aPrefix,
+                        const PeerWatchRequest& aRequest) const
+{
+  return !aPrefix.mLost && aPrefix.mHistory.Covers(aRequest.mAfterRevision) &&
+         mClock() - aPrefix.mHistory.Proof() < MaxProofAge(aRequest);
+}
+
+Awaitable<Result<PeerWatchReply>> ZoneWatch::Serve(PeerWatchRequest aRequest)
+{
+  const TimePoint arrived = mClock();
+  const auto found = mPrefixes.find(aRequest.mPrefix);
+  if (found == mPrefixes.end() || aRequest.mWaitMs < 0 ||
+      Milliseconds(aRequest.mWaitMs) > kMaxWait) {
+    co_return CannotTell(aRequest.mPrefix);
+  }
+  Prefix& prefix = found->second;
+  const TimePoint before = prefix.mHistory.Proof();
+  const TimePoint limit = before + MaxProofAge(aRequest);
+  asio::steady_timer timer(mExecutor);
+  const auto place = prefix.mWaiters.insert(prefix.mWaiters.end(), &timer);
+  while (CanTell(prefix, aRequest) && prefix.mHistory.Proof() == before &&
+         prefix.mHistory.After(aRequest.mAfterRevision).empty()) {
+    timer.expires_after(limit - mClock());
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  prefix.mWaiters.erase(place);
+  if (!CanTell(prefix, aRequest)) {
+    co_return CannotTell(aRequest.mPrefix);
+  }
+  const TimePoint now = mClock();
+  PeerWatchReply reply;
+  reply.mChanges = prefix.mHistory.After(aRequest.mAfterRevision);
+  reply.mRevision = prefix.mHistory.Revision();
+  reply.mWaitedMs = std::chrono::floor<Milliseconds>(now - arrived).count();
+  reply.mProofAgeMs =
+    std::chrono::ceil<Milliseconds>(now - prefix.mHistory.Proof()).count();
+  co_return reply;
+}
+
+} // namespace agatetide::entry
--- /dev/null
+++ b/src/agatetide/entry/zone_watch_test.cpp
@@ -0,0 +1,178 @@
+#include "agatetide/entry/zone_watch.hpp"
+
+#include "agatetide/base/encoding.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <criterion/criterion.h>
+
+using namespace agatetide;
+using namespace agatetide::coordination;
+using namespace agatetide::entry;
+
+namespace {
+
+constexpr const char* kZone = "zone-a";
+constexpr const char* kPrefix = "keys/";
+constexpr std::chrono::milliseconds kWait{ 1000 };
+
+StoreChange ChangeAt(int64_t aRevision)
+{
+  StoreChange change;
+  change.mEntry.mKey = kPrefix + std::to_string(aRevision);
+  change.mEntry.mModRevision = aRevision;
+  return change;
+}
+
+/// Two daemons of one availability zone. The store and the way between them
+/// answer at once, as the test says; time stands still.
+struct Zone
+{
+  Zone()
+  {
+    std::map<std::string, fleet::EntryHost, std::less<>> hosts;
+    for (const char* name : { "one", "two" }) {
+      fleet::EntryHost host;
+      host.mName = name;
+      host.mAvailabilityZone = kZone;
+      host.mPeerAddress = "127.0.0.1:1";
+      hosts[name] = host;
+    }
+    mView.SetHosts(std::move(hosts));
+    const bool oneFirst = Hash64("one") < Hash64("two");
+    mFirst.emplace(Make(oneFirst ? "one" : "two", mFirstCalls));
+    mSecond.emplace(Make(oneFirst ? "two" : "one", mSecondCalls));
+  }
+
+  ZoneWatch Make(const char* aName, int& aCalls)
+  {
+    return ZoneWatch(
+      {},
+      mContext.get_executor(),
+      mClock.AsClock(),
+      aName,
+      mView,
+      [this, &aCalls](WatchRequest) -> Awaitable<Result<WatchReply>> {
+        ++aCalls;
+        co_return mStoreReply;
+      },
+      [this](http::Endpoint,
+             PeerWatchRequest aRequest,
+             Milliseconds) -> Awaitable<Result<PeerWatchReply>> {
+        ++mQuestions;
+        if (mPeerDown) {
+          co_return Error{ ErrorKind::Unavailable, "down", "wait" };
+        }
+        auto reply = co_await mFirst->Serve(std::move(aRequest));
+        mClock.Advance(mReplyDelay);
+        co_return reply;
+      });
+  }
+
+  template<class Reply>
+  Result<Reply> Run(Awaitable<Result<Reply>> aAwaitable)
+  {
+    std::optional<Result<Reply>> result;
+    boost::asio::co_spawn(mContext,
+                          std::move(aAwaitable),
+                          [&](std::exception_ptr, Result<Reply> aResult) {
+                            result.emplace(std::move(aResult));
+                          });
+    mContext.restart();
+    while (!result && mContext.run_one() > 0) {
+    }
+    return std::move(*result);
+  }
+
+  Result<WatchReply> Watch(ZoneWatch& aWatch, int64_t aAfter)
+  {
+    return Run(aWatch.Watch({ kPrefix, aAfter, kWait }));
+  }
+
+  boost::asio::io_context mContext;
+  ManualClock mClock;
+  fleet::FleetView mView{ mClock.AsClock(), kZone, "region" };
+  Result<WatchReply> mStoreReply = WatchReply{ { ChangeAt(7) }, 7 };
+  Duration mReplyDelay{};
+  bool mPeerDown = false;
+  int mFirstCalls = 0;
+  int mSecondCalls = 0;
+  int mQuestions = 0;
+  std::optional<ZoneWatch> mFirst;
+  std::optional<ZoneWatch> mSecond;
+};
+
+} // namespace
+
+// Guards against one store call of every daemon for each change.
+Test(zone_watch, the_second_daemon_of_a_zone_asks_the_first)
+{
+  Zone zone;
+  cr_assert(zone.Watch(*zone.mFirst, 5).has_value());
+  const auto reply = zone.Watch(*zone.mSecond, 5);
+  cr_assert(reply.has_value());
+  cr_expect(reply->mChanges.size() == 1);
+  cr_expect(reply->mRevision == 7);
+  cr_expect(zone.mSecondCalls == 0);
+  cr_expect(!zone.mFirst->Peer());
+}
+
+// Guards against a withdrawn key that is trusted longer because its proof
+// looks younger after a delay on the way.
+Test(zone_watch, a_proof_never_gets_younger_on_the_way)
+{
+  Zone zone;
+  const TimePoint proof = zone.mClock.Now();
+  cr_assert(zone.Watch(*zone.mFirst, 5).has_value());
+  zone.mClock.Advance(std::chrono::milliseconds(300));
+  zone.mReplyDelay = std::chrono::milliseconds(400);
+  const auto reply = zone.Watch(*zone.mSecond, 5);
+  cr_assert(reply.has_value() && reply->mProof.has_value());
+  cr_expect(*reply->mProof <= proof);
+  cr_expect(*reply->mProof > proof - std::chrono::milliseconds(2));
+}
+
+// Guards against a zone that learns nothing because its first daemon is dead
+// or cut off from the store.
+Test(zone_watch, asks_the_store_when_the_first_daemon_cannot_tell)
+{
+  Zone zone;
+  zone.mPeerDown = true;
+  const auto reply = zone.Watch(*zone.mSecond, 5);
+  cr_assert(reply.has_value());
+  cr_expect(zone.mSecondCalls == 1);
+  cr_expect(zone.mQuestions == 1);
+  cr_expect(!zone.mSecond->Peer(), "it is not asked again at once");
+  zone.mClock.Advance(ZoneWatchOptions().mAvoidTime);
+  cr_expect(zone.mSecond->Peer().has_value());
+}
+
+// Guards against answers from a daemon whose own view is out of date.
+Test(zone_watch, refuses_when_its_own_watch_has_failed_or_is_too_old)
+{
+  Zone zone;
+  const PeerWatchRequest request{ kPrefix, 7, kWait.count() };
+  cr_expect(zone.Run(zone.mFirst->Serve(request)).has_error());
+  cr_assert(zone.Watch(*zone.mFirst, 5).has_value());
+  zone.mClock.Advance(2 * kWait + std::chrono::milliseconds(300));
+  cr_expect(zone.Run(zone.mFirst->Serve(request)).has_error(), "too old");
+  cr_assert(zone.Watch(*zone.mFirst, 7).has_value());
+  zone.mStoreReply = Error{ ErrorKind::Unavailable, "store is down", "wait" };
+  cr_assert(zone.Watch(*zone.mFirst, 7).has_error());
+  cr_expect(zone.Run(zone.mFirst->Serve(request)).has_error(), "store lost");
+}
+
+// Guards against daemons that ask one another in a circle, or a host that is
+// about to stop.
+Test(zone_watch, a_draining_host_is_not_asked)
+{
+  Zone zone;
+  auto hosts = zone.mView.Hosts();
+  for (auto& [name, host] : hosts) {
+    host.mDraining = zone.mSecond->Peer() == name;
+  }
+  zone.mView.SetHosts(hosts);
+  cr_expect(!zone.mFirst->Peer());
+  cr_expect(!zone.mSecond->Peer());
+}
--- a/src/agatetide/steps/step.cpp
+++ b/src/agatetide/steps/step.cpp
@@ -1,8 +1,6 @@
 #include "agatetide/steps/step.hpp"
 
-#include "agatetide/coordination/input_archive.hpp"
-
-#include <sstream>
+#include "agatetide/coordination/portable_bytes.hpp"
 
 namespace agatetide::http {
 
@@ -77,33 +75,15 @@
   aArchive(aSample.mId, aSample.mEvents, aSample.mVersions);
 }
 
+using coordination::EncodePortable;
+
 namespace {
 
 template<class Value>
-std::string Encode(const Value& aValue)
+Result<Value> Decode(std::string_view aBytes, std::string_view aWhat)
 {
-  std::ostringstream stream;
-  {
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(aValue);
-  }
-  return std::move(stream).str();
-}
-
-template<class Value>
-Result<Value> Decode(std::string_view aBytes, const char* aWhat)
-{
-  try {
-    coordination::InputArchive archive(aBytes);
-    Value value;
-    archive(value);
-    return value;
-  } catch (const std::exception& error) {
-    return Error{ ErrorKind::DataLoss,
-                  std::string("stored ") + aWhat +
-                    " cannot be read: " + error.what(),
-                  "check that all daemons run the same version" };
-  }
+  return coordination::DecodePortable<Value>(
+    aBytes, aWhat, ErrorKind::DataLoss);
 }
 
 } // namespace
@@ -115,42 +95,43 @@
 
 std::string EncodeRecord(const StepRecord& aRecord)
 {
-  return Encode(aRecord);
+  return EncodePortable(aRecord);
 }
 
 std::string EncodeItems(const std::vector<StepItem>& aItems)
 {
-  return Encode(aItems);
+  return EncodePortable(aItems);
 }
 
 std::string EncodeResults(const std::vector<ItemResult>& aResults)
 {
-  return Encode(aResults);
+  return EncodePortable(aResults);
 }
 
 std::string EncodePartials(const std::vector<PartialSample>& aSamples)
 {
-  return Encode(aSamples);
+  return EncodePortable(aSamples);
 }
 
 Result<StepRecord> DecodeRecord(std::string_view aBytes)
 {
-  return Decode<StepRecord>(aBytes, "step record");
+  return Decode<StepRecord>(aBytes, "the stored step record");
 }
 
 Result<std::vector<StepItem>> DecodeItems(std::string_view aBytes)
 {
-  return Decode<std::vector<StepItem>>(aBytes, "step items");
+  return Decode<std::vector<StepItem>>(aBytes, "the stored step items");
 }
 
 Result<std::vector<ItemResult>> DecodeResults(std::string_view aBytes)
 {
-  return Decode<std::vector<ItemResult>>(aBytes, "step results");
+  return Decode<std::vector<ItemResult>>(aBytes, "the stored step results");
 }
 
 Result<std::vector<PartialSample>> DecodePartials(std::string_view aBytes)
 {
-  return Decode<std::vector<PartialSample>>(aBytes, "partial samples");
+  return Decode<std::vector<PartialSample>>(aBytes,
+                                            "the stored partial samples");
 }
 
 } // namespace agatetide::steps
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -4,6 +4,7 @@
 """
 
 import base64
+import collections
 import json
 import threading
 import time
@@ -64,6 +65,7 @@
         self.leases = {}
         self.refuse = False
         self.silent = False
+        self.waiting = collections.Counter()
         self.server = serve(self.handle)
         self.address = "127.0.0.1:%d" % self.server.server_port
         threading.Thread(target=self.expire, daemon=True).start()
@@ -151,13 +153,15 @@
 
     def watch(self, query):
         end = time.monotonic() + int(query["waitMs"]) / 1000
-        after = int(query["after"])
+        after, prefix = int(query["after"]), query["pathPrefix"]
         while True:
-            events = [e for e in self.history if e["revision"] > after and e["key"].startswith(query["pathPrefix"])]
+            events = [e for e in self.history if e["revision"] > after and e["key"].startswith(prefix)]
             left = end - time.monotonic()
             if events or left <= 0:
                 return 200, {"events": events, "storeRevision": self.revision}
+            self.waiting[prefix] += 1
             self.lock.wait(left)
+            self.waiting[prefix] -= 1
 
     def commit(self, body):
         for row in body["expected"]:
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -39,7 +39,7 @@
         self.name = name
         self.front, self.directory, self.ready = free_port(), free_port(), free_port()
         settings = {
-            "node": name, "zone": "z1", "region": "r1", "zones": {"z1": "r1"},
+            "node": name, "ip": "127.0.0.1", "internalPorts": [free_port(), 0], "zone": "z1", "region": "r1", "zones": {"z1": "r1"},
             "listen": {"front": "127.0.0.1:%d" % self.front, "ready": "127.0.0.1:%d" % self.ready,
                        "directory": "127.0.0.1:%d" % self.directory},
             "limits": {"maxFds": 1024},
@@ -66,6 +66,11 @@
             answer = connection.getresponse()
             return answer.status, answer.read(), dict(answer.getheaders())
 
+    def last_event(self, event, field):
+        """The newest line of the log with this event and field; empty if none."""
+        lines = (pathlib.Path(self.folder.name) / "log").read_text().splitlines()
+        return next((line for line in reversed(lines) if "event=%s " % event in line and field in line), "")
+
     def stop(self, how=signal.SIGKILL):
         self.process.send_signal(how)
         return self.process.wait(10)
@@ -181,6 +186,45 @@
     check(site.lookup(daemon, "d")[0] == 200, "open routes go on")
 
 
+def watched_by(site, prefix):
+    """Largest number of watches that wait at the store at the same moment."""
+    most = 0
+    for _ in range(20):
+        time.sleep(0.02)
+        most = max(most, site.store.waiting[prefix])
+    return most
+
+
+def one_daemon_of_a_zone_watches_the_store(site):
+    until(lambda: all(watched_by(site, p) <= 1 for p in ("op/", "servers/", "agatetide/host/")), "one watch a prefix")
+    site.store.put("op/config", config(3, ("key-b",)))
+    site.plain[0].drain()
+    time.sleep(0.5)
+    before = len(site.plain[0].seen)
+    for daemon in site.daemons:
+        check(site.lookup(daemon, "a", "/keyed/1", Authorization="Bearer key-a")[0] == 401, "the key is withdrawn")
+        check(site.lookup(daemon, "b", "/keyed/1", Authorization="Bearer key-b")[0] == 200, "the new key works")
+    check(len(site.plain[0].seen) == before, "the leaving replica was used")
+
+
+def zone_goes_on_when_its_watching_daemon_hangs(site):
+    until(lambda: watched_by(site, "op/") == 1, "one watch")
+    hung = next(d for d in site.daemons if d.last_event("watch_source", "prefix=op/").find("source=store") >= 0)
+    others = [d for d in site.daemons if d is not hung]
+    hung.process.send_signal(signal.SIGSTOP)
+    withdrawn = time.monotonic()
+    site.store.put("op/config", config(3, ("key-b",)))
+    for daemon in others:
+        until(lambda d=daemon: site.lookup(d, "a", "/keyed/1", Authorization="Bearer key-a")[0] == 401, "withdrawn", timeout=5)
+    check(time.monotonic() - withdrawn < 5, "the key worked for too long")
+    while time.monotonic() - withdrawn < 7:
+        for daemon in others:
+            check(site.lookup(daemon, "b", "/keyed/1", Authorization="Bearer key-b")[0] == 200, "keys are trusted all the while")
+        time.sleep(0.1)
+    hung.process.send_signal(signal.SIGCONT)
+    check(site.lookup(hung, "c", "/keyed/1", Authorization="Bearer key-a")[0] in (401, 503), "woken with an old copy")
+
+
 def step_is_accepted_once_and_read_at_any_daemon(site):
     first, second = site.daemons
     check(site.submit(first) == 202 and site.submit(second) == 202, "accepted twice")
@@ -315,6 +359,8 @@
     (lookup_reaches_a_named_replica, {}),
     (unknown_routes_and_keys_are_refused, {}),
     (withdrawn_key_stops_at_once_and_without_the_store_in_time, {}),
+    (one_daemon_of_a_zone_watches_the_store, {"daemons": 3}),
+    (zone_goes_on_when_its_watching_daemon_hangs, {"daemons": 3}),
     (step_is_accepted_once_and_read_at_any_daemon, {"daemons": 2}),
     (step_of_a_killed_daemon_is_taken_over, {"daemons": 2, "events": 12, "pause": 0.25}),
     (ended_step_starts_nothing_more, {"daemons": 2, "events": 8, "pause": 0.1}),
