Know from the watch of live hosts whether the leader's lease is free

Change: the leader's key stands beside the hosts' keys and comes with the same watch. A free lease is tried for at once by the first host, 200 ms later by each further one. A held one is looked at every 30 s in case the watch is wrong. The guess from the holder's host (HolderGone) goes.

The fixture of leadership_test now mirrors the key into the view, as the registry does; the bounds of its tests are unchanged. New: a daemon that does not lead asks nothing; a create whose answer was lost is settled.

--- a/include/agatetide/coordination/lease.hpp
+++ b/include/agatetide/coordination/lease.hpp
@@ -47,6 +47,11 @@
   /// immediately before each effect.
   bool Held() const;
 
+  /// @brief Whether the store may hold something for this process: the lease,
+  /// one that has lapsed here, or a create whose outcome is unknown. Renew()
+  /// keeps or clears it.
+  bool Engaged() const { return mLeaseId != 0; }
+
   /// @brief The create revision of the lease key; grows with each holder.
   /// Precondition: Held().
   int64_t FencingNumber() const { return mFencingNumber; }
--- a/include/agatetide/duty/leadership.hpp
+++ b/include/agatetide/duty/leadership.hpp
@@ -9,18 +9,23 @@
 
 struct LeadershipOptions
 {
-  std::string mKey = "agatetide/leader";
+  std::string mKey{ fleet::kLiveLeaderKey };
   int64_t mTtlSeconds = 3;
   Milliseconds mRenewInterval{ 800 };
-  /// Daemons that do not lead look this often whether the lease is free;
-  /// sooner when the leader's host has gone.
-  Milliseconds mTryInterval{ 5000 };
+  /// A free lease is tried for by the first host at once, by each further
+  /// one this much later, so that they do not all call the store.
+  Milliseconds mTurn{ 200 };
+  Milliseconds mLongestTurn{ 2000 };
+  /// A lease that is held by all accounts is looked at this often.
+  Milliseconds mLookInterval{ 30000 };
   /// Time between acquiring the lease and the first act, so that calls of the
   /// holder before have arrived.
   Milliseconds mSettleTime{ 1000 };
 };
 
 /// @brief The lease of the daemon that carries out the singleton duties.
+/// Whether it is free is known from the watch of live hosts, so that daemons
+/// that do not lead ask nothing of the store.
 /// Not thread-safe: owned by the executor of the daemon.
 class Leadership
 {
@@ -53,15 +58,21 @@
   Leadership(LeadershipOptions aOptions,
              coordination::Lease aLease,
              Clock aClock,
+             std::string aHost,
              const fleet::FleetView& aView);
 
-  bool HolderGone() const;
+  bool Due(TimePoint aNow);
+  Duration Turn() const;
 
   LeadershipOptions mOptions;
   coordination::Lease mLease;
   Clock mClock;
   const fleet::FleetView* mView;
-  TimePoint mLastTry{};
+  std::string mHost;
+  /// When the store was last asked, if it was.
+  std::optional<TimePoint> mLastTry;
+  /// Since when the lease is known to be free.
+  std::optional<TimePoint> mFreeSince;
   bool mResigned = false;
 };
 
--- a/include/agatetide/fleet/fleet_view.hpp
+++ b/include/agatetide/fleet/fleet_view.hpp
@@ -7,12 +7,19 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace agatetide::fleet {
 
+/// @brief Keys of the store under which daemons and their leader are present,
+/// each under a lease. One watch of the prefix tells of both.
+constexpr std::string_view kLivePrefix = "agatetide/live/";
+constexpr std::string_view kLiveHostPrefix = "agatetide/live/host/";
+constexpr std::string_view kLiveLeaderKey = "agatetide/live/leader";
+
 /// @brief A daemon that callers may use.
 struct EntryHost
 {
@@ -77,6 +84,11 @@
   }
   void SetHosts(std::map<std::string, EntryHost, std::less<>> aHosts);
 
+  /// @brief The holder of the leader's lease, empty while there is none.
+  /// Nothing until the leader's key was read once.
+  const std::optional<std::string>& Leader() const { return mLeader; }
+  void SetLeader(std::string aHolder) { mLeader = std::move(aHolder); }
+
   /// @brief The region of an availability zone; empty when it is not known.
   std::string RegionOf(std::string_view aAvailabilityZone) const;
   void SetRegions(std::map<std::string, std::string, std::less<>> aRegions)
@@ -105,6 +117,7 @@
   std::map<std::string, Replica, std::less<>> mReplicas;
   std::map<std::string, int64_t, std::less<>> mNamedVersions;
   std::map<std::string, EntryHost, std::less<>> mHosts;
+  std::optional<std::string> mLeader;
   std::map<std::string, std::string, std::less<>> mRegions;
 };
 
--- a/src/agatetide/duty/leadership.cpp
+++ b/src/agatetide/duty/leadership.cpp
@@ -30,17 +30,19 @@
     return created.error();
   }
   return Leadership(
-    std::move(aOptions), std::move(*created), std::move(aClock), aView);
+    std::move(aOptions), std::move(*created), std::move(aClock), aHost, aView);
 }
 
 Leadership::Leadership(LeadershipOptions aOptions,
                        coordination::Lease aLease,
                        Clock aClock,
+                       std::string aHost,
                        const fleet::FleetView& aView)
   : mOptions(std::move(aOptions))
   , mLease(std::move(aLease))
   , mClock(std::move(aClock))
   , mView(&aView)
+  , mHost(std::move(aHost))
 {
 }
 
@@ -50,34 +52,46 @@
          mClock() - mLease.HeldSince() >= mOptions.mSettleTime;
 }
 
-/// Whether the holder's process has ended or is about to.
-bool Leadership::HolderGone() const
+/// How long this host leaves a free lease to the hosts before it.
+Duration Leadership::Turn() const
 {
-  const std::string& holder = mLease.Holder();
-  if (holder.empty()) {
-    return false;
+  Duration turn{};
+  for (const auto& [name, host] : mView->Hosts()) {
+    if (name == mHost) {
+      break;
+    }
+    turn += host.mDraining ? Duration{} : Duration(mOptions.mTurn);
   }
-  const auto host = mView->Hosts().find(holder.substr(0, holder.find('#')));
-  return host == mView->Hosts().end() || host->second.mDraining ||
-         HolderName(host->first, host->second.mIncarnation) != holder;
+  return std::min<Duration>(turn, mOptions.mLongestTurn);
 }
 
-Awaitable<void> Leadership::Maintain()
+/// Whether to call the store now.
+bool Leadership::Due(TimePoint aNow)
 {
-  if (mResigned) {
-    co_return;
+  const auto passed = [&](Duration aTime) {
+    return !mLastTry || aNow - *mLastTry >= aTime;
+  };
+  if (mLease.Engaged()) {
+    return passed(mOptions.mRenewInterval);
   }
-  const TimePoint now = mClock();
-  const bool held = mLease.Held();
-  const bool holderGone = !held && HolderGone();
-  Duration interval = mOptions.mTryInterval;
-  if (held || holderGone) {
-    interval = mOptions.mRenewInterval;
+  const auto& leader = mView->Leader();
+  if (!leader || !leader->empty()) {
+    mFreeSince.reset();
+    mLastTry = mLastTry.value_or(aNow);
+    return leader && passed(mOptions.mLookInterval);
   }
-  if (mLastTry != TimePoint{} && now - mLastTry < interval) {
+  mFreeSince = mFreeSince.value_or(aNow);
+  return aNow - *mFreeSince >= Turn() && passed(mOptions.mRenewInterval);
+}
+
+Awaitable<void> Leadership::Maintain()
+{
+  const TimePoint now = mClock();
+  if (mResigned || !Due(now)) {
     co_return;
   }
   mLastTry = now;
+  const bool held = mLease.Held();
   const auto renewed = co_await mLease.Renew();
   if (mLease.Held() != held) {
     Event("leadership")
--- a/src/agatetide/duty/leadership_test.cpp
+++ b/src/agatetide/duty/leadership_test.cpp
@@ -16,7 +16,12 @@
 /// Two daemons that share a store and see the same hosts.
 struct Fixture
 {
-  Fixture() { SetHosts("1", "1"); }
+  Fixture()
+  {
+    SetHosts("1", "1");
+    SeeLeader();
+    mStore.mBefore = [this](const StoreRequest&) { ++mCalls; };
+  }
 
   void SetHosts(const std::string& aFirst, const std::string& aSecond)
   {
@@ -29,6 +34,15 @@
     mView.SetHosts({ { "first", first }, { "second", second } });
   }
 
+  /// What the watch of live hosts tells.
+  void SeeLeader()
+  {
+    const StoreReply reply = mStore.mStore.Apply(
+      RangeRequest{ std::string(fleet::kLiveLeaderKey), "", 0 });
+    mView.SetLeader(reply.mEntries.empty() ? ""
+                                           : reply.mEntries.front().mValue);
+  }
+
   Leadership Make(const std::string& aHost, const std::string& aIncarnation)
   {
     return Leadership::Create({},
@@ -48,10 +62,12 @@
         context, aLeadership.Maintain(), boost::asio::detached);
       context.run();
       mStore.mClock.Advance(kTick);
+      SeeLeader();
     }
   }
 
   FaultyStore mStore;
+  int mCalls = 0;
   fleet::FleetView mView{ mStore.mClock.AsClock(), "zone", "region" };
 };
 
@@ -87,3 +103,38 @@
   }
   cr_expect(second.MayAct());
 }
+
+// Guards against a fleet whose daemons all ask the store again and again who
+// leads.
+Test(leadership, a_daemon_that_does_not_lead_asks_nothing)
+{
+  Fixture fixture;
+  Leadership first = fixture.Make("first", "1");
+  fixture.Run(first, std::chrono::milliseconds(1500));
+  cr_assert(first.MayAct());
+  Leadership second = fixture.Make("second", "1");
+  fixture.mCalls = 0;
+  for (int i = 0; i < 50; ++i) {
+    fixture.Run(second, kTick);
+    const int before = fixture.mCalls;
+    fixture.Run(first, kTick);
+    cr_assert(fixture.mCalls - before <= 1);
+    fixture.mCalls = before;
+  }
+  cr_expect(fixture.mCalls == 0);
+}
+
+// Guards against a lease that nobody can take because its create got no
+// answer and took effect.
+Test(leadership, settles_a_create_whose_answer_was_lost)
+{
+  Fixture fixture;
+  Leadership first = fixture.Make("first", "1");
+  fixture.mStore.mNext = {
+    StoreFault::None, StoreFault::None, StoreFault::AnswerLost, StoreFault::Down
+  };
+  fixture.Run(first, kTick);
+  cr_expect(!first.MayAct());
+  fixture.Run(first, std::chrono::milliseconds(3000));
+  cr_expect(first.MayAct());
+}
--- a/src/agatetide/entry/host_registry.cpp
+++ b/src/agatetide/entry/host_registry.cpp
@@ -15,8 +15,7 @@
 
 namespace {
 
-constexpr std::string_view kHostPrefix = "agatetide/host/";
-constexpr std::chrono::milliseconds kHostWatch{ 2500 };
+constexpr std::chrono::milliseconds kLiveWatch{ 2500 };
 
 std::string Encode(const fleet::EntryHost& aHost)
 {
@@ -33,6 +32,9 @@
 std::optional<fleet::EntryHost> Decode(const StoreEntry& aEntry)
 {
   const json value = json::parse(aEntry.mValue, nullptr, false);
+  if (!aEntry.mKey.starts_with(fleet::kLiveHostPrefix)) {
+    return std::nullopt;
+  }
   const auto text = [&](const char* aName) {
     const auto found = value.find(aName);
     return found != value.end() && found->is_string()
@@ -43,7 +45,7 @@
     return std::nullopt;
   }
   fleet::EntryHost host;
-  host.mName = aEntry.mKey.substr(kHostPrefix.size());
+  host.mName = aEntry.mKey.substr(fleet::kLiveHostPrefix.size());
   host.mAddress = text("address");
   host.mPeerAddress = text("peer_address");
   host.mAvailabilityZone = text("availability_zone");
@@ -99,8 +101,9 @@
 Awaitable<bool> HostRegistry::Write(int64_t aLease)
 {
   TransactionRequest put;
-  put.mPuts.push_back(
-    { std::string(kHostPrefix) + mSelf.mName, Encode(mSelf), aLease });
+  put.mPuts.push_back({ std::string(fleet::kLiveHostPrefix) + mSelf.mName,
+                        Encode(mSelf),
+                        aLease });
   StoreRequest request = std::move(put);
   const auto written = co_await mStore(std::move(request));
   co_return written.has_value() && written->mSucceeded;
@@ -139,8 +142,8 @@
 Awaitable<void> HostRegistry::Follow()
 {
   PrefixWatchOptions options;
-  options.mPrefix = kHostPrefix;
-  options.mWait = kHostWatch;
+  options.mPrefix = fleet::kLivePrefix;
+  options.mWait = kLiveWatch;
   PrefixWatchHooks hooks;
   hooks.mReset = [this](const std::vector<StoreEntry>& aEntries) {
     Reset(aEntries);
@@ -154,7 +157,11 @@
 {
   const auto before = std::move(mRegistered);
   mRegistered.clear();
+  std::string leader;
   for (const StoreEntry& entry : aEntries) {
+    if (entry.mKey == fleet::kLiveLeaderKey) {
+      leader = entry.mValue;
+    }
     if (auto host = Decode(entry)) {
       std::string name = host->mName;
       mRegistered.insert_or_assign(std::move(name), std::move(*host));
@@ -165,12 +172,21 @@
       mLapsed[name] = { host, mClock() + mOptions.mLapseTime };
     }
   }
+  mView.SetLeader(std::move(leader));
   Publish();
 }
 
 void HostRegistry::Change(const StoreChange& aChange)
 {
-  const std::string name = aChange.mEntry.mKey.substr(kHostPrefix.size());
+  const std::string& key = aChange.mEntry.mKey;
+  if (key == fleet::kLiveLeaderKey) {
+    mView.SetLeader(aChange.mRemoved ? std::string() : aChange.mEntry.mValue);
+    return;
+  }
+  if (!key.starts_with(fleet::kLiveHostPrefix)) {
+    return;
+  }
+  const std::string name = key.substr(fleet::kLiveHostPrefix.size());
   if (aChange.mRemoved) {
     const auto found = mRegistered.find(name);
     if (found != mRegistered.end()) {
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -196,7 +196,7 @@
 
 
 def one_daemon_of_a_zone_watches_the_store(site):
-    until(lambda: all(watched_by(site, p) <= 1 for p in ("op/", "servers/", "agatetide/host/")), "one watch a prefix")
+    until(lambda: all(watched_by(site, p) <= 1 for p in ("op/", "servers/", "agatetide/live/")), "one watch a prefix")
     site.store.put("op/config", config(3, ("key-b",)))
     site.plain[0].drain()
     time.sleep(0.5)
@@ -274,7 +274,7 @@
 
 
 def named_version_reaches_the_replicas_once(site):
-    until(lambda: site.store.keys("agatetide/leader"), "a leader")
+    until(lambda: site.store.keys("agatetide/live/leader"), "a leader")
     time.sleep(1.2)
     site.store.put("op/version/m", {"model": "m", "version": 2})
     until(lambda: all(r.versions["m"] == 2 for r in site.engines), "all replicas have the version")
