Follow the store once for the whole fleet

Change: the first host of each zone asks the first host of all, the others the first of their zone. A host that cannot tell is avoided for 3 s, twice as long each time in a row, and the first of a zone gives up before those that ask it.

--- a/include/agatetide/entry/zone_watch.hpp
+++ b/include/agatetide/entry/zone_watch.hpp
@@ -25,17 +25,22 @@
 struct ZoneWatchOptions
 {
   /// Time beyond a watch's wait in which a daemon has to bring a newer proof,
-  /// and in which its answer has to arrive.
+  /// and in which its answer has to arrive. In a daemon's own zone there is
+  /// as much again, so that the first of the zone gives up before those that
+  /// ask it.
   Milliseconds mPeerMargin{ 300 };
-  /// A daemon that could not tell is not asked again for this long.
+  /// A daemon that could not tell is not asked again for this long, twice as
+  /// long each time in a row.
   Milliseconds mAvoidTime{ 3000 };
+  Milliseconds mLongestAvoidTime{ 24000 };
   /// The first watch at the store after that ends soon, to get a proof.
   Milliseconds mCatchUpWait{ 50 };
 };
 
-/// @brief Follows the store once for each availability zone: the daemon that
-/// comes first in an order of the zone's hosts watches the store, the others
-/// ask it. A daemon that gets no answer watches the store itself.
+/// @brief Follows the store once for the whole fleet: the daemon that comes
+/// first in an order of all hosts watches the store, the first of each
+/// availability zone asks it, and the others ask the first of their zone. A
+/// daemon that gets no answer watches the store itself.
 ///
 /// Every answer carries the age of its proof, counted so that delay and
 /// suspension only make it older. Daemons ask only those before them in the
@@ -67,6 +72,12 @@
   std::optional<std::string> Peer() const;
 
 private:
+  struct Avoided
+  {
+    TimePoint mUntil{};
+    Duration mTime{};
+  };
+
   /// What is known under one prefix, and who waits for more.
   struct Prefix
   {
@@ -83,6 +94,8 @@
     coordination::WatchRequest aRequest);
   Awaitable<Result<coordination::WatchReply>> WatchAtStore(
     coordination::WatchRequest aRequest);
+  std::optional<std::string> First(bool aOwnZone) const;
+  void Avoid(const std::string& aPeer);
   void LogSource(const std::string& aPrefix, std::string aSource);
   void Record(const coordination::WatchRequest& aRequest,
               const Result<coordination::WatchReply>& aReply);
@@ -98,8 +111,8 @@
   coordination::WatchCall mStore;
   AskPeer mAsk;
   std::map<std::string, Prefix, std::less<>> mPrefixes;
-  /// Until when a host is not asked.
-  std::map<std::string, TimePoint, std::less<>> mAvoided;
+  /// Hosts that could not tell when they were last asked.
+  std::map<std::string, Avoided, std::less<>> mAvoided;
 };
 
 } // namespace agatetide::entry
--- a/src/agatetide/entry/zone_watch.cpp
+++ b/src/agatetide/entry/zone_watch.cpp
@@ -52,15 +52,18 @@
 {
 }
 
-std::optional<std::string> ZoneWatch::Peer() const
+/// The first host that may be asked, of the own zone or of all; nothing when
+/// it is this one.
+std::optional<std::string> ZoneWatch::First(bool aOwnZone) const
 {
   std::optional<std::string> first;
   for (const auto& [name, host] : mView.Hosts()) {
     const auto avoided = mAvoided.find(name);
-    if (host.mAvailabilityZone != mView.AvailabilityZone() || host.mDraining ||
+    const bool elsewhere = host.mAvailabilityZone != mView.AvailabilityZone();
+    if ((aOwnZone && elsewhere) || host.mDraining ||
         host.mPeerAddress.empty() ||
         Rank(name) >= Rank(first ? *first : mSelf) ||
-        (avoided != mAvoided.end() && mClock() < avoided->second)) {
+        (avoided != mAvoided.end() && mClock() < avoided->second.mUntil)) {
       continue;
     }
     first = name;
@@ -68,6 +71,20 @@
   return first;
 }
 
+std::optional<std::string> ZoneWatch::Peer() const
+{
+  auto peer = First(true);
+  return peer ? peer : First(false);
+}
+
+void ZoneWatch::Avoid(const std::string& aPeer)
+{
+  Avoided& avoided = mAvoided[aPeer];
+  avoided.mTime = std::clamp<Duration>(
+    2 * avoided.mTime, mOptions.mAvoidTime, mOptions.mLongestAvoidTime);
+  avoided.mUntil = mClock() + avoided.mTime;
+}
+
 Awaitable<Result<WatchReply>> ZoneWatch::Watch(WatchRequest aRequest)
 {
   const auto peer = Peer();
@@ -75,6 +92,7 @@
   if (peer) {
     auto reply = co_await WatchAtPeer(*peer, aRequest);
     if (reply.has_value()) {
+      mAvoided.erase(*peer);
       Record(aRequest, reply);
       co_return reply;
     }
@@ -83,7 +101,7 @@
       .Field("prefix", aRequest.mPrefix)
       .Field("error", FormatError(reply.error()))
       .Write();
-    mAvoided[*peer] = mClock() + mOptions.mAvoidTime;
+    Avoid(*peer);
     aRequest.mWait = std::min(aRequest.mWait, mOptions.mCatchUpWait);
   }
   const auto reply = co_await WatchAtStore(aRequest);
@@ -126,8 +144,12 @@
   PeerWatchRequest question{ aRequest.mPrefix,
                              aRequest.mAfterRevision,
                              aRequest.mWait.count() };
-  auto answer = co_await mAsk(
-    *endpoint, std::move(question), aRequest.mWait + 2 * mOptions.mPeerMargin);
+  const bool ownZone =
+    host->second.mAvailabilityZone == mView.AvailabilityZone();
+  auto answer =
+    co_await mAsk(*endpoint,
+                  std::move(question),
+                  aRequest.mWait + (ownZone ? 2 : 1) * mOptions.mPeerMargin);
   if (answer.has_error()) {
     co_return answer.error();
   }
--- a/src/agatetide/entry/zone_watch_test.cpp
+++ b/src/agatetide/entry/zone_watch_test.cpp
@@ -176,3 +176,39 @@
   cr_expect(!zone.mFirst->Peer());
   cr_expect(!zone.mSecond->Peer());
 }
+
+// Guards against one store call of every zone for each change, and against
+// daemons that all ask over the slow links between regions.
+Test(zone_watch, only_the_first_of_a_zone_asks_in_another_zone)
+{
+  Zone zone;
+  auto hosts = zone.mView.Hosts();
+  // The first host of the fleet is in another zone.
+  std::string other = "other";
+  while (Hash64(other) > std::min(Hash64("one"), Hash64("two"))) {
+    other += "x";
+  }
+  hosts[other].mName = other;
+  hosts[other].mAvailabilityZone = "zone-b";
+  hosts[other].mPeerAddress = "127.0.0.1:2";
+  zone.mView.SetHosts(hosts);
+  cr_expect(zone.mFirst->Peer() == other);
+  cr_expect(zone.mSecond->Peer().has_value());
+  cr_expect(zone.mSecond->Peer() != other);
+}
+
+// Guards against a blind moment every few seconds while two regions have lost
+// each other.
+Test(zone_watch, a_host_that_fails_again_is_avoided_for_longer)
+{
+  Zone zone;
+  const ZoneWatchOptions options;
+  zone.mPeerDown = true;
+  zone.Watch(*zone.mSecond, 5);
+  zone.mClock.Advance(options.mAvoidTime);
+  zone.Watch(*zone.mSecond, 7);
+  zone.mClock.Advance(options.mAvoidTime);
+  cr_expect(!zone.mSecond->Peer());
+  zone.mClock.Advance(options.mAvoidTime);
+  cr_expect(zone.mSecond->Peer().has_value());
+}
