Give leadership up and tell of a drain as soon as the store is back

In the same way the mark that a host drains was written once or never.

Ruled out: a slow successor; it took the lease 0.2 s after it became free.

Change: Maintain() goes on releasing a lease that was to be given up; the registration is written again until it tells of the drain. The loss of leadership by expiry is logged now, which it was not.

Test: gives_the_lease_up_as_soon_as_the_store_is_back (failed before).

--- a/include/agatetide/duty/leadership.hpp
+++ b/include/agatetide/duty/leadership.hpp
@@ -18,6 +18,8 @@
   Milliseconds mLongestTurn{ 2000 };
   /// A lease that is held by all accounts is looked at this often.
   Milliseconds mLookInterval{ 30000 };
+  /// A lease that could not be given up is tried again this often.
+  Milliseconds mResignInterval{ 200 };
   /// Time between acquiring the lease and the first act, so that calls of the
   /// holder before have arrived.
   Milliseconds mSettleTime{ 1000 };
@@ -44,7 +46,8 @@
   /// times a second.
   Awaitable<void> Maintain();
 
-  /// @brief Gives the lease up and takes it no more.
+  /// @brief Gives the lease up and takes it no more. While the store does not
+  /// answer, Maintain() goes on trying.
   Awaitable<void> Resign();
 
   /// @brief Whether this daemon may act now. Check it immediately before
@@ -74,6 +77,8 @@
   /// Since when the lease is known to be free.
   std::optional<TimePoint> mFreeSince;
   bool mResigned = false;
+  /// Whether the lease was held when it was last looked at, for the log.
+  bool mLed = false;
 };
 
 } // namespace agatetide::duty
--- a/include/agatetide/entry/host_registry.hpp
+++ b/include/agatetide/entry/host_registry.hpp
@@ -60,6 +60,8 @@
   Clock mClock;
   int64_t mLease = 0;
   bool mLeaving = false;
+  /// What the registration says of draining.
+  bool mTold = false;
   std::map<std::string, fleet::EntryHost, std::less<>> mRegistered;
   /// Hosts whose registration is gone, with the time until which they stay.
   std::map<std::string, std::pair<fleet::EntryHost, TimePoint>> mLapsed;
--- a/src/agatetide/duty/leadership.cpp
+++ b/src/agatetide/duty/leadership.cpp
@@ -87,13 +87,24 @@
 Awaitable<void> Leadership::Maintain()
 {
   const TimePoint now = mClock();
-  if (mResigned || !Due(now)) {
+  if (mLed && !mLease.Held()) {
+    mLed = false;
+    Event("leadership").Field("held", false).Field("reason", "expired").Write();
+  }
+  if (mResigned) {
+    if (mLease.Engaged() && now - *mLastTry >= mOptions.mResignInterval) {
+      co_await Resign();
+    }
+    co_return;
+  }
+  if (!Due(now)) {
     co_return;
   }
   mLastTry = now;
   const bool held = mLease.Held();
   const auto renewed = co_await mLease.Renew();
-  if (mLease.Held() != held) {
+  mLed = mLease.Held();
+  if (mLed != held) {
     Event("leadership")
       .Field("held", mLease.Held())
       .Field("holder", mLease.Holder())
@@ -107,7 +118,14 @@
 Awaitable<void> Leadership::Resign()
 {
   mResigned = true;
-  co_await mLease.Release();
+  mLed = false;
+  mLastTry = mClock();
+  const auto released = co_await mLease.Release();
+  if (released.has_error()) {
+    Event("leadership_not_resigned", LogLevel::Warning)
+      .Field("error", FormatError(released.error()))
+      .Write();
+  }
 }
 
 } // namespace agatetide::duty
--- a/src/agatetide/duty/leadership_test.cpp
+++ b/src/agatetide/duty/leadership_test.cpp
@@ -138,3 +138,22 @@
   fixture.Run(first, std::chrono::milliseconds(3000));
   cr_expect(first.MayAct());
 }
+
+// Guards against duties that rest until the lease ends, because the leader was
+// told to stop while the store was away.
+Test(leadership, gives_the_lease_up_as_soon_as_the_store_is_back)
+{
+  Fixture fixture;
+  Leadership first = fixture.Make("first", "1");
+  fixture.Run(first, std::chrono::milliseconds(1500));
+  cr_assert(first.MayAct());
+  fixture.mStore.mAlways = StoreFault::Down;
+  boost::asio::io_context context;
+  boost::asio::co_spawn(context, first.Resign(), boost::asio::detached);
+  context.run();
+  cr_expect(!first.MayAct());
+  cr_expect(fixture.mView.Leader() == "first#1");
+  fixture.mStore.mAlways = StoreFault::None;
+  fixture.Run(first, 3 * kTick);
+  cr_expect(fixture.mView.Leader() == "");
+}
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -324,7 +324,7 @@
 Awaitable<void> EntryDaemon::Lead()
 {
   asio::steady_timer timer(mExecutor);
-  while (!mDraining) {
+  for (;;) {
     timer.expires_after(kDutyInterval);
     co_await timer.async_wait(asio::use_awaitable);
     co_await mLeadership->Maintain();
--- a/src/agatetide/entry/host_registry.cpp
+++ b/src/agatetide/entry/host_registry.cpp
@@ -81,7 +81,8 @@
       co_return false;
     }
     if (kept->mTtlSeconds > 0) {
-      co_return true;
+      // The others may not know yet that this host drains.
+      co_return mTold == mSelf.mDraining || co_await Write(mLease);
     }
     mLease = 0;
   }
@@ -105,8 +106,13 @@
                         Encode(mSelf),
                         aLease });
   StoreRequest request = std::move(put);
+  const bool draining = mSelf.mDraining;
   const auto written = co_await mStore(std::move(request));
-  co_return written.has_value() && written->mSucceeded;
+  if (written.has_error() || !written->mSucceeded) {
+    co_return false;
+  }
+  mTold = draining;
+  co_return true;
 }
 
 Awaitable<void> HostRegistry::BeginDrain()
