Let one daemon try the store during an outage

Cause: when the first daemon of the fleet lost the store, all others avoided it, asked one peer after the other and then called the store five times a second each and for each prefix; refused calls are billed.

Change: a peer is avoided only when the store answers this daemon, or when the peer was silent. While neither can tell, the peer is asked on and the store is tried once a second.

--- a/include/agatetide/entry/zone_watch.hpp
+++ b/include/agatetide/entry/zone_watch.hpp
@@ -35,12 +35,16 @@
   Milliseconds mLongestAvoidTime{ 24000 };
   /// The first watch at the store after that ends soon, to get a proof.
   Milliseconds mCatchUpWait{ 50 };
+  /// While neither the other daemon nor the store can tell, the store is
+  /// tried this often.
+  Milliseconds mStoreRetryTime{ 1000 };
 };
 
 /// @brief Follows the store once for the whole fleet: the daemon that comes
 /// first in an order of all hosts watches the store, the first of each
 /// availability zone asks it, and the others ask the first of their zone. A
-/// daemon that gets no answer watches the store itself.
+/// daemon that gets no answer watches the store itself. While the store is
+/// away, all go on asking and try the store itself now and then.
 ///
 /// Every answer carries the age of its proof, counted so that delay and
 /// suspension only make it older. Daemons ask only those before them in the
@@ -95,7 +99,9 @@
   Awaitable<Result<coordination::WatchReply>> WatchAtStore(
     coordination::WatchRequest aRequest);
   std::optional<std::string> First(bool aOwnZone) const;
-  void Avoid(const std::string& aPeer);
+  void Avoid(const std::string& aPeer,
+             const std::string& aPrefix,
+             const Error& aError);
   void LogSource(const std::string& aPrefix, std::string aSource);
   void Record(const coordination::WatchRequest& aRequest,
               const Result<coordination::WatchReply>& aReply);
@@ -113,6 +119,8 @@
   std::map<std::string, Prefix, std::less<>> mPrefixes;
   /// Hosts that could not tell when they were last asked.
   std::map<std::string, Avoided, std::less<>> mAvoided;
+  /// When the store last failed, unless it answered since.
+  TimePoint mStoreFailed{};
 };
 
 } // namespace agatetide::entry
--- a/src/agatetide/entry/zone_watch.cpp
+++ b/src/agatetide/entry/zone_watch.cpp
@@ -77,35 +77,49 @@
   return peer ? peer : First(false);
 }
 
-void ZoneWatch::Avoid(const std::string& aPeer)
+void ZoneWatch::Avoid(const std::string& aPeer,
+                      const std::string& aPrefix,
+                      const Error& aError)
 {
   Avoided& avoided = mAvoided[aPeer];
   avoided.mTime = std::clamp<Duration>(
     2 * avoided.mTime, mOptions.mAvoidTime, mOptions.mLongestAvoidTime);
   avoided.mUntil = mClock() + avoided.mTime;
+  Event("peer_avoided")
+    .Field("host", aPeer)
+    .Field("prefix", aPrefix)
+    .Field("error", FormatError(aError))
+    .Write();
 }
 
 Awaitable<Result<WatchReply>> ZoneWatch::Watch(WatchRequest aRequest)
 {
   const auto peer = Peer();
   LogSource(aRequest.mPrefix, peer.value_or("store"));
-  if (peer) {
-    auto reply = co_await WatchAtPeer(*peer, aRequest);
-    if (reply.has_value()) {
-      mAvoided.erase(*peer);
-      Record(aRequest, reply);
-      co_return reply;
-    }
-    Event("peer_avoided")
-      .Field("host", *peer)
-      .Field("prefix", aRequest.mPrefix)
-      .Field("error", FormatError(reply.error()))
-      .Write();
-    Avoid(*peer);
+  if (!peer) {
+    auto reply = co_await WatchAtStore(aRequest);
+    Record(aRequest, reply);
+    co_return reply;
+  }
+  const TimePoint asked = mClock();
+  auto reply = co_await WatchAtPeer(*peer, aRequest);
+  if (reply.has_value()) {
+    mAvoided.erase(*peer);
+    Record(aRequest, reply);
+    co_return reply;
+  }
+  const Error error = reply.error();
+  const bool silent = mClock() - asked > mOptions.mPeerMargin;
+  const bool storeLost = mStoreFailed != TimePoint{} &&
+                         mClock() - mStoreFailed < mOptions.mStoreRetryTime;
+  if (!storeLost) {
     aRequest.mWait = std::min(aRequest.mWait, mOptions.mCatchUpWait);
+    reply = co_await WatchAtStore(aRequest);
   }
-  const auto reply = co_await WatchAtStore(aRequest);
   Record(aRequest, reply);
+  if (silent || reply.has_value()) {
+    Avoid(*peer, aRequest.mPrefix, error);
+  }
   co_return reply;
 }
 
@@ -126,6 +140,7 @@
 {
   const TimePoint sent = mClock();
   auto reply = co_await mStore(aRequest);
+  mStoreFailed = reply.has_error() ? mClock() : TimePoint{};
   if (reply.has_value()) {
     reply->mProof = ProofOfWatch(*reply, sent, mClock(), aRequest.mWait);
   }
--- a/src/agatetide/entry/zone_watch_test.cpp
+++ b/src/agatetide/entry/zone_watch_test.cpp
@@ -212,3 +212,23 @@
   zone.mClock.Advance(options.mAvoidTime);
   cr_expect(zone.mSecond->Peer().has_value());
 }
+
+// Replays an outage of the store: every daemon would call it several times a
+// second, though one that tries is enough.
+Test(zone_watch, an_outage_costs_few_calls_and_its_end_is_known_at_once)
+{
+  Zone zone;
+  cr_assert(zone.Watch(*zone.mFirst, 5).has_value());
+  zone.mStoreReply = Error{ ErrorKind::Unavailable, "store is down", "wait" };
+  cr_assert(zone.Watch(*zone.mFirst, 7).has_error());
+  for (int i = 0; i < 20; ++i) {
+    cr_assert(zone.Watch(*zone.mSecond, 7).has_error());
+    zone.mClock.Advance(std::chrono::milliseconds(200));
+  }
+  cr_expect(zone.mSecondCalls <= 4);
+  zone.mStoreReply = WatchReply{ { ChangeAt(8) }, 8 };
+  cr_assert(zone.Watch(*zone.mFirst, 7).has_value());
+  const auto reply = zone.Watch(*zone.mSecond, 7);
+  cr_expect(reply.has_value() && reply->mRevision == 8);
+  cr_expect(zone.mSecondCalls <= 4);
+}
