Let one daemon look for the steps of a host that went

A look that failed, and a step of this process that could not be started, are tried again (before, they waited for the next change of hosts or for ever). The log of a step that could not be read is told.

Tests: takeover_plan_test; the rolling restart fails with the rule before.

--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -6,6 +6,7 @@
 #include "agatetide/duty/version_mover.hpp"
 #include "agatetide/entry/host_registry.hpp"
 #include "agatetide/entry/peer_channel.hpp"
+#include "agatetide/entry/takeover_plan.hpp"
 #include "agatetide/request/forwarder.hpp"
 #include "agatetide/steps/step_service.hpp"
 
@@ -124,7 +125,6 @@
   void ChangeReplica(const coordination::StoreChange& aChange);
   void RemoveLapsedReplicas();
   Awaitable<void> AnswerEmptiedHosts();
-  bool TakesOver(const steps::StepRecord& aRecord) const;
 
   boost::asio::any_io_executor mExecutor;
   EntryOptions mOptions;
@@ -145,11 +145,11 @@
   steps::StepRunner mRunner;
   steps::StepService mSteps;
   HostRegistry mRegistry;
+  TakeoverPlan mTakeover;
   duty::UsageLedger mUsage;
   std::optional<duty::Leadership> mLeadership;
   std::optional<duty::VersionMover> mMover;
   bool mDraining = false;
-  bool mHostsChanged = true;
   TimePoint mStoreFailed{};
   /// Replicas whose registration went while the store was away.
   std::map<std::string, TimePoint, std::less<>> mLapsedReplicas;
--- a/include/agatetide/entry/host_registry.hpp
+++ b/include/agatetide/entry/host_registry.hpp
@@ -42,9 +42,6 @@
   /// @brief Takes this host out of the registry.
   Awaitable<void> Leave();
 
-  /// @brief Called when the set of hosts has changed.
-  std::function<void()> mOnChange;
-
 private:
   Awaitable<bool> Renew();
   Awaitable<bool> Write(int64_t aLease);
--- a/include/agatetide/steps/step_service.hpp
+++ b/include/agatetide/steps/step_service.hpp
@@ -67,11 +67,15 @@
 
   /// @brief Takes over the steps whose owner is not among the live
   /// processes and for which aMine holds; forgets old steps when aCollect
-  /// holds.
-  Awaitable<void> Recover(std::set<std::string> aLive,
+  /// holds. Returns whether all records could be read.
+  Awaitable<bool> Recover(std::set<std::string> aLive,
                           std::function<bool(const StepRecord&)> aMine,
                           bool aCollect);
 
+  /// @brief Whether a step of this process could not be started, so that
+  /// Recover() has to be called again.
+  bool Unfinished() const { return mUnfinished; }
+
   /// @brief Expected tokens of the steps that were handed in lately, by
   /// model, as of the last Recover().
   const std::map<std::string, double, std::less<>>& Demand() const
@@ -100,8 +104,8 @@
                                            size_t aFrom,
                                            Milliseconds aWait);
   Awaitable<void> ResolveUnknown(std::string aId);
-  Awaitable<void> TakeOver(StepRecord aRecord);
-  Awaitable<void> AdoptStored(StepRecord aRecord);
+  Awaitable<bool> TakeOver(StepRecord aRecord);
+  Awaitable<bool> AdoptStored(StepRecord aRecord);
   ReadAnswer Answer(const std::vector<ItemResult>& aResults,
                     size_t aTotal,
                     size_t aFrom) const;
@@ -112,6 +116,7 @@
   StepServiceOptions mOptions;
   std::map<std::string, CachedStepPtr, std::less<>> mCache;
   std::set<std::string> mUnresolved;
+  bool mUnfinished = false;
   std::map<std::string, double, std::less<>> mDemand;
 };
 
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -119,6 +119,7 @@
         return mZoneWatch.Watch(std::move(aRequest));
       },
       mBootClock)
+  , mTakeover({}, mClock, mOptions.mSelf.mName)
   , mUsage(
       mOptions.mUsage,
       mHooks.mStore,
@@ -130,7 +131,6 @@
   mView.SetRegions(mOptions.mRegions);
   mView.SetTrustTime(mOptions.mRevocationTime - kRevocationMargin);
   mView.mOnChange = [this] { mRunner.Pump(); };
-  mRegistry.mOnChange = [this] { mHostsChanged = true; };
 }
 
 void EntryDaemon::Start()
@@ -367,30 +367,8 @@
   }
 }
 
-/// Each step without an owner goes to one daemon of its region, the one with
-/// the highest hash of step and host; the leader takes what is left.
-bool EntryDaemon::TakesOver(const steps::StepRecord& aRecord) const
-{
-  std::string best;
-  uint64_t highest = 0;
-  for (const bool anyRegion : { false, true }) {
-    for (const auto& [name, host] : mView.Hosts()) {
-      if (host.mDraining || (!anyRegion && host.mRegion != aRecord.mRegion)) {
-        continue;
-      }
-      const uint64_t hash = Hash64(name, Hash64(aRecord.mId));
-      if (best.empty() || hash > highest) {
-        best = name;
-        highest = hash;
-      }
-    }
-    if (!best.empty()) {
-      break;
-    }
-  }
-  return best == mOptions.mSelf.mName;
-}
-
+/// Steps whose owner has gone are taken over by one daemon of their region;
+/// the leader takes what is left.
 Awaitable<void> EntryDaemon::RecoverLoop()
 {
   asio::steady_timer timer(mExecutor);
@@ -398,23 +376,28 @@
   while (!mDraining) {
     timer.expires_after(kRecoverDelay);
     co_await timer.async_wait(asio::use_awaitable);
-    const bool leads = mLeadership->MayAct();
-    const bool due = leads && mClock() - last >= kRecoverInterval;
-    if (!mHostsChanged && !due) {
+    mTakeover.Update(mView.Hosts());
+    const bool sweep =
+      mLeadership->MayAct() && mClock() - last >= kRecoverInterval;
+    if (!mTakeover.Due() && !mSteps.Unfinished() && !sweep) {
       continue;
     }
-    mHostsChanged = false;
-    last = mClock();
     std::set<std::string> live;
     for (const auto& [name, host] : mView.Hosts()) {
       live.insert(steps::OwnerName(name, host.mIncarnation));
     }
     std::function<bool(const steps::StepRecord&)> mine =
-      [this, due](const steps::StepRecord& aRecord) {
-        return due || TakesOver(aRecord);
+      [this, sweep](const steps::StepRecord& aRecord) {
+        return sweep ||
+               mTakeover.Takes(aRecord.mId, aRecord.mOwner, aRecord.mRegion);
       };
-    co_await mSteps.Recover(std::move(live), std::move(mine), due);
-    if (due) {
+    const bool seen =
+      co_await mSteps.Recover(std::move(live), std::move(mine), sweep);
+    if (seen) {
+      mTakeover.Done();
+    }
+    if (sweep) {
+      last = mClock();
       mMover->SetDemand(mSteps.Demand());
     }
   }
--- a/src/agatetide/entry/host_registry.cpp
+++ b/src/agatetide/entry/host_registry.cpp
@@ -82,7 +82,11 @@
     }
     if (kept->mTtlSeconds > 0) {
       // The others may not know yet that this host drains.
-      co_return mTold == mSelf.mDraining || co_await Write(mLease);
+      const bool told = mTold == mSelf.mDraining;
+      if (told) {
+        co_return true;
+      }
+      co_return co_await Write(mLease);
     }
     mLease = 0;
   }
@@ -229,9 +233,6 @@
   }
   if (changed) {
     mView.SetHosts(std::move(hosts));
-    if (mOnChange) {
-      mOnChange();
-    }
   }
 }
 
--- /dev/null
+++ b/src/agatetide/entry/takeover_plan.cpp
@@ -0,0 +1,76 @@
+#include "agatetide/entry/takeover_plan.hpp"
+
+#include "agatetide/base/encoding.hpp"
+#include "agatetide/steps/step.hpp"
+
+namespace agatetide::entry {
+
+TakeoverPlan::TakeoverPlan(TakeoverOptions aOptions,
+                           Clock aClock,
+                           std::string aSelf)
+  : mOptions(aOptions)
+  , mClock(std::move(aClock))
+  , mSelf(std::move(aSelf))
+  , mStarted(mClock())
+{
+}
+
+std::string TakeoverPlan::Responsible(std::string_view aKey,
+                                      std::string_view aRegion) const
+{
+  std::string best;
+  uint64_t highest = 0;
+  for (const bool anyRegion : { false, true }) {
+    for (const auto& [name, host] : mHosts) {
+      if (host.mDraining || (!anyRegion && host.mRegion != aRegion)) {
+        continue;
+      }
+      const uint64_t hash = Hash64(name, Hash64(aKey));
+      if (best.empty() || hash > highest) {
+        best = name;
+        highest = hash;
+      }
+    }
+    if (!best.empty()) {
+      break;
+    }
+  }
+  return best;
+}
+
+void TakeoverPlan::Update(
+  const std::map<std::string, fleet::EntryHost, std::less<>>& aHosts)
+{
+  const auto before = std::move(mHosts);
+  mHosts = aHosts;
+  bool changed = before.size() != mHosts.size();
+  for (const auto& [name, host] : before) {
+    const auto now = mHosts.find(name);
+    if (now != mHosts.end() && now->second.mIncarnation == host.mIncarnation) {
+      continue;
+    }
+    changed = true;
+    std::string owner = steps::OwnerName(name, host.mIncarnation);
+    if (Responsible(owner, host.mRegion) == mSelf) {
+      mGone.insert(std::move(owner));
+    }
+  }
+  const bool young = mClock() - mStarted < mOptions.mYoungTime;
+  mLookAtAll = mLookAtAll || (changed && young);
+}
+
+bool TakeoverPlan::Takes(std::string_view aStep,
+                         std::string_view aOwner,
+                         std::string_view aRegion) const
+{
+  return mGone.contains(aOwner) ||
+         (mLookAtAll && Responsible(aStep, aRegion) == mSelf);
+}
+
+void TakeoverPlan::Done()
+{
+  mGone.clear();
+  mLookAtAll = false;
+}
+
+} // namespace agatetide::entry
--- /dev/null
+++ b/src/agatetide/entry/takeover_plan_test.cpp
@@ -0,0 +1,95 @@
+#include "agatetide/entry/takeover_plan.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace agatetide;
+using namespace agatetide::entry;
+
+namespace {
+
+using Hosts = std::map<std::string, fleet::EntryHost, std::less<>>;
+
+Hosts MakeHosts(int aCount)
+{
+  Hosts hosts;
+  for (int i = 0; i < aCount; ++i) {
+    fleet::EntryHost host;
+    host.mName = "host-" + std::to_string(i);
+    host.mRegion = i % 2 == 0 ? "even" : "odd";
+    host.mIncarnation = "1";
+    hosts[host.mName] = host;
+  }
+  return hosts;
+}
+
+std::vector<TakeoverPlan> MakePlans(const Hosts& aHosts, ManualClock& aClock)
+{
+  std::vector<TakeoverPlan> plans;
+  for (const auto& [name, host] : aHosts) {
+    plans.emplace_back(TakeoverOptions(), aClock.AsClock(), name);
+  }
+  for (TakeoverPlan& plan : plans) {
+    plan.Update(aHosts);
+    plan.Done();
+  }
+  aClock.Advance(TakeoverOptions().mYoungTime);
+  return plans;
+}
+
+} // namespace
+
+// Replays a rolling restart of a large fleet: with every daemon looking at all
+// records at each change, the calls grow with the square of the fleet.
+Test(takeover_plan, one_daemon_looks_for_the_steps_of_a_host_that_went)
+{
+  ManualClock clock;
+  Hosts hosts = MakeHosts(20);
+  auto plans = MakePlans(hosts, clock);
+  hosts["host-4"].mIncarnation = "2";
+  hosts.erase("host-7");
+  size_t lookers = 0;
+  size_t takers = 0;
+  for (TakeoverPlan& plan : plans) {
+    plan.Update(hosts);
+    lookers += plan.Due() ? 1 : 0;
+    takers += plan.Takes("step", "host-4#1", "even") ? 1 : 0;
+    takers += plan.Takes("step", "host-7#1", "odd") ? 1 : 0;
+    cr_expect(!plan.Takes("step", "host-5#1", "odd"));
+  }
+  cr_expect(takers == 2);
+  cr_expect(lookers <= 2);
+}
+
+// Guards against a step that nobody takes over because the store did not
+// answer when its owner went.
+Test(takeover_plan, looks_again_until_all_records_were_seen)
+{
+  ManualClock clock;
+  Hosts hosts = MakeHosts(2);
+  TakeoverPlan plan({}, clock.AsClock(), "host-0");
+  plan.Update(hosts);
+  plan.Done();
+  clock.Advance(TakeoverOptions().mYoungTime);
+  hosts.erase("host-1");
+  plan.Update(hosts);
+  plan.Update(hosts);
+  cr_expect(plan.Due());
+  plan.Done();
+  cr_expect(!plan.Due());
+}
+
+// Guards against steps that wait for the leader after all hosts were killed:
+// none of the new processes has seen the owners.
+Test(takeover_plan, a_young_daemon_looks_at_all_steps)
+{
+  ManualClock clock;
+  const Hosts hosts = MakeHosts(4);
+  size_t takers = 0;
+  for (const auto& [name, host] : hosts) {
+    TakeoverPlan plan({}, clock.AsClock(), name);
+    plan.Update(hosts);
+    cr_expect(plan.Due());
+    takers += plan.Takes("step", "host-1#0", "odd") ? 1 : 0;
+  }
+  cr_expect(takers == 1);
+}
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -344,37 +344,44 @@
                    "retry" };
 }
 
-Awaitable<void> StepService::AdoptStored(StepRecord aRecord)
+/// Runs a step whose record names this process. Returns whether it runs.
+Awaitable<bool> StepService::AdoptStored(StepRecord aRecord)
 {
   auto items = co_await mContext.mStore.LoadItems(aRecord);
-  if (items.has_error()) {
+  auto log = co_await mContext.mStore.ReadLog(aRecord.mId, 0);
+  if (items.has_error() || log.has_error()) {
     Event("step_not_adopted", LogLevel::Warning)
       .Field("step", aRecord.mId)
-      .Field("error", FormatError(items.error()))
+      .Field("error",
+             FormatError(items.has_error() ? items.error() : log.error()))
       .Write();
-    co_return;
+    mUnfinished = true;
+    co_return false;
   }
-  auto log = co_await mContext.mStore.ReadLog(aRecord.mId, 0);
   // Without the partial samples the step only repeats work.
   auto partials = co_await mContext.mStore.LoadPartials(aRecord.mId);
-  if (log.has_error() || mRunner.Find(aRecord.mId)) {
-    co_return;
+  if (!mRunner.Find(aRecord.mId)) {
+    mRunner.Adopt(std::move(aRecord),
+                  std::move(*items),
+                  std::move(*log),
+                  partials.has_value() ? std::move(*partials)
+                                       : std::vector<PartialSample>());
   }
-  mRunner.Adopt(std::move(aRecord),
-                std::move(*items),
-                std::move(*log),
-                partials.has_value() ? std::move(*partials)
-                                     : std::vector<PartialSample>());
+  co_return true;
 }
 
-Awaitable<void> StepService::TakeOver(StepRecord aRecord)
+/// Returns whether the step runs here or at the process that was faster.
+Awaitable<bool> StepService::TakeOver(StepRecord aRecord)
 {
   const std::string before = aRecord.mOwner;
   if (before != mContext.mOwner) {
     aRecord.mOwner = mContext.mOwner;
     const auto claimed = co_await mContext.mStore.Replace(aRecord);
-    if (claimed.has_error() || !claimed->has_value()) {
-      co_return;
+    if (claimed.has_error()) {
+      co_return false;
+    }
+    if (!claimed->has_value()) {
+      co_return true;
     }
     aRecord = **claimed;
   }
@@ -384,18 +391,20 @@
     .Field("owner", before)
     .Write();
   mCache.erase(aRecord.mId);
-  co_await AdoptStored(std::move(aRecord));
+  co_return co_await AdoptStored(std::move(aRecord));
 }
 
-Awaitable<void> StepService::Recover(
+Awaitable<bool> StepService::Recover(
   std::set<std::string> aLive,
   std::function<bool(const StepRecord&)> aMine,
   bool aCollect)
 {
   const auto records = co_await mContext.mStore.List();
   if (records.has_error()) {
-    co_return;
+    co_return false;
   }
+  bool seen = true;
+  mUnfinished = false;
   mDemand.clear();
   for (const StepRecord& record : *records) {
     const int64_t age = mContext.mWallClock() - record.mSubmitted;
@@ -409,25 +418,28 @@
       }
       continue;
     }
+    const bool own = record.mOwner == mContext.mOwner;
     const bool orphan =
-      record.mOwner == mContext.mOwner
-        ? !mRunner.Find(record.mId) && !mUnresolved.contains(record.mId)
-        : !aLive.contains(record.mOwner);
-    if (record.mEnded || !orphan || !aMine(record)) {
+      own ? !mRunner.Find(record.mId) && !mUnresolved.contains(record.mId)
+          : !aLive.contains(record.mOwner) && aMine(record);
+    if (record.mEnded || !orphan) {
       continue;
     }
     int64_t revision = 0;
-    if (record.mOwner == mContext.mOwner) {
+    if (own) {
       // Dropped after it was whole, unless the log says otherwise.
       auto cached = std::make_shared<CachedStep>();
       cached->mRecord = record;
       const auto extended = co_await Extend(cached, revision);
       if (extended.has_error() || cached->mResults.size() >= record.mItems) {
+        seen = seen && extended.has_value();
         continue;
       }
     }
-    co_await TakeOver(record);
+    const bool taken = co_await TakeOver(record);
+    seen = seen && taken;
   }
+  co_return seen;
 }
 
 } // namespace agatetide::steps
