Move an item when the time that it saves exceeds the cost

Cause: the longest item of a step decides when the step is whole.

Change: policy::ShouldMoveItem compares the time saved, with as many events expected ahead as behind, with a cost that doubles with each move.

--- a/include/agatetide/policy/item_placement.hpp
+++ b/include/agatetide/policy/item_placement.hpp
@@ -43,18 +43,35 @@
 std::optional<size_t> PlaceItem(std::span<const ItemCandidate> aCandidates,
                                 const ItemPlacementOptions& aOptions);
 
-/// @brief Whether a running item should go on at another replica: its own
-/// one needs more than mMoveFactor times as long for each event as the best
-/// one with a free slot.
 struct ItemMoveOptions
 {
-  double mMoveFactor = 1.8;
-  /// Events after which the speed of a stream is known.
-  unsigned mMinEvents = 2;
+  /// What a move costs the item: a new connection, and its text read again.
+  double mCostSeconds = 0.15;
+  /// Each move of an item makes the next one this much dearer, so that items
+  /// do not wander between replicas that differ by chance.
+  double mCostGrowth = 2.0;
 };
-bool ShouldMoveItem(double aOwnSlowness,
-                    double aBestSlowness,
-                    unsigned aEvents,
+
+/// @brief A running item.
+struct ItemProgress
+{
+  /// Time for each event of the present stream.
+  double mSecondsPerEvent = 0.0;
+  /// All events so far.
+  size_t mEvents = 0;
+  /// Streams before the present one.
+  unsigned mMoves = 0;
+};
+
+/// @brief Whether a running item should go on at another replica that needs
+/// aBestSecondsPerEvent: the time that it would save exceeds the cost.
+///
+/// Answers the load of a step with a few long items: the longest one decides
+/// when the step is whole, and on a slower replica it takes that much longer.
+/// Lengths have a heavy tail, so an item is expected to have as much before it
+/// as behind it.
+bool ShouldMoveItem(const ItemProgress& aItem,
+                    double aBestSecondsPerEvent,
                     const ItemMoveOptions& aOptions);
 
 } // namespace agatetide::policy
--- a/src/agatetide/policy/item_placement.cpp
+++ b/src/agatetide/policy/item_placement.cpp
@@ -1,5 +1,6 @@
 #include "agatetide/policy/item_placement.hpp"
 
+#include <cmath>
 #include <limits>
 
 namespace agatetide::policy {
@@ -38,13 +39,14 @@
   return best;
 }
 
-bool ShouldMoveItem(double aOwnSlowness,
-                    double aBestSlowness,
-                    unsigned aEvents,
+bool ShouldMoveItem(const ItemProgress& aItem,
+                    double aBestSecondsPerEvent,
                     const ItemMoveOptions& aOptions)
 {
-  return aEvents >= aOptions.mMinEvents &&
-         aOwnSlowness > aOptions.mMoveFactor * aBestSlowness;
+  const double saved = (aItem.mSecondsPerEvent - aBestSecondsPerEvent) *
+                       static_cast<double>(aItem.mEvents);
+  return saved >
+         aOptions.mCostSeconds * std::pow(aOptions.mCostGrowth, aItem.mMoves);
 }
 
 } // namespace agatetide::policy
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -770,15 +770,20 @@
         work.mStreamEvents < 2) {
       continue;
     }
-    const double own = Seconds(mContext.mClock() - work.mStreamStart) /
-                       (work.mStreamEvents - 1) / mTypicalSpeed;
-    if (policy::ShouldMoveItem(own, best, work.mStreamEvents, mMoves)) {
+    policy::ItemProgress progress;
+    progress.mSecondsPerEvent =
+      Seconds(mContext.mClock() - work.mStreamStart) / (work.mStreamEvents - 1);
+    progress.mEvents = work.mEvents.size();
+    progress.mMoves = work.mStreams - 1;
+    if (policy::ShouldMoveItem(progress, best * mTypicalSpeed, mMoves)) {
       ObserveSpeed(work.mReplica, work);
       Event("item_moved")
         .Field("step", aStep->mRecord.mId)
         .Field("replica", work.mReplica)
-        .Field("slowness", own)
+        .Field("slowness", progress.mSecondsPerEvent / mTypicalSpeed)
         .Field("best", best)
+        .Field("events", static_cast<uint64_t>(progress.mEvents))
+        .Field("moves", progress.mMoves)
         .Write();
       (*work.mAbort)();
     }
