Have another daemon make the calls of a host that the store refuses

Steps of the refused hosts could not list their results, their leases ended after 3 s, and others took the steps over from partial samples that were 4 s old: 9.6 and 12.1 s for steps that need 6.5 s.

Ruled out: a longer lease (the step would wait until the store serves the host again); more frequent partial samples (they could not be stored either).

Change: entry/store_path makes a call that the store has certainly not done through another daemon, one near and two of other zones, over the channel of the watches. While that works, calls go there first; the direct way is tried again after 1 to 4 s. When the others are refused too, they are left alone for 1 to 4 s. Leases stay safe, since their holder counts from before the call was sent, whichever way it goes.

Tests: store_path_test; host_that_the_store_refuses_works_through_another (a stand-in door of the store refuses one daemon; failed before: the step was taken over and the host was unknown after 3 s).

--- /dev/null
+++ b/include/agatetide/coordination/store_messages.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "agatetide/coordination/store.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace agatetide::coordination {
+
+/// @brief Calls of the store as bytes, for daemons that make them for one
+/// another. Decoding errors: InvalidArgument.
+std::string Encode(const StoreRequest& aRequest);
+std::string Encode(const StoreReply& aReply);
+Result<StoreRequest> DecodeStoreRequest(std::string_view aBytes);
+Result<StoreReply> DecodeStoreReply(std::string_view aBytes);
+
+} // namespace agatetide::coordination
--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -6,7 +6,9 @@
 #include "agatetide/duty/version_mover.hpp"
 #include "agatetide/entry/host_registry.hpp"
 #include "agatetide/entry/peer_channel.hpp"
+#include "agatetide/entry/store_path.hpp"
 #include "agatetide/entry/takeover_plan.hpp"
+#include "agatetide/entry/zone_watch.hpp"
 #include "agatetide/request/forwarder.hpp"
 #include "agatetide/steps/step_service.hpp"
 
@@ -137,6 +139,8 @@
   std::string mOwner;
   fleet::FleetView mView;
   std::unique_ptr<PeerChannel> mPeers;
+  StorePath mStorePath;
+  coordination::StoreCall mStore;
   ZoneWatch mZoneWatch;
   request::ReplicaPool mPool;
   request::Forwarder mForwarder;
--- a/include/agatetide/entry/peer_channel.hpp
+++ b/include/agatetide/entry/peer_channel.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "agatetide/entry/zone_watch.hpp"
+#include "agatetide/coordination/watch_messages.hpp"
 #include "agatetide/http/client.hpp"
 #include "agatetide/http/server.hpp"
 
@@ -8,13 +8,18 @@
 
 namespace agatetide::entry {
 
-/// @brief Answers a daemon of the same deployment.
-using ServePeer = std::function<Awaitable<Result<coordination::PeerWatchReply>>(
-  coordination::PeerWatchRequest)>;
+/// @brief Answers daemons of the same deployment.
+struct PeerHandlers
+{
+  std::function<Awaitable<Result<coordination::PeerWatchReply>>(
+    coordination::PeerWatchRequest)>
+    mWatch;
+  coordination::StoreCall mStore;
+};
 
-/// @brief Watches between daemons: cereal messages over HTTP, on addresses
-/// that only hosts of the deployment reach. Not thread-safe: owned by the
-/// executor of the daemon.
+/// @brief Watches and calls of the store between daemons: cereal messages
+/// over HTTP, on addresses that only hosts of the deployment reach. Not
+/// thread-safe: owned by the executor of the daemon.
 class PeerChannel
 {
 public:
@@ -23,22 +28,35 @@
   static Result<std::unique_ptr<PeerChannel>> Create(
     boost::asio::any_io_executor aExecutor,
     const http::Endpoint& aListen,
-    ServePeer aServe);
+    PeerHandlers aHandlers);
 
-  /// @brief Asks the daemon at aPeer. Errors: Unavailable when it does not
-  /// answer in time or cannot tell; InvalidArgument when the answer cannot be
-  /// read.
-  Awaitable<Result<coordination::PeerWatchReply>> Ask(
+  /// @brief Asks the daemon at aPeer for changes. Errors: Unavailable when it
+  /// cannot tell; those of http::Client; InvalidArgument when the answer
+  /// cannot be read.
+  Awaitable<Result<coordination::PeerWatchReply>> Watch(
     http::Endpoint aPeer,
     coordination::PeerWatchRequest aRequest,
     Milliseconds aTimeout);
 
+  /// @brief Has the daemon at aPeer call the store. Errors: as
+  /// coordination::StoreCall.
+  Awaitable<Result<coordination::StoreReply>> CallStore(
+    http::Endpoint aPeer,
+    coordination::StoreRequest aRequest,
+    Milliseconds aTimeout);
+
 private:
-  PeerChannel(std::unique_ptr<http::Client> aClient, ServePeer aServe);
+  PeerChannel(std::unique_ptr<http::Client> aClient, PeerHandlers aHandlers);
   Awaitable<http::Response> Handle(http::Request aRequest);
+  Awaitable<http::Response> HandleWatch(http::Request aRequest);
+  Awaitable<http::Response> HandleStore(http::Request aRequest);
+  Awaitable<Result<std::string>> Ask(http::Endpoint aPeer,
+                                     std::string aTarget,
+                                     std::string aBody,
+                                     Milliseconds aTimeout);
 
   std::unique_ptr<http::Client> mClient;
-  ServePeer mServe;
+  PeerHandlers mHandlers;
   std::unique_ptr<http::Server> mServer;
 };
 
--- a/src/agatetide/coordination/watch_messages.cpp
+++ b/src/agatetide/coordination/watch_messages.cpp
@@ -1,20 +1,9 @@
 #include "agatetide/coordination/watch_messages.hpp"
 
-#include "agatetide/coordination/portable_bytes.hpp"
+#include "agatetide/coordination/store_archive.hpp"
 
 namespace agatetide::coordination {
 
-template<class Archive>
-void serialize(Archive& aArchive, StoreChange& aChange)
-{
-  aArchive(aChange.mEntry.mKey,
-           aChange.mEntry.mValue,
-           aChange.mEntry.mCreateRevision,
-           aChange.mEntry.mModRevision,
-           aChange.mEntry.mLease,
-           aChange.mRemoved);
-}
-
 template<class Archive>
 void serialize(Archive& aArchive, PeerWatchRequest& aRequest)
 {
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -48,7 +48,7 @@
     std::move(aExecutor), std::move(aOptions), std::move(aHooks)));
   auto leadership =
     duty::Leadership::Create({},
-                             daemon->mHooks.mStore,
+                             daemon->mStore,
                              daemon->mBootClock,
                              daemon->mOptions.mSelf.mName,
                              daemon->mOptions.mSelf.mIncarnation,
@@ -60,9 +60,12 @@
   auto peers = PeerChannel::Create(
     daemon->mExecutor,
     daemon->mOptions.mPeerListen,
-    [zone = &daemon->mZoneWatch](PeerWatchRequest aRequest) {
-      return zone->Serve(std::move(aRequest));
-    });
+    { [zone = &daemon->mZoneWatch](PeerWatchRequest aRequest) {
+       return zone->Serve(std::move(aRequest));
+     },
+      [path = &daemon->mStorePath](StoreRequest aRequest) {
+        return path->Serve(std::move(aRequest));
+      } });
   if (peers.has_error()) {
     return peers.error();
   }
@@ -88,6 +91,20 @@
   , mWallClock(mBootClock, SystemClock())
   , mOwner(steps::OwnerName(mOptions.mSelf.mName, mOptions.mSelf.mIncarnation))
   , mView(mBootClock, mOptions.mSelf.mAvailabilityZone, mOptions.mSelf.mRegion)
+  , mStorePath({},
+               mBootClock,
+               mOptions.mSelf.mName,
+               mView,
+               mHooks.mStore,
+               [this](http::Endpoint aPeer,
+                      StoreRequest aRequest,
+                      Milliseconds aTimeout) {
+                 return mPeers->CallStore(
+                   std::move(aPeer), std::move(aRequest), aTimeout);
+               })
+  , mStore([this](StoreRequest aRequest) {
+    return mStorePath.Call(std::move(aRequest));
+  })
   , mZoneWatch({},
                mExecutor,
                mBootClock,
@@ -97,12 +114,12 @@
                [this](http::Endpoint aPeer,
                       PeerWatchRequest aRequest,
                       Milliseconds aTimeout) {
-                 return mPeers->Ask(
+                 return mPeers->Watch(
                    std::move(aPeer), std::move(aRequest), aTimeout);
                })
   , mPool(mView, mClock, ProcessRandom())
   , mForwarder(mExecutor, mPool, mHooks.mCall, mClock, ProcessRandom())
-  , mStepStore(mHooks.mStore, mHooks.mWatch)
+  , mStepStore(mStore, mHooks.mWatch)
   , mStepContext{ mExecutor,      mView,
                   mPool,          mForwarder,
                   mHooks.mStream, mStepStore,
@@ -114,7 +131,7 @@
       {},
       mOptions.mSelf,
       mView,
-      mHooks.mStore,
+      mStore,
       [this](WatchRequest aRequest) {
         return mZoneWatch.Watch(std::move(aRequest));
       },
@@ -122,7 +139,7 @@
   , mTakeover({}, mClock, mOptions.mSelf.mName)
   , mUsage(
       mOptions.mUsage,
-      mHooks.mStore,
+      mStore,
       [this] { return mWallClock.Now(); },
       mOwner,
       mOptions.mSelf.mName,
@@ -171,7 +188,7 @@
   return WatchPrefix(
     std::move(aOptions),
     std::move(aHooks),
-    mHooks.mStore,
+    mStore,
     [this](WatchRequest aRequest) {
       return mZoneWatch.Watch(std::move(aRequest));
     },
@@ -346,7 +363,7 @@
     TransactionRequest write;
     write.mPuts.push_back(mHooks.mHostEmptied(host));
     StoreRequest request = std::move(write);
-    const auto written = co_await mHooks.mStore(std::move(request));
+    const auto written = co_await mStore(std::move(request));
     if (written.has_value()) {
       mHostsEmptied.insert(host);
       Event("host_emptied").Field("host", host).Write();
--- a/src/agatetide/entry/peer_channel.cpp
+++ b/src/agatetide/entry/peer_channel.cpp
@@ -1,12 +1,15 @@
 #include "agatetide/entry/peer_channel.hpp"
 
+#include "agatetide/coordination/store_messages.hpp"
+
 namespace agatetide::entry {
 
 using namespace coordination;
 
 namespace {
 
-constexpr std::string_view kWatchTarget = "/watch";
+constexpr const char* kWatchTarget = "/watch";
+constexpr const char* kStoreTarget = "/store";
 constexpr std::string_view kContentType = "application/octet-stream";
 constexpr unsigned kOk = 200;
 constexpr size_t kMaxConnections = 256;
@@ -16,21 +19,21 @@
 } // namespace
 
 PeerChannel::PeerChannel(std::unique_ptr<http::Client> aClient,
-                         ServePeer aServe)
+                         PeerHandlers aHandlers)
   : mClient(std::move(aClient))
-  , mServe(std::move(aServe))
+  , mHandlers(std::move(aHandlers))
 {
 }
 
 Result<std::unique_ptr<PeerChannel>> PeerChannel::Create(
   boost::asio::any_io_executor aExecutor,
   const http::Endpoint& aListen,
-  ServePeer aServe)
+  PeerHandlers aHandlers)
 {
   http::ClientOptions client;
   client.mConnectTimeout = kConnectTimeout;
   std::unique_ptr<PeerChannel> channel(new PeerChannel(
-    http::Client::Create(aExecutor, client), std::move(aServe)));
+    http::Client::Create(aExecutor, client), std::move(aHandlers)));
   if (aListen.mPort == 0) {
     return channel;
   }
@@ -52,29 +55,49 @@
 }
 
 Awaitable<http::Response> PeerChannel::Handle(http::Request aRequest)
+{
+  return aRequest.mTarget == kStoreTarget ? HandleStore(std::move(aRequest))
+                                          : HandleWatch(std::move(aRequest));
+}
+
+Awaitable<http::Response> PeerChannel::HandleWatch(http::Request aRequest)
 {
   auto request = DecodePeerWatchRequest(aRequest.mBody);
   if (request.has_error()) {
     co_return http::MakeErrorResponse(request.error(), {});
   }
-  const auto reply = co_await mServe(std::move(*request));
+  const auto reply = co_await mHandlers.mWatch(std::move(*request));
+  if (reply.has_error()) {
+    co_return http::MakeErrorResponse(reply.error(), {});
+  }
+  co_return http::MakeResponse(kOk, kContentType, Encode(*reply));
+}
+
+Awaitable<http::Response> PeerChannel::HandleStore(http::Request aRequest)
+{
+  auto request = DecodeStoreRequest(aRequest.mBody);
+  if (request.has_error()) {
+    co_return http::MakeErrorResponse(request.error(), {});
+  }
+  const auto reply = co_await mHandlers.mStore(std::move(*request));
   if (reply.has_error()) {
     co_return http::MakeErrorResponse(reply.error(), {});
   }
   co_return http::MakeResponse(kOk, kContentType, Encode(*reply));
 }
 
-Awaitable<Result<PeerWatchReply>> PeerChannel::Ask(http::Endpoint aPeer,
-                                                   PeerWatchRequest aRequest,
-                                                   Milliseconds aTimeout)
+Awaitable<Result<std::string>> PeerChannel::Ask(http::Endpoint aPeer,
+                                                std::string aTarget,
+                                                std::string aBody,
+                                                Milliseconds aTimeout)
 {
   http::Request request;
-  request.mTarget = kWatchTarget;
-  request.mBody = Encode(aRequest);
+  request.mTarget = std::move(aTarget);
+  request.mBody = std::move(aBody);
   request.mHeaders.push_back({ "content-type", std::string(kContentType) });
   http::CallOptions options;
   options.mDeadline = std::chrono::steady_clock::now() + aTimeout;
-  const auto answer = co_await mClient->Call(
+  auto answer = co_await mClient->Call(
     std::move(aPeer), std::move(request), std::move(options));
   if (answer.has_error()) {
     co_return answer.error();
@@ -82,7 +105,37 @@
   if (answer->mStatus != kOk) {
     co_return http::ParseErrorResponse(*answer);
   }
-  co_return DecodePeerWatchReply(answer->mBody);
+  co_return std::move(answer->mBody);
+}
+
+Awaitable<Result<PeerWatchReply>> PeerChannel::Watch(http::Endpoint aPeer,
+                                                     PeerWatchRequest aRequest,
+                                                     Milliseconds aTimeout)
+{
+  const auto bytes =
+    co_await Ask(std::move(aPeer), kWatchTarget, Encode(aRequest), aTimeout);
+  if (bytes.has_error()) {
+    co_return bytes.error();
+  }
+  co_return DecodePeerWatchReply(*bytes);
+}
+
+Awaitable<Result<StoreReply>> PeerChannel::CallStore(http::Endpoint aPeer,
+                                                     StoreRequest aRequest,
+                                                     Milliseconds aTimeout)
+{
+  const auto bytes =
+    co_await Ask(std::move(aPeer), kStoreTarget, Encode(aRequest), aTimeout);
+  if (bytes.has_error()) {
+    co_return bytes.error();
+  }
+  auto reply = DecodeStoreReply(*bytes);
+  if (reply.has_error()) {
+    Error unread = reply.error();
+    unread.mExecution = Execution::Unknown;
+    co_return unread;
+  }
+  co_return reply;
 }
 
 } // namespace agatetide::entry
--- /dev/null
+++ b/src/agatetide/entry/store_path.cpp
@@ -0,0 +1,143 @@
+#include "agatetide/entry/store_path.hpp"
+
+#include "agatetide/base/encoding.hpp"
+#include "agatetide/base/event_log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace agatetide::entry {
+
+using namespace coordination;
+
+StorePath::StorePath(StorePathOptions aOptions,
+                     Clock aClock,
+                     std::string aSelf,
+                     const fleet::FleetView& aView,
+                     StoreCall aStore,
+                     CallThroughPeer aPeer)
+  : mOptions(aOptions)
+  , mClock(std::move(aClock))
+  , mSelf(std::move(aSelf))
+  , mView(aView)
+  , mStore(std::move(aStore))
+  , mPeer(std::move(aPeer))
+{
+}
+
+/// One near host, then hosts of other zones: the store often refuses hosts
+/// that are next to each other. Each daemon has an order of its own, so that
+/// those that are refused do not all ask the same one.
+std::vector<std::string> StorePath::Peers() const
+{
+  std::vector<std::pair<uint64_t, const fleet::EntryHost*>> ranks;
+  for (const auto& [name, host] : mView.Hosts()) {
+    const auto avoided = mAvoided.find(name);
+    if (name == mSelf || host.mDraining || host.mPeerAddress.empty() ||
+        (avoided != mAvoided.end() && mClock() < avoided->second)) {
+      continue;
+    }
+    ranks.emplace_back(Hash64(name, Hash64(mSelf)), &host);
+  }
+  std::sort(ranks.begin(), ranks.end());
+  std::vector<std::string> peers;
+  for (const bool near : { true, false }) {
+    for (const auto& [hash, host] : ranks) {
+      const bool sameZone = host->mAvailabilityZone == mView.AvailabilityZone();
+      const size_t most = near ? 1 : mOptions.mMostPeers;
+      if (sameZone == near && peers.size() < most) {
+        peers.push_back(host->mName);
+      }
+    }
+  }
+  return peers;
+}
+
+void StorePath::StartDetour()
+{
+  mOutageTime = {};
+  if (mClock() < mDetourUntil) {
+    return;
+  }
+  mDetourTime = std::clamp<Duration>(
+    2 * mDetourTime, mOptions.mDetourTime, mOptions.mLongestDetourTime);
+  mDetourUntil = mClock() + mDetourTime;
+}
+
+void StorePath::EndDetour()
+{
+  mDetourTime = {};
+  mDetourUntil = {};
+  mOutageTime = {};
+  mOutageUntil = {};
+}
+
+Awaitable<std::optional<Result<StoreReply>>> StorePath::CallPeers(
+  StoreRequest aRequest)
+{
+  const std::vector<std::string> peers = Peers();
+  for (const std::string& name : peers) {
+    const auto host = mView.Hosts().find(name);
+    const auto endpoint = host == mView.Hosts().end()
+                            ? Result<http::Endpoint>(Error{})
+                            : http::ParseEndpoint(host->second.mPeerAddress);
+    if (endpoint.has_error()) {
+      continue;
+    }
+    auto reply = co_await mPeer(*endpoint, aRequest, mOptions.mPeerTimeout);
+    if (reply.has_value()) {
+      StartDetour();
+      co_return std::optional(std::move(reply));
+    }
+    mAvoided[name] = mClock() + mOptions.mAvoidTime;
+    if (reply.error().mExecution != Execution::NotRun) {
+      co_return std::optional(std::move(reply));
+    }
+  }
+  if (!peers.empty()) {
+    mOutageTime = std::clamp<Duration>(
+      2 * mOutageTime, mOptions.mOutageTime, mOptions.mLongestOutageTime);
+    mOutageUntil = mClock() + mOutageTime;
+  }
+  co_return std::nullopt;
+}
+
+Awaitable<Result<StoreReply>> StorePath::Call(StoreRequest aRequest)
+{
+  const bool detour = mClock() < mDetourUntil;
+  if (detour) {
+    auto reply = co_await CallPeers(aRequest);
+    if (reply) {
+      co_return std::move(*reply);
+    }
+  }
+  auto direct = co_await mStore(aRequest);
+  if (direct.has_value()) {
+    EndDetour();
+    co_return direct;
+  }
+  if (detour || mClock() < mOutageUntil) {
+    co_return direct;
+  }
+  Event("store_call_failed", LogLevel::Warning)
+    .Field("error", FormatError(direct.error()))
+    .Field("next", "another daemon")
+    .Write();
+  if (direct.error().mExecution != Execution::NotRun) {
+    // This call may have been done. The next ones go another way.
+    StartDetour();
+    co_return direct;
+  }
+  auto reply = co_await CallPeers(aRequest);
+  if (reply) {
+    co_return std::move(*reply);
+  }
+  co_return direct;
+}
+
+Awaitable<Result<StoreReply>> StorePath::Serve(StoreRequest aRequest)
+{
+  return mStore(std::move(aRequest));
+}
+
+} // namespace agatetide::entry
--- /dev/null
+++ b/src/agatetide/entry/store_path_test.cpp
@@ -0,0 +1,159 @@
+#include "agatetide/entry/store_path.hpp"
+
+#include "agatetide/coordination/store_messages.hpp"
+#include "agatetide/coordination/test_store.hpp"
+
+#include <criterion/criterion.h>
+
+#include <set>
+
+using namespace agatetide;
+using namespace agatetide::coordination;
+using namespace agatetide::entry;
+
+namespace {
+
+Error Refused()
+{
+  return { ErrorKind::Unavailable, "the store refused", "wait" };
+}
+
+/// A daemon that the store may refuse, and two others that it serves.
+struct Fixture
+{
+  Fixture()
+  {
+    std::map<std::string, fleet::EntryHost, std::less<>> hosts;
+    for (const char* name : { "self", "near", "far" }) {
+      fleet::EntryHost host;
+      host.mName = name;
+      host.mAvailabilityZone = name == std::string("far") ? "b" : "a";
+      host.mPeerAddress =
+        std::string("127.0.0.1:") + (name == std::string("far") ? "2" : "1");
+      hosts[name] = host;
+    }
+    mView.SetHosts(std::move(hosts));
+  }
+
+  Result<StoreReply> Put()
+  {
+    TransactionRequest write;
+    write.mPuts.push_back({ "key", "value" });
+    return RunCoroutine(mPath.Call(write));
+  }
+
+  ManualClock mClock;
+  fleet::FleetView mView{ mClock.AsClock(), "a", "region" };
+  Result<StoreReply> mDirect = StoreReply{};
+  Result<StoreReply> mThrough = StoreReply{};
+  int mDirectCalls = 0;
+  std::vector<uint16_t> mAsked;
+  StorePath mPath{ {},
+                   mClock.AsClock(),
+                   "self",
+                   mView,
+                   [this](StoreRequest) -> Awaitable<Result<StoreReply>> {
+                     ++mDirectCalls;
+                     co_return mDirect;
+                   },
+                   [this](http::Endpoint aPeer,
+                          StoreRequest,
+                          Milliseconds) -> Awaitable<Result<StoreReply>> {
+                     mAsked.push_back(aPeer.mPort);
+                     co_return mThrough;
+                   } };
+};
+
+} // namespace
+
+// Replays a store that turns some hosts away and serves the others: results
+// of a step on such a host waited until the step was taken over.
+Test(store_path, a_refused_call_goes_through_another_daemon)
+{
+  Fixture fixture;
+  fixture.mDirect = Refused();
+  cr_expect(fixture.Put().has_value());
+  cr_expect(fixture.Put().has_value());
+  cr_expect(fixture.mDirectCalls == 1, "the second call does not try again");
+  cr_expect(fixture.mAsked == std::vector<uint16_t>({ 1, 1 }));
+  fixture.mClock.Advance(StorePathOptions().mDetourTime);
+  fixture.mDirect = StoreReply{};
+  cr_expect(fixture.Put().has_value());
+  cr_expect(fixture.mAsked.size() == 2, "the direct way is used again");
+}
+
+// Guards against a write that is done twice.
+Test(store_path, a_call_that_may_have_been_done_is_not_repeated)
+{
+  Fixture fixture;
+  fixture.mDirect = FaultyStore::Lost();
+  cr_expect(fixture.Put().has_error());
+  cr_expect(fixture.mAsked.empty());
+  cr_expect(fixture.Put().has_value(), "the next call goes another way");
+  fixture.mThrough = FaultyStore::Lost();
+  const int direct = fixture.mDirectCalls;
+  cr_expect(fixture.Put().has_error());
+  cr_expect(fixture.mDirectCalls == direct);
+}
+
+// Guards against three calls in place of one while the store is away for all.
+Test(store_path, an_outage_for_all_is_not_asked_about_again_and_again)
+{
+  Fixture fixture;
+  fixture.mDirect = Refused();
+  fixture.mThrough = Refused();
+  for (int i = 0; i < 10; ++i) {
+    cr_expect(fixture.Put().has_error());
+  }
+  cr_expect(fixture.mAsked.size() == 2, "both others were asked once");
+}
+
+// Guards against a host that gives up because those next to it are refused
+// too: the next call asks others.
+Test(store_path, a_daemon_that_was_refused_itself_is_not_asked_again_at_once)
+{
+  Fixture fixture;
+  auto hosts = fixture.mView.Hosts();
+  for (int i = 0; i < 8; ++i) {
+    fleet::EntryHost host;
+    host.mName = "more" + std::to_string(i);
+    host.mAvailabilityZone = "c";
+    host.mPeerAddress = "127.0.0.1:" + std::to_string(10 + i);
+    hosts[host.mName] = host;
+  }
+  fixture.mView.SetHosts(hosts);
+  fixture.mDirect = Refused();
+  fixture.mThrough = Refused();
+  cr_expect(fixture.Put().has_error());
+  cr_expect(fixture.mAsked.size() == StorePathOptions().mMostPeers);
+  cr_expect(fixture.mAsked.front() == 1, "the near one first");
+  fixture.mClock.Advance(StorePathOptions().mOutageTime);
+  cr_expect(fixture.Put().has_error());
+  const std::set<uint16_t> asked(fixture.mAsked.begin(), fixture.mAsked.end());
+  cr_expect(asked.size() == fixture.mAsked.size());
+}
+
+// Guards against calls that change on the way, and an exit on malformed ones.
+Test(store_path, calls_are_read_back_and_malformed_ones_refused)
+{
+  TransactionRequest write;
+  write.mCompares.push_back({ "a", 3 });
+  write.mPuts.push_back({ "b", std::string("\0x", 2), 9 });
+  write.mDeletes.push_back({ "c" });
+  write.mReadOnFailure.emplace_back("a");
+  const std::string bytes = Encode(StoreRequest(write));
+  const auto request = DecodeStoreRequest(bytes);
+  cr_assert(request.has_value());
+  const auto& decoded = std::get<TransactionRequest>(*request);
+  cr_expect(decoded.mCompares.front().mModRevision == 3);
+  cr_expect(decoded.mPuts.front().mValue == write.mPuts.front().mValue);
+  cr_expect(decoded.mPuts.front().mLease == 9);
+  cr_expect(decoded.mDeletes.front().mKey == "c");
+  const auto keep =
+    DecodeStoreRequest(Encode(StoreRequest(LeaseKeepAliveRequest{ 17 })));
+  cr_expect(std::get<LeaseKeepAliveRequest>(keep.value()).mLease == 17);
+  for (size_t length = 0; length < bytes.size(); ++length) {
+    cr_assert(DecodeStoreRequest(bytes.substr(0, length)).has_error());
+  }
+  cr_expect(DecodeStoreRequest("\x09").has_error());
+}
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -54,6 +54,21 @@
     return server
 
 
+class Door:
+    """An address of the store that can refuse one host alone."""
+
+    def __init__(self, store):
+        self.store, self.refuse = store, False
+        self.server = serve(self.handle)
+        self.address = "127.0.0.1:%d" % self.server.server_port
+
+    def handle(self, handler, method, path, query, body):
+        if self.refuse:
+            handler.reply(429)
+        else:
+            self.store.handle(handler, method, path, query, body)
+
+
 class Store:
     """The metadata store."""
 
@@ -66,8 +81,6 @@
         self.refuse = False
         self.silent = False
         self.waiting = collections.Counter()
-        self.server = serve(self.handle)
-        self.address = "127.0.0.1:%d" % self.server.server_port
         threading.Thread(target=self.expire, daemon=True).start()
 
     def put(self, key, value, lease=0):
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -18,7 +18,7 @@
 import traceback
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
-from harness.users_platform import Cloud, Replica, Store  # noqa: E402
+from harness.users_platform import Cloud, Door, Replica, Store  # noqa: E402
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DAEMON = ROOT / "build/release/agatetided"
@@ -36,7 +36,7 @@
     """One entry host."""
 
     def __init__(self, site, name):
-        self.name = name
+        self.name, self.door = name, Door(site.store)
         self.front, self.directory, self.ready = free_port(), free_port(), free_port()
         settings = {
             "node": name, "ip": "127.0.0.1", "internalPorts": [free_port(), 0], "zone": "z1", "region": "r1", "zones": {"z1": "r1"},
@@ -44,7 +44,7 @@
                        "directory": "127.0.0.1:%d" % self.directory},
             "limits": {"maxFds": 1024},
             "bounds": {"revokeMs": 5000, "graceS": 2, "usageWindowS": WINDOW_S, "ttl_max_s": 5},
-            "platform": {"address": site.store.address}, "cloudApi": {"address": site.cloud.address}}
+            "platform": {"address": self.door.address}, "cloudApi": {"address": site.cloud.address}}
         self.folder = tempfile.TemporaryDirectory()
         path = pathlib.Path(self.folder.name) / "node.json"
         path.write_text(json.dumps(settings))
@@ -225,6 +225,21 @@
     check(site.lookup(hung, "c", "/keyed/1", Authorization="Bearer key-a")[0] in (401, 503), "woken with an old copy")
 
 
+def host_that_the_store_refuses_works_through_another(site):
+    first, second = site.daemons
+    first.door.refuse = True
+    check(site.submit(first) == 202, "accepted")
+    end = time.monotonic() + 6
+    while time.monotonic() < end:
+        check(site.lookup(first, "k", "/keyed/1", Authorization="Bearer key-a")[0] == 200, "keys are trusted")
+        known = site.addresses(second)
+        check(len(known) == 2, "the host stays known: %s, %s" % (known, site.store.keys("agatetide/live/")))
+        time.sleep(0.2)
+    site.read_all(first, 6)
+    check(not second.last_event("step_taken_over", ""), "the step stayed where it was")
+    check(second.last_event("step_submitted", "") == "", "the trainer sent it once")
+
+
 def step_is_accepted_once_and_read_at_any_daemon(site):
     first, second = site.daemons
     check(site.submit(first) == 202 and site.submit(second) == 202, "accepted twice")
@@ -361,6 +376,7 @@
     (withdrawn_key_stops_at_once_and_without_the_store_in_time, {}),
     (one_daemon_of_a_zone_watches_the_store, {"daemons": 3}),
     (zone_goes_on_when_its_watching_daemon_hangs, {"daemons": 3}),
+    (host_that_the_store_refuses_works_through_another, {"daemons": 2, "events": 10, "pause": 0.1}),
     (step_is_accepted_once_and_read_at_any_daemon, {"daemons": 2}),
     (step_of_a_killed_daemon_is_taken_over, {"daemons": 2, "events": 12, "pause": 0.25}),
     (ended_step_starts_nothing_more, {"daemons": 2, "events": 8, "pause": 0.1}),
