Store no window without requests

The leader waited for all live daemons, up to 7 s after the end of the window.

Change: empty counts are not stored, so the leader cannot wait for all; it reports 4.5 s after the end. By then a daemon that reaches the store, itself or through another, has stored its counts (1.3 s after the end), and one that does not has lost its registration, which ended the wait before as well.

--- a/include/agatetide/duty/usage_ledger.hpp
+++ b/include/agatetide/duty/usage_ledger.hpp
@@ -7,7 +7,6 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <map>
-#include <set>
 #include <string>
 
 namespace agatetide::duty {
@@ -21,10 +20,9 @@
   /// A window's counts are stored this long after its end, when requests
   /// that began in it have mostly been answered.
   Milliseconds mStoreAfter{ 1300 };
-  /// A window is reported this long after its end, or later while counts of
-  /// a live daemon are missing.
-  Milliseconds mReportAfter{ 2500 };
-  Milliseconds mReportLatest{ 7000 };
+  /// A window is reported this long after its end, when a daemon that could
+  /// not store its counts has lost its registration too.
+  Milliseconds mReportAfter{ 4500 };
   /// Windows older than this are reported no more.
   Milliseconds mGiveUp{ 30000 };
 };
@@ -47,14 +45,12 @@
   UsageLedger(UsageOptions aOptions,
               coordination::StoreCall aStore,
               WallClock aWallClock,
-              std::string aCounter,
-              std::string aHost,
-              const fleet::FleetView& aView);
+              std::string aCounter);
 
   /// @brief Counts one request that began at aWall (Unix milliseconds).
   void Count(const std::string& aAccount, int64_t aWall);
 
-  /// @brief Stores the counts of windows that have ended. aAll also stores
+  /// @brief Stores the counts of windows that have ended, if there are any. aAll also stores
   /// the present window, before the process ends.
   Awaitable<void> Store(bool aAll);
 
@@ -64,15 +60,12 @@
 private:
   int64_t WindowAt(int64_t aWall) const;
   int64_t EndOf(int64_t aWindow) const;
-  Awaitable<Result<std::optional<AccountCounts>>> Seal(int64_t aWindow,
-                                                       bool aLate);
+  Awaitable<Result<std::optional<AccountCounts>>> Seal(int64_t aWindow);
 
   UsageOptions mOptions;
   coordination::StoreCall mStore;
   WallClock mWallClock;
   std::string mCounter;
-  std::string mHost;
-  const fleet::FleetView& mView;
   std::map<int64_t, AccountCounts> mCounts;
   /// First window that is not stored yet.
   int64_t mNextToStore;
--- a/src/agatetide/duty/usage_ledger.cpp
+++ b/src/agatetide/duty/usage_ledger.cpp
@@ -53,15 +53,11 @@
 UsageLedger::UsageLedger(UsageOptions aOptions,
                          StoreCall aStore,
                          WallClock aWallClock,
-                         std::string aCounter,
-                         std::string aHost,
-                         const fleet::FleetView& aView)
+                         std::string aCounter)
   : mOptions(aOptions)
   , mStore(std::move(aStore))
   , mWallClock(std::move(aWallClock))
   , mCounter(std::move(aCounter))
-  , mHost(std::move(aHost))
-  , mView(aView)
   , mNextToStore(WindowAt(mWallClock()))
 {
 }
@@ -89,6 +85,10 @@
   while (aAll ? mNextToStore <= WindowAt(now)
               : EndOf(mNextToStore) + mOptions.mStoreAfter.count() <= now) {
     const int64_t window = mNextToStore;
+    if (!mCounts.contains(window)) {
+      ++mNextToStore;
+      continue;
+    }
     TransactionRequest write;
     write.mPuts.push_back(
       { CountsPrefix(window) + mCounter, Encode(mCounts[window]) });
@@ -109,34 +109,23 @@
   }
 }
 
-/// The sealed sum of a window; nothing while counts of live daemons are
-/// missing and may still come.
+/// The sealed sum of a window; nothing when a seal cannot be read.
 Awaitable<Result<std::optional<AccountCounts>>> UsageLedger::Seal(
-  int64_t aWindow,
-  bool aLate)
+  int64_t aWindow)
 {
   std::string prefix = CountsPrefix(aWindow);
-  const size_t prefixLength = prefix.size();
   const auto stored = co_await ReadPrefix(mStore, std::move(prefix));
   if (stored.has_error()) {
     co_return stored.error();
   }
   AccountCounts sum;
-  std::set<std::string> hosts;
   for (const StoreEntry& entry : stored->mEntries) {
-    const std::string counter = entry.mKey.substr(prefixLength);
-    hosts.insert(counter.substr(0, counter.find('#')));
     if (const auto counts = Decode(entry.mValue)) {
       for (const auto& [account, count] : *counts) {
         sum[account] += count;
       }
     }
   }
-  for (const auto& [name, host] : mView.Hosts()) {
-    if (!aLate && !hosts.contains(name)) {
-      co_return std::optional<AccountCounts>();
-    }
-  }
   const std::string key = SealKey(aWindow);
   TransactionRequest create;
   create.mCompares.push_back({ key, 0 });
@@ -168,8 +157,7 @@
   }
   while (EndOf(*mReportedThrough + 1) + mOptions.mReportAfter.count() <= now) {
     const int64_t window = *mReportedThrough + 1;
-    const bool late = EndOf(window) + mOptions.mReportLatest.count() <= now;
-    const auto counts = co_await Seal(window, late);
+    const auto counts = co_await Seal(window);
     if (counts.has_error() || !counts->has_value() || !aLeadership.MayAct()) {
       co_return;
     }
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -141,9 +141,7 @@
       mOptions.mUsage,
       mStore,
       [this] { return mWallClock.Now(); },
-      mOwner,
-      mOptions.mSelf.mName,
-      mView)
+      mOwner)
 {
   mView.SetRegions(mOptions.mRegions);
   mView.SetTrustTime(mOptions.mRevocationTime - kRevocationMargin);
