End a sample only when its scoring call was failed, not timed out

Its scoring call had three answers of 500 and one of 504, which a replica gives when the time of the request is over; the count of failures took every status from 500 on. The first of a chain of such calls shows score_ms=2999, the whole time-out of the route.

Ruled out: the number of attempts of the route (four, as configured).

Change: only status 500 counts as a failure of the request.

Test: sample_is_dead_only_when_its_scoring_call_was_failed (failed before).

--- a/include/agatetide/request/forwarder.hpp
+++ b/include/agatetide/request/forwarder.hpp
@@ -23,7 +23,8 @@
   /// Called with the time of sending when a replica has probably begun to
   /// run the request, at most once. May be empty.
   std::function<void(TimePoint)> mOnBegun;
-  /// Called for each failure that a replica answered itself. May be empty.
+  /// Called for each replica that ran the request and failed it. An answer
+  /// that only says that time has run out is none. May be empty.
   std::function<void()> mOnRejected;
 };
 
--- a/src/agatetide/request/forwarder.cpp
+++ b/src/agatetide/request/forwarder.cpp
@@ -23,6 +23,8 @@
 constexpr std::chrono::milliseconds kFullPause{ 40 };
 /// A replica that cannot be reached gets no new request for this long.
 constexpr std::chrono::milliseconds kUnreachablePause{ 500 };
+/// Status of a request that a replica ran and failed.
+constexpr unsigned kFailedStatus = 500;
 /// Share of the target latency after which an answer is waited for at a
 /// second replica while too few answers are known.
 constexpr double kDefaultHedgeShare = 0.6;
@@ -219,7 +221,7 @@
   const bool good = aResult->mStatus < 500;
   mPool.Observe(aReplica, { !good, took });
   if (!good) {
-    if (aRace.mRequest.mOnRejected) {
+    if (aResult->mStatus == kFailedStatus && aRace.mRequest.mOnRejected) {
       aRace.mRequest.mOnRejected();
     }
     aRace.mRejected = std::move(*aResult);
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -201,6 +201,7 @@
         self.events, self.pause = events, pause
         self.orders = []
         self.seen = []
+        self.statuses = []  # of the next answers, in place of 200
         self.state = "ready"
         self.server = serve(self.handle)
         self.address = "127.0.0.1:%d" % self.server.server_port
@@ -238,7 +239,7 @@
             return
         if self.pause:
             time.sleep(self.pause)
-        handler.reply(200, b"answer to " + body, [("Attempt-Id", headers["Attempt-Id"]),
+        handler.reply(self.statuses.pop(0) if self.statuses else 200, b"answer to " + body, [("Attempt-Id", headers["Attempt-Id"]),
                                                   ("Response-Signature", "signed-" + headers["Attempt-Id"])])
 
     def stream(self, handler, headers):
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -267,6 +267,17 @@
     check(resumed, "samples were resumed from the store")
 
 
+def sample_is_dead_only_when_its_scoring_call_was_failed(site):
+    """The stand-in's route allows three attempts, so three answers of 500 may end a sample; others may not."""
+    daemon, (replica,) = site.daemons[0], site.plain
+    replica.statuses = [504] * 4
+    site.submit(daemon, "late", items=1)
+    check(site.read_all(daemon, 1, "late")[0]["state"] == "completed", "time-outs of the scoring service ended a sample")
+    replica.statuses = [500] * 3
+    site.submit(daemon, "failed", items=1)
+    check(site.read_all(daemon, 1, "failed")[0]["state"] == "dead", "a sample that cannot be scored goes on for ever")
+
+
 def ended_step_starts_nothing_more(site):
     first, second = site.daemons
     site.submit(first, items=40)
@@ -379,6 +390,7 @@
     (host_that_the_store_refuses_works_through_another, {"daemons": 2, "events": 10, "pause": 0.1}),
     (step_is_accepted_once_and_read_at_any_daemon, {"daemons": 2}),
     (step_of_a_killed_daemon_is_taken_over, {"daemons": 2, "events": 12, "pause": 0.25}),
+    (sample_is_dead_only_when_its_scoring_call_was_failed, {"plain": 1}),
     (ended_step_starts_nothing_more, {"daemons": 2, "events": 8, "pause": 0.1}),
     (leaving_replica_gets_nothing_new, {}),
     (named_version_reaches_the_replicas_once, {"daemons": 2}),
