--- a/include/agatetide/duty/usage_ledger.hpp
+++ b/include/agatetide/duty/usage_ledger.hpp
@@ -50,8 +50,8 @@
   /// @brief Counts one request that began at aWall (Unix milliseconds).
   void Count(const std::string& aAccount, int64_t aWall);
 
-  /// @brief Stores the counts of windows that have ended, if there are any. aAll also stores
-  /// the present window, before the process ends.
+  /// @brief Stores the counts of windows that have ended, if there are any.
+  /// aAll also stores the present window, before the process ends.
   Awaitable<void> Store(bool aAll);
 
   /// @brief Reports the windows that are due. Call it while leading.
