Limit what a faulty server's bytes can take; read no late answer as another's

Cause: the idle timeout of a stream started anew with every byte, so a replica that sent a comment now and then kept a sample for up to 30 s. Unparsed bytes (a chunk's header) had no limit, a body up to 64 MiB for each call on hosts with 88 MB. An interim answer (1xx) counted as the answer.

--- a/include/agatetide/http/client.hpp
+++ b/include/agatetide/http/client.hpp
@@ -14,7 +14,11 @@
 struct ClientOptions
 {
   std::chrono::milliseconds mConnectTimeout{ 1000 };
+  /// A longer body ends its call.
   size_t mMaxBodyBytes = size_t{ 64 } << 20U;
+  /// Bodies of all running Call()s; a call that would exceed it ends with
+  /// ResourceExhausted.
+  size_t mMaxHeldBytes = size_t{ 256 } << 20U;
   /// Idle connections kept for each endpoint.
   size_t mMaxIdle = 32;
   /// Idle connections older than this are not used again.
@@ -38,6 +42,9 @@
     }
   }
 
+  /// @brief Whether the call was ended.
+  bool Requested() const { return mRequested; }
+
 private:
   friend class Client;
   std::function<void()> mClose;
@@ -50,8 +57,8 @@
   /// Uses a new connection, so that a failed write proves that the server
   /// has not received the request.
   bool mFreshConnection = false;
-  /// Longest time without any byte of the answer, within the deadline; 0
-  /// means the deadline alone.
+  /// Longest time until the header, and then without progress as the body's
+  /// sink tells it, within the deadline; 0 means the deadline alone.
   std::chrono::milliseconds mIdleTimeout{ 0 };
   /// Takes an answer without length or chunks as whole when the connection
   /// ends without a reset.
@@ -63,15 +70,28 @@
   std::shared_ptr<Abort> mAbort;
 };
 
-/// @brief Takes one piece of a streamed body; false cancels the call.
-using BodySink = std::function<bool(std::string_view)>;
+/// @brief What a piece of a streamed body means for its reader.
+enum class BodyStep
+{
+  /// The idle timeout starts anew.
+  Progress,
+  /// Part of something longer, or filler.
+  Partial,
+  /// Ends the call.
+  Cancel,
+};
+
+/// @brief Takes one piece of a streamed body.
+using BodySink = std::function<BodyStep(std::string_view)>;
 
 /// @brief HTTP/1.1 client that keeps connections open. All methods must be
 /// called from the executor given to Create().
 ///
 /// Errors of calls: Unavailable (not run) when the request was not sent;
 /// OutcomeUnknown when the connection failed after that; DeadlineExceeded
-/// with the matching execution; DataLoss when the answer was cut.
+/// with the matching execution; DataLoss when the answer was cut or exceeds
+/// a limit; ResourceExhausted when the answers being read take too much
+/// memory.
 class Client
 {
 public:
--- a/include/agatetide/request/upstream.hpp
+++ b/include/agatetide/request/upstream.hpp
@@ -32,6 +32,10 @@
   TimePoint mDeadline{};
   /// Weight version that must run it.
   std::optional<int64_t> mVersion;
+  /// Set when the replica may have answered this id before, or when it must
+  /// be known whether the request was sent: a kept connection may hold a late
+  /// second answer, or be closed already.
+  bool mFreshConnection = false;
   /// Number of the last event that the sample has.
   std::optional<uint32_t> mResumeAfter;
 };
@@ -84,7 +88,7 @@
 struct StreamOptions
 {
   std::shared_ptr<http::Abort> mAbort;
-  /// Longest silence.
+  /// Longest time without a whole event.
   Milliseconds mIdleTimeout{ 0 };
   EventSink mSink;
 };
--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -22,6 +22,14 @@
 
 namespace {
 
+/// Received bytes that are not parsed yet.
+constexpr size_t kMaxBufferBytes = size_t{ 256 } << 10U;
+/// Interim answers before the final one.
+constexpr unsigned kMaxInterimAnswers = 8;
+constexpr unsigned kFirstFinalStatus = 200;
+/// Bodies of other answers are collected and not passed on in pieces.
+constexpr unsigned kStreamedStatus = 200;
+
 struct Connection
 {
   explicit Connection(const asio::any_io_executor& aExecutor)
@@ -30,7 +38,8 @@
   }
 
   beast::tcp_stream mStream;
-  beast::flat_buffer mBuffer;
+  /// A head or a chunk's header that does not fit ends the call.
+  beast::flat_buffer mBuffer{ kMaxBufferBytes };
   SteadyTime mIdleSince{};
   /// From the server's "keep-alive: timeout"; the longest time otherwise.
   std::chrono::milliseconds mMaxIdleTime = std::chrono::hours(1);
@@ -125,6 +134,124 @@
   return std::chrono::hours(1);
 }
 
+Error TooMuchHeld()
+{
+  return { ErrorKind::ResourceExhausted,
+           "the answers being read take too much memory",
+           "send fewer requests at once, or allow more memory",
+           Execution::Unknown };
+}
+
+/// Reads one answer from a connection. Its bytes are not trusted: memory and
+/// time are limited whatever arrives.
+class AnswerReader
+{
+public:
+  AnswerReader(Connection& aConnection,
+               Endpoint aEndpoint,
+               const CallOptions& aOptions,
+               size_t aMaxBodyBytes,
+               bool aIsHead)
+    : mConnection(aConnection)
+    , mEndpoint(std::move(aEndpoint))
+    , mOptions(aOptions)
+    , mMaxBodyBytes(aMaxBodyBytes)
+    , mIsHead(aIsHead)
+  {
+    Progress();
+  }
+
+  /// The status and the header of the final answer.
+  Awaitable<Result<Response>> ReadHeader()
+  {
+    for (unsigned answers = 0; answers <= kMaxInterimAnswers; ++answers) {
+      mParser.emplace();
+      mParser->body_limit(mMaxBodyBytes);
+      mParser->skip(mIsHead);
+      ErrorCode error;
+      co_await beast::http::async_read_header(
+        mConnection.mStream,
+        mConnection.mBuffer,
+        *mParser,
+        asio::redirect_error(asio::use_awaitable, error));
+      if (error) {
+        co_return Failure(error, Interrupted(mEndpoint, error));
+      }
+      if (mParser->get().result_int() < kFirstFinalStatus) {
+        continue;
+      }
+      if (mParser->get().need_eof() && !mOptions.mAllowEndByClose) {
+        // Without a length or chunks, a cut answer looks like a whole one.
+        co_return CutAnswer(mEndpoint);
+      }
+      Progress();
+      co_return HeaderOf(mParser->get());
+    }
+    co_return CutAnswer(mEndpoint);
+  }
+
+  /// Passes the body on piece by piece.
+  Awaitable<Result<bool>> ReadBody(BodySink aSink)
+  {
+    std::array<char, 16384> piece{};
+    while (!mParser->is_done()) {
+      auto& body = mParser->get().body();
+      body.data = piece.data();
+      body.size = piece.size();
+      ErrorCode error;
+      co_await beast::http::async_read_some(
+        mConnection.mStream,
+        mConnection.mBuffer,
+        *mParser,
+        asio::redirect_error(asio::use_awaitable, error));
+      if (error == beast::http::error::need_buffer) {
+        error = {};
+      }
+      const std::string_view part(piece.data(), piece.size() - body.size);
+      const BodyStep step = part.empty() ? BodyStep::Partial : aSink(part);
+      if (step == BodyStep::Cancel) {
+        co_return CanceledCall();
+      }
+      if (step == BodyStep::Progress) {
+        Progress();
+      }
+      if (error) {
+        co_return Failure(error,
+                          error == beast::error::timeout
+                            ? Interrupted(mEndpoint, error)
+                            : CutAnswer(mEndpoint));
+      }
+    }
+    co_return true;
+  }
+
+  bool KeepAlive() const { return mParser->keep_alive(); }
+
+private:
+  /// The idle timeout starts anew.
+  void Progress()
+  {
+    if (mOptions.mIdleTimeout.count() > 0) {
+      mConnection.mStream.expires_at(
+        std::min(mOptions.mDeadline,
+                 std::chrono::steady_clock::now() + mOptions.mIdleTimeout));
+    }
+  }
+
+  Error Failure(const ErrorCode& aCode, Error aError) const
+  {
+    const bool aborted = mOptions.mAbort && mOptions.mAbort->Requested();
+    return aCode && aborted ? CanceledCall() : std::move(aError);
+  }
+
+  Connection& mConnection;
+  Endpoint mEndpoint;
+  const CallOptions& mOptions;
+  size_t mMaxBodyBytes;
+  bool mIsHead;
+  std::optional<beast::http::response_parser<beast::http::buffer_body>> mParser;
+};
+
 /// Whether an idle connection is still open and silent. A server that closed
 /// it, or sent something unasked, must not get a further request.
 bool Usable(Connection& aConnection)
@@ -145,6 +272,8 @@
   asio::any_io_executor mExecutor;
   ClientOptions mOptions;
   std::map<std::string, std::deque<ConnectionPtr>> mIdle;
+  /// Bytes of bodies that running calls have collected.
+  size_t mHeldBytes = 0;
 
   static std::string Key(const Endpoint& aEndpoint)
   {
@@ -268,15 +397,26 @@
                                          Request aRequest,
                                          CallOptions aOptions)
 {
+  const std::shared_ptr<State> state = mState;
   std::string body;
-  auto streamed = co_await Stream(std::move(aEndpoint),
-                                  std::move(aRequest),
-                                  aOptions,
-                                  [&](std::string_view aPart) {
-                                    body.append(aPart);
-                                    return true;
-                                  });
-  if (streamed.has_value() && streamed->mStatus == 200) {
+  bool exhausted = false;
+  const BodySink collect = [&](std::string_view aPart) {
+    exhausted =
+      state->mHeldBytes + aPart.size() > state->mOptions.mMaxHeldBytes;
+    if (exhausted) {
+      return BodyStep::Cancel;
+    }
+    body.append(aPart);
+    state->mHeldBytes += aPart.size();
+    return BodyStep::Progress;
+  };
+  auto streamed = co_await Stream(
+    std::move(aEndpoint), std::move(aRequest), aOptions, collect);
+  state->mHeldBytes -= body.size();
+  if (exhausted) {
+    co_return TooMuchHeld();
+  }
+  if (streamed.has_value() && streamed->mStatus == kStreamedStatus) {
     streamed->mBody = std::move(body);
   }
   co_return streamed;
@@ -293,13 +433,8 @@
     co_return sent.error();
   }
   ConnectionPtr connection = std::move(*sent);
-  beast::http::response_parser<beast::http::buffer_body> parser;
-  parser.body_limit(state->mOptions.mMaxBodyBytes);
-  if (aRequest.mMethod == "HEAD") {
-    parser.skip(true);
-  }
   const std::shared_ptr<Abort> abort = aOptions.mAbort;
-  if (abort && abort->mRequested) {
+  if (abort && abort->Requested()) {
     co_return CanceledCall();
   }
   if (abort) {
@@ -310,64 +445,30 @@
       abort->mClose = nullptr;
     }
   });
-  const auto limitSilence = [&] {
-    if (aOptions.mIdleTimeout.count() > 0) {
-      connection->mStream.expires_at(
-        std::min(aOptions.mDeadline,
-                 std::chrono::steady_clock::now() + aOptions.mIdleTimeout));
-    }
-  };
-  ErrorCode error;
-  limitSilence();
-  co_await beast::http::async_read_header(
-    connection->mStream,
-    connection->mBuffer,
-    parser,
-    asio::redirect_error(asio::use_awaitable, error));
-  const auto aborted = [&] { return abort && abort->mRequested; };
-  if (error) {
-    co_return aborted() ? CanceledCall() : Interrupted(aEndpoint, error);
-  }
-  if (parser.get().need_eof() && !aOptions.mAllowEndByClose) {
-    // Without a length or chunks, a cut answer looks like a whole one.
-    co_return CutAnswer(aEndpoint);
+  AnswerReader reader(*connection,
+                      aEndpoint,
+                      aOptions,
+                      state->mOptions.mMaxBodyBytes,
+                      aRequest.mMethod == "HEAD");
+  auto response = co_await reader.ReadHeader();
+  if (response.has_error()) {
+    co_return response;
   }
-  Response response = HeaderOf(parser.get());
-  if (aOptions.mOnHeader && !aOptions.mOnHeader(response)) {
+  if (aOptions.mOnHeader && !aOptions.mOnHeader(*response)) {
     co_return CanceledCall();
   }
-  std::array<char, 16384> piece{};
-  while (!parser.is_done()) {
-    parser.get().body().data = piece.data();
-    parser.get().body().size = piece.size();
-    limitSilence();
-    co_await beast::http::async_read_some(
-      connection->mStream,
-      connection->mBuffer,
-      parser,
-      asio::redirect_error(asio::use_awaitable, error));
-    if (error == beast::http::error::need_buffer) {
-      error = {};
-    }
-    const std::string_view part(piece.data(),
-                                piece.size() - parser.get().body().size);
-    if (response.mStatus != 200) {
-      response.mBody.append(part);
-    } else if (!part.empty() && !aSink(part)) {
-      co_return CanceledCall();
-    }
-    if (error && aborted()) {
-      co_return CanceledCall();
-    }
-    if (error == beast::error::timeout) {
-      co_return Interrupted(aEndpoint, error);
-    }
-    if (error) {
-      co_return CutAnswer(aEndpoint);
-    }
+  if (response->mStatus != kStreamedStatus) {
+    aSink = [&body = response->mBody](std::string_view aPart) {
+      body.append(aPart);
+      return BodyStep::Partial;
+    };
+  }
+  const auto read = co_await reader.ReadBody(std::move(aSink));
+  if (read.has_error()) {
+    co_return read.error();
   }
-  if (parser.keep_alive()) {
-    connection->mMaxIdleTime = IdleTimeOf(response);
+  if (reader.KeepAlive()) {
+    connection->mMaxIdleTime = IdleTimeOf(*response);
     state->Keep(aEndpoint, std::move(connection));
   }
   co_return response;
--- a/src/agatetide/http/client_test.cpp
+++ b/src/agatetide/http/client_test.cpp
@@ -53,7 +53,7 @@
   const http::Request request;
   const http::BodySink count = [&](std::string_view) {
     ++aParts;
-    return true;
+    return http::BodyStep::Progress;
   };
   const auto answer =
     co_await aClient.Stream(endpoint, request, options, count);
--- a/src/agatetide/platform/engine.cpp
+++ b/src/agatetide/platform/engine.cpp
@@ -46,6 +46,7 @@
   }
 
   const std::string& Failure() const { return mFailure; }
+  size_t Events() const { return mEvents; }
 
 private:
   void Line(std::string_view aLine)
@@ -73,6 +74,7 @@
 
   void Apply(const json& aEvent)
   {
+    ++mEvents;
     mCompletion.mText += aEvent["choices"][0].value("text", "");
     mCompletion.mTokens += aEvent.value("tokens", 1U);
     const uint64_t version = aEvent.value("weight_version", uint64_t{ 0 });
@@ -87,6 +89,7 @@
   std::string mRequestId;
   std::string mPending;
   std::string mFailure;
+  size_t mEvents = 0;
 };
 
 http::Request JsonPost(std::string aTarget, const json& aBody)
@@ -140,11 +143,19 @@
   options.mDeadline = aDeadline;
   options.mIdleTimeout = aRequest.mIdleTimeout;
   options.mAbort = aRequest.mAbort;
+  const http::BodySink sink = [&](std::string_view aPart) {
+    const size_t before = reader.Events();
+    if (!reader.Feed(aPart) || !aKeepGoing()) {
+      return http::BodyStep::Cancel;
+    }
+    return reader.Events() > before ? http::BodyStep::Progress
+                                    : http::BodyStep::Partial;
+  };
   auto answer = co_await aClient.Stream(
     std::move(aEngine),
     JsonPost("/v1/completions", CompletionBody(aRequest)),
     options,
-    [&](std::string_view aPart) { return reader.Feed(aPart) && aKeepGoing(); });
+    sink);
   if (!reader.Failure().empty()) {
     co_return InvalidStream(reader.Failure());
   }
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -521,6 +521,7 @@
   request.mAccount = aStep.mRecord.mAccount;
   request.mReplicaId = std::move(aReplicaId);
   request.mDeadline = mContext.mClock() + kMaxStreamTime;
+  request.mFreshConnection = work.mFailures > 0;
   if (!work.mEvents.empty()) {
     request.mResumeAfter = static_cast<uint32_t>(work.mEvents.size());
   }
@@ -635,6 +636,7 @@
       request.mPrototype.mTarget = scoring->mPath;
       request.mPrototype.mHeaders.push_back({ "host", scoring->mHost });
       request.mPrototype.mBody = scoring->mBody;
+      request.mPrototype.mFreshConnection = *failures > 0;
       request.mDeadline = mContext.mClock() + route->mTimeout;
       request.mOnRejected = [failures] { ++*failures; };
       const unsigned allowed = route->mMaxAttempts;
