Answer every request that a stopping host has accepted

Cause: a host that stopped closed its listener 0.9 s before the end of the grace time and ended as soon as its last writes were done, however many requests ran; connections that the system had accepted were reset.

A forwarder whose attempt ended before its wait began lost that wake-up; it looks first. Requests that may run once use no kept connection: what is sent on one that the replica has closed is reset, and nobody knows whether it ran.

forwarder_test shows a lost answer told as such and not repeated.

--- a/include/agatetide/http/server.hpp
+++ b/include/agatetide/http/server.hpp
@@ -71,6 +71,12 @@
   /// move to other hosts between requests.
   void CloseAfterAnswers();
 
+  /// @brief Answers each request that arrives from now on with this error
+  /// and closes its connection. Idle connections are closed, but for new ones,
+  /// whose first request is on its way. Requests that are being handled get
+  /// their answers.
+  void RefuseRequests(Error aReason);
+
   /// @brief Accepts no new connections. Answers on open ones carry
   /// "connection: close".
   void StopAccepting();
--- a/include/agatetide/request/forwarder.hpp
+++ b/include/agatetide/request/forwarder.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <map>
+#include <set>
 
 namespace agatetide::request {
 
@@ -46,6 +47,10 @@
   /// OutcomeUnknown; DeadlineExceeded; Canceled when the caller has gone.
   Awaitable<Result<UpstreamAnswer>> Run(ForwardRequest aRequest);
 
+  /// @brief Ends all requests by aTime, also those that are running: a daemon
+  /// that stops answers them before it goes.
+  void EndBy(TimePoint aTime);
+
 private:
   struct Race;
   struct ServiceState
@@ -63,6 +68,7 @@
               Result<UpstreamAnswer> aResult,
               TimePoint aSent);
   Result<UpstreamAnswer> Outcome(Race& aRace) const;
+  TimePoint DeadlineOf(const Race& aRace) const;
   std::string ChooseService(const fleet::Route& aRoute) const;
   Duration HedgeAfter(const Race& aRace);
 
@@ -72,6 +78,8 @@
   Clock mClock;
   Random mRandom;
   std::map<std::string, ServiceState, std::less<>> mServices;
+  std::set<Race*> mRaces;
+  TimePoint mEnd = TimePoint::max();
 };
 
 } // namespace agatetide::request
--- a/src/agatetide/http/server.cpp
+++ b/src/agatetide/http/server.cpp
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <optional>
+#include <set>
 
 namespace agatetide::http {
 
@@ -35,6 +36,10 @@
   Handler mHandler;
   bool mStopping = false;
   bool mClosing = false;
+  /// Set once requests are refused.
+  std::optional<Error> mRefusal;
+  /// Connections that have served a request and wait for another one.
+  std::set<beast::tcp_stream*> mIdle;
   size_t mRunning = 0;
   size_t mConnections = 0;
   ServerCounters mCounters;
@@ -265,6 +270,13 @@
   co_return MakeErrorResponse(failure, id);
 }
 
+template<class ServerState>
+Response RefusalOf(const ServerState& aState, const Request& aRequest)
+{
+  return MakeErrorResponse(*aState.mRefusal,
+                           FindHeader(aRequest.mHeaders, "x-request-id"));
+}
+
 template<class ServerState>
 Awaitable<void> Serve(std::shared_ptr<ServerState> aState,
                       beast::tcp_stream aStream)
@@ -275,20 +287,29 @@
   aStream.socket().set_option(Tcp::no_delay(true), closed);
   beast::flat_buffer buffer;
   bool keepAlive = true;
+  bool served = false;
   while (keepAlive) {
     beast::http::request_parser<beast::http::string_body> parser;
     parser.header_limit(static_cast<uint32_t>(options.mMaxHeaderBytes));
     parser.body_limit(options.mMaxBodyBytes);
     ErrorCode error;
     if (buffer.size() == 0) {
+      if (served && aState->mRefusal) {
+        co_return;
+      }
       aStream.expires_after(options.mIdleTimeout);
+      if (served) {
+        aState->mIdle.insert(&aStream);
+      }
       const size_t received = co_await aStream.async_read_some(
         buffer.prepare(4096), asio::redirect_error(asio::use_awaitable, error));
+      aState->mIdle.erase(&aStream);
       buffer.commit(received);
       if (error) {
         co_return;
       }
     }
+    served = true;
     const Counted running(aState->mRunning);
     aStream.expires_after(options.mTransferTimeout);
     co_await beast::http::async_read(
@@ -318,12 +339,18 @@
     const auto caller = request.mCaller;
     std::optional<ConnectionWatch> watch;
     watch.emplace(aStream, caller);
-    Response response = co_await Handle(aState, std::move(request));
+    Response response;
+    if (aState->mRefusal) {
+      response = RefusalOf(*aState, request);
+    } else {
+      response = co_await Handle(aState, std::move(request));
+    }
     watch.reset();
     if (caller->Gone()) {
       co_return;
     }
-    keepAlive = keepAlive && !aState->mStopping && !aState->mClosing;
+    keepAlive =
+      keepAlive && !aState->mStopping && !aState->mClosing && !aState->mRefusal;
     const bool written =
       response.mStream
         ? co_await WriteStream(
@@ -338,6 +365,19 @@
   aStream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
 }
 
+template<class ServerState>
+void Start(const std::shared_ptr<ServerState>& aState, Tcp::socket aSocket)
+{
+  if (aState->mConnections >= aState->mOptions.mMaxConnections) {
+    ++aState->mCounters.mRefusedConnections;
+    return;
+  }
+  ++aState->mCounters.mAccepted;
+  asio::co_spawn(aState->mAcceptor.get_executor(),
+                 Serve(aState, beast::tcp_stream(std::move(aSocket))),
+                 asio::detached);
+}
+
 template<class ServerState>
 Awaitable<void> Accept(std::shared_ptr<ServerState> aState)
 {
@@ -356,14 +396,7 @@
         asio::redirect_error(asio::use_awaitable, error));
       continue;
     }
-    if (aState->mConnections >= aState->mOptions.mMaxConnections) {
-      ++aState->mCounters.mRefusedConnections;
-      continue;
-    }
-    ++aState->mCounters.mAccepted;
-    asio::co_spawn(aState->mAcceptor.get_executor(),
-                   Serve(aState, beast::tcp_stream(std::move(socket))),
-                   asio::detached);
+    Start(aState, std::move(socket));
   }
 }
 
@@ -427,11 +460,28 @@
   mState->mClosing = true;
 }
 
+void Server::RefuseRequests(Error aReason)
+{
+  mState->mRefusal = std::move(aReason);
+  for (beast::tcp_stream* stream : mState->mIdle) {
+    stream->cancel();
+  }
+}
+
 void Server::StopAccepting()
 {
   mState->mStopping = true;
-  ErrorCode ignored;
-  mState->mAcceptor.close(ignored);
+  // The system has accepted these connections already: their requests get an
+  // answer and not a reset.
+  ErrorCode error;
+  mState->mAcceptor.non_blocking(true, error);
+  while (!error) {
+    Tcp::socket socket = mState->mAcceptor.accept(error);
+    if (!error) {
+      Start(mState, std::move(socket));
+    }
+  }
+  mState->mAcceptor.close(error);
 }
 
 void Server::SetLimits(const ServerLimits& aLimits)
--- a/src/agatetide/request/forwarder.cpp
+++ b/src/agatetide/request/forwarder.cpp
@@ -111,9 +111,10 @@
     });
   }
   const bool idempotent = request.mRoute.mKind == fleet::RouteKind::Idempotent;
+  mRaces.insert(race.get());
   TimePoint hedgeAt = mClock() + HedgeAfter(*race);
   StartAttempt(race);
-  while (!race->mGood && !race->mGone && mClock() < request.mDeadline) {
+  while (!race->mGood && !race->mGone && mClock() < DeadlineOf(*race)) {
     const bool another = race->mAttempts < request.mRoute.mMaxAttempts &&
                          (idempotent || !race->mMayHaveRun) &&
                          race->mRefusals < kMaxRefusals;
@@ -126,13 +127,17 @@
         StartAttempt(race);
       }
     }
+    if (race->mGood || race->mPending == 0) {
+      continue; // The attempt has ended already.
+    }
     const bool mayHedge = idempotent && another;
-    race->mTimer.expires_at(mayHedge ? std::min(hedgeAt, request.mDeadline)
-                                     : request.mDeadline);
+    race->mTimer.expires_at(mayHedge ? std::min(hedgeAt, DeadlineOf(*race))
+                                     : DeadlineOf(*race));
     boost::system::error_code ignored;
     co_await race->mTimer.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
   }
+  mRaces.erase(race.get());
   if (request.mCaller) {
     request.mCaller->OnGone({});
   }
@@ -142,6 +147,19 @@
   co_return Outcome(*race);
 }
 
+void Forwarder::EndBy(TimePoint aTime)
+{
+  mEnd = aTime;
+  for (Race* race : mRaces) {
+    race->mTimer.cancel();
+  }
+}
+
+TimePoint Forwarder::DeadlineOf(const Race& aRace) const
+{
+  return std::min(aRace.mRequest.mDeadline, mEnd);
+}
+
 bool Forwarder::StartAttempt(const std::shared_ptr<Race>& aRace)
 {
   ReplicaWish wish{ aRace->mService, aRace->mUsed, {} };
@@ -165,7 +183,12 @@
 {
   UpstreamRequest request = aRace->mRequest.mPrototype;
   request.mReplicaId = aUse.Replica().mId;
-  request.mDeadline = aRace->mRequest.mDeadline;
+  request.mDeadline = DeadlineOf(*aRace);
+  // On a kept connection that the replica has closed meanwhile, nobody knows
+  // whether a lost request has run.
+  request.mFreshConnection =
+    request.mFreshConnection ||
+    aRace->mRequest.mRoute.mKind != fleet::RouteKind::Idempotent;
   const TimePoint sent = mClock();
   auto result =
     co_await mCall(aUse.Replica().mEndpoint, std::move(request), aAbort);
@@ -248,7 +271,7 @@
     return std::move(*aRace.mRejected);
   }
   const bool mayRun = aRace.mMayHaveRun || aRace.mPending > 0;
-  if (mClock() >= aRace.mRequest.mDeadline) {
+  if (mClock() >= DeadlineOf(aRace)) {
     return Error{ ErrorKind::DeadlineExceeded,
                   "no replica answered in time",
                   "allow more time, or retry if the request is idempotent",
--- /dev/null
+++ b/src/agatetide/request/forwarder_test.cpp
@@ -0,0 +1,163 @@
+#include "agatetide/request/forwarder.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <criterion/criterion.h>
+
+#include <deque>
+
+using namespace agatetide;
+using namespace agatetide::request;
+namespace asio = boost::asio;
+
+namespace {
+
+Result<UpstreamAnswer> Answer(unsigned aStatus)
+{
+  UpstreamAnswer answer;
+  answer.mStatus = aStatus;
+  answer.mSignature = "signature";
+  return answer;
+}
+
+Result<UpstreamAnswer> Refusal()
+{
+  auto answer = Answer(503);
+  answer->mNotRun = true;
+  return answer;
+}
+
+Result<UpstreamAnswer> LostAnswer()
+{
+  return Error{ ErrorKind::OutcomeUnknown,
+                "the connection was reset",
+                "retry if idempotent",
+                Execution::Unknown };
+}
+
+/// Three replicas whose answers are scripted, in the order of the attempts.
+struct Fixture
+{
+  explicit Fixture(std::deque<Result<UpstreamAnswer>> aScript)
+    : mScript(std::move(aScript))
+  {
+    for (const char* id : { "a", "b", "c" }) {
+      fleet::Replica replica;
+      replica.mId = id;
+      replica.mService = "service";
+      replica.mAddress = id;
+      mView.Put(std::move(replica));
+    }
+  }
+
+  Result<UpstreamAnswer> Run(fleet::RouteKind aKind)
+  {
+    ForwardRequest request;
+    request.mRoute.mKind = aKind;
+    request.mRoute.mMaxAttempts = 3;
+    request.mRoute.mServices.push_back({ "service", 1.0 });
+    request.mPrototype.mId = "id";
+    request.mDeadline = mClock() + std::chrono::seconds(2);
+    Result<UpstreamAnswer> result = Error{};
+    asio::co_spawn(
+      mContext,
+      mForwarder.Run(std::move(request)),
+      [&](const std::exception_ptr&, Result<UpstreamAnswer> aResult) {
+        result = std::move(aResult);
+      });
+    mContext.run();
+    mContext.restart();
+    return result;
+  }
+
+  Awaitable<Result<UpstreamAnswer>> Attempt(UpstreamRequest aRequest)
+  {
+    mSent.push_back(std::move(aRequest));
+    Result<UpstreamAnswer> next = Refusal();
+    if (!mScript.empty()) {
+      next = std::move(mScript.front());
+      mScript.pop_front();
+    }
+    co_return next;
+  }
+
+  asio::io_context mContext;
+  Clock mClock = SteadyClock();
+  fleet::FleetView mView{ mClock, "zone", "region" };
+  ReplicaPool mPool{ mView, mClock, SeededRandom(1) };
+  std::deque<Result<UpstreamAnswer>> mScript;
+  std::vector<UpstreamRequest> mSent;
+  Forwarder mForwarder{ mContext.get_executor(),
+                        mPool,
+                        [this](http::Endpoint,
+                               UpstreamRequest aRequest,
+                               std::shared_ptr<http::Abort>) {
+                          return Attempt(std::move(aRequest));
+                        },
+                        mClock,
+                        SeededRandom(2) };
+};
+
+} // namespace
+
+// Guards against a second run of a request whose answer was lost, and against
+// telling its caller that it has not run.
+Test(forwarder, a_non_idempotent_request_with_a_lost_answer_runs_once)
+{
+  Fixture fixture({ LostAnswer(), Answer(200) });
+  const auto result = fixture.Run(fleet::RouteKind::NonIdempotent);
+  cr_assert(result.has_error());
+  cr_expect_eq(fixture.mSent.size(), 1);
+  cr_expect_eq(result.error().mKind, ErrorKind::OutcomeUnknown);
+  cr_expect_eq(result.error().mExecution, Execution::Unknown);
+}
+
+// Guards against a refusal after a lost answer that hides the first attempt.
+Test(forwarder, a_refusal_after_a_lost_answer_promises_nothing)
+{
+  Fixture fixture({ LostAnswer(), Refusal(), Refusal() });
+  const auto result = fixture.Run(fleet::RouteKind::Idempotent);
+  cr_assert(result.has_error());
+  cr_expect_eq(result.error().mExecution, Execution::Unknown);
+  cr_expect_neq(result.error().mKind, ErrorKind::Unavailable);
+}
+
+// Guards against a lost answer that an idempotent caller has to wait for.
+Test(forwarder, an_idempotent_request_is_sent_to_another_replica)
+{
+  Fixture fixture({ LostAnswer(), Answer(200) });
+  const auto result = fixture.Run(fleet::RouteKind::Idempotent);
+  cr_assert(result.has_value());
+  cr_assert_eq(fixture.mSent.size(), 2);
+  cr_expect_neq(fixture.mSent[0].mReplicaId, fixture.mSent[1].mReplicaId);
+}
+
+// Guards against giving a request up that only refusals have met.
+Test(forwarder, a_refused_non_idempotent_request_goes_to_another_replica)
+{
+  Fixture fixture({ Refusal(), Answer(200) });
+  cr_expect(fixture.Run(fleet::RouteKind::NonIdempotent).has_value());
+  cr_expect_eq(fixture.mSent.size(), 2);
+}
+
+Test(forwarder, refusals_of_all_replicas_promise_that_it_has_not_run)
+{
+  Fixture fixture({});
+  const auto result = fixture.Run(fleet::RouteKind::NonIdempotent);
+  cr_assert(result.has_error());
+  cr_expect_eq(result.error().mExecution, Execution::NotRun);
+  cr_expect_eq(result.error().mKind, ErrorKind::Unavailable);
+}
+
+// Guards against kept connections that the replica has closed: what is sent
+// on one is reset, and a request that may run once could not be repeated.
+Test(forwarder, only_idempotent_requests_use_kept_connections)
+{
+  Fixture once({ Answer(200) });
+  cr_expect(once.Run(fleet::RouteKind::NonIdempotent).has_value());
+  cr_expect(once.mSent.at(0).mFreshConnection);
+  Fixture often({ Answer(200) });
+  cr_expect(often.Run(fleet::RouteKind::Idempotent).has_value());
+  cr_expect_not(often.mSent.at(0).mFreshConnection);
+}
