--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -55,14 +55,16 @@
 
 
 class Door:
-    """An address of the store that can refuse one host alone."""
+    """An address of the store that can refuse one host alone, or leave it without answers."""
 
     def __init__(self, store):
-        self.store, self.refuse = store, False
+        self.store, self.refuse, self.silent = store, False, False
         self.server = serve(self.handle)
         self.address = "127.0.0.1:%d" % self.server.server_port
 
     def handle(self, handler, method, path, query, body):
+        while self.silent:
+            time.sleep(0.05)
         if self.refuse:
             handler.reply(429)
         else:
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -4,6 +4,7 @@
 """
 
 import base64
+import collections
 import contextlib
 import http.client
 import json
@@ -14,6 +15,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import traceback
 
@@ -240,6 +242,31 @@
     check(second.last_event("step_submitted", "") == "", "the trainer sent it once")
 
 
+def host_that_hears_nothing_of_the_store_keeps_its_step(site):
+    """A host that is only slow to renew its lease: its step must neither be taken over nor wait."""
+    first, second = site.daemons
+    site.submit(first)
+    until(lambda: sum(len(e.seen) for e in site.engines) >= 6, "all items run")
+    first.door.silent = True
+    site.read_all(second, 6)
+    first.door.silent = False
+    check(not second.last_event("step_taken_over", "step-1"), "the step was taken over")
+    starts = collections.Counter(seen[0] for engine in site.engines for seen in engine.seen)
+    check(all(count == 1 for count in starts.values()), "an item ran twice: %s" % starts)
+
+
+def running_items_of_a_silent_replica_go_on(site):
+    """A registration that lapsed says nothing of the items that the replica runs."""
+    first = site.daemons[0]
+    site.submit(first)
+    until(lambda: sum(len(e.seen) for e in site.engines) >= 6, "all items run")
+    site.store.remove("servers/engine-0")
+    until(lambda: first.last_event("replica_gone", "engine-0"), "the replica is gone")
+    site.read_all(first, 6)
+    starts = collections.Counter(seen[0] for engine in site.engines for seen in engine.seen)
+    check(all(count == 1 for count in starts.values()), "an item ran twice: %s" % starts)
+
+
 def step_is_accepted_once_and_read_at_any_daemon(site):
     first, second = site.daemons
     check(site.submit(first) == 202 and site.submit(second) == 202, "accepted twice")
@@ -372,6 +399,43 @@
     check(len(site.read_all(second, 6)) == 6, "the step is whole")
 
 
+def stopping_host_answers_all_it_has_accepted(site):
+    """Requests on new and on kept connections until one is refused."""
+    first, cut, ends = site.daemons[0], [], collections.Counter()
+
+    def call(connection, ident):
+        connection.request("POST", "/open/1", b"question", {"Host": HOST, "Attempt-Id": ident, "Timeout-Ms": "3000"})
+        answer = connection.getresponse()
+        answer.read()
+        ends[answer.status] += 1
+        return answer.status == 200 and answer.getheader("Connection", "") != "close", answer.status
+
+    def press(number, keep):
+        connection, kept, status, count = None, False, 200, 0
+        while status == 200 and first.process.poll() is None:
+            count += 1
+            try:
+                if not kept:
+                    connection = http.client.HTTPConnection("127.0.0.1", first.front, timeout=8)
+                    connection.connect()
+                kept, status = call(connection, "press-%d-%d" % (number, count))
+                kept = kept and keep
+            except (OSError, http.client.HTTPException) as error:
+                cut.append(repr(error))
+                return
+
+    threads = [threading.Thread(target=press, args=(i, i % 2 == 0)) for i in range(6)]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.3)
+    first.process.send_signal(signal.SIGTERM)
+    for thread in threads:
+        thread.join()
+    check(first.process.wait(5) == 0, "exit code")
+    check(not cut, "cut: %s" % cut)
+    check(ends[200] > 12, "served %s" % ends)
+
+
 def host_stops_in_time_without_the_store(site):
     first = site.daemons[0]
     site.submit(first)
@@ -388,6 +452,8 @@
     (one_daemon_of_a_zone_watches_the_store, {"daemons": 3}),
     (zone_goes_on_when_its_watching_daemon_hangs, {"daemons": 3}),
     (host_that_the_store_refuses_works_through_another, {"daemons": 2, "events": 10, "pause": 0.1}),
+    (host_that_hears_nothing_of_the_store_keeps_its_step, {"daemons": 2, "events": 12, "pause": 0.5}),
+    (running_items_of_a_silent_replica_go_on, {"events": 6, "pause": 0.3}),
     (step_is_accepted_once_and_read_at_any_daemon, {"daemons": 2}),
     (step_of_a_killed_daemon_is_taken_over, {"daemons": 2, "events": 12, "pause": 0.25}),
     (sample_is_dead_only_when_its_scoring_call_was_failed, {"plain": 1}),
@@ -397,6 +463,7 @@
     (usage_windows_are_sealed_and_reported_once, {"daemons": 2}),
     (host_to_be_emptied_is_answered, {}),
     (malformed_input_is_refused_and_harmless, {}),
+    (stopping_host_answers_all_it_has_accepted, {"pause": 0.35}),
     (draining_host_finishes_and_leaves, {"daemons": 2, "events": 6, "pause": 0.1}),
 ]
 
