Order replicas so that all items of a step have a place

The leader now orders replicas for services with limits of the operator: enough places for the items that are open at once, spread over the zones, half of them regular, another kind or zone when none can be had; given back one by one after a minute without need.

--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatetide/base/steady_wall_clock.hpp"
+#include "agatetide/duty/capacity_duty.hpp"
 #include "agatetide/duty/leadership.hpp"
 #include "agatetide/duty/usage_ledger.hpp"
 #include "agatetide/duty/version_mover.hpp"
@@ -47,6 +48,7 @@
   duty::SendOrder mSendOrder;
   duty::ReadStatus mReadStatus;
   duty::ReportUsage mReportUsage;
+  duty::SendCapacityOrder mOrderCapacity;
   /// Keys of the operator and of replicas in the store.
   std::string mOperatorPrefix;
   std::string mReplicaPrefix;
@@ -153,6 +155,7 @@
   duty::UsageLedger mUsage;
   std::optional<duty::Leadership> mLeadership;
   std::optional<duty::VersionMover> mMover;
+  std::optional<duty::CapacityDuty> mCapacity;
   bool mDraining = false;
   TimePoint mStoreFailed{};
   /// Replicas whose registration went while the store was away.
--- a/include/agatetide/steps/step_service.hpp
+++ b/include/agatetide/steps/step_service.hpp
@@ -83,6 +83,13 @@
     return mDemand;
   }
 
+  /// @brief Items that run at once when none has to wait, by service, as of
+  /// the last Recover().
+  const std::map<std::string, unsigned, std::less<>>& ItemsAtOnce() const
+  {
+    return mItemsAtOnce;
+  }
+
 private:
   /// What is known of a step of another daemon.
   struct CachedStep
@@ -106,6 +113,7 @@
   Awaitable<void> ResolveUnknown(std::string aId);
   Awaitable<bool> TakeOver(StepRecord aRecord);
   Awaitable<bool> AdoptStored(StepRecord aRecord);
+  void CountItems(const std::vector<StepRecord>& aRecords);
   ReadAnswer Answer(const std::vector<ItemResult>& aResults,
                     size_t aTotal,
                     size_t aFrom) const;
@@ -118,6 +126,7 @@
   std::set<std::string> mUnresolved;
   bool mUnfinished = false;
   std::map<std::string, double, std::less<>> mDemand;
+  std::map<std::string, unsigned, std::less<>> mItemsAtOnce;
 };
 
 } // namespace agatetide::steps
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -77,6 +77,12 @@
                          daemon->mHooks.mSendOrder,
                          daemon->mHooks.mReadStatus,
                          daemon->mClock);
+  daemon->mCapacity.emplace(duty::CapacityDutyOptions{},
+                            daemon->mExecutor,
+                            daemon->mView,
+                            *daemon->mLeadership,
+                            daemon->mHooks.mOrderCapacity,
+                            daemon->mClock);
   return daemon;
 }
 
@@ -285,6 +291,7 @@
       .Field("replica", replica->mId)
       .Field("upstream", replica->mService)
       .Field("availability_zone", replica->mAvailabilityZone)
+      .Field("preemptible", replica->mPreemptible)
       .Field("draining", replica->mDraining)
       .Write();
   }
@@ -344,6 +351,7 @@
     co_await timer.async_wait(asio::use_awaitable);
     co_await mLeadership->Maintain();
     mMover->Review();
+    mCapacity->Review();
     if (mLeadership->MayAct()) {
       co_await AnswerEmptiedHosts();
     }
@@ -414,6 +422,7 @@
     if (sweep) {
       last = mClock();
       mMover->SetDemand(mSteps.Demand());
+      mCapacity->SetDemand(mSteps.ItemsAtOnce());
     }
   }
 }
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <span>
 
 namespace agatetide::steps {
 
@@ -394,6 +395,56 @@
   co_return co_await AdoptStored(std::move(aRecord));
 }
 
+namespace {
+
+/// A step as it asks for places at replicas.
+struct OpenStep
+{
+  int64_t mSubmitted = 0;
+  Milliseconds mDue{ 0 };
+  unsigned mItems = 0;
+};
+
+/// The most items that one model's steps had open at once. A step counts for
+/// the time in which its results are due.
+unsigned MostItemsAtOnce(std::span<const OpenStep> aSteps)
+{
+  unsigned most = 0;
+  for (const OpenStep& last : aSteps) {
+    unsigned items = 0;
+    for (const OpenStep& step : aSteps) {
+      const int64_t before = last.mSubmitted - step.mSubmitted;
+      items += before >= 0 && before < step.mDue.count() ? step.mItems : 0;
+    }
+    most = std::max(most, items);
+  }
+  return most;
+}
+
+} // namespace
+
+void StepService::CountItems(const std::vector<StepRecord>& aRecords)
+{
+  std::map<std::pair<std::string, std::string>, std::vector<OpenStep>> steps;
+  const auto& config = mContext.mView.Config();
+  for (const StepRecord& record : aRecords) {
+    const int64_t age = mContext.mWallClock() - record.mSubmitted;
+    const fleet::Route* route =
+      config ? config->FindRoute(record.mHost, record.mPath) : nullptr;
+    if (route == nullptr || age >= mOptions.mDemandTime.count()) {
+      continue;
+    }
+    for (const fleet::WeightedService& service : route->mServices) {
+      steps[{ service.mService, record.mModel }].push_back(
+        { record.mSubmitted, route->mDue, record.mItems });
+    }
+  }
+  mItemsAtOnce.clear();
+  for (const auto& [key, ofModel] : steps) {
+    mItemsAtOnce[key.first] += MostItemsAtOnce(ofModel);
+  }
+}
+
 Awaitable<bool> StepService::Recover(
   std::set<std::string> aLive,
   std::function<bool(const StepRecord&)> aMine,
@@ -406,6 +457,7 @@
   bool seen = true;
   mUnfinished = false;
   mDemand.clear();
+  CountItems(*records);
   for (const StepRecord& record : *records) {
     const int64_t age = mContext.mWallClock() - record.mSubmitted;
     if (age < mOptions.mDemandTime.count()) {
