Pass steps on to the daemons of the region that run their model

Cause: trainers send steps to any daemon, so each one opened as many connections to a model's replicas as a step has items, and knew neither their load nor their speed.

The daemon that gets a step passes it on to one of the hosts of its region that rank first for the model (one in eight). The record is still created once by condition, so a daemon that does not answer within 0.5 s costs only that time and is left out for 3 s; if the step may be kept there it is not refused.

--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -7,6 +7,7 @@
 #include "agatetide/duty/version_mover.hpp"
 #include "agatetide/entry/host_registry.hpp"
 #include "agatetide/entry/peer_channel.hpp"
+#include "agatetide/entry/step_placer.hpp"
 #include "agatetide/entry/store_path.hpp"
 #include "agatetide/entry/takeover_plan.hpp"
 #include "agatetide/entry/zone_watch.hpp"
@@ -100,6 +101,7 @@
   const fleet::FleetView& View() const { return mView; }
   request::Forwarder& Forward() { return mForwarder; }
   steps::StepService& Steps() { return mSteps; }
+  StepPlacer& Placer() { return mPlacer; }
   steps::StepRunner& Runner() { return mRunner; }
 
   /// @brief Counts a request of a client account that began at a time of
@@ -129,6 +131,8 @@
   void ChangeReplica(const coordination::StoreChange& aChange);
   void RemoveLapsedReplicas();
   Awaitable<void> AnswerEmptiedHosts();
+  Awaitable<Result<steps::SubmitOutcome>> SubmitForPeer(
+    steps::StepSubmission aSubmission);
 
   boost::asio::any_io_executor mExecutor;
   EntryOptions mOptions;
@@ -150,6 +154,7 @@
   steps::StepContext mStepContext;
   steps::StepRunner mRunner;
   steps::StepService mSteps;
+  StepPlacer mPlacer;
   HostRegistry mRegistry;
   TakeoverPlan mTakeover;
   duty::UsageLedger mUsage;
--- a/include/agatetide/entry/peer_channel.hpp
+++ b/include/agatetide/entry/peer_channel.hpp
@@ -3,6 +3,7 @@
 #include "agatetide/coordination/watch_messages.hpp"
 #include "agatetide/http/client.hpp"
 #include "agatetide/http/server.hpp"
+#include "agatetide/steps/step_service.hpp"
 
 #include <memory>
 
@@ -15,11 +16,13 @@
     coordination::PeerWatchRequest)>
     mWatch;
   coordination::StoreCall mStore;
+  std::function<Awaitable<Result<steps::SubmitOutcome>>(steps::StepSubmission)>
+    mSubmit;
 };
 
-/// @brief Watches and calls of the store between daemons: cereal messages
-/// over HTTP, on addresses that only hosts of the deployment reach. Not
-/// thread-safe: owned by the executor of the daemon.
+/// @brief Watches, calls of the store and steps between daemons: cereal
+/// messages over HTTP, on addresses that only hosts of the deployment reach.
+/// Not thread-safe: owned by the executor of the daemon.
 class PeerChannel
 {
 public:
@@ -45,11 +48,19 @@
     coordination::StoreRequest aRequest,
     Milliseconds aTimeout);
 
+  /// @brief Has the daemon at aPeer accept a step. Errors: those of
+  /// http::Client; the step may be kept unless it was not run.
+  Awaitable<Result<steps::SubmitOutcome>> Submit(
+    http::Endpoint aPeer,
+    steps::StepSubmission aSubmission,
+    Milliseconds aTimeout);
+
 private:
   PeerChannel(std::unique_ptr<http::Client> aClient, PeerHandlers aHandlers);
   Awaitable<http::Response> Handle(http::Request aRequest);
   Awaitable<http::Response> HandleWatch(http::Request aRequest);
   Awaitable<http::Response> HandleStore(http::Request aRequest);
+  Awaitable<http::Response> HandleSubmit(http::Request aRequest);
   Awaitable<Result<std::string>> Ask(http::Endpoint aPeer,
                                      std::string aTarget,
                                      std::string aBody,
--- a/include/agatetide/steps/step.hpp
+++ b/include/agatetide/steps/step.hpp
@@ -106,6 +106,7 @@
 /// @brief Names one start of a daemon.
 std::string OwnerName(std::string_view aHost, std::string_view aIncarnation);
 
+std::string EncodeSubmission(const StepSubmission& aSubmission);
 std::string EncodeRecord(const StepRecord& aRecord);
 std::string EncodeItems(const std::vector<StepItem>& aItems);
 std::string EncodeResults(const std::vector<ItemResult>& aResults);
@@ -113,6 +114,7 @@
 std::string EncodePartials(const std::vector<PartialSample>& aSamples);
 
 /// @brief Errors of all: DataLoss when the bytes do not decode.
+Result<StepSubmission> DecodeSubmission(std::string_view aBytes);
 Result<StepRecord> DecodeRecord(std::string_view aBytes);
 Result<std::vector<StepItem>> DecodeItems(std::string_view aBytes);
 Result<std::vector<ItemResult>> DecodeResults(std::string_view aBytes);
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -65,6 +65,9 @@
      },
       [path = &daemon->mStorePath](StoreRequest aRequest) {
         return path->Serve(std::move(aRequest));
+      },
+      [self = daemon.get()](steps::StepSubmission aSubmission) {
+        return self->SubmitForPeer(std::move(aSubmission));
       } });
   if (peers.has_error()) {
     return peers.error();
@@ -133,6 +136,20 @@
                   mOwner }
   , mRunner(mStepContext)
   , mSteps(mStepContext, mRunner)
+  , mPlacer(
+      {},
+      mClock,
+      mOptions.mSelf.mName,
+      mView,
+      [this](steps::StepSubmission aSubmission, TimePoint aDeadline) {
+        return mSteps.Submit(std::move(aSubmission), aDeadline);
+      },
+      [this](http::Endpoint aPeer,
+             steps::StepSubmission aSubmission,
+             Milliseconds aTimeout) {
+        return mPeers->Submit(
+          std::move(aPeer), std::move(aSubmission), aTimeout);
+      })
   , mRegistry(
       {},
       mOptions.mSelf,
@@ -180,6 +197,17 @@
   co_await mRegistry.Leave();
 }
 
+/// Accepts a step that another daemon passes on.
+Awaitable<Result<steps::SubmitOutcome>> EntryDaemon::SubmitForPeer(
+  steps::StepSubmission aSubmission)
+{
+  if (!Ready()) {
+    co_return steps::SubmitOutcome::Refused;
+  }
+  co_return co_await mSteps.Submit(std::move(aSubmission),
+                                   mClock() + StepPlacerOptions().mPeerTimeout);
+}
+
 void EntryDaemon::CountUsage(const std::string& aAccount, TimePoint aBegan)
 {
   const auto age = std::chrono::duration_cast<Milliseconds>(mClock() - aBegan);
--- a/src/agatetide/entry/peer_channel.cpp
+++ b/src/agatetide/entry/peer_channel.cpp
@@ -10,12 +10,30 @@
 
 constexpr const char* kWatchTarget = "/watch";
 constexpr const char* kStoreTarget = "/store";
+constexpr const char* kStepTarget = "/step";
+/// Answers to a step that was passed on.
+constexpr std::string_view kAccepted = "accepted";
+constexpr std::string_view kRefused = "refused";
+constexpr std::string_view kUnknown = "unknown";
 constexpr std::string_view kContentType = "application/octet-stream";
 constexpr unsigned kOk = 200;
 constexpr size_t kMaxConnections = 256;
 /// Daemons of one availability zone answer within milliseconds.
 constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
 
+std::string_view OutcomeText(steps::SubmitOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case steps::SubmitOutcome::Accepted:
+      return kAccepted;
+    case steps::SubmitOutcome::Refused:
+      return kRefused;
+    case steps::SubmitOutcome::Unknown:
+      break;
+  }
+  return kUnknown;
+}
+
 } // namespace
 
 PeerChannel::PeerChannel(std::unique_ptr<http::Client> aClient,
@@ -56,8 +74,27 @@
 
 Awaitable<http::Response> PeerChannel::Handle(http::Request aRequest)
 {
-  return aRequest.mTarget == kStoreTarget ? HandleStore(std::move(aRequest))
-                                          : HandleWatch(std::move(aRequest));
+  if (aRequest.mTarget == kStoreTarget) {
+    return HandleStore(std::move(aRequest));
+  }
+  if (aRequest.mTarget == kStepTarget) {
+    return HandleSubmit(std::move(aRequest));
+  }
+  return HandleWatch(std::move(aRequest));
+}
+
+Awaitable<http::Response> PeerChannel::HandleSubmit(http::Request aRequest)
+{
+  auto submission = steps::DecodeSubmission(aRequest.mBody);
+  if (submission.has_error()) {
+    co_return http::MakeErrorResponse(submission.error(), {});
+  }
+  const auto outcome = co_await mHandlers.mSubmit(std::move(*submission));
+  if (outcome.has_error()) {
+    co_return http::MakeErrorResponse(outcome.error(), {});
+  }
+  co_return http::MakeResponse(
+    kOk, kContentType, std::string(OutcomeText(*outcome)));
 }
 
 Awaitable<http::Response> PeerChannel::HandleWatch(http::Request aRequest)
@@ -138,4 +175,23 @@
   co_return reply;
 }
 
+Awaitable<Result<steps::SubmitOutcome>> PeerChannel::Submit(
+  http::Endpoint aPeer,
+  steps::StepSubmission aSubmission,
+  Milliseconds aTimeout)
+{
+  const auto answer = co_await Ask(std::move(aPeer),
+                                   kStepTarget,
+                                   steps::EncodeSubmission(aSubmission),
+                                   aTimeout);
+  if (answer.has_error()) {
+    co_return answer.error();
+  }
+  if (*answer == kAccepted) {
+    co_return steps::SubmitOutcome::Accepted;
+  }
+  co_return *answer == kRefused ? steps::SubmitOutcome::Refused
+                                : steps::SubmitOutcome::Unknown;
+}
+
 } // namespace agatetide::entry
--- /dev/null
+++ b/src/agatetide/entry/step_placer.cpp
@@ -0,0 +1,94 @@
+#include "agatetide/entry/step_placer.hpp"
+
+#include "agatetide/base/encoding.hpp"
+#include "agatetide/base/event_log.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace agatetide::entry {
+
+using steps::SubmitOutcome;
+
+StepPlacer::StepPlacer(StepPlacerOptions aOptions,
+                       Clock aClock,
+                       std::string aSelf,
+                       const fleet::FleetView& aView,
+                       SubmitHere aHere,
+                       SubmitAtPeer aPeer)
+  : mOptions(aOptions)
+  , mClock(std::move(aClock))
+  , mSelf(std::move(aSelf))
+  , mView(aView)
+  , mHere(std::move(aHere))
+  , mPeer(std::move(aPeer))
+{
+}
+
+std::string StepPlacer::OwnerOf(std::string_view aModel,
+                                std::string_view aStep) const
+{
+  std::vector<std::pair<uint64_t, std::string_view>> ranks;
+  for (const auto& [name, host] : mView.Hosts()) {
+    const auto avoided = mAvoided.find(name);
+    if (host.mRegion == mView.Region() && !host.mDraining &&
+        !host.mPeerAddress.empty() &&
+        (avoided == mAvoided.end() || mClock() >= avoided->second)) {
+      ranks.emplace_back(Hash64(name, Hash64(aModel)), name);
+    }
+  }
+  if (ranks.empty()) {
+    return {};
+  }
+  std::sort(ranks.begin(), ranks.end());
+  const size_t owners =
+    std::max<size_t>(1, ranks.size() / mOptions.mHostsPerOwner);
+  return std::string(ranks[Hash64(aStep) % owners].second);
+}
+
+/// Nothing when the step is run here.
+std::optional<http::Endpoint> StepPlacer::PeerFor(
+  const steps::StepSubmission& aSubmission) const
+{
+  const std::string owner = OwnerOf(aSubmission.mModel, aSubmission.mId);
+  const auto host = mView.Hosts().find(owner);
+  if (owner == mSelf || host == mView.Hosts().end()) {
+    return std::nullopt;
+  }
+  const auto endpoint = http::ParseEndpoint(host->second.mPeerAddress);
+  return endpoint.has_value() ? std::optional(*endpoint) : std::nullopt;
+}
+
+Awaitable<SubmitOutcome> StepPlacer::Submit(steps::StepSubmission aSubmission,
+                                            TimePoint aDeadline)
+{
+  bool mayBeKept = false;
+  if (const auto peer = PeerFor(aSubmission)) {
+    const std::string owner = OwnerOf(aSubmission.mModel, aSubmission.mId);
+    const auto passed =
+      co_await mPeer(*peer, aSubmission, mOptions.mPeerTimeout);
+    if (passed.has_value() && *passed == SubmitOutcome::Accepted) {
+      co_return SubmitOutcome::Accepted;
+    }
+    mayBeKept = passed.has_error()
+                  ? passed.error().mExecution != Execution::NotRun
+                  : *passed == SubmitOutcome::Unknown;
+    if (passed.has_error()) {
+      mAvoided[owner] = mClock() + mOptions.mAvoidTime;
+    }
+    Event("step_not_passed_on", LogLevel::Warning)
+      .Field("step", aSubmission.mId)
+      .Field("host", owner)
+      .Field("error",
+             passed.has_error() ? FormatError(passed.error())
+                                : std::string("refused"))
+      .Write();
+  }
+  const auto outcome = co_await mHere(std::move(aSubmission), aDeadline);
+  // The other daemon may still create it.
+  co_return outcome == SubmitOutcome::Refused&& mayBeKept
+    ? SubmitOutcome::Unknown
+    : outcome;
+}
+
+} // namespace agatetide::entry
--- /dev/null
+++ b/src/agatetide/entry/step_placer_test.cpp
@@ -0,0 +1,133 @@
+#include "agatetide/entry/step_placer.hpp"
+
+#include "agatetide/coordination/test_store.hpp"
+
+#include <criterion/criterion.h>
+
+#include <set>
+
+using namespace agatetide;
+using namespace agatetide::entry;
+using steps::SubmitOutcome;
+
+namespace {
+
+/// A daemon of a region with several hosts.
+struct Fixture
+{
+  explicit Fixture(size_t aHosts = 3)
+  {
+    std::map<std::string, fleet::EntryHost, std::less<>> hosts;
+    for (size_t i = 0; i < aHosts; ++i) {
+      fleet::EntryHost host;
+      host.mName = "host-" + std::to_string(i);
+      host.mRegion = "region";
+      host.mPeerAddress = "127.0.0.1:" + std::to_string(i + 1);
+      hosts[host.mName] = host;
+    }
+    fleet::EntryHost far;
+    far.mName = "far";
+    far.mRegion = "elsewhere";
+    far.mPeerAddress = "127.0.0.1:99";
+    hosts["far"] = far;
+    mView.SetHosts(std::move(hosts));
+  }
+
+  /// Submits a step of a model that another daemon runs.
+  SubmitOutcome Submit()
+  {
+    steps::StepSubmission submission;
+    submission.mModel = "model";
+    while (mPlacer.OwnerOf(submission.mModel, submission.mId) == "host-0") {
+      submission.mModel += "x";
+    }
+    return coordination::RunCoroutine(
+      mPlacer.Submit(submission, mClock.Now() + std::chrono::seconds(1)));
+  }
+
+  ManualClock mClock;
+  fleet::FleetView mView{ mClock.AsClock(), "zone", "region" };
+  Result<SubmitOutcome> mThere = SubmitOutcome::Accepted;
+  SubmitOutcome mHere = SubmitOutcome::Accepted;
+  int mCallsHere = 0;
+  int mCallsThere = 0;
+  StepPlacer mPlacer{ {},
+                      mClock.AsClock(),
+                      "host-0",
+                      mView,
+                      [this](steps::StepSubmission,
+                             TimePoint) -> Awaitable<SubmitOutcome> {
+                        ++mCallsHere;
+                        co_return mHere;
+                      },
+                      [this](http::Endpoint,
+                             steps::StepSubmission,
+                             Milliseconds) -> Awaitable<Result<SubmitOutcome>> {
+                        ++mCallsThere;
+                        co_return mThere;
+                      } };
+};
+
+} // namespace
+
+Test(step_placer, all_steps_of_a_model_go_to_one_daemon_of_a_small_region)
+{
+  const Fixture fixture;
+  std::set<std::string> owners;
+  for (int i = 0; i < 20; ++i) {
+    owners.insert(
+      fixture.mPlacer.OwnerOf("model", "step-" + std::to_string(i)));
+  }
+  cr_expect_eq(owners.size(), 1);
+  cr_expect(!owners.contains("far"));
+}
+
+// Guards against one daemon that runs all steps of a model in a large region.
+Test(step_placer, a_large_region_spreads_the_steps_of_a_model)
+{
+  const Fixture fixture(32);
+  std::set<std::string> owners;
+  for (int i = 0; i < 100; ++i) {
+    owners.insert(
+      fixture.mPlacer.OwnerOf("model", "step-" + std::to_string(i)));
+  }
+  cr_expect_eq(owners.size(), 4);
+}
+
+Test(step_placer, a_step_is_accepted_by_the_daemon_that_runs_its_model)
+{
+  Fixture fixture;
+  cr_expect(fixture.Submit() == SubmitOutcome::Accepted);
+  cr_expect_eq(fixture.mCallsThere, 1);
+  cr_expect_eq(fixture.mCallsHere, 0);
+}
+
+// Guards against steps that are lost with the daemon which should run them.
+Test(step_placer, a_daemon_that_does_not_answer_is_left_out_for_a_while)
+{
+  Fixture fixture;
+  fixture.mThere = Error{
+    ErrorKind::DeadlineExceeded, "no answer", "retry", Execution::Unknown
+  };
+  cr_expect(fixture.Submit() == SubmitOutcome::Accepted);
+  cr_expect_eq(fixture.mCallsHere, 1);
+  const std::string owner = fixture.mPlacer.OwnerOf("model", "");
+  fixture.mClock.Advance(StepPlacerOptions().mAvoidTime);
+  cr_expect(!owner.empty());
+}
+
+// Guards against a refusal that says nothing runs while the other daemon may
+// still create the step.
+Test(step_placer, a_step_that_may_be_kept_elsewhere_is_not_refused)
+{
+  Fixture fixture;
+  fixture.mHere = SubmitOutcome::Refused;
+  fixture.mThere = Error{
+    ErrorKind::DeadlineExceeded, "no answer", "retry", Execution::Unknown
+  };
+  cr_expect(fixture.Submit() == SubmitOutcome::Unknown);
+  Fixture refused;
+  refused.mHere = SubmitOutcome::Refused;
+  refused.mThere = SubmitOutcome::Refused;
+  cr_expect(refused.Submit() == SubmitOutcome::Refused);
+}
--- a/src/agatetide/steps/step.cpp
+++ b/src/agatetide/steps/step.cpp
@@ -40,6 +40,19 @@
   }
 }
 
+template<class Archive>
+void serialize(Archive& aArchive, StepSubmission& aSubmission)
+{
+  aArchive(aSubmission.mId,
+           aSubmission.mAccount,
+           aSubmission.mHost,
+           aSubmission.mPath,
+           aSubmission.mModel,
+           aSubmission.mMinVersion,
+           aSubmission.mDesired,
+           aSubmission.mItems);
+}
+
 template<class Archive>
 void serialize(Archive& aArchive, StepRecord& aRecord)
 {
@@ -93,6 +106,11 @@
   return std::string(aHost) + "#" + std::string(aIncarnation);
 }
 
+std::string EncodeSubmission(const StepSubmission& aSubmission)
+{
+  return EncodePortable(aSubmission);
+}
+
 std::string EncodeRecord(const StepRecord& aRecord)
 {
   return EncodePortable(aRecord);
@@ -113,6 +131,11 @@
   return EncodePortable(aSamples);
 }
 
+Result<StepSubmission> DecodeSubmission(std::string_view aBytes)
+{
+  return Decode<StepSubmission>(aBytes, "the step that a daemon passed on");
+}
+
 Result<StepRecord> DecodeRecord(std::string_view aBytes)
 {
   return Decode<StepRecord>(aBytes, "the stored step record");
