Give up a text without end; track the speeds of replicas in a class of their own

Cause: a stream of valid events without end was kept until its body reached a sixteenth of the memory, for each item that ran there. The trainer can read a text of 1 MB at most, so a longer one starts anew elsewhere. stream_without_end_costs_no_memory fails without the limit.

--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatetide/policy/item_placement.hpp"
+#include "agatetide/policy/replica_speeds.hpp"
 #include "agatetide/request/forwarder.hpp"
 #include "agatetide/steps/step_store.hpp"
 
@@ -138,12 +139,6 @@
   size_t Steps() const { return mSteps.size(); }
 
 private:
-  struct Speed
-  {
-    double mSecondsPerEvent = 0.0;
-    TimePoint mUpdated{};
-  };
-
   Awaitable<void> Review();
   Awaitable<void> Confirm(OwnedStepPtr aStep);
   Awaitable<void> Commit(OwnedStepPtr aStep);
@@ -182,7 +177,6 @@
   void MoveStragglers(const OwnedStepPtr& aStep);
   const fleet::Route* RouteOf(const OwnedStep& aStep) const;
   bool MayRun(const OwnedStep& aStep, const fleet::Replica& aReplica) const;
-  double Slowness(std::string_view aReplicaId) const;
   void ObserveSpeed(const std::string& aReplicaId, const ItemWork& aWork);
   void Wake(OwnedStep& aStep);
   void ForgetStopped();
@@ -191,8 +185,7 @@
   policy::ItemPlacementOptions mPlacement;
   policy::ItemMoveOptions mMoves;
   std::map<std::string, OwnedStepPtr, std::less<>> mSteps;
-  std::map<std::string, Speed, std::less<>> mSpeeds;
-  double mTypicalSpeed = 0.0;
+  policy::ReplicaSpeeds mSpeeds;
   size_t mRunningItems = 0;
 };
 
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -27,6 +27,8 @@
 constexpr std::chrono::milliseconds kCommitRetryPause{ 150 };
 /// Bytes of results in one entry of the log.
 constexpr size_t kEntryBytes = size_t{ 600 } << 10U;
+/// A longer text cannot be read by its trainer: an answer holds 1 MB.
+constexpr size_t kMaxTextBytes = size_t{ 1000 } * 1000;
 /// A stream without any event for this long goes on elsewhere.
 constexpr std::chrono::milliseconds kStreamIdleTimeout{ 1500 };
 constexpr std::chrono::milliseconds kBusyPause{ 40 };
@@ -38,9 +40,6 @@
 constexpr std::chrono::seconds kMaxStreamTime{ 30 };
 /// Results of a stopped step are kept in memory for this long.
 constexpr std::chrono::seconds kStoppedRetention{ 15 };
-/// The speed of a replica is forgotten after this time without events.
-constexpr std::chrono::seconds kSpeedLifetime{ 4 };
-constexpr double kSpeedWeight = 0.3;
 /// Status of a failed attempt at an item.
 constexpr unsigned kFailedStatus = 500;
 /// Status of an item that no attempt can complete.
@@ -68,6 +67,15 @@
   return text;
 }
 
+size_t BytesOf(const std::vector<std::string>& aLines)
+{
+  size_t bytes = 0;
+  for (const std::string& line : aLines) {
+    bytes += line.size();
+  }
+  return bytes;
+}
+
 /// Long items first, since the longest one decides when the step is whole.
 std::vector<size_t> StartOrder(const std::vector<StepItem>& aItems)
 {
@@ -99,6 +107,7 @@
 
 StepRunner::StepRunner(StepContext aContext)
   : mContext(std::move(aContext))
+  , mSpeeds(mContext.mClock)
 {
 }
 
@@ -370,16 +379,6 @@
          mContext.mPool.Usable(aReplica);
 }
 
-double StepRunner::Slowness(std::string_view aReplicaId) const
-{
-  const auto found = mSpeeds.find(aReplicaId);
-  if (found == mSpeeds.end() || mTypicalSpeed <= 0.0 ||
-      mContext.mClock() - found->second.mUpdated > kSpeedLifetime) {
-    return 1.0;
-  }
-  return found->second.mSecondsPerEvent / mTypicalSpeed;
-}
-
 bool StepRunner::StartItem(const OwnedStepPtr& aStep,
                            size_t aIndex,
                            const fleet::Route& aRoute)
@@ -403,7 +402,7 @@
       mContext.mView.RegionOf(replica.mAvailabilityZone) ==
       mContext.mView.Region();
     candidate.mPromptKnown = prompts.contains(id);
-    candidate.mSlowness = Slowness(id);
+    candidate.mSlowness = mSpeeds.Slowness(id);
     candidates.push_back(candidate);
     replicas.push_back(&replica);
   }
@@ -472,6 +471,17 @@
       work.mVersions.push_back(*aEvent.mVersion);
     }
   }
+  if (BytesOf(work.mEvents) + aEvent.mData.size() > kMaxTextBytes) {
+    Event("sample_restarted", LogLevel::Warning)
+      .Field("item", aStep.mItems[aIndex].mId)
+      .Field("replica", aReplica.mId)
+      .Field("events", static_cast<uint64_t>(work.mEvents.size()))
+      .Field("reason", "text without end")
+      .Write();
+    work.mEvents.clear();
+    work.mVersions.clear();
+    return false;
+  }
   work.mEvents.push_back(std::move(aEvent.mData));
   if (work.mStreamEvents++ == 0) {
     // Counted from the first event, which includes the prompt.
@@ -483,27 +493,11 @@
 void StepRunner::ObserveSpeed(const std::string& aReplicaId,
                               const ItemWork& aWork)
 {
-  if (aWork.mStreamEvents < 2) {
-    return;
-  }
-  const double seconds =
-    Seconds(mContext.mClock() - aWork.mStreamStart) / (aWork.mStreamEvents - 1);
-  Speed& speed = mSpeeds[aReplicaId];
-  const bool fresh = mContext.mClock() - speed.mUpdated < kSpeedLifetime;
-  speed.mSecondsPerEvent =
-    fresh
-      ? speed.mSecondsPerEvent * (1.0 - kSpeedWeight) + seconds * kSpeedWeight
-      : seconds;
-  speed.mUpdated = mContext.mClock();
-  std::vector<double> all;
-  for (const auto& [id, known] : mSpeeds) {
-    if (mContext.mClock() - known.mUpdated < kSpeedLifetime) {
-      all.push_back(known.mSecondsPerEvent);
-    }
+  if (aWork.mStreamEvents >= 2) {
+    mSpeeds.Observe(aReplicaId,
+                    Seconds(mContext.mClock() - aWork.mStreamStart) /
+                      (aWork.mStreamEvents - 1));
   }
-  const auto middle = all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2);
-  std::nth_element(all.begin(), middle, all.end());
-  mTypicalSpeed = *middle;
 }
 
 request::UpstreamRequest StepRunner::MakeRequest(const OwnedStep& aStep,
@@ -761,10 +755,11 @@
   for (const auto& [id, replica] : mContext.mView.Replicas()) {
     if (MayRun(*aStep, replica) &&
         mContext.mPool.EstimatedRequests(replica) + 1.0 <= replica.mSlots) {
-      free.push_back(Slowness(id));
+      free.push_back(mSpeeds.Slowness(id));
     }
   }
-  if (free.empty() || mTypicalSpeed <= 0.0) {
+  const double typical = mSpeeds.TypicalSecondsPerEvent();
+  if (free.empty() || typical <= 0.0) {
     return;
   }
   const auto middle =
@@ -781,12 +776,12 @@
       Seconds(mContext.mClock() - work.mStreamStart) / (work.mStreamEvents - 1);
     progress.mEvents = work.mEvents.size();
     progress.mMoves = work.mStreams - 1;
-    if (policy::ShouldMoveItem(progress, expected * mTypicalSpeed, mMoves)) {
+    if (policy::ShouldMoveItem(progress, expected * typical, mMoves)) {
       ObserveSpeed(work.mReplica, work);
       Event("item_moved")
         .Field("step", aStep->mRecord.mId)
         .Field("replica", work.mReplica)
-        .Field("slowness", progress.mSecondsPerEvent / mTypicalSpeed)
+        .Field("slowness", progress.mSecondsPerEvent / typical)
         .Field("expected", expected)
         .Field("events", static_cast<uint64_t>(progress.mEvents))
         .Field("moves", progress.mMoves)
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -203,6 +203,7 @@
         self.events, self.pause = events, pause
         self.orders = []
         self.seen = []
+        self.flood = False  # streams have no end
         self.statuses = []  # of the next answers, in place of 200
         self.state = "ready"
         self.server = serve(self.handle)
@@ -251,9 +252,11 @@
                            ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")):
             handler.send_header(name, text)
         handler.end_headers()
-        for number in range(int(headers.get("Last-Event-Id") or 0) + 1, self.events + 1):
+        start = int(headers.get("Last-Event-Id") or 0) + 1
+        for number in range(start, start + 10 ** 6 if self.flood else self.events + 1):
             time.sleep(self.pause)
-            text = ("id: %d\ndata: %s-%d\n\n" % (number, headers["Attempt-Id"], number)).encode()
+            data = "x" * 20000 if self.flood else "%s-%d" % (headers["Attempt-Id"], number)
+            text = ("id: %d\ndata: %s\n\n" % (number, data)).encode()
             handler.wfile.write(b"%x\r\n%s\r\n" % (len(text), text))
         handler.wfile.write(b"0\r\n\r\n")
 
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -305,6 +305,20 @@
     check(site.read_all(daemon, 1, "failed")[0]["state"] == "dead", "a sample that cannot be scored goes on for ever")
 
 
+def stream_without_end_costs_no_memory(site):
+    """One engine streams for ever: the step becomes whole at the other one, within a few MB."""
+    first = site.daemons[0]
+    site.engines[0].flood = True
+    site.submit(first)
+    until(lambda: first.last_event("sample_restarted", "without end"), "a text without end is given up")
+    site.engines[0].flood = False
+    results = site.read_all(first, 6)
+    check(all("x" not in result["text"] for result in results), "a text holds the stream without end")
+    status = pathlib.Path("/proc/%d/status" % first.process.pid).read_text()
+    peak_kb = int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1])
+    check(peak_kb < 100000, "peak memory %d kB" % peak_kb)
+
+
 def ended_step_starts_nothing_more(site):
     first, second = site.daemons
     site.submit(first, items=40)
@@ -457,6 +471,7 @@
     (step_is_accepted_once_and_read_at_any_daemon, {"daemons": 2}),
     (step_of_a_killed_daemon_is_taken_over, {"daemons": 2, "events": 12, "pause": 0.25}),
     (sample_is_dead_only_when_its_scoring_call_was_failed, {"plain": 1}),
+    (stream_without_end_costs_no_memory, {}),
     (ended_step_starts_nothing_more, {"daemons": 2, "events": 8, "pause": 0.1}),
     (leaving_replica_gets_nothing_new, {}),
     (named_version_reaches_the_replicas_once, {"daemons": 2}),
