Answer for a passed-on step before its daemon stops waiting

A daemon that could not decide answered when the one that asked had just given up, which then could not tell a refusal from a step that may be kept.

--- a/include/agatetide/entry/step_placer.hpp
+++ b/include/agatetide/entry/step_placer.hpp
@@ -29,6 +29,8 @@
   size_t mHostsPerOwner = 8;
   /// A daemon that a step is passed on to has this long.
   Milliseconds mPeerTimeout{ 500 };
+  /// Part of it for the way there and back.
+  Milliseconds mPeerMargin{ 100 };
   /// A daemon that failed gets no step for this long.
   Milliseconds mAvoidTime{ 3000 };
 };
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -204,8 +204,10 @@
   if (!Ready()) {
     co_return steps::SubmitOutcome::Refused;
   }
+  const StepPlacerOptions placing;
   co_return co_await mSteps.Submit(std::move(aSubmission),
-                                   mClock() + StepPlacerOptions().mPeerTimeout);
+                                   mClock() + placing.mPeerTimeout -
+                                     placing.mPeerMargin);
 }
 
 void EntryDaemon::CountUsage(const std::string& aAccount, TimePoint aBegan)
