Keep count of replicas on daemons that do not lead

Cause: an order names the whole number of a zone's replicas. A daemon that had just become the leader counted the registered ones only, so with replicas that were restarting its first order could name fewer than the platform had and end a sound one. a_new_leader_knows_the_replicas_of_before fails without the count.

--- a/include/agatetide/duty/capacity_duty.hpp
+++ b/include/agatetide/duty/capacity_duty.hpp
@@ -70,7 +70,8 @@
   /// @brief Sets how many items run at once when none has to wait, by service.
   void SetDemand(std::map<std::string, unsigned, std::less<>> aItems);
 
-  /// @brief Sends the orders that are due. Call it several times a second.
+  /// @brief Counts replicas and, on the leader, sends the orders that are
+  /// due. Call it several times a second.
   void Review();
 
 private:
@@ -89,6 +90,7 @@
   };
 
   void Count();
+  void ForgetOrders();
   void ReviewService(const fleet::Service& aService);
   unsigned Expected(const Kind& aKind) const;
   unsigned Registered(const Kind& aKind) const;
--- a/src/agatetide/duty/capacity_duty.cpp
+++ b/src/agatetide/duty/capacity_duty.cpp
@@ -56,6 +56,17 @@
   }
 }
 
+/// Another daemon orders now. What replicas there were stays known: an order
+/// names their whole number, also the first one after a change of leader.
+void CapacityDuty::ForgetOrders()
+{
+  for (auto& [subject, kind] : mKinds) {
+    kind.mOrderedUntil = {};
+    kind.mNotBefore = {};
+  }
+  mIdleSince.clear();
+}
+
 /// Replicas that run or are being started.
 unsigned CapacityDuty::Expected(const Kind& aKind) const
 {
@@ -82,16 +93,15 @@
 void CapacityDuty::Review()
 {
   const TimePoint now = mClock();
-  if (!mLeadership.MayAct()) {
-    mKinds.clear();
-    mIdleSince.clear();
-    return;
-  }
   if (now - mReviewed < mOptions.mReviewInterval || !mView.Config()) {
     return;
   }
   mReviewed = now;
   Count();
+  if (!mLeadership.MayAct()) {
+    ForgetOrders();
+    return;
+  }
   for (const auto& [name, service] : mView.Config()->mServices) {
     if (service.mScaling) {
       ReviewService(service);
--- a/src/agatetide/duty/capacity_duty_test.cpp
+++ b/src/agatetide/duty/capacity_duty_test.cpp
@@ -16,7 +16,7 @@
 /// that notes the orders.
 struct Fixture
 {
-  Fixture()
+  explicit Fixture(bool aLeads = true)
   {
     auto config = std::make_shared<fleet::ServiceConfig>();
     config->mVersion = 1;
@@ -32,6 +32,13 @@
     for (const char* id : { "a1", "a2", "b1", "b2" }) {
       Add(id);
     }
+    if (aLeads) {
+      Lead();
+    }
+  }
+
+  void Lead()
+  {
     mView.SetLeader("");
     RunCoroutine(mLeadership.Maintain());
     mStore.mClock.Advance(LeadershipOptions().mSettleTime);
@@ -64,7 +71,9 @@
     constexpr std::chrono::seconds kStep{ 1 };
     for (Duration passed = kStep; passed <= aTime; passed += kStep) {
       mStore.mClock.Advance(kStep);
-      RunCoroutine(mLeadership.Maintain());
+      if (mLeadership.MayAct()) {
+        RunCoroutine(mLeadership.Maintain());
+      }
     }
     mDuty.Review();
     mContext.run();
@@ -133,6 +142,23 @@
   }
 }
 
+// Guards against a new leader that does not know of replicas which restart.
+Test(capacity_duty, a_new_leader_knows_the_replicas_of_before)
+{
+  Fixture fixture(false);
+  fixture.Review();
+  fixture.mView.Remove("a1");
+  fixture.Lead();
+  fixture.mDuty.SetDemand({ { "engine", 50 } });
+  fixture.mOutcome = CapacityOutcome::NoneAvailable;
+  fixture.Review();
+  fixture.Review();
+  cr_expect_geq(fixture.mOrders.size(), 3);
+  for (const CapacityOrder& order : fixture.mOrders) {
+    cr_expect(!order.mPreemptible || order.mReplicas > 2);
+  }
+}
+
 // Guards against replicas that are never given back.
 Test(capacity_duty, gives_back_what_is_not_needed_for_a_minute)
 {
