--- a/src/agatetide/policy/replica_speeds.cpp
+++ b/src/agatetide/policy/replica_speeds.cpp
@@ -28,10 +28,10 @@
                             double aSecondsPerEvent)
 {
   Speed& speed = mSpeeds[aReplicaId];
-  speed.mSecondsPerEvent =
-    IsFresh(speed) ? speed.mSecondsPerEvent * (1.0 - kNewestWeight) +
-                       aSecondsPerEvent * kNewestWeight
-                   : aSecondsPerEvent;
+  speed.mSecondsPerEvent = IsFresh(speed)
+                             ? speed.mSecondsPerEvent * (1.0 - kNewestWeight) +
+                                 aSecondsPerEvent * kNewestWeight
+                             : aSecondsPerEvent;
   speed.mUpdated = mClock();
   std::erase_if(mSpeeds,
                 [&](const auto& aItem) { return !IsFresh(aItem.second); });
