--- a/src/agatetide/policy/replica_speeds.cpp
+++ b/src/agatetide/policy/replica_speeds.cpp
@@ -36,6 +36,7 @@
   std::erase_if(mSpeeds,
                 [&](const auto& aItem) { return !IsFresh(aItem.second); });
   std::vector<double> all;
+  all.reserve(mSpeeds.size());
   for (const auto& [id, known] : mSpeeds) {
     all.push_back(known.mSecondsPerEvent);
   }
