--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -5,12 +5,12 @@
 #include "agatetide/duty/leadership.hpp"
 #include "agatetide/duty/usage_ledger.hpp"
 #include "agatetide/duty/version_mover.hpp"
+#include "agatetide/entry/fleet_watch.hpp"
 #include "agatetide/entry/host_registry.hpp"
 #include "agatetide/entry/peer_channel.hpp"
 #include "agatetide/entry/step_placer.hpp"
 #include "agatetide/entry/store_path.hpp"
 #include "agatetide/entry/takeover_plan.hpp"
-#include "agatetide/entry/zone_watch.hpp"
 #include "agatetide/request/forwarder.hpp"
 #include "agatetide/steps/step_service.hpp"
 
@@ -147,7 +147,7 @@
   std::unique_ptr<PeerChannel> mPeers;
   StorePath mStorePath;
   coordination::StoreCall mStore;
-  ZoneWatch mZoneWatch;
+  FleetWatch mFleetWatch;
   request::ReplicaPool mPool;
   request::Forwarder mForwarder;
   steps::StepStore mStepStore;
--- a/include/agatetide/entry/zone_watch.hpp
+++ b/include/agatetide/entry/fleet_watch.hpp
@@ -22,7 +22,7 @@
   coordination::PeerWatchRequest aRequest,
   Milliseconds aTimeout)>;
 
-struct ZoneWatchOptions
+struct FleetWatchOptions
 {
   /// Time beyond a watch's wait in which a daemon has to bring a newer proof,
   /// and in which its answer has to arrive. In a daemon's own zone there is
@@ -50,17 +50,17 @@
 /// suspension only make it older. Daemons ask only those before them in the
 /// order, so no two ask each other. Not thread-safe: owned by the executor of
 /// the daemon.
-class ZoneWatch
+class FleetWatch
 {
 public:
   /// @brief aClock counts suspensions. aView outlives the object.
-  ZoneWatch(ZoneWatchOptions aOptions,
-            boost::asio::any_io_executor aExecutor,
-            Clock aClock,
-            std::string aSelf,
-            const fleet::FleetView& aView,
-            coordination::WatchCall aStore,
-            AskPeer aAsk);
+  FleetWatch(FleetWatchOptions aOptions,
+             boost::asio::any_io_executor aExecutor,
+             Clock aClock,
+             std::string aSelf,
+             const fleet::FleetView& aView,
+             coordination::WatchCall aStore,
+             AskPeer aAsk);
 
   /// @brief Waits for changes, at another daemon or at the store. The reply
   /// has a proof unless the watch was cut. Errors: as WatchCall.
@@ -109,7 +109,7 @@
                const coordination::PeerWatchRequest& aRequest) const;
   Duration MaxProofAge(const coordination::PeerWatchRequest& aRequest) const;
 
-  ZoneWatchOptions mOptions;
+  FleetWatchOptions mOptions;
   boost::asio::any_io_executor mExecutor;
   Clock mClock;
   std::string mSelf;
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -60,8 +60,8 @@
   auto peers = PeerChannel::Create(
     daemon->mExecutor,
     daemon->mOptions.mPeerListen,
-    { [zone = &daemon->mZoneWatch](PeerWatchRequest aRequest) {
-       return zone->Serve(std::move(aRequest));
+    { [watch = &daemon->mFleetWatch](PeerWatchRequest aRequest) {
+       return watch->Serve(std::move(aRequest));
      },
       [path = &daemon->mStorePath](StoreRequest aRequest) {
         return path->Serve(std::move(aRequest));
@@ -114,18 +114,18 @@
   , mStore([this](StoreRequest aRequest) {
     return mStorePath.Call(std::move(aRequest));
   })
-  , mZoneWatch({},
-               mExecutor,
-               mBootClock,
-               mOptions.mSelf.mName,
-               mView,
-               mHooks.mWatch,
-               [this](http::Endpoint aPeer,
-                      PeerWatchRequest aRequest,
-                      Milliseconds aTimeout) {
-                 return mPeers->Watch(
-                   std::move(aPeer), std::move(aRequest), aTimeout);
-               })
+  , mFleetWatch({},
+                mExecutor,
+                mBootClock,
+                mOptions.mSelf.mName,
+                mView,
+                mHooks.mWatch,
+                [this](http::Endpoint aPeer,
+                       PeerWatchRequest aRequest,
+                       Milliseconds aTimeout) {
+                  return mPeers->Watch(
+                    std::move(aPeer), std::move(aRequest), aTimeout);
+                })
   , mPool(mView, mClock, ProcessRandom())
   , mForwarder(mExecutor, mPool, mHooks.mCall, mClock, ProcessRandom())
   , mStepStore(mStore, mHooks.mWatch)
@@ -156,7 +156,7 @@
       mView,
       mStore,
       [this](WatchRequest aRequest) {
-        return mZoneWatch.Watch(std::move(aRequest));
+        return mFleetWatch.Watch(std::move(aRequest));
       },
       mBootClock)
   , mTakeover({}, mClock, mOptions.mSelf.mName)
@@ -224,7 +224,7 @@
     std::move(aHooks),
     mStore,
     [this](WatchRequest aRequest) {
-      return mZoneWatch.Watch(std::move(aRequest));
+      return mFleetWatch.Watch(std::move(aRequest));
     },
     mBootClock);
 }
--- a/src/agatetide/entry/zone_watch.cpp
+++ b/src/agatetide/entry/fleet_watch.cpp
@@ -1,4 +1,4 @@
-#include "agatetide/entry/zone_watch.hpp"
+#include "agatetide/entry/fleet_watch.hpp"
 
 #include "agatetide/base/encoding.hpp"
 #include "agatetide/base/event_log.hpp"
@@ -35,13 +35,13 @@
 
 } // namespace
 
-ZoneWatch::ZoneWatch(ZoneWatchOptions aOptions,
-                     asio::any_io_executor aExecutor,
-                     Clock aClock,
-                     std::string aSelf,
-                     const fleet::FleetView& aView,
-                     WatchCall aStore,
-                     AskPeer aAsk)
+FleetWatch::FleetWatch(FleetWatchOptions aOptions,
+                       asio::any_io_executor aExecutor,
+                       Clock aClock,
+                       std::string aSelf,
+                       const fleet::FleetView& aView,
+                       WatchCall aStore,
+                       AskPeer aAsk)
   : mOptions(aOptions)
   , mExecutor(std::move(aExecutor))
   , mClock(std::move(aClock))
@@ -54,7 +54,7 @@
 
 /// The first host that may be asked, of the own zone or of all; nothing when
 /// it is this one.
-std::optional<std::string> ZoneWatch::First(bool aOwnZone) const
+std::optional<std::string> FleetWatch::First(bool aOwnZone) const
 {
   std::optional<std::string> first;
   for (const auto& [name, host] : mView.Hosts()) {
@@ -71,15 +71,15 @@
   return first;
 }
 
-std::optional<std::string> ZoneWatch::Peer() const
+std::optional<std::string> FleetWatch::Peer() const
 {
   auto peer = First(true);
   return peer ? peer : First(false);
 }
 
-void ZoneWatch::Avoid(const std::string& aPeer,
-                      const std::string& aPrefix,
-                      const Error& aError)
+void FleetWatch::Avoid(const std::string& aPeer,
+                       const std::string& aPrefix,
+                       const Error& aError)
 {
   Avoided& avoided = mAvoided[aPeer];
   avoided.mTime = std::clamp<Duration>(
@@ -92,7 +92,7 @@
     .Write();
 }
 
-Awaitable<Result<WatchReply>> ZoneWatch::Watch(WatchRequest aRequest)
+Awaitable<Result<WatchReply>> FleetWatch::Watch(WatchRequest aRequest)
 {
   const auto peer = Peer();
   LogSource(aRequest.mPrefix, peer.value_or("store"));
@@ -123,7 +123,7 @@
   co_return reply;
 }
 
-void ZoneWatch::LogSource(const std::string& aPrefix, std::string aSource)
+void FleetWatch::LogSource(const std::string& aPrefix, std::string aSource)
 {
   std::string& known = mPrefixes[aPrefix].mSource;
   if (known != aSource) {
@@ -136,7 +136,7 @@
   }
 }
 
-Awaitable<Result<WatchReply>> ZoneWatch::WatchAtStore(WatchRequest aRequest)
+Awaitable<Result<WatchReply>> FleetWatch::WatchAtStore(WatchRequest aRequest)
 {
   const TimePoint sent = mClock();
   auto reply = co_await mStore(aRequest);
@@ -147,8 +147,8 @@
   co_return reply;
 }
 
-Awaitable<Result<WatchReply>> ZoneWatch::WatchAtPeer(std::string aPeer,
-                                                     WatchRequest aRequest)
+Awaitable<Result<WatchReply>> FleetWatch::WatchAtPeer(std::string aPeer,
+                                                      WatchRequest aRequest)
 {
   const auto host = mView.Hosts().find(aPeer);
   const auto endpoint = http::ParseEndpoint(host->second.mPeerAddress);
@@ -178,8 +178,8 @@
   co_return reply;
 }
 
-void ZoneWatch::Record(const WatchRequest& aRequest,
-                       const Result<WatchReply>& aReply)
+void FleetWatch::Record(const WatchRequest& aRequest,
+                        const Result<WatchReply>& aReply)
 {
   Prefix& prefix = mPrefixes[aRequest.mPrefix];
   prefix.mLost = aReply.has_error();
@@ -193,19 +193,19 @@
 
 /// The proof of a watch dates from its start, so that it is as old as two
 /// watches when the next one ends.
-Duration ZoneWatch::MaxProofAge(const PeerWatchRequest& aRequest) const
+Duration FleetWatch::MaxProofAge(const PeerWatchRequest& aRequest) const
 {
   return 2 * Milliseconds(aRequest.mWaitMs) + mOptions.mPeerMargin;
 }
 
-bool ZoneWatch::CanTell(const Prefix& aPrefix,
-                        const PeerWatchRequest& aRequest) const
+bool FleetWatch::CanTell(const Prefix& aPrefix,
+                         const PeerWatchRequest& aRequest) const
 {
   return !aPrefix.mLost && aPrefix.mHistory.Covers(aRequest.mAfterRevision) &&
          mClock() - aPrefix.mHistory.Proof() < MaxProofAge(aRequest);
 }
 
-Awaitable<Result<PeerWatchReply>> ZoneWatch::Serve(PeerWatchRequest aRequest)
+Awaitable<Result<PeerWatchReply>> FleetWatch::Serve(PeerWatchRequest aRequest)
 {
   const TimePoint arrived = mClock();
   const auto found = mPrefixes.find(aRequest.mPrefix);
--- a/src/agatetide/entry/zone_watch_test.cpp
+++ b/src/agatetide/entry/fleet_watch_test.cpp
@@ -1,4 +1,4 @@
-#include "agatetide/entry/zone_watch.hpp"
+#include "agatetide/entry/fleet_watch.hpp"
 
 #include "agatetide/base/encoding.hpp"
 
@@ -45,9 +45,9 @@
     mSecond.emplace(Make(oneFirst ? "two" : "one", mSecondCalls));
   }
 
-  ZoneWatch Make(const char* aName, int& aCalls)
+  FleetWatch Make(const char* aName, int& aCalls)
   {
-    return ZoneWatch(
+    return FleetWatch(
       {},
       mContext.get_executor(),
       mClock.AsClock(),
@@ -85,7 +85,7 @@
     return std::move(*result);
   }
 
-  Result<WatchReply> Watch(ZoneWatch& aWatch, int64_t aAfter)
+  Result<WatchReply> Watch(FleetWatch& aWatch, int64_t aAfter)
   {
     return Run(aWatch.Watch({ kPrefix, aAfter, kWait }));
   }
@@ -99,14 +99,14 @@
   int mFirstCalls = 0;
   int mSecondCalls = 0;
   int mQuestions = 0;
-  std::optional<ZoneWatch> mFirst;
-  std::optional<ZoneWatch> mSecond;
+  std::optional<FleetWatch> mFirst;
+  std::optional<FleetWatch> mSecond;
 };
 
 } // namespace
 
 // Guards against one store call of every daemon for each change.
-Test(zone_watch, the_second_daemon_of_a_zone_asks_the_first)
+Test(fleet_watch, the_second_daemon_of_a_zone_asks_the_first)
 {
   Zone zone;
   cr_assert(zone.Watch(*zone.mFirst, 5).has_value());
@@ -120,7 +120,7 @@
 
 // Guards against a withdrawn key that is trusted longer because its proof
 // looks younger after a delay on the way.
-Test(zone_watch, a_proof_never_gets_younger_on_the_way)
+Test(fleet_watch, a_proof_never_gets_younger_on_the_way)
 {
   Zone zone;
   const TimePoint proof = zone.mClock.Now();
@@ -135,7 +135,7 @@
 
 // Guards against a zone that learns nothing because its first daemon is dead
 // or cut off from the store.
-Test(zone_watch, asks_the_store_when_the_first_daemon_cannot_tell)
+Test(fleet_watch, asks_the_store_when_the_first_daemon_cannot_tell)
 {
   Zone zone;
   zone.mPeerDown = true;
@@ -144,12 +144,12 @@
   cr_expect(zone.mSecondCalls == 1);
   cr_expect(zone.mQuestions == 1);
   cr_expect(!zone.mSecond->Peer(), "it is not asked again at once");
-  zone.mClock.Advance(ZoneWatchOptions().mAvoidTime);
+  zone.mClock.Advance(FleetWatchOptions().mAvoidTime);
   cr_expect(zone.mSecond->Peer().has_value());
 }
 
 // Guards against answers from a daemon whose own view is out of date.
-Test(zone_watch, refuses_when_its_own_watch_has_failed_or_is_too_old)
+Test(fleet_watch, refuses_when_its_own_watch_has_failed_or_is_too_old)
 {
   Zone zone;
   const PeerWatchRequest request{ kPrefix, 7, kWait.count() };
@@ -165,7 +165,7 @@
 
 // Guards against daemons that ask one another in a circle, or a host that is
 // about to stop.
-Test(zone_watch, a_draining_host_is_not_asked)
+Test(fleet_watch, a_draining_host_is_not_asked)
 {
   Zone zone;
   auto hosts = zone.mView.Hosts();
@@ -179,7 +179,7 @@
 
 // Guards against one store call of every zone for each change, and against
 // daemons that all ask over the slow links between regions.
-Test(zone_watch, only_the_first_of_a_zone_asks_in_another_zone)
+Test(fleet_watch, only_the_first_of_a_zone_asks_in_another_zone)
 {
   Zone zone;
   auto hosts = zone.mView.Hosts();
@@ -199,10 +199,10 @@
 
 // Guards against a blind moment every few seconds while two regions have lost
 // each other.
-Test(zone_watch, a_host_that_fails_again_is_avoided_for_longer)
+Test(fleet_watch, a_host_that_fails_again_is_avoided_for_longer)
 {
   Zone zone;
-  const ZoneWatchOptions options;
+  const FleetWatchOptions options;
   zone.mPeerDown = true;
   zone.Watch(*zone.mSecond, 5);
   zone.mClock.Advance(options.mAvoidTime);
@@ -215,7 +215,7 @@
 
 // Replays an outage of the store: every daemon would call it several times a
 // second, though one that tries is enough.
-Test(zone_watch, an_outage_costs_few_calls_and_its_end_is_known_at_once)
+Test(fleet_watch, an_outage_costs_few_calls_and_its_end_is_known_at_once)
 {
   Zone zone;
   cr_assert(zone.Watch(*zone.mFirst, 5).has_value());
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -197,7 +197,7 @@
     return most
 
 
-def one_daemon_of_a_zone_watches_the_store(site):
+def one_daemon_of_a_fleet_watches_the_store(site):
     until(lambda: all(watched_by(site, p) <= 1 for p in ("op/", "servers/", "agatetide/live/")), "one watch a prefix")
     site.store.put("op/config", config(3, ("key-b",)))
     site.plain[0].drain()
@@ -463,7 +463,7 @@
     (lookup_reaches_a_named_replica, {}),
     (unknown_routes_and_keys_are_refused, {}),
     (withdrawn_key_stops_at_once_and_without_the_store_in_time, {}),
-    (one_daemon_of_a_zone_watches_the_store, {"daemons": 3}),
+    (one_daemon_of_a_fleet_watches_the_store, {"daemons": 3}),
     (zone_goes_on_when_its_watching_daemon_hangs, {"daemons": 3}),
     (host_that_the_store_refuses_works_through_another, {"daemons": 2, "events": 10, "pause": 0.1}),
     (host_that_hears_nothing_of_the_store_keeps_its_step, {"daemons": 2, "events": 12, "pause": 0.5}),
