--- a/include/agatetide/entry/step_placer.hpp
+++ b/include/agatetide/entry/step_placer.hpp
@@ -63,8 +63,14 @@
   std::string OwnerOf(std::string_view aModel, std::string_view aStep) const;
 
 private:
-  std::optional<http::Endpoint> PeerFor(
-    const steps::StepSubmission& aSubmission) const;
+  /// Another daemon that should run a step.
+  struct Owner
+  {
+    std::string mHost;
+    http::Endpoint mEndpoint;
+  };
+
+  std::optional<Owner> PeerFor(const steps::StepSubmission& aSubmission) const;
 
   StepPlacerOptions mOptions;
   Clock mClock;
--- a/src/agatetide/entry/step_placer.cpp
+++ b/src/agatetide/entry/step_placer.cpp
@@ -47,7 +47,7 @@
 }
 
 /// Nothing when the step is run here.
-std::optional<http::Endpoint> StepPlacer::PeerFor(
+std::optional<StepPlacer::Owner> StepPlacer::PeerFor(
   const steps::StepSubmission& aSubmission) const
 {
   const std::string owner = OwnerOf(aSubmission.mModel, aSubmission.mId);
@@ -56,7 +56,10 @@
     return std::nullopt;
   }
   const auto endpoint = http::ParseEndpoint(host->second.mPeerAddress);
-  return endpoint.has_value() ? std::optional(*endpoint) : std::nullopt;
+  if (endpoint.has_error()) {
+    return std::nullopt;
+  }
+  return Owner{ owner, *endpoint };
 }
 
 Awaitable<SubmitOutcome> StepPlacer::Submit(steps::StepSubmission aSubmission,
@@ -64,9 +67,8 @@
 {
   bool mayBeKept = false;
   if (const auto peer = PeerFor(aSubmission)) {
-    const std::string owner = OwnerOf(aSubmission.mModel, aSubmission.mId);
     const auto passed =
-      co_await mPeer(*peer, aSubmission, mOptions.mPeerTimeout);
+      co_await mPeer(peer->mEndpoint, aSubmission, mOptions.mPeerTimeout);
     if (passed.has_value() && *passed == SubmitOutcome::Accepted) {
       co_return SubmitOutcome::Accepted;
     }
@@ -74,21 +76,22 @@
                   ? passed.error().mExecution != Execution::NotRun
                   : *passed == SubmitOutcome::Unknown;
     if (passed.has_error()) {
-      mAvoided[owner] = mClock() + mOptions.mAvoidTime;
+      mAvoided[peer->mHost] = mClock() + mOptions.mAvoidTime;
     }
     Event("step_not_passed_on", LogLevel::Warning)
       .Field("step", aSubmission.mId)
-      .Field("host", owner)
+      .Field("host", peer->mHost)
       .Field("error",
              passed.has_error() ? FormatError(passed.error())
                                 : std::string("refused"))
       .Write();
   }
   const auto outcome = co_await mHere(std::move(aSubmission), aDeadline);
-  // The other daemon may still create it.
-  co_return outcome == SubmitOutcome::Refused&& mayBeKept
-    ? SubmitOutcome::Unknown
-    : outcome;
+  if (outcome == SubmitOutcome::Refused && mayBeKept) {
+    // The other daemon may still create it.
+    co_return SubmitOutcome::Unknown;
+  }
+  co_return outcome;
 }
 
 } // namespace agatetide::entry
--- a/src/agatetide/entry/step_placer_test.cpp
+++ b/src/agatetide/entry/step_placer_test.cpp
@@ -33,14 +33,21 @@
     mView.SetHosts(std::move(hosts));
   }
 
-  /// Submits a step of a model that another daemon runs.
+  /// A model whose steps another daemon runs.
+  std::string ModelOfAnother() const
+  {
+    std::string model = "model";
+    while (mPlacer.OwnerOf(model, "") == "host-0") {
+      model += "x";
+    }
+    return model;
+  }
+
+  /// Submits a step of that model.
   SubmitOutcome Submit()
   {
     steps::StepSubmission submission;
-    submission.mModel = "model";
-    while (mPlacer.OwnerOf(submission.mModel, submission.mId) == "host-0") {
-      submission.mModel += "x";
-    }
+    submission.mModel = ModelOfAnother();
     return coordination::RunCoroutine(
       mPlacer.Submit(submission, mClock.Now() + std::chrono::seconds(1)));
   }
@@ -109,11 +116,13 @@
   fixture.mThere = Error{
     ErrorKind::DeadlineExceeded, "no answer", "retry", Execution::Unknown
   };
+  const std::string model = fixture.ModelOfAnother();
+  const std::string owner = fixture.mPlacer.OwnerOf(model, "");
   cr_expect(fixture.Submit() == SubmitOutcome::Accepted);
   cr_expect_eq(fixture.mCallsHere, 1);
-  const std::string owner = fixture.mPlacer.OwnerOf("model", "");
+  cr_expect(fixture.mPlacer.OwnerOf(model, "") != owner);
   fixture.mClock.Advance(StepPlacerOptions().mAvoidTime);
-  cr_expect(!owner.empty());
+  cr_expect(fixture.mPlacer.OwnerOf(model, "") == owner);
 }
 
 // Guards against a refusal that says nothing runs while the other daemon may
