Count the bytes of a text as its events arrive

Cause: the limit of a text summed all events at each one, so a stream of small events without end cost time that grows with the square of their number, and events without data never reached the limit.

SampleText keeps the sum, and each event counts with its line end.

--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -3,6 +3,7 @@
 #include "agatetide/policy/item_placement.hpp"
 #include "agatetide/policy/replica_speeds.hpp"
 #include "agatetide/request/forwarder.hpp"
+#include "agatetide/steps/sample_text.hpp"
 #include "agatetide/steps/step_store.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -45,7 +46,7 @@
   };
   State mState = State::Waiting;
   /// Data of the events so far.
-  std::vector<std::string> mEvents;
+  SampleText mText;
   std::vector<int64_t> mVersions;
   /// Answers of replicas that the item failed.
   unsigned mFailures = 0;
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-/// A longer text cannot be read by its trainer: an answer holds 1 MB.
-constexpr size_t kMaxTextBytes = size_t{ 1000 } * 1000;
 /// A stream without any event for this long goes on elsewhere.
 constexpr std::chrono::milliseconds kStreamIdleTimeout{ 1500 };
 constexpr std::chrono::milliseconds kBusyPause{ 40 };
@@ -37,15 +35,6 @@
   return std::chrono::duration<double>(aTime).count();
 }
 
-size_t BytesOf(const std::vector<std::string>& aLines)
-{
-  size_t bytes = 0;
-  for (const std::string& line : aLines) {
-    bytes += line.size();
-  }
-  return bytes;
-}
-
 } // namespace
 
 void StepRunner::Pump()
@@ -78,7 +67,7 @@
     for (const size_t index : aStep->mOrder) {
       const ItemWork& work = aStep->mWork[index];
       if (work.mState != ItemWork::State::Waiting || work.mNotBefore > now ||
-          work.mEvents.empty() == started) {
+          work.mText.Events().empty() == started) {
         continue;
       }
       if (!StartItem(aStep, index, route)) {
@@ -140,7 +129,8 @@
     .Field("replica", replica.mId)
     .Field("running", candidates[*chosen].mRunning)
     .Field("slowness", candidates[*chosen].mSlowness)
-    .Field("events", static_cast<uint64_t>(aStep->mWork[aIndex].mEvents.size()))
+    .Field("events",
+           static_cast<uint64_t>(aStep->mWork[aIndex].mText.Events().size()))
     .Write();
   aStep->mPromptReplicas[aStep->mItems[aIndex].mGroup].insert(replica.mId);
   ItemWork& work = aStep->mWork[aIndex];
@@ -165,7 +155,7 @@
                            request::StreamEvent aEvent)
 {
   ItemWork& work = aStep.mWork[aIndex];
-  if (aStep.mStopped || aEvent.mNumber != work.mEvents.size() + 1) {
+  if (aStep.mStopped || aEvent.mNumber != work.mText.Events().size() + 1) {
     return false;
   }
   if (aEvent.mVersion) {
@@ -182,7 +172,7 @@
         .Field("version", *aEvent.mVersion)
         .Field("reason", tooOld ? "version too old" : "version changed")
         .Write();
-      work.mEvents.clear();
+      work.mText.Clear();
       work.mVersions.clear();
       return false;
     }
@@ -190,18 +180,17 @@
       work.mVersions.push_back(*aEvent.mVersion);
     }
   }
-  if (BytesOf(work.mEvents) + aEvent.mData.size() > kMaxTextBytes) {
+  if (!work.mText.Append(std::move(aEvent.mData))) {
     Event("sample_restarted", LogLevel::Warning)
       .Field("item", aStep.mItems[aIndex].mId)
       .Field("replica", aReplica.mId)
-      .Field("events", static_cast<uint64_t>(work.mEvents.size()))
+      .Field("events", static_cast<uint64_t>(work.mText.Events().size()))
       .Field("reason", "text without end")
       .Write();
-    work.mEvents.clear();
+    work.mText.Clear();
     work.mVersions.clear();
     return false;
   }
-  work.mEvents.push_back(std::move(aEvent.mData));
   if (work.mStreamEvents++ == 0) {
     // Counted from the first event, which includes the prompt.
     work.mStreamStart = mContext.mClock();
@@ -235,8 +224,8 @@
   request.mReplicaId = std::move(aReplicaId);
   request.mDeadline = mContext.mClock() + kMaxStreamTime;
   request.mFreshConnection = work.mFailures > 0;
-  if (!work.mEvents.empty()) {
-    request.mResumeAfter = static_cast<uint32_t>(work.mEvents.size());
+  if (!work.mText.Events().empty()) {
+    request.mResumeAfter = static_cast<uint32_t>(work.mText.Events().size());
   }
   return request;
 }
@@ -285,7 +274,7 @@
     .Field("step", aStep.mRecord.mId)
     .Field("item", aStep.mItems[aIndex].mId)
     .Field("replica", aReplica.mId)
-    .Field("events", static_cast<uint64_t>(work.mEvents.size()))
+    .Field("events", static_cast<uint64_t>(work.mText.Events().size()))
     .Field("error", FormatError(aError))
     .Write();
   if (aError.mKind != ErrorKind::Canceled) {
@@ -402,7 +391,7 @@
     policy::ItemProgress progress;
     progress.mSecondsPerEvent =
       Seconds(mContext.mClock() - work.mStreamStart) / (work.mStreamEvents - 1);
-    progress.mEvents = work.mEvents.size();
+    progress.mEvents = work.mText.Events().size();
     progress.mMoves = work.mStreams - 1;
     if (policy::ShouldMoveItem(progress, expected * typical, mMoves)) {
       ObserveSpeed(work.mReplica, work);
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -35,18 +35,6 @@
   return std::chrono::duration_cast<Milliseconds>(aTime).count();
 }
 
-std::string JoinLines(const std::vector<std::string>& aLines)
-{
-  std::string text;
-  for (const std::string& line : aLines) {
-    if (&line != &aLines.front()) {
-      text += '\n';
-    }
-    text += line;
-  }
-  return text;
-}
-
 /// Long items first, since the longest one decides when the step is whole.
 std::vector<size_t> StartOrder(const std::vector<StepItem>& aItems)
 {
@@ -122,7 +110,7 @@
       step->mWork[i].mState = ItemWork::State::Done;
     } else if (const auto partial = partials.find(id);
                partial != partials.end()) {
-      step->mWork[i].mEvents = std::move(partial->second->mEvents);
+      step->mWork[i].mText = SampleText(std::move(partial->second->mEvents));
       step->mWork[i].mVersions = std::move(partial->second->mVersions);
     }
   }
@@ -240,9 +228,10 @@
   size_t events = 0;
   for (size_t i = 0; i < aStep->mItems.size(); ++i) {
     const ItemWork& work = aStep->mWork[i];
-    if (work.mState != ItemWork::State::Done && !work.mEvents.empty()) {
-      samples.push_back({ aStep->mItems[i].mId, work.mEvents, work.mVersions });
-      events += work.mEvents.size();
+    if (work.mState != ItemWork::State::Done && !work.mText.Events().empty()) {
+      samples.push_back(
+        { aStep->mItems[i].mId, work.mText.Events(), work.mVersions });
+      events += work.mText.Events().size();
     }
   }
   if (events == 0 || events == aStep->mCheckpointEvents) {
@@ -317,7 +306,7 @@
     .Field("state", aState == ItemState::Completed ? "completed" : "dead")
     .Field("replica", work.mReplica)
     .Field("expected_tokens", aStep->mItems[aIndex].mExpectedTokens)
-    .Field("events", static_cast<uint64_t>(work.mEvents.size()))
+    .Field("events", static_cast<uint64_t>(work.mText.Events().size()))
     .Field("streams", work.mStreams)
     .Field("waited_ms", InMilliseconds(work.mFirstStart - aStep->mAdopted))
     .Field("text_ms", InMilliseconds(work.mTextEnd - work.mFirstStart))
@@ -327,11 +316,11 @@
   result.mId = aStep->mItems[aIndex].mId;
   result.mState = aState;
   if (aState == ItemState::Completed) {
-    result.mText = JoinLines(work.mEvents);
+    result.mText = work.mText.Joined();
     result.mVersions = work.mVersions;
     result.mScore = std::move(aScore);
   }
-  work.mEvents = {};
+  work.mText = {};
   aStep->mPending.push_back(std::move(result));
   aStep->mCommitTimer->cancel();
 }
