Count the bodies of failures among those held in memory

Cause: only bodies of answers with status 200 counted towards the limit for all of them; failures without end could each take a sixteenth of the memory.

limits_the_bytes_of_all_answers plays both now and fails without it (seen).

--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -175,7 +175,7 @@
         *mParser,
         asio::redirect_error(asio::use_awaitable, error));
       if (error) {
-        co_return Failure(error, Interrupted(mEndpoint, error));
+        co_return Failure(Interrupted(mEndpoint, error));
       }
       if (mParser->get().result_int() < kFirstFinalStatus) {
         continue;
@@ -216,8 +216,7 @@
         Progress();
       }
       if (error) {
-        co_return Failure(error,
-                          error == beast::error::timeout
+        co_return Failure(error == beast::error::timeout
                             ? Interrupted(mEndpoint, error)
                             : CutAnswer(mEndpoint));
       }
@@ -238,10 +237,11 @@
     }
   }
 
-  Error Failure(const ErrorCode& aCode, Error aError) const
+  /// An aborted call fails because its connection was closed.
+  Error Failure(Error aError) const
   {
     const bool aborted = mOptions.mAbort && mOptions.mAbort->Requested();
-    return aCode && aborted ? CanceledCall() : std::move(aError);
+    return aborted ? CanceledCall() : std::move(aError);
   }
 
   Connection& mConnection;
@@ -252,6 +252,42 @@
   std::optional<beast::http::response_parser<beast::http::buffer_body>> mParser;
 };
 
+/// A body that is collected in memory, within the limit of all of them.
+class HeldBody
+{
+public:
+  HeldBody(size_t& aHeldBytes, size_t aMaxHeldBytes)
+    : mHeldBytes(aHeldBytes)
+    , mMaxHeldBytes(aMaxHeldBytes)
+  {
+  }
+  ~HeldBody() { mHeldBytes -= mCounted; }
+  HeldBody(const HeldBody&) = delete;
+  HeldBody& operator=(const HeldBody&) = delete;
+
+  BodyStep Take(std::string_view aPart)
+  {
+    mExhausted = mHeldBytes + aPart.size() > mMaxHeldBytes;
+    if (mExhausted) {
+      return BodyStep::Cancel;
+    }
+    mBody.append(aPart);
+    mCounted += aPart.size();
+    mHeldBytes += aPart.size();
+    return BodyStep::Progress;
+  }
+
+  bool Exhausted() const { return mExhausted; }
+  std::string Release() { return std::move(mBody); }
+
+private:
+  size_t& mHeldBytes;
+  size_t mMaxHeldBytes;
+  std::string mBody;
+  size_t mCounted = 0;
+  bool mExhausted = false;
+};
+
 /// Whether an idle connection is still open and silent. A server that closed
 /// it, or sent something unasked, must not get a further request.
 bool Usable(Connection& aConnection)
@@ -398,26 +434,17 @@
                                          CallOptions aOptions)
 {
   const std::shared_ptr<State> state = mState;
-  std::string body;
-  bool exhausted = false;
+  HeldBody body(state->mHeldBytes, state->mOptions.mMaxHeldBytes);
   const BodySink collect = [&](std::string_view aPart) {
-    exhausted =
-      state->mHeldBytes + aPart.size() > state->mOptions.mMaxHeldBytes;
-    if (exhausted) {
-      return BodyStep::Cancel;
-    }
-    body.append(aPart);
-    state->mHeldBytes += aPart.size();
-    return BodyStep::Progress;
+    return body.Take(aPart);
   };
   auto streamed = co_await Stream(
     std::move(aEndpoint), std::move(aRequest), aOptions, collect);
-  state->mHeldBytes -= body.size();
-  if (exhausted) {
+  if (body.Exhausted()) {
     co_return TooMuchHeld();
   }
   if (streamed.has_value() && streamed->mStatus == kStreamedStatus) {
-    streamed->mBody = std::move(body);
+    streamed->mBody = body.Release();
   }
   co_return streamed;
 }
@@ -457,13 +484,21 @@
   if (aOptions.mOnHeader && !aOptions.mOnHeader(*response)) {
     co_return CanceledCall();
   }
-  if (response->mStatus != kStreamedStatus) {
-    aSink = [&body = response->mBody](std::string_view aPart) {
-      body.append(aPart);
-      return BodyStep::Partial;
+  HeldBody failure(state->mHeldBytes, state->mOptions.mMaxHeldBytes);
+  const bool failed = response->mStatus != kStreamedStatus;
+  if (failed) {
+    aSink = [&](std::string_view aPart) {
+      const BodyStep step = failure.Take(aPart);
+      return step == BodyStep::Cancel ? step : BodyStep::Partial;
     };
   }
   const auto read = co_await reader.ReadBody(std::move(aSink));
+  if (failure.Exhausted()) {
+    co_return TooMuchHeld();
+  }
+  if (failed) {
+    response->mBody = failure.Release();
+  }
   if (read.has_error()) {
     co_return read.error();
   }
--- a/src/agatetide/http/faulty_server_test.cpp
+++ b/src/agatetide/http/faulty_server_test.cpp
@@ -148,11 +148,12 @@
 }
 
 /// Sends most of a body and waits.
-Awaitable<void> SendLargePart(http::ScriptedConnection& aConnection)
+Awaitable<void> SendLargePart(http::ScriptedConnection& aConnection,
+                              std::string aStatus)
 {
   co_await aConnection.ReadHead();
-  co_await aConnection.Write("HTTP/1.1 200 OK\r\nContent-Length: 262144\r\n"
-                             "\r\n" +
+  co_await aConnection.Write("HTTP/1.1 " + aStatus +
+                             "\r\nContent-Length: 262144\r\n\r\n" +
                              std::string(200000, 'a'));
   co_await aConnection.ReadHead();
 }
@@ -226,34 +227,40 @@
   }
 }
 
-// Guards against many answers at once that are each within the limit.
+// Guards against many answers at once that are each within the limit, whatever
+// their status.
 Test(http_client, limits_the_bytes_of_all_answers)
 {
   constexpr int kCalls = 10;
-  asio::io_context context;
-  http::ScriptedServer large(context.get_executor(), SendLargePart);
-  http::ClientOptions options;
-  options.mMaxBodyBytes = kMaxBodyBytes;
-  options.mMaxHeldBytes = 4 * kMaxBodyBytes;
-  const auto client = http::Client::Create(context.get_executor(), options);
-  std::vector<CallEnd> ends(kCalls);
-  int exhausted = 0;
-  int running = kCalls;
-  for (CallEnd& end : ends) {
-    asio::co_spawn(context,
-                   CallServer(*client, large.Port(), end),
-                   [&](const std::exception_ptr&) {
-                     if (--running == 0) {
-                       context.stop();
-                     }
-                   });
-  }
-  context.run();
-  for (const CallEnd& end : ends) {
-    exhausted += end.mError.mKind == ErrorKind::ResourceExhausted ? 1 : 0;
+  for (const char* status : { "200 OK", "500 Failed" }) {
+    asio::io_context context;
+    http::ScriptedServer large(context.get_executor(),
+                               [&](http::ScriptedConnection& aConnection) {
+                                 return SendLargePart(aConnection, status);
+                               });
+    http::ClientOptions options;
+    options.mMaxBodyBytes = kMaxBodyBytes;
+    options.mMaxHeldBytes = 4 * kMaxBodyBytes;
+    const auto client = http::Client::Create(context.get_executor(), options);
+    std::vector<CallEnd> ends(kCalls);
+    int exhausted = 0;
+    int running = kCalls;
+    for (CallEnd& end : ends) {
+      asio::co_spawn(context,
+                     CallServer(*client, large.Port(), end),
+                     [&](const std::exception_ptr&) {
+                       if (--running == 0) {
+                         context.stop();
+                       }
+                     });
+    }
+    context.run();
+    for (const CallEnd& end : ends) {
+      exhausted += end.mError.mKind == ErrorKind::ResourceExhausted ? 1 : 0;
+    }
+    cr_expect_geq(exhausted, kCalls - 5, "%s", status);
+    cr_expect_lt(exhausted, kCalls, "%s", status);
   }
-  cr_expect_geq(exhausted, kCalls - 5);
-  cr_expect_lt(exhausted, kCalls);
 }
 
 // Guards against an interim answer, or one without end, that a caller gets in
