Read the connections that a stopping host has already accepted

Cause: after the last look at the listener the process waited for requests that were running, but connections just taken over were not read yet, so it ended at once and reset them. Connections are counted from their acceptance, and the last wait is for them.

--- a/include/agatetide/http/server.hpp
+++ b/include/agatetide/http/server.hpp
@@ -84,6 +84,7 @@
   /// @brief Requests whose answer is not completely written.
   size_t Running() const;
 
+  /// @brief Open connections, also those that have not sent a request yet.
   size_t Connections() const;
 
   ServerCounters Counters() const;
--- a/src/agatetide/http/server.cpp
+++ b/src/agatetide/http/server.cpp
@@ -279,9 +279,9 @@
 
 template<class ServerState>
 Awaitable<void> Serve(std::shared_ptr<ServerState> aState,
-                      beast::tcp_stream aStream)
+                      beast::tcp_stream aStream,
+                      std::unique_ptr<Counted> /*aConnection*/)
 {
-  const Counted connection(aState->mConnections);
   const ServerOptions& options = aState->mOptions;
   ErrorCode closed;
   aStream.socket().set_option(Tcp::no_delay(true), closed);
@@ -374,7 +374,9 @@
   }
   ++aState->mCounters.mAccepted;
   asio::co_spawn(aState->mAcceptor.get_executor(),
-                 Serve(aState, beast::tcp_stream(std::move(aSocket))),
+                 Serve(aState,
+                       beast::tcp_stream(std::move(aSocket)),
+                       std::make_unique<Counted>(aState->mConnections)),
                  asio::detached);
 }
 
--- a/src/agatetide/request/forwarder_test.cpp
+++ b/src/agatetide/request/forwarder_test.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <criterion/criterion.h>
 
@@ -65,6 +68,8 @@
       mForwarder.Run(std::move(request)),
       [&](const std::exception_ptr&, Result<UpstreamAnswer> aResult) {
         result = std::move(aResult);
+        mEnded = mClock();
+        mContext.stop();
       });
     mContext.run();
     mContext.restart();
@@ -74,6 +79,12 @@
   Awaitable<Result<UpstreamAnswer>> Attempt(UpstreamRequest aRequest)
   {
     mSent.push_back(std::move(aRequest));
+    if (mHangs) {
+      asio::steady_timer timer(mContext, std::chrono::seconds(5));
+      boost::system::error_code ignored;
+      co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    }
     Result<UpstreamAnswer> next = Refusal();
     if (!mScript.empty()) {
       next = std::move(mScript.front());
@@ -88,6 +99,10 @@
   ReplicaPool mPool{ mView, mClock, SeededRandom(1) };
   std::deque<Result<UpstreamAnswer>> mScript;
   std::vector<UpstreamRequest> mSent;
+  /// Attempts do not end.
+  bool mHangs = false;
+  /// When Run() returned.
+  TimePoint mEnded{};
   Forwarder mForwarder{ mContext.get_executor(),
                         mPool,
                         [this](http::Endpoint,
@@ -161,3 +176,20 @@
   cr_expect(often.Run(fleet::RouteKind::Idempotent).has_value());
   cr_expect_not(often.mSent.at(0).mFreshConnection);
 }
+
+// Guards against requests that are cut when their host stops: they must be
+// answered before, also those that run already.
+Test(forwarder, ends_running_requests_of_a_host_that_stops)
+{
+  Fixture fixture({});
+  fixture.mHangs = true;
+  const TimePoint end = fixture.mClock() + std::chrono::milliseconds(100);
+  asio::steady_timer stop(fixture.mContext, std::chrono::milliseconds(20));
+  stop.async_wait(
+    [&](const boost::system::error_code&) { fixture.mForwarder.EndBy(end); });
+  const auto result = fixture.Run(fleet::RouteKind::NonIdempotent);
+  cr_assert(result.has_error());
+  cr_expect_eq(result.error().mKind, ErrorKind::DeadlineExceeded);
+  cr_expect_eq(result.error().mExecution, Execution::Unknown);
+  cr_expect(fixture.mEnded - end < std::chrono::milliseconds(500));
+}
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -450,6 +450,29 @@
     check(ends[200] > 12, "served %s" % ends)
 
 
+def stopping_host_answers_requests_that_outlast_it(site):
+    """Requests that a slow replica would answer after the host has gone."""
+    first, ends = site.daemons[0], []
+
+    def ask(number):
+        try:
+            ends.append(site.lookup(first, "slow-%d" % number)[0])
+        except (OSError, http.client.HTTPException) as error:
+            ends.append(repr(error))
+
+    for replica in site.plain:
+        replica.pause = 1.5
+    first.process.send_signal(signal.SIGTERM)
+    time.sleep(0.8)
+    threads = [threading.Thread(target=ask, args=(i,)) for i in range(4)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    check(first.process.wait(5) == 0, "exit code")
+    check(ends == [504] * 4, "ends %s" % ends)
+
+
 def host_stops_in_time_without_the_store(site):
     first = site.daemons[0]
     site.submit(first)
@@ -479,6 +502,7 @@
     (host_to_be_emptied_is_answered, {}),
     (malformed_input_is_refused_and_harmless, {}),
     (stopping_host_answers_all_it_has_accepted, {"pause": 0.35}),
+    (stopping_host_answers_requests_that_outlast_it, {}),
     (draining_host_finishes_and_leaves, {"daemons": 2, "events": 6, "pause": 0.1}),
 ]
 
