Log the request limits that replicas name

The log could not tell whether a replica had named a request limit, when a host learned of it, nor how much the host sent afterwards. Nothing is limited yet.

--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -104,6 +104,7 @@
   bool IsReady() const { return !mDraining && mView.Config() != nullptr; }
 
   const fleet::FleetView& View() const { return mView; }
+  request::ReplicaPool& Pool() { return mPool; }
   request::Forwarder& Forwarder() { return mForwarder; }
   steps::StepService& Steps() { return mSteps; }
   StepRouter& Router() { return mStepRouter; }
--- a/include/agatetide/request/replica_pool.hpp
+++ b/include/agatetide/request/replica_pool.hpp
@@ -5,6 +5,7 @@
 #include "agatetide/fleet/fleet_view.hpp"
 #include "agatetide/policy/outlier_ejection.hpp"
 #include "agatetide/policy/replica_choice.hpp"
+#include "agatetide/request/request_limits.hpp"
 #include "agatetide/request/upstream.hpp"
 
 #include <functional>
@@ -76,6 +77,13 @@
   /// @brief Records the load that a replica reported with a response.
   void RecordLoad(std::string_view aReplicaId, const ReportedLoad& aLoad);
 
+  /// @brief Records the request limit that a replica named with a response, or
+  /// that it named none.
+  void RecordLimit(std::string_view aReplicaId, const LimitReport& aReport)
+  {
+    mLimits.Record(aReplicaId, aReport);
+  }
+
   /// @brief Makes a replica unusable for aDuration, or longer if it is already
   /// blocked for longer.
   void BlockFor(std::string_view aReplicaId, Duration aDuration);
@@ -113,6 +121,7 @@
   Random mRandom;
   std::map<std::string, Load, std::less<>> mLoads;
   policy::OutlierEjection mEjection{ policy::OutlierEjectionOptions{} };
+  RequestLimits mLimits;
   /// For policy::ChooseReplica().
   uint64_t mRoundRobinCounter = 0;
 };
--- a/src/agatetide/request/replica_pool.cpp
+++ b/src/agatetide/request/replica_pool.cpp
@@ -20,6 +20,7 @@
   : mView(aView)
   , mClock(std::move(aClock))
   , mRandom(std::move(aRandom))
+  , mLimits(mClock)
 {
 }
 
@@ -29,6 +30,7 @@
   , mReplica(std::move(aReplica))
 {
   ++mPool->mLoads[mReplica.mId].mRunning;
+  mPool->mLimits.CountSent(mReplica.mId);
 }
 
 ReplicaPool::Reservation::Reservation(Reservation&& aOther) noexcept
