Divide the request limit of a replica among the hosts that use it

What callers saw: a replica that named a request limit got far more than it. With three hosts on the stand-in, a replica that named 3 requests a second got 1,101 in 4 s (bound 23); with two hosts and all replicas limited to 4, 757 (bound 29); a step sent an engine that named 3 a second 26 (bound 23).

Cause: no code read the limit. Placement looks at running requests against slots, so a replica in need, whose slots are free, is even preferred. Class of fault: a limit that holds for all hosts together, where each host decides by what it sees alone.

The fix: each host paces its requests to a limited replica (RequestPacer) at its share (ShareOfLimit). Hosts announce in their registration which limited replicas they use; these divide the limit once all hosts know of them (3 s). Until then a host gets its part of a quarter of the limit. With a low limit, single requests of many hosts would exceed it together, so a few hosts chosen by hash divide it. A host that has not asked the replica itself learns the limit from the registrations. A limit ends with an answer without it whose request was sent after the limit was last named. Requests wait for a limited replica at most the route's target latency, and are otherwise refused at once with a Retry-After from the expected wait; scoring calls leave the replicas to callers that wait. Shares need no messages of their own.

--- a/include/agatetide/base/error.hpp
+++ b/include/agatetide/base/error.hpp
@@ -2,6 +2,8 @@
 
 #include <boost/system/result.hpp>
 
+#include <chrono>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -48,6 +50,8 @@
   std::string mMessage;
   std::string mRemedy;
   Execution mExecution = Execution::NotRun;
+  /// When a repetition may succeed; std::nullopt if that is unknown.
+  std::optional<std::chrono::milliseconds> mRetryAfter;
 };
 
 /// @brief A value or an Error. The error is held by value, so that it survives
--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -138,6 +138,7 @@
   void ApplyReplicaChange(const coordination::StoreChange& aChange);
   void RemoveExpiredReplicas();
   Awaitable<void> ReportEmptiedHosts();
+  void ShareRequestLimits();
   Awaitable<Result<steps::SubmitOutcome>> SubmitForPeer(
     steps::StepSubmission aSubmission);
 
--- a/include/agatetide/entry/host_registry.hpp
+++ b/include/agatetide/entry/host_registry.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 namespace agatetide::entry {
@@ -16,6 +17,9 @@
   /// Time for which hosts stay in the view when many registrations disappear
   /// together: an outage of the store has probably expired their leases.
   Milliseconds mRemovalDelay{ 3000 };
+  /// Time within which all hosts know of a changed registration: the longest
+  /// watch, and the switch to the store when the watched host fails.
+  Milliseconds mAnnouncementDelay{ 3000 };
 };
 
 /// @brief Registers this host in the store under a lease and watches the
@@ -43,6 +47,15 @@
   /// @brief Announces to the other hosts that this one accepts no new work.
   Awaitable<void> BeginDrain();
 
+  /// @brief Sets the limited replicas that this host uses; see
+  /// fleet::EntryHost::mRequestLimits. Written with the next renewal.
+  void AnnounceRequestLimits(
+    std::map<std::string, double, std::less<>> aLimits);
+
+  /// @brief Ids of the replicas of which all hosts know that this host uses
+  /// them.
+  std::set<std::string, std::less<>> AnnouncedReplicas() const;
+
   /// @brief Revokes the lease, which removes the registration.
   Awaitable<void> Deregister();
 
@@ -61,8 +74,10 @@
   Clock mClock;
   int64_t mLeaseId = 0;
   bool mDeregistered = false;
-  /// The value of mDraining in the stored registration.
-  bool mPublishedDraining = false;
+  /// The registration as it was last stored.
+  fleet::EntryHost mPublished;
+  /// When a replica was first stored as used by this host.
+  std::map<std::string, TimePoint, std::less<>> mAnnouncedSince;
   std::map<std::string, fleet::EntryHost, std::less<>> mRegistered;
   /// Hosts whose registration is gone, with the end of their mRemovalDelay.
   std::map<std::string, std::pair<fleet::EntryHost, TimePoint>> mExpired;
--- a/include/agatetide/request/forwarder.hpp
+++ b/include/agatetide/request/forwarder.hpp
@@ -20,6 +20,9 @@
   UpstreamRequest mPrototype;
   /// The caller gets a response or an error by then.
   TimePoint mDeadline{};
+  /// How long the request may wait while the limits of all replicas are used
+  /// up. Requests that may not wait leave the replicas to those that wait.
+  Duration mMaxLimitWait{};
   /// Watches the caller's connection. May be null.
   std::shared_ptr<http::CallerConnection> mCaller;
   /// Called at most once, after the first attempt that a replica may have run,
@@ -61,9 +64,12 @@
   {
     policy::RetryBudget mHedgeBudget{ policy::RetryBudgetOptions{} };
     policy::HedgeDelay mHedgeDelay{ policy::HedgeOptions{} };
+    /// Requests that wait until the limit of a replica allows another one.
+    size_t mWaitingCount = 0;
   };
 
   bool StartAttempt(const std::shared_ptr<RequestState>& aState);
+  Awaitable<bool> AwaitLimit(std::shared_ptr<RequestState> aState);
   Awaitable<void> RunAttempt(std::shared_ptr<RequestState> aState,
                              ReplicaPool::Reservation aReservation,
                              std::shared_ptr<http::CancelHandle> aCancel);
--- a/include/agatetide/request/replica_pool.hpp
+++ b/include/agatetide/request/replica_pool.hpp
@@ -40,8 +40,11 @@
 class ReplicaPool
 {
 public:
-  /// Precondition: aView outlives the pool.
-  ReplicaPool(const fleet::FleetView& aView, Clock aClock, Random aRandom);
+  /// Precondition: aView outlives the pool. aHost is the name of this host.
+  ReplicaPool(const fleet::FleetView& aView,
+              Clock aClock,
+              Random aRandom,
+              std::string aHost = {});
 
   /// @brief Counts as one running request of this daemon on a replica until
   /// it is destroyed. Precondition: the pool outlives it.
@@ -61,11 +64,17 @@
   };
 
   /// @brief Chooses a replica and logs the choice. Returns std::nullopt if no
-  /// replica passes the filter. An ejected or blocked replica is chosen only if
-  /// there is no other.
+  /// replica passes the filter and may be sent a request. An ejected or blocked
+  /// replica is chosen only if there is no other.
   std::optional<Reservation> ChooseAndReserve(const ReplicaFilter& aFilter,
                                               std::string_view aRequestId);
 
+  /// @brief Estimates the time until a limited replica that passes the filter
+  /// may be sent a request, after aWaitingCount other requests that wait for
+  /// it; Duration::max() if there is none.
+  Duration EstimateLimitDelay(const ReplicaFilter& aFilter,
+                              size_t aWaitingCount) const;
+
   /// @brief Reserves the replica with this id. Returns std::nullopt if it is
   /// not registered or not usable.
   std::optional<Reservation> TryReserve(std::string_view aReplicaId);
@@ -77,12 +86,9 @@
   /// @brief Records the load that a replica reported with a response.
   void RecordLoad(std::string_view aReplicaId, const ReportedLoad& aLoad);
 
-  /// @brief Records the request limit that a replica named with a response, or
-  /// that it named none.
-  void RecordLimit(std::string_view aReplicaId, const LimitReport& aReport)
-  {
-    mLimits.Record(aReplicaId, aReport);
-  }
+  /// @brief The request limits of the replicas. No replica is chosen or
+  /// reserved whose limit leaves no request to this host.
+  RequestLimits& Limits() { return mLimits; }
 
   /// @brief Makes a replica unusable for aDuration, or longer if it is already
   /// blocked for longer.
@@ -95,7 +101,8 @@
   /// the replica.
   double EstimatedRequests(const fleet::Replica& aReplica) const;
 
-  /// @brief Whether the replica is neither draining nor blocked.
+  /// @brief Whether the replica is neither draining nor blocked, and its limit
+  /// leaves a request to this host.
   bool IsUsable(const fleet::Replica& aReplica) const;
 
   const fleet::FleetView& View() const { return mView; }
@@ -113,6 +120,10 @@
 
   /// Requests of other daemons; 0 if the last report is too old.
   double OtherRequests(const Load& aLoad) const;
+  bool IsBlocked(const std::string& aReplicaId) const;
+  /// Whether the replica passes the filter, apart from its limit.
+  bool Passes(const ReplicaFilter& aFilter,
+              const fleet::Replica& aReplica) const;
   void Release(const std::string& aReplicaId);
   std::string EjectionGroup(const fleet::Replica& aReplica) const;
 
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -127,7 +127,7 @@
                   return mPeerChannel->Watch(
                     std::move(aPeer), std::move(aRequest), aTimeout);
                 })
-  , mPool(mView, mClock, ProcessRandom())
+  , mPool(mView, mClock, ProcessRandom(), mOptions.mSelf.mName)
   , mForwarder(mExecutor, mPool, mHooks.mCallReplica, mClock, ProcessRandom())
   , mStepStore(mStore, mHooks.mWatch)
   , mStepContext{ mExecutor,
@@ -332,6 +332,9 @@
       .Field("draining", replica->mDraining)
       .Write();
   }
+  if (known != nullptr && known->mStartTimeMs != replica->mStartTimeMs) {
+    mPool.Limits().Forget(replica->mId);
+  }
   mExpiredReplicas.erase(replica->mId);
   mView.PutReplica(std::move(*replica));
 }
@@ -377,6 +380,7 @@
     }
     LogEvent("replica_gone").Field("replica", expired->first).Write();
     mView.RemoveReplica(expired->first);
+    mPool.Limits().Forget(expired->first);
     expired = mExpiredReplicas.erase(expired);
   }
 }
@@ -387,6 +391,7 @@
   for (;;) {
     timer.expires_after(kDutyInterval);
     co_await timer.async_wait(asio::use_awaitable);
+    ShareRequestLimits();
     co_await mLeadership->Maintain();
     mVersionUpdater->Reconcile();
     mAutoscaler->Reconcile();
@@ -396,6 +401,14 @@
   }
 }
 
+/// Announces which limited replicas this host uses, and divides their limits
+/// among the hosts that use them.
+void EntryDaemon::ShareRequestLimits()
+{
+  mRegistry.AnnounceRequestLimits(mPool.Limits().Announcement());
+  mPool.Limits().UpdateShares(mRegistry.AnnouncedReplicas());
+}
+
 /// Reports hosts as empty immediately, since hosts with a disk hold no data
 /// that must be preserved.
 Awaitable<void> EntryDaemon::ReportEmptiedHosts()
--- a/src/agatetide/entry/host_registry.cpp
+++ b/src/agatetide/entry/host_registry.cpp
@@ -25,10 +25,24 @@
     { "availability_zone", aHost.mAvailabilityZone },
     { "region", aHost.mRegion },
     { "incarnation", aHost.mIncarnation },
-    { "draining", aHost.mDraining }
+    { "draining", aHost.mDraining },
+    { "request_limits", aHost.mRequestLimits }
   }.dump();
 }
 
+std::map<std::string, double, std::less<>> DecodeRequestLimits(
+  const json& aHost)
+{
+  std::map<std::string, double, std::less<>> limits;
+  const auto found = aHost.find("request_limits");
+  if (found != aHost.end() && found->is_object()) {
+    for (const auto& [replica, limit] : found->items()) {
+      limits[replica] = limit.is_number() ? limit.get<double>() : 0.0;
+    }
+  }
+  return limits;
+}
+
 std::optional<fleet::EntryHost> Decode(const StoreEntry& aEntry)
 {
   const json value = json::parse(aEntry.mValue, nullptr, false);
@@ -52,6 +66,7 @@
   host.mRegion = text("region");
   host.mIncarnation = text("incarnation");
   host.mDraining = value.value("draining", json(false)) == json(true);
+  host.mRequestLimits = DecodeRequestLimits(value);
   return host;
 }
 
@@ -81,14 +96,15 @@
       co_return false;
     }
     if (renewed->mTtlSeconds > 0) {
-      // The registration may not state yet that this host is draining.
-      const bool upToDate = mPublishedDraining == mSelf.mDraining;
+      const bool upToDate = mPublished.mDraining == mSelf.mDraining &&
+                            mPublished.mRequestLimits == mSelf.mRequestLimits;
       if (upToDate) {
         co_return true;
       }
       co_return co_await WriteRegistration(mLeaseId);
     }
     mLeaseId = 0;
+    mAnnouncedSince.clear();
   }
   StoreRequest grant = LeaseGrantRequest{ mOptions.mTtlSeconds };
   const auto granted = co_await mStore(std::move(grant));
@@ -110,15 +126,39 @@
                         Encode(mSelf),
                         aLeaseId });
   StoreRequest request = std::move(put);
-  const bool draining = mSelf.mDraining;
+  const fleet::EntryHost registration = mSelf;
   const auto written = co_await mStore(std::move(request));
   if (written.has_error() || !written->mSucceeded) {
     co_return false;
   }
-  mPublishedDraining = draining;
+  mPublished = registration;
+  std::erase_if(mAnnouncedSince, [&](const auto& aItem) {
+    return !registration.mRequestLimits.contains(aItem.first);
+  });
+  for (const auto& [replica, limit] : registration.mRequestLimits) {
+    mAnnouncedSince.try_emplace(replica, mClock());
+  }
   co_return true;
 }
 
+void HostRegistry::AnnounceRequestLimits(
+  std::map<std::string, double, std::less<>> aLimits)
+{
+  mSelf.mRequestLimits = std::move(aLimits);
+}
+
+std::set<std::string, std::less<>> HostRegistry::AnnouncedReplicas() const
+{
+  std::set<std::string, std::less<>> replicas;
+  for (const auto& [replica, since] : mAnnouncedSince) {
+    if (mSelf.mRequestLimits.contains(replica) &&
+        mClock() - since >= mOptions.mAnnouncementDelay) {
+      replicas.insert(replica);
+    }
+  }
+  return replicas;
+}
+
 Awaitable<void> HostRegistry::BeginDrain()
 {
   mSelf.mDraining = true;
@@ -231,7 +271,8 @@
     const auto known = mView.Hosts().find(name);
     changed = changed || known == mView.Hosts().end() ||
               known->second.mIncarnation != host.mIncarnation ||
-              known->second.mDraining != host.mDraining;
+              known->second.mDraining != host.mDraining ||
+              known->second.mRequestLimits != host.mRequestLimits;
   }
   if (changed) {
     mView.SetHosts(std::move(hosts));
--- a/src/agatetide/request/forwarder.cpp
+++ b/src/agatetide/request/forwarder.cpp
@@ -24,6 +24,8 @@
 /// A replica that is unreachable, or at whose address another replica or
 /// weight version responds, gets no new request for this long.
 constexpr std::chrono::milliseconds kUnreachableBlockTime{ 500 };
+/// Shortest wait for a limited replica.
+constexpr std::chrono::milliseconds kMinLimitWait{ 1 };
 /// HTTP status of a request that a replica ran but failed.
 constexpr unsigned kFailedStatus = 500;
 /// Delay before a hedged request, as a fraction of the route's target latency.
@@ -59,6 +61,10 @@
   /// The last response with a status of 500 or above.
   std::optional<UpstreamResponse> mFailureResponse;
   std::optional<Error> mLastError;
+  /// The request gives up waiting for limited replicas then.
+  TimePoint mLimitWaitEnd{};
+  /// When the limits of the replicas may allow another request.
+  std::optional<Milliseconds> mRetryAfter;
 };
 
 Forwarder::Forwarder(asio::any_io_executor aExecutor,
@@ -116,6 +122,7 @@
   }
   const bool idempotent = request.mRoute.mKind == fleet::RouteKind::Idempotent;
   mRequests.insert(state.get());
+  state->mLimitWaitEnd = mClock() + request.mMaxLimitWait;
   TimePoint hedgeAt = mClock() + HedgeDelayFor(*state);
   StartAttempt(state);
   while (!state->mResponse && !state->mCallerGone &&
@@ -124,7 +131,10 @@
                           (idempotent || !state->mMayHaveRun) &&
                           state->mRefusalCount < kMaxRefusals;
     if (state->mPendingAttempts == 0 && (!mayRetry || !StartAttempt(state))) {
-      break;
+      if (!mayRetry || !co_await AwaitLimit(state)) {
+        break;
+      }
+      continue;
     }
     if (state->mPendingAttempts == 1 && idempotent && mayRetry &&
         mClock() >= hedgeAt) {
@@ -153,6 +163,33 @@
   co_return MakeResult(*state);
 }
 
+/// Waits until the limit of a replica may allow the request. Returns false at
+/// once if that takes too long.
+Awaitable<bool> Forwarder::AwaitLimit(std::shared_ptr<RequestState> aState)
+{
+  ServiceState& service = mServices[aState->mService];
+  const ReplicaFilter filter{ aState->mService, aState->mTriedReplicaIds, {} };
+  const Duration delay =
+    mPool.EstimateLimitDelay(filter, service.mWaitingCount);
+  if (delay == Duration::max()) {
+    co_return false;
+  }
+  aState->mRetryAfter = std::chrono::ceil<Milliseconds>(delay);
+  const TimePoint end = std::min(aState->mLimitWaitEnd, DeadlineOf(*aState));
+  if (delay > end - mClock()) {
+    co_return false;
+  }
+  ++service.mWaitingCount;
+  aState->mTimer.expires_at(
+    mClock() +
+    std::max<Duration>(mPool.EstimateLimitDelay(filter, 0), kMinLimitWait));
+  boost::system::error_code ignored;
+  co_await aState->mTimer.async_wait(
+    asio::redirect_error(asio::use_awaitable, ignored));
+  --service.mWaitingCount;
+  co_return true;
+}
+
 void Forwarder::SetShutdownDeadline(TimePoint aDeadline)
 {
   mShutdownDeadline = aDeadline;
@@ -168,7 +205,11 @@
 
 bool Forwarder::StartAttempt(const std::shared_ptr<RequestState>& aState)
 {
-  ReplicaFilter filter{ aState->mService, aState->mTriedReplicaIds, {} };
+  const ReplicaFilter filter{ aState->mService, aState->mTriedReplicaIds, {} };
+  const bool yields = aState->mRequest.mMaxLimitWait <= Duration::zero();
+  if (yields && mServices[aState->mService].mWaitingCount > 0) {
+    return false;
+  }
   auto reservation =
     mPool.ChooseAndReserve(filter, aState->mRequest.mPrototype.mId);
   if (!reservation) {
@@ -298,7 +339,8 @@
   return Error{ ErrorKind::Unavailable,
                 "no replica of " + aState.mService + " could run the request",
                 "retry after a short delay",
-                Execution::NotRun };
+                Execution::NotRun,
+                aState.mRetryAfter };
 }
 
 } // namespace agatetide::request
--- a/src/agatetide/request/replica_pool.cpp
+++ b/src/agatetide/request/replica_pool.cpp
@@ -16,11 +16,12 @@
 
 ReplicaPool::ReplicaPool(const fleet::FleetView& aView,
                          Clock aClock,
-                         Random aRandom)
+                         Random aRandom,
+                         std::string aHost)
   : mView(aView)
   , mClock(std::move(aClock))
   , mRandom(std::move(aRandom))
-  , mLimits(mClock)
+  , mLimits(aView, std::move(aHost), mClock)
 {
 }
 
@@ -77,11 +78,41 @@
 
 bool ReplicaPool::IsUsable(const fleet::Replica& aReplica) const
 {
-  if (aReplica.mDraining) {
-    return false;
+  return !aReplica.mDraining && !IsBlocked(aReplica.mId) &&
+         mLimits.Delay(aReplica.mId) <= Duration::zero();
+}
+
+bool ReplicaPool::IsBlocked(const std::string& aReplicaId) const
+{
+  const auto found = mLoads.find(aReplicaId);
+  return found != mLoads.end() && mClock() < found->second.mBlockedUntil;
+}
+
+bool ReplicaPool::Passes(const ReplicaFilter& aFilter,
+                         const fleet::Replica& aReplica) const
+{
+  return aReplica.mService == aFilter.mService && !aReplica.mDraining &&
+         !aFilter.mExcludedIds.contains(aReplica.mId) &&
+         (!aFilter.mIsAllowed || aFilter.mIsAllowed(aReplica));
+}
+
+Duration ReplicaPool::EstimateLimitDelay(const ReplicaFilter& aFilter,
+                                         size_t aWaitingCount) const
+{
+  Duration shortest = Duration::max();
+  double requestsPerSecond = 0.0;
+  for (const auto& [id, replica] : mView.Replicas()) {
+    if (Passes(aFilter, replica)) {
+      shortest = std::min(shortest, mLimits.Delay(id));
+      requestsPerSecond += mLimits.Rate(id);
+    }
   }
-  const auto found = mLoads.find(aReplica.mId);
-  return found == mLoads.end() || mClock() >= found->second.mBlockedUntil;
+  if (shortest == Duration::max() || requestsPerSecond <= 0.0) {
+    return shortest;
+  }
+  const std::chrono::duration<double> others(
+    static_cast<double>(aWaitingCount) / requestsPerSecond);
+  return shortest + std::chrono::ceil<Duration>(others);
 }
 
 std::string ReplicaPool::EjectionGroup(const fleet::Replica& aReplica) const
@@ -97,9 +128,11 @@
   std::vector<policy::ReplicaCandidate> candidates;
   const TimePoint now = mClock();
   for (const auto& [id, replica] : mView.Replicas()) {
-    if (replica.mService != aFilter.mService || replica.mDraining ||
-        aFilter.mExcludedIds.contains(id) ||
-        (aFilter.mIsAllowed && !aFilter.mIsAllowed(replica))) {
+    if (!Passes(aFilter, replica)) {
+      continue;
+    }
+    mLimits.RecordDemand(id);
+    if (mLimits.Delay(id) > Duration::zero()) {
       continue;
     }
     policy::ReplicaCandidate candidate;
@@ -111,7 +144,7 @@
         ? mEjection.TrafficShare(EjectionGroup(replica), id, now)
         : 1.0;
     candidate.mExcluded =
-      !IsUsable(replica) || (share < 1.0 && UniformUnit(mRandom) >= share);
+      IsBlocked(id) || (share < 1.0 && UniformUnit(mRandom) >= share);
     if (const auto load = mLoads.find(id); load != mLoads.end()) {
       candidate.mOwnRunning = load->second.mRunning;
       candidate.mReportedRunning =
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -105,8 +105,11 @@
       return aService.mService == replica.mService;
     };
     if (std::none_of(
-          aRoute.mServices.begin(), aRoute.mServices.end(), serves) ||
-        !MayRun(*aStep, replica)) {
+          aRoute.mServices.begin(), aRoute.mServices.end(), serves)) {
+      continue;
+    }
+    mContext.mPool.Limits().RecordDemand(id);
+    if (!MayRun(*aStep, replica)) {
       continue;
     }
     policy::ItemCandidate candidate;
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -205,6 +205,8 @@
         self.requests = []
         self.endless_stream = False
         self.statuses = []  # of the next answers; 200 after them
+        self.limit = None  # requests a second that its answers name
+        self.arrivals = []  # times of its requests
         self.state = "ready"
         self.server = serve(self.handle)
         self.address = "127.0.0.1:%d" % self.server.server_port
@@ -236,20 +238,30 @@
             handler.reply(202)
             self.register()
             return
+        self.arrivals.append(time.monotonic())
         self.requests.append((headers.get("Attempt-Id"), path, dict(headers.items()), body))
         if headers.get("Model"):
             self.stream(handler, headers)
             return
         if self.pause:
             time.sleep(self.pause)
-        handler.reply(self.statuses.pop(0) if self.statuses else 200, b"answer to " + body, [("Attempt-Id", headers["Attempt-Id"]),
-                                                  ("Response-Signature", "signed-" + headers["Attempt-Id"])])
+        handler.reply(self.statuses.pop(0) if self.statuses else 200, b"answer to " + body,
+                      [("Attempt-Id", headers["Attempt-Id"]), ("Response-Signature", "signed-" + headers["Attempt-Id"]),
+                       *self.limit_header()])
+
+    def limit_header(self):
+        return [] if self.limit is None else [("Server-Limit", "%.3f" % self.limit)]
+
+    def max_requests_in(self, seconds, start):
+        """Returns the largest number of requests in a window that begins after start."""
+        times = [t for t in self.arrivals if t >= start]
+        return max((sum(first <= t <= first + seconds for t in times) for first in times), default=0)
 
     def stream(self, handler, headers):
         handler.send_response(200)
         for name, text in (("Attempt-Id", headers["Attempt-Id"]), ("Response-Signature", "s"),
                            ("Weight-Versions", str(self.versions[headers["Model"]])),
-                           ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")):
+                           ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"), *self.limit_header()):
             handler.send_header(name, text)
         handler.end_headers()
         start = int(headers.get("Last-Event-Id") or 0) + 1
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -136,14 +136,14 @@
                                       headers={"Authorization": "Bearer key-a", "Wait-Ms": "300"})
         return json.loads(body) if status == 200 else {"status": status, "results": [], "nextToken": after}
 
-    def read_all(self, daemon, total, request_id="step-1"):
+    def read_all(self, daemon, total, request_id="step-1", timeout=12):
         results = []
 
         def read_more():
             results.extend(self.read(daemon, request_id, len(results))["results"])
             return len(results) == total
 
-        until(read_more, "%d results of %s" % (total, request_id))
+        until(read_more, "%d results of %s" % (total, request_id), timeout=timeout)
         return results
 
     def close(self):
@@ -503,7 +503,82 @@
     check(first.process.wait(2) == 0, "exit code")
 
 
+def press(site, seconds, path="/open/1", callers=4, **headers):
+    """Sends lookups to all hosts from many callers; returns how often each status came."""
+    end, outcomes = time.monotonic() + seconds, collections.Counter()
+
+    def send_lookups(daemon, name):
+        count = 0
+        while time.monotonic() < end:
+            count += 1
+            outcomes[site.lookup(daemon, "%s-%d" % (name, count), path, **headers)[0]] += 1
+            time.sleep(0.02)
+
+    threads = [threading.Thread(target=send_lookups, args=(d, "press-%d-%d-%d" % (end * 1000, i, n)))
+               for i, d in enumerate(site.daemons) for n in range(callers)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return outcomes
+
+
+def check_limit(replicas, limit, start):
+    for replica in replicas:
+        most = replica.max_requests_in(4, start)
+        check(most <= 1.5 * limit * 4 + 5, "%s got %d requests in 4 s with a limit of %s a second" % (replica.name, most, limit))
+
+
+def replica_in_need_gets_no_more_than_its_limit(site):
+    """Guards against a limited replica that gets its whole limit, or more, from each host; and against
+    a limit that outlasts the need."""
+    limited, other = site.plain
+    press(site, 1)
+    limited.limit, start = 3.0, time.monotonic()
+    outcomes = press(site, 10)
+    check_limit([limited], 3.0, start + 4)
+    check(limited.max_requests_in(4, start + 4) >= 6, "the limit was not used")
+    check(set(outcomes) == {200}, "the other replica serves: %s" % outcomes)
+    limited.limit = None
+    press(site, 3)
+    start = time.monotonic()
+    press(site, 2)
+    check(limited.max_requests_in(2, start) > 40, "the limit outlasts the need")
+
+
+def requests_beyond_all_limits_are_refused_with_a_time(site):
+    """Guards against limits that are exceeded when all replicas name one, and against requests that
+    wait for their deadline."""
+    for replica in site.plain:
+        replica.limit = 4.0
+    start = time.monotonic()
+    outcomes = press(site, 10)
+    check_limit(site.plain, 4.0, start + 4)
+    check(set(outcomes) == {200, 503} and outcomes[200] > 40, "served and refused: %s" % outcomes)
+    answers = [site.lookup(d, "late-%d" % i) for d in site.daemons for i in range(8)]
+    times = [float(headers["Retry-After"]) for status, _, headers in answers if status == 503]
+    check(all(0.2 <= t < 5 for t in times), "times to come back %s" % times)
+
+
+def items_keep_the_limit_of_a_replica(site):
+    """Guards against steps that send a limited replica more than it accepts."""
+    for replica in site.engines:
+        replica.limit = 3.0
+    start = time.monotonic()
+    for daemon in site.daemons:
+        site.submit(daemon, "first-" + daemon.name, items=4)
+    time.sleep(4)
+    for daemon in site.daemons:
+        check(site.submit(daemon, "step-" + daemon.name, items=30) == 202, "accepted")
+    for daemon in site.daemons:
+        site.read_all(daemon, 30, "step-" + daemon.name, timeout=20)
+    check_limit(site.engines, 3.0, start + 4)
+
+
 TESTS = [
+    (replica_in_need_gets_no_more_than_its_limit, {"daemons": 3}),
+    (requests_beyond_all_limits_are_refused_with_a_time, {"daemons": 2}),
+    (items_keep_the_limit_of_a_replica, {"daemons": 2}),
     (host_stops_in_time_without_the_store, {"events": 20, "pause": 0.2}),
     (lookup_reaches_a_named_replica, {}),
     (unknown_routes_and_keys_are_refused, {}),
