--- a/include/agatetide/request/request_limits.hpp
+++ b/include/agatetide/request/request_limits.hpp
@@ -70,6 +70,7 @@
   {
     explicit Limit(TimePoint aNow)
       : mPacer(aNow)
+      , mCountStart(aNow)
     {
     }
 
@@ -83,7 +84,7 @@
     TimePoint mDemandAt{};
     policy::RequestPacer mPacer;
     /// Start of the period of mSentCount.
-    TimePoint mCountStart{};
+    TimePoint mCountStart;
     /// Requests that this host sent in the period.
     unsigned mSentCount = 0;
   };
