Log streams that are joined from two software versions

The registration's software version was not decoded, so the log could not tell whether a sample resumed on a replica of another software version. Nothing is prevented yet.

--- a/include/agatetide/fleet/replica.hpp
+++ b/include/agatetide/fleet/replica.hpp
@@ -17,6 +17,9 @@
   std::string mAddress;
   http::Endpoint mEndpoint;
   std::string mAvailabilityZone;
+  /// Version of the replica's software. Replicas of several versions may serve
+  /// side by side; their texts do not fit together.
+  std::string mSoftwareVersion;
   /// Requests that the replica processes at the same time.
   unsigned mSlots = 1;
   bool mDraining = false;
@@ -24,7 +27,7 @@
   bool mPreemptible = false;
   /// Start of the process in Unix milliseconds; 0 if unknown.
   int64_t mStartTimeMs = 0;
-  /// Loaded weight version by model.
+  /// Loaded version of the weights by model.
   std::map<std::string, int64_t, std::less<>> mVersions;
 };
 
--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -52,6 +52,8 @@
   SampleText mText;
   /// The distinct weight versions that generated mText.
   std::vector<int64_t> mVersions;
+  /// The software version of the replica that generated mText.
+  std::string mSoftwareVersion;
   /// Responses with which a replica failed the item (status 500).
   unsigned mFailures = 0;
   /// No stream starts before this time.
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -328,6 +328,7 @@
       .Field("replica", replica->mId)
       .Field("upstream", replica->mService)
       .Field("availability_zone", replica->mAvailabilityZone)
+      .Field("software_version", replica->mSoftwareVersion)
       .Field("preemptible", replica->mPreemptible)
       .Field("draining", replica->mDraining)
       .Write();
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -200,6 +200,17 @@
     run.mVersions.clear();
     return false;
   }
+  if (run.mText.Events().size() > 1 &&
+      run.mSoftwareVersion != aReplica.mSoftwareVersion) {
+    LogEvent("software_versions_joined", LogLevel::Warning)
+      .Field("item", aStep.mItems[aIndex].mId)
+      .Field("replica", aReplica.mId)
+      .Field("events", static_cast<uint64_t>(run.mText.Events().size()))
+      .Field("before", run.mSoftwareVersion)
+      .Field("now", aReplica.mSoftwareVersion)
+      .Write();
+  }
+  run.mSoftwareVersion = aReplica.mSoftwareVersion;
   if (run.mStreamEventCount++ == 0) {
     // The time until the first event includes processing the prompt, so the
     // speed is measured from there on.
