Continue the text of a sample only at its software version

What callers saw: texts joined from replicas of two software versions. On the stand-in with two engines of each version, step-1-item-0 had events 1 to 3 from v1, event 4 from v2 and events 5 to 8 from v1 again; the same after a take-over of the step and when the replicas of v1 left.

Cause: the registration's software version was not read, so every replica with the weights could continue any text: after a broken stream, after a move from a slow replica, and from a stored partial sample. Class of fault: state that is continued elsewhere without the condition under which it was made; the weight versions had such a check, the software had none.

The fix: a text has the software version of its replica, also in the stored partial samples, and resumes only at a replica of that version. If none is left it starts again elsewhere; if those that are left have no free slot, it starts again after waiting as long as generating it anew takes (ShouldRestartItem), so it never waits for longer than that. Slow replicas are compared with those of their version. Partial samples of a daemon before this change cannot be decoded and are generated from the start, which is right, as their version is unknown.

--- a/include/agatetide/policy/item_placement.hpp
+++ b/include/agatetide/policy/item_placement.hpp
@@ -82,4 +82,27 @@
                     double aOtherSecondsPerEvent,
                     const ItemMoveOptions& aOptions);
 
+/// @brief An item whose stream has ended before its text was complete, and that
+/// no replica can continue now.
+struct InterruptedItem
+{
+  /// Events of the text so far.
+  size_t mEvents = 0;
+  /// Usual time per event.
+  double mSecondsPerEvent = 0.1;
+  /// Time since the item last had a stream with events.
+  double mWaitedSeconds = 0.0;
+  /// Whether there are replicas that could continue the text, even if they have
+  /// no free slot.
+  bool mCanContinue = false;
+  /// Whether there are replicas that could only generate it from the start.
+  bool mCanRestart = false;
+};
+
+/// @brief Returns whether the item should start again on another replica: if
+/// none can continue its text, or if it has waited for one as long as
+/// generating the text again takes. So the item takes at most twice the time
+/// that the better choice would have taken.
+bool ShouldRestartItem(const InterruptedItem& aItem);
+
 } // namespace agatetide::policy
--- a/include/agatetide/steps/step.hpp
+++ b/include/agatetide/steps/step.hpp
@@ -102,6 +102,8 @@
   /// Data of the events received so far.
   std::vector<std::string> mEvents;
   std::vector<int64_t> mVersions;
+  /// Software version of the replicas that generated the events.
+  std::string mSoftwareVersion;
 };
 
 /// @brief The name of a daemon process as the owner of steps. It differs after
--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -52,8 +52,11 @@
   SampleText mText;
   /// The distinct weight versions that generated mText.
   std::vector<int64_t> mVersions;
-  /// The software version of the replica that generated mText.
+  /// The software version of the replicas that generated mText. Only replicas
+  /// of this version can continue it.
   std::string mSoftwareVersion;
+  /// When the item last had a stream with events.
+  TimePoint mWaitingSince{};
   /// Responses with which a replica failed the item (status 500).
   unsigned mFailures = 0;
   /// No stream starts before this time.
@@ -72,6 +75,16 @@
   TimePoint mFirstStreamStart{};
   /// When the text became complete.
   TimePoint mTextEnd{};
+
+  /// @brief Whether the replica could continue the text.
+  bool Fits(const fleet::Replica& aReplica) const
+  {
+    return mText.Events().empty() ||
+           mSoftwareVersion == aReplica.mSoftwareVersion;
+  }
+
+  /// @brief Drops the text, so that the item starts again.
+  void ClearText();
 };
 
 /// @brief A step that this process runs.
@@ -202,7 +215,13 @@
   void AbandonExpiredItems(const OwnedStepPtr& aStep);
   void MoveStragglers(const OwnedStepPtr& aStep);
   const fleet::Route* FindRoute(const OwnedStep& aStep) const;
+  bool HasWeights(const OwnedStep& aStep, const fleet::Replica& aReplica) const;
   bool MayRun(const OwnedStep& aStep, const fleet::Replica& aReplica) const;
+  bool ShouldRestart(const OwnedStep& aStep,
+                     const ItemRun& aRun,
+                     const fleet::Route& aRoute) const;
+  std::map<std::string, double, std::less<>> MedianSlowness(
+    const OwnedStep& aStep) const;
   void ObserveSpeed(const std::string& aReplicaId, const ItemRun& aRun);
   void WakeWaiters(OwnedStep& aStep);
   void RemoveStoppedSteps();
--- a/src/agatetide/policy/item_placement.cpp
+++ b/src/agatetide/policy/item_placement.cpp
@@ -54,4 +54,12 @@
                    std::pow(aOptions.mCostGrowthFactor, aItem.mMoveCount);
 }
 
+bool ShouldRestartItem(const InterruptedItem& aItem)
+{
+  return aItem.mCanRestart &&
+         (!aItem.mCanContinue ||
+          aItem.mWaitedSeconds >=
+            static_cast<double>(aItem.mEvents) * aItem.mSecondsPerEvent);
+}
+
 } // namespace agatetide::policy
--- a/src/agatetide/policy/item_placement_test.cpp
+++ b/src/agatetide/policy/item_placement_test.cpp
@@ -77,3 +77,21 @@
   cr_expect(!ShouldMoveItem(
     { 1.2 * kUsualSecondsPerEvent, kLongItem, 0 }, kUsualSecondsPerEvent, {}));
 }
+
+// Guards against items that wait for a software version that has left, or for
+// longer than generating their text again takes.
+Test(item_placement, an_item_waits_for_its_software_version_only_if_that_pays)
+{
+  InterruptedItem item;
+  item.mEvents = 20;
+  item.mSecondsPerEvent = 0.04;
+  item.mCanRestart = true;
+  cr_expect(ShouldRestartItem(item));
+  item.mCanContinue = true;
+  item.mWaitedSeconds = 0.5;
+  cr_expect_not(ShouldRestartItem(item));
+  item.mWaitedSeconds = 0.9;
+  cr_expect(ShouldRestartItem(item));
+  item.mCanRestart = false;
+  cr_expect_not(ShouldRestartItem(item));
+}
--- a/src/agatetide/steps/step.cpp
+++ b/src/agatetide/steps/step.cpp
@@ -86,7 +86,8 @@
 template<class Archive>
 void serialize(Archive& aArchive, PartialSample& aSample)
 {
-  aArchive(aSample.mId, aSample.mEvents, aSample.mVersions);
+  aArchive(
+    aSample.mId, aSample.mEvents, aSample.mVersions, aSample.mSoftwareVersion);
 }
 
 using coordination::EncodePortable;
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -34,6 +34,15 @@
 /// HTTP status of an item that would fail on every replica.
 constexpr unsigned kUnprocessableStatus = 422;
 
+bool Serves(const fleet::Route& aRoute, const fleet::Replica& aReplica)
+{
+  return std::any_of(aRoute.mServices.begin(),
+                     aRoute.mServices.end(),
+                     [&](const fleet::WeightedService& aService) {
+                       return aService.mService == aReplica.mService;
+                     });
+}
+
 double Seconds(Duration aDuration)
 {
   return std::chrono::duration<double>(aDuration).count();
@@ -58,8 +67,10 @@
   }
 }
 
-/// Starts waiting items until one cannot be placed; returns false then. Items
-/// that already have text go first, since their groups already wait for them.
+/// Starts waiting items until one without text cannot be placed; returns false
+/// then. Items that already have text go first, since their groups already wait
+/// for them. They are placed one by one, since not every replica can continue
+/// every text.
 bool StepRunner::StartItemsOfStep(const OwnedStepPtr& aStep)
 {
   const fleet::Route* found = FindRoute(*aStep);
@@ -75,7 +86,7 @@
           run.mText.Events().empty() == started) {
         continue;
       }
-      if (!StartItem(aStep, index, route)) {
+      if (!StartItem(aStep, index, route) && !started) {
         return false;
       }
     }
@@ -83,13 +94,39 @@
   return true;
 }
 
-bool StepRunner::MayRun(const OwnedStep& aStep,
-                        const fleet::Replica& aReplica) const
+bool StepRunner::HasWeights(const OwnedStep& aStep,
+                            const fleet::Replica& aReplica) const
 {
   const auto version = aReplica.mVersions.find(aStep.mRecord.mModel);
   return version != aReplica.mVersions.end() &&
-         version->second >= aStep.mRecord.mMinVersion &&
-         mContext.mPool.IsUsable(aReplica);
+         version->second >= aStep.mRecord.mMinVersion;
+}
+
+bool StepRunner::MayRun(const OwnedStep& aStep,
+                        const fleet::Replica& aReplica) const
+{
+  return HasWeights(aStep, aReplica) && mContext.mPool.IsUsable(aReplica);
+}
+
+/// Whether an item that no replica can continue now should start again on
+/// replicas of another software version.
+bool StepRunner::ShouldRestart(const OwnedStep& aStep,
+                               const ItemRun& aRun,
+                               const fleet::Route& aRoute) const
+{
+  policy::InterruptedItem item;
+  item.mEvents = aRun.mText.Events().size();
+  if (mSpeeds.MedianSecondsPerEvent() > 0.0) {
+    item.mSecondsPerEvent = mSpeeds.MedianSecondsPerEvent();
+  }
+  item.mWaitedSeconds = Seconds(mContext.mClock() - aRun.mWaitingSince);
+  for (const auto& [id, replica] : mContext.mView.Replicas()) {
+    if (Serves(aRoute, replica) && !replica.mDraining &&
+        HasWeights(aStep, replica)) {
+      (aRun.Fits(replica) ? item.mCanContinue : item.mCanRestart) = true;
+    }
+  }
+  return policy::ShouldRestartItem(item);
 }
 
 bool StepRunner::StartItem(const OwnedStepPtr& aStep,
@@ -98,14 +135,11 @@
 {
   std::vector<policy::ItemCandidate> candidates;
   std::vector<const fleet::Replica*> replicas;
+  ItemRun& run = aStep->mRuns[aIndex];
   const auto& promptReplicas =
     aStep->mPromptReplicas[aStep->mItems[aIndex].mGroup];
   for (const auto& [id, replica] : mContext.mView.Replicas()) {
-    const auto serves = [&](const fleet::WeightedService& aService) {
-      return aService.mService == replica.mService;
-    };
-    if (std::none_of(
-          aRoute.mServices.begin(), aRoute.mServices.end(), serves)) {
+    if (!Serves(aRoute, replica) || !run.Fits(replica)) {
       continue;
     }
     mContext.mPool.Limits().RecordDemand(id);
@@ -124,6 +158,17 @@
     replicas.push_back(&replica);
   }
   const auto chosen = policy::ChooseItemReplica(candidates, mChoiceOptions);
+  if (!chosen && !run.mText.Events().empty() &&
+      ShouldRestart(*aStep, run, aRoute)) {
+    LogEvent("sample_restarted", LogLevel::Warning)
+      .Field("item", aStep->mItems[aIndex].mId)
+      .Field("software_version", run.mSoftwareVersion)
+      .Field("events", static_cast<uint64_t>(run.mText.Events().size()))
+      .Field("reason", "no replica of the software version")
+      .Write();
+    run.ClearText();
+    return StartItem(aStep, aIndex, aRoute);
+  }
   if (!chosen) {
     return false;
   }
@@ -142,7 +187,6 @@
            static_cast<uint64_t>(aStep->mRuns[aIndex].mText.Events().size()))
     .Write();
   aStep->mPromptReplicas[aStep->mItems[aIndex].mGroup].insert(replica.mId);
-  ItemRun& run = aStep->mRuns[aIndex];
   run.mState = ItemRun::State::Running;
   run.mReplicaId = replica.mId;
   run.mCancel = std::make_shared<http::CancelHandle>();
@@ -181,8 +225,7 @@
         .Field("version", *aEvent.mVersion)
         .Field("reason", tooOld ? "version too old" : "version changed")
         .Write();
-      run.mText.Clear();
-      run.mVersions.clear();
+      run.ClearText();
       return false;
     }
     if (!known) {
@@ -196,20 +239,9 @@
       .Field("events", static_cast<uint64_t>(run.mText.Events().size()))
       .Field("reason", "text without end")
       .Write();
-    run.mText.Clear();
-    run.mVersions.clear();
+    run.ClearText();
     return false;
   }
-  if (run.mText.Events().size() > 1 &&
-      run.mSoftwareVersion != aReplica.mSoftwareVersion) {
-    LogEvent("software_versions_joined", LogLevel::Warning)
-      .Field("item", aStep.mItems[aIndex].mId)
-      .Field("replica", aReplica.mId)
-      .Field("events", static_cast<uint64_t>(run.mText.Events().size()))
-      .Field("before", run.mSoftwareVersion)
-      .Field("now", aReplica.mSoftwareVersion)
-      .Write();
-  }
   run.mSoftwareVersion = aReplica.mSoftwareVersion;
   if (run.mStreamEventCount++ == 0) {
     // The time until the first event includes processing the prompt, so the
@@ -277,6 +309,9 @@
     co_return;
   }
   run.mState = ItemRun::State::Waiting;
+  if (run.mStreamEventCount > 0) {
+    run.mWaitingSince = mContext.mClock();
+  }
   if (response.has_error()) {
     HandleStreamError(*aStep, aIndex, replica, response.error());
   } else {
@@ -388,32 +423,45 @@
   }
 }
 
-/// Cancels streams on slow replicas if faster ones have free slots, so that
-/// their items resume there.
-void StepRunner::MoveStragglers(const OwnedStepPtr& aStep)
+/// The median slowness of the replicas with a free slot, by software version.
+/// An item may be placed on any of them that fits, so its replica is compared
+/// with the median and not with the fastest.
+std::map<std::string, double, std::less<>> StepRunner::MedianSlowness(
+  const OwnedStep& aStep) const
 {
-  // The item may be placed on any replica with a free slot, so compare with
-  // the median of those and not with the fastest.
-  std::vector<double> slownesses;
+  std::map<std::string, std::vector<double>, std::less<>> slownesses;
   for (const auto& [id, replica] : mContext.mView.Replicas()) {
-    if (MayRun(*aStep, replica) &&
+    if (MayRun(aStep, replica) &&
         mContext.mPool.EstimatedRequests(replica) + 1.0 <= replica.mSlots) {
-      slownesses.push_back(mSpeeds.Slowness(id));
+      slownesses[replica.mSoftwareVersion].push_back(mSpeeds.Slowness(id));
     }
   }
+  std::map<std::string, double, std::less<>> medians;
+  for (auto& [version, values] : slownesses) {
+    const auto middle =
+      values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    medians[version] = *middle;
+  }
+  return medians;
+}
+
+/// Cancels streams on slow replicas if faster ones have free slots, so that
+/// their items resume there.
+void StepRunner::MoveStragglers(const OwnedStepPtr& aStep)
+{
+  const auto medians = MedianSlowness(*aStep);
   const double medianSecondsPerEvent = mSpeeds.MedianSecondsPerEvent();
-  if (slownesses.empty() || medianSecondsPerEvent <= 0.0) {
+  if (medians.empty() || medianSecondsPerEvent <= 0.0) {
     return;
   }
-  const auto middle =
-    slownesses.begin() + static_cast<std::ptrdiff_t>(slownesses.size() / 2);
-  std::nth_element(slownesses.begin(), middle, slownesses.end());
-  const double expected = *middle;
   for (ItemRun& run : aStep->mRuns) {
+    const auto median = medians.find(run.mSoftwareVersion);
     if (run.mState != ItemRun::State::Running || !run.mCancel ||
-        run.mStreamEventCount < 2) {
+        run.mStreamEventCount < 2 || median == medians.end()) {
       continue;
     }
+    const double expected = median->second;
     policy::ItemProgress progress;
     progress.mSecondsPerEvent = Seconds(mContext.mClock() - run.mStreamStart) /
                                 (run.mStreamEventCount - 1);
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -51,6 +51,13 @@
 
 } // namespace
 
+void ItemRun::ClearText()
+{
+  mText.Clear();
+  mVersions.clear();
+  mSoftwareVersion.clear();
+}
+
 bool OwnedStep::HasDesiredGroups() const
 {
   std::map<std::string_view, size_t> missing;
@@ -112,8 +119,11 @@
       step->mRuns[i].mState = ItemRun::State::Done;
     } else if (const auto partial = partials.find(id);
                partial != partials.end()) {
-      step->mRuns[i].mText = SampleText(std::move(partial->second->mEvents));
-      step->mRuns[i].mVersions = std::move(partial->second->mVersions);
+      ItemRun& run = step->mRuns[i];
+      run.mText = SampleText(std::move(partial->second->mEvents));
+      run.mVersions = std::move(partial->second->mVersions);
+      run.mSoftwareVersion = std::move(partial->second->mSoftwareVersion);
+      run.mWaitingSince = step->mAdoptedAt;
     }
   }
   step->mCheckpointedAt = mContext.mClock();
@@ -231,8 +241,10 @@
   for (size_t i = 0; i < aStep->mItems.size(); ++i) {
     const ItemRun& run = aStep->mRuns[i];
     if (run.mState != ItemRun::State::Done && !run.mText.Events().empty()) {
-      samples.push_back(
-        { aStep->mItems[i].mId, run.mText.Events(), run.mVersions });
+      samples.push_back({ aStep->mItems[i].mId,
+                          run.mText.Events(),
+                          run.mVersions,
+                          run.mSoftwareVersion });
       events += run.mText.Events().size();
     }
   }
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -197,10 +197,11 @@
 class Replica:
     """A replica of a plain service or, if versions are given, of a model engine."""
 
-    def __init__(self, store, name, service, zone, versions=None, events=4, pause=0.0):
+    def __init__(self, store, name, service, zone, versions=None, events=4, pause=0.0, software="v1"):
         self.store, self.name, self.service, self.zone = store, name, service, zone
         self.versions = dict(versions or {})
-        self.events, self.pause = events, pause
+        self.events, self.pause, self.software = events, pause, software
+        self.breaks_after = None  # event after which a stream breaks off
         self.orders = []
         self.requests = []
         self.endless_stream = False
@@ -215,9 +216,15 @@
     def register(self):
         models = [{"name": m, "version": v, "adapters": []} for m, v in self.versions.items()]
         self.store.put("servers/" + self.name, {
-            "service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
+            "service": self.service, "address": self.address, "zone": self.zone, "version": self.software,
             "slots": 8, "state": self.state, "coldLeftMs": 0, "models": models, "seq": 1})
 
+    def crash(self):
+        """Resets all streams and accepts no connections; the registration stays."""
+        self.breaks_after = 0
+        self.server.shutdown()
+        self.server.server_close()
+
     def drain(self):
         self.state = "draining"
         self.register()
@@ -268,8 +275,12 @@
         for number in range(start, start + 10 ** 6 if self.endless_stream else self.events + 1):
             time.sleep(self.pause)
             data = "x" * 20000 if self.endless_stream else "%s-%d" % (headers["Attempt-Id"], number)
+            data += "@" + self.software if self.software != "v1" else ""
             text = ("id: %d\ndata: %s\n\n" % (number, data)).encode()
             handler.wfile.write(b"%x\r\n%s\r\n" % (len(text), text))
+            if self.breaks_after is not None and number >= self.breaks_after:
+                handler.close_connection = True
+                return
         handler.wfile.write(b"0\r\n\r\n")
 
 
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -575,7 +575,67 @@
     check_limit(site.engines, 3.0, start + 4)
 
 
+def check_unmixed(results, events):
+    """Checks that each text is complete and comes from replicas of one software version."""
+    for result in results:
+        lines = result["text"].split("\n")
+        check([line.split("@")[0].rsplit("-", 1)[1] for line in lines] == [str(n + 1) for n in range(events)],
+              "an incomplete text: %s" % lines)
+        check(len({line.partition("@")[2] for line in lines}) == 1, "a text of two software versions: %s" % lines)
+
+
+def resumed_requests(replicas):
+    return [r for replica in replicas for r in replica.requests if int(r[2].get("Last-Event-Id") or 0) > 0]
+
+
+def add_engines(site, software, count=2):
+    events, pause = site.engines[0].events, site.engines[0].pause
+    added = [Replica(site.store, "engine-%s-%d" % (software, i), "engine", "z1", {"m": 1}, events, pause, software)
+             for i in range(count)]
+    site.engines += added
+    time.sleep(0.3)
+    return added
+
+
+def broken_items_go_on_at_their_software_version(site):
+    """Guards against texts that are joined from replicas of two software versions after a stream broke."""
+    new = add_engines(site, "v2")
+    site.engines[0].breaks_after = new[0].breaks_after = 3
+    check(site.submit(site.daemons[0], items=24) == 202, "accepted")
+    check_unmixed(site.read_all(site.daemons[0], 24), 8)
+    check(resumed_requests(site.engines[:2]) and resumed_requests(new), "items of both versions were resumed")
+
+
+def items_of_a_software_version_that_leaves_start_again(site):
+    """Guards against items that wait for a software version that has left, and against joining their
+    texts with another one's."""
+    old = list(site.engines)
+    check(site.submit(site.daemons[0], items=8) == 202, "accepted")
+    until(lambda: sum(len(e.requests) for e in old) == 8, "all items run")
+    time.sleep(1)
+    add_engines(site, "v2")
+    for replica in old:
+        replica.crash()
+        site.store.remove("servers/" + replica.name)
+    check_unmixed(site.read_all(site.daemons[0], 8), 20)
+
+
+def taken_over_items_go_on_at_their_software_version(site):
+    """Guards against a daemon that takes a step over and continues its texts with another software version."""
+    first, second = site.daemons
+    new = add_engines(site, "v2")
+    check(site.submit(first, items=16) == 202, "accepted")
+    time.sleep(1.6)
+    site.engines[0].drain()
+    first.stop()
+    check_unmixed(site.read_all(second, 16), 12)
+    check(resumed_requests(site.engines[1:2]) and resumed_requests(new), "items of both versions were resumed")
+
+
 TESTS = [
+    (broken_items_go_on_at_their_software_version, {"events": 8, "pause": 0.05}),
+    (items_of_a_software_version_that_leaves_start_again, {"events": 20, "pause": 0.15}),
+    (taken_over_items_go_on_at_their_software_version, {"daemons": 2, "events": 12, "pause": 0.25}),
     (replica_in_need_gets_no_more_than_its_limit, {"daemons": 3}),
     (requests_beyond_all_limits_are_refused_with_a_time, {"daemons": 2}),
     (items_keep_the_limit_of_a_replica, {"daemons": 2}),
