Continue the streams of callers only where they began

What callers saw: a stream that was taken up with Last-Event-Id went on at any replica. On the stand-in with two engines of each software version, 13 of 28 taken-up streams were answered 200 with text of the other version than the first part; after the old version had left, 8 of 8.

Cause: nothing kept where a stream began.

The fix: the store keeps the service and software version at which a stream began, written before its first byte is delivered, and read when it is taken up (StreamOrigins, StreamForwarder). So that nothing is written per stream while one version serves, each HTTP host has a default origin, stored once by create-if-absent, and only streams that began elsewhere are written, up to 32 in one transaction; a stream without an entry began at the default origin. A stream whose origin cannot be stored is not delivered (504); one whose origin cannot be read, or whose version has left, is refused at once (503, not run).

Open: the default origin never changes, so after the first release each stream costs a part of a write; streams are still forwarded whole, not event by event.

--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -10,6 +10,7 @@
 #include "agatetide/entry/peer_channel.hpp"
 #include "agatetide/entry/step_router.hpp"
 #include "agatetide/entry/store_router.hpp"
+#include "agatetide/entry/stream_forwarder.hpp"
 #include "agatetide/entry/takeover_plan.hpp"
 #include "agatetide/request/forwarder.hpp"
 #include "agatetide/steps/step_service.hpp"
@@ -106,6 +107,7 @@
   const fleet::FleetView& View() const { return mView; }
   request::ReplicaPool& Pool() { return mPool; }
   request::Forwarder& Forwarder() { return mForwarder; }
+  StreamForwarder& Streams() { return mStreams; }
   steps::StepService& Steps() { return mSteps; }
   StepRouter& Router() { return mStepRouter; }
   steps::StepRunner& Runner() { return mRunner; }
@@ -159,6 +161,8 @@
   FleetWatch mFleetWatch;
   request::ReplicaPool mPool;
   request::Forwarder mForwarder;
+  StreamOrigins mStreamOrigins;
+  StreamForwarder mStreams;
   steps::StepStore mStepStore;
   steps::StepContext mStepContext;
   steps::StepRunner mRunner;
--- /dev/null
+++ b/include/agatetide/entry/stream_origins.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "agatetide/base/clock.hpp"
+#include "agatetide/coordination/store.hpp"
+#include "agatetide/request/upstream.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace agatetide::entry {
+
+/// @brief Keeps in the store where the streams of callers began, so that a
+/// stream that breaks off can be continued by any daemon, also after all of
+/// them were restarted.
+///
+/// Each HTTP host has a default origin, which is stored once. Only streams that
+/// began elsewhere are stored one by one: a stream without an entry began at
+/// the default origin. So nothing is written per stream while replicas of one
+/// software version serve. Not thread-safe: use it only on the executor of the
+/// daemon.
+class StreamOrigins
+{
+public:
+  StreamOrigins(boost::asio::any_io_executor aExecutor,
+                coordination::StoreCall aStore,
+                Clock aClock);
+
+  /// @brief Stores where a stream began. Call it before the first event is
+  /// delivered. Writes of several streams go together. Errors: those of the
+  /// store; the stream must not be delivered then. The value is always true.
+  Awaitable<Result<bool>> Record(std::string aHttpHost,
+                                 std::string aRequestId,
+                                 request::StreamOrigin aOrigin);
+
+  /// @brief Returns where the stream of this request began; the default origin
+  /// if aRequestId is empty. Errors: those of the store; NotFound if no stream
+  /// of the HTTP host has begun.
+  Awaitable<Result<request::StreamOrigin>> Find(std::string aHttpHost,
+                                                std::string aRequestId);
+
+private:
+  struct Write
+  {
+    explicit Write(const boost::asio::any_io_executor& aExecutor)
+      : mTimer(aExecutor)
+    {
+    }
+
+    std::string mKey;
+    std::string mValue;
+    std::optional<Result<bool>> mResult;
+    /// Canceled when mResult is set.
+    boost::asio::steady_timer mTimer;
+  };
+  using WritePtr = std::shared_ptr<Write>;
+
+  Awaitable<Result<std::optional<request::StreamOrigin>>> ReadOrigin(
+    std::string aKey);
+  Awaitable<Result<request::StreamOrigin>> FindOrCreateDefault(
+    std::string aHttpHost,
+    request::StreamOrigin aOrigin);
+  Awaitable<void> WriteLoop();
+  Awaitable<Result<bool>> WriteBatch(std::vector<WritePtr> aWrites);
+  Awaitable<Result<int64_t>> Lease();
+
+  boost::asio::any_io_executor mExecutor;
+  coordination::StoreCall mStore;
+  Clock mClock;
+  /// Default origins by HTTP host; they never change.
+  std::map<std::string, request::StreamOrigin, std::less<>> mDefaults;
+  std::deque<WritePtr> mWrites;
+  bool mWriting = false;
+  int64_t mLeaseId = 0;
+  TimePoint mLeaseGrantedAt{};
+};
+
+} // namespace agatetide::entry
--- a/include/agatetide/fleet/service_config.hpp
+++ b/include/agatetide/fleet/service_config.hpp
@@ -50,7 +50,7 @@
   unsigned mMaxAttempts = 1;
   /// Whether callers need no key.
   bool mAnonymous = false;
-  /// Stored by the operator, but not read by requests.
+  /// Whether callers may take up streams that broke off.
   bool mResumable = false;
   /// Whether all events of a sample must come from one weight version.
   bool mSingleVersion = false;
--- a/include/agatetide/request/forwarder.hpp
+++ b/include/agatetide/request/forwarder.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace agatetide::request {
@@ -20,6 +21,9 @@
   UpstreamRequest mPrototype;
   /// The caller gets a response or an error by then.
   TimePoint mDeadline{};
+  /// Set if the request continues a stream: it goes to replicas that can
+  /// continue it, and mRoute only limits the attempts.
+  std::optional<StreamOrigin> mOrigin;
   /// How long the request may wait while the limits of all replicas are used
   /// up. Requests that may not wait leave the replicas to those that wait.
   Duration mMaxLimitWait{};
@@ -78,6 +82,7 @@
                      Result<UpstreamResponse> aResult,
                      TimePoint aSent);
   Result<UpstreamResponse> MakeResult(RequestState& aState) const;
+  static ReplicaFilter MakeFilter(const RequestState& aState);
   TimePoint DeadlineOf(const RequestState& aState) const;
   std::string ChooseService(const fleet::Route& aRoute) const;
   Duration HedgeDelayFor(const RequestState& aState);
--- a/include/agatetide/request/upstream.hpp
+++ b/include/agatetide/request/upstream.hpp
@@ -3,6 +3,7 @@
 #include "agatetide/base/awaitable.hpp"
 #include "agatetide/base/clock.hpp"
 #include "agatetide/base/error.hpp"
+#include "agatetide/fleet/replica.hpp"
 #include "agatetide/http/client.hpp"
 #include "agatetide/http/message.hpp"
 
@@ -50,6 +51,22 @@
   uint32_t mSlots = 0;
 };
 
+/// @brief Where a stream began. Only replicas of the same service and software
+/// version can continue it.
+struct StreamOrigin
+{
+  std::string mService;
+  std::string mSoftwareVersion;
+
+  /// @brief Whether the replica can continue the stream.
+  bool IsOf(const fleet::Replica& aReplica) const
+  {
+    return aReplica.mService == mService &&
+           aReplica.mSoftwareVersion == mSoftwareVersion;
+  }
+  bool operator==(const StreamOrigin&) const = default;
+};
+
 struct UpstreamResponse
 {
   unsigned mStatus = 0;
@@ -64,6 +81,8 @@
   std::string mSignature;
   /// std::nullopt if the response carries no load.
   std::optional<ReportedLoad> mLoad;
+  /// Service and software version of the replica; set by the forwarder.
+  StreamOrigin mOrigin;
 
   bool IsSuccess() const { return mStatus >= 200 && mStatus < 300; }
 };
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -129,6 +129,8 @@
                 })
   , mPool(mView, mClock, ProcessRandom(), mOptions.mSelf.mName)
   , mForwarder(mExecutor, mPool, mHooks.mCallReplica, mClock, ProcessRandom())
+  , mStreamOrigins(mExecutor, mStore, mBootClock)
+  , mStreams(mView, mForwarder, mStreamOrigins)
   , mStepStore(mStore, mHooks.mWatch)
   , mStepContext{ mExecutor,
                   mView,
--- /dev/null
+++ b/src/agatetide/entry/stream_origins.cpp
@@ -0,0 +1,255 @@
+#include "agatetide/entry/stream_origins.hpp"
+
+#include "agatetide/base/encoding.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+namespace agatetide::entry {
+
+namespace asio = boost::asio;
+using namespace coordination;
+using nlohmann::json;
+using request::StreamOrigin;
+
+namespace {
+
+constexpr std::string_view kStreamPrefix = "agatetide/stream/";
+constexpr std::string_view kDefaultPrefix = "agatetide/stream-default/";
+/// Limit of the store for the writes of a transaction.
+constexpr size_t kMaxBatch = 32;
+/// Streams are taken up soon after they broke off, so their entries are removed
+/// after a time. New entries use the lease for kLeaseUse only.
+constexpr std::chrono::seconds kLeaseTtl{ 600 };
+constexpr std::chrono::seconds kLeaseUse{ 300 };
+constexpr int kMaxAttempts = 3;
+
+std::string StreamKey(std::string_view aRequestId)
+{
+  return std::string(kStreamPrefix) + std::string(aRequestId);
+}
+
+std::string DefaultKey(std::string_view aHttpHost)
+{
+  return std::string(kDefaultPrefix) + std::to_string(Hash64(aHttpHost));
+}
+
+std::string Encode(const StreamOrigin& aOrigin)
+{
+  return json{
+    { "service", aOrigin.mService },
+    { "software_version", aOrigin.mSoftwareVersion }
+  }.dump();
+}
+
+Result<StreamOrigin> Decode(const StoreEntry& aEntry)
+{
+  const json value = json::parse(aEntry.mValue, nullptr, false);
+  const auto text = [&](const char* aName) -> std::optional<std::string> {
+    const auto found = value.is_object() ? value.find(aName) : value.end();
+    return found != value.end() && found->is_string()
+             ? std::optional(found->get<std::string>())
+             : std::nullopt;
+  };
+  const auto service = text("service");
+  const auto version = text("software_version");
+  if (!service || !version) {
+    return Error{ ErrorKind::DataLoss,
+                  aEntry.mKey + " cannot be decoded",
+                  "check that all daemons run the same version" };
+  }
+  return StreamOrigin{ *service, *version };
+}
+
+Error Unwritten()
+{
+  return { ErrorKind::Unavailable,
+           "the origin of the stream could not be stored",
+           "start the stream again" };
+}
+
+} // namespace
+
+StreamOrigins::StreamOrigins(asio::any_io_executor aExecutor,
+                             StoreCall aStore,
+                             Clock aClock)
+  : mExecutor(std::move(aExecutor))
+  , mStore(std::move(aStore))
+  , mClock(std::move(aClock))
+{
+}
+
+Awaitable<Result<std::optional<StreamOrigin>>> StreamOrigins::ReadOrigin(
+  std::string aKey)
+{
+  const auto entry = co_await ReadKey(mStore, std::move(aKey));
+  if (entry.has_error()) {
+    co_return entry.error();
+  }
+  if (!entry->has_value()) {
+    co_return std::optional<StreamOrigin>();
+  }
+  auto origin = Decode(**entry);
+  if (origin.has_error()) {
+    co_return origin.error();
+  }
+  co_return std::optional(std::move(*origin));
+}
+
+Awaitable<Result<StreamOrigin>> StreamOrigins::Find(std::string aHttpHost,
+                                                    std::string aRequestId)
+{
+  if (!aRequestId.empty()) {
+    auto own = co_await ReadOrigin(StreamKey(aRequestId));
+    if (own.has_error()) {
+      co_return own.error();
+    }
+    if (own->has_value()) {
+      co_return std::move(**own);
+    }
+  }
+  if (const auto known = mDefaults.find(aHttpHost); known != mDefaults.end()) {
+    co_return known->second;
+  }
+  auto byDefault = co_await ReadOrigin(DefaultKey(aHttpHost));
+  if (byDefault.has_error()) {
+    co_return byDefault.error();
+  }
+  if (!byDefault->has_value()) {
+    co_return Error{ ErrorKind::NotFound,
+                     "no stream is known that could be continued",
+                     "start the stream again" };
+  }
+  mDefaults[aHttpHost] = **byDefault;
+  co_return std::move(**byDefault);
+}
+
+/// Returns the default origin; the first stream of the HTTP host sets it.
+Awaitable<Result<StreamOrigin>> StreamOrigins::FindOrCreateDefault(
+  std::string aHttpHost,
+  StreamOrigin aOrigin)
+{
+  const std::string key = DefaultKey(aHttpHost);
+  Error error = Unwritten();
+  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    if (const auto known = mDefaults.find(aHttpHost);
+        known != mDefaults.end()) {
+      co_return known->second;
+    }
+    auto stored = co_await ReadOrigin(key);
+    if (stored.has_error()) {
+      co_return stored.error();
+    }
+    if (stored->has_value()) {
+      mDefaults[aHttpHost] = **stored;
+      continue;
+    }
+    // Read again afterwards: another daemon may have been first, and the reply
+    // may be lost.
+    TransactionRequest create;
+    create.mCompares.push_back({ key, 0 });
+    create.mPuts.push_back({ key, Encode(aOrigin) });
+    StoreRequest request = std::move(create);
+    const auto created = co_await mStore(std::move(request));
+    if (created.has_error()) {
+      error = created.error();
+    }
+  }
+  co_return error;
+}
+
+Awaitable<Result<bool>> StreamOrigins::Record(std::string aHttpHost,
+                                              std::string aRequestId,
+                                              StreamOrigin aOrigin)
+{
+  const auto byDefault =
+    co_await FindOrCreateDefault(std::move(aHttpHost), aOrigin);
+  if (byDefault.has_error()) {
+    co_return byDefault.error();
+  }
+  if (*byDefault == aOrigin) {
+    co_return true;
+  }
+  const auto write = std::make_shared<Write>(mExecutor);
+  write->mKey = StreamKey(aRequestId);
+  write->mValue = Encode(aOrigin);
+  write->mTimer.expires_at(TimePoint::max());
+  mWrites.push_back(write);
+  if (!mWriting) {
+    mWriting = true;
+    asio::co_spawn(mExecutor, WriteLoop(), asio::detached);
+  }
+  while (!write->mResult) {
+    boost::system::error_code ignored;
+    co_await write->mTimer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  co_return std::move(*write->mResult);
+}
+
+/// Writes waiting entries, one transaction at a time.
+Awaitable<void> StreamOrigins::WriteLoop()
+{
+  while (!mWrites.empty()) {
+    std::vector<WritePtr> batch;
+    while (!mWrites.empty() && batch.size() < kMaxBatch) {
+      batch.push_back(std::move(mWrites.front()));
+      mWrites.pop_front();
+    }
+    const Result<bool> result = co_await WriteBatch(batch);
+    for (const WritePtr& write : batch) {
+      write->mResult = result;
+      write->mTimer.cancel();
+    }
+  }
+  mWriting = false;
+}
+
+/// Repeats a write whose outcome is unknown, since its content is the same.
+Awaitable<Result<bool>> StreamOrigins::WriteBatch(std::vector<WritePtr> aWrites)
+{
+  Error error = Unwritten();
+  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    const auto lease = co_await Lease();
+    if (lease.has_error()) {
+      error = lease.error();
+      continue;
+    }
+    TransactionRequest transaction;
+    for (const WritePtr& write : aWrites) {
+      transaction.mPuts.push_back({ write->mKey, write->mValue, *lease });
+    }
+    StoreRequest request = std::move(transaction);
+    const auto written = co_await mStore(std::move(request));
+    if (written.has_value() && written->mSucceeded) {
+      co_return true;
+    }
+    if (written.has_error()) {
+      error = written.error();
+    } else {
+      mLeaseId = 0;
+    }
+  }
+  co_return error;
+}
+
+Awaitable<Result<int64_t>> StreamOrigins::Lease()
+{
+  if (mLeaseId != 0 && mClock() - mLeaseGrantedAt < kLeaseUse) {
+    co_return mLeaseId;
+  }
+  const TimePoint sent = mClock();
+  StoreRequest request = LeaseGrantRequest{ kLeaseTtl.count() };
+  const auto granted = co_await mStore(std::move(request));
+  if (granted.has_error()) {
+    co_return granted.error();
+  }
+  mLeaseId = granted->mLeaseId;
+  mLeaseGrantedAt = sent;
+  co_return mLeaseId;
+}
+
+} // namespace agatetide::entry
--- a/src/agatetide/request/forwarder.cpp
+++ b/src/agatetide/request/forwarder.cpp
@@ -111,7 +111,8 @@
   const auto state =
     std::make_shared<RequestState>(mExecutor, std::move(aRequest));
   const ForwardRequest& request = state->mRequest;
-  state->mService = ChooseService(request.mRoute);
+  state->mService =
+    request.mOrigin ? request.mOrigin->mService : ChooseService(request.mRoute);
   ServiceState& service = mServices[state->mService];
   service.mHedgeBudget.OnRequest();
   if (request.mCaller) {
@@ -168,7 +169,7 @@
 Awaitable<bool> Forwarder::AwaitLimit(std::shared_ptr<RequestState> aState)
 {
   ServiceState& service = mServices[aState->mService];
-  const ReplicaFilter filter{ aState->mService, aState->mTriedReplicaIds, {} };
+  const ReplicaFilter filter = MakeFilter(*aState);
   const Duration delay =
     mPool.EstimateLimitDelay(filter, service.mWaitingCount);
   if (delay == Duration::max()) {
@@ -203,9 +204,21 @@
   return std::min(aState.mRequest.mDeadline, mShutdownDeadline);
 }
 
+ReplicaFilter Forwarder::MakeFilter(const RequestState& aState)
+{
+  ReplicaFilter filter{ aState.mService, aState.mTriedReplicaIds, {} };
+  if (aState.mRequest.mOrigin) {
+    filter.mIsAllowed =
+      [origin = *aState.mRequest.mOrigin](const fleet::Replica& aReplica) {
+        return origin.IsOf(aReplica);
+      };
+  }
+  return filter;
+}
+
 bool Forwarder::StartAttempt(const std::shared_ptr<RequestState>& aState)
 {
-  const ReplicaFilter filter{ aState->mService, aState->mTriedReplicaIds, {} };
+  const ReplicaFilter filter = MakeFilter(*aState);
   const bool yields = aState->mRequest.mMaxLimitWait <= Duration::zero();
   if (yields && mServices[aState->mService].mWaitingCount > 0) {
     return false;
@@ -291,6 +304,7 @@
                                          : Duration(kBusyBlockTime));
     return;
   }
+  aResult->mOrigin = { aReplica.mService, aReplica.mSoftwareVersion };
   const bool conclusive = aResult->mStatus < 500;
   mPool.RecordAttempt(aReplica, { !conclusive, took });
   if (!conclusive) {
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -48,12 +48,15 @@
             "bounds": {"revokeMs": 5000, "graceS": 2, "usageWindowS": WINDOW_S, "ttl_max_s": 5},
             "platform": {"address": self.store_endpoint.address}, "cloudApi": {"address": site.platform_api.address}}
         self.folder = tempfile.TemporaryDirectory()
-        path = pathlib.Path(self.folder.name) / "node.json"
-        path.write_text(json.dumps(settings))
+        self.settings_path = pathlib.Path(self.folder.name) / "node.json"
+        self.settings_path.write_text(json.dumps(settings))
         self.log = open(pathlib.Path(self.folder.name) / "log", "w+")
-        self.process = subprocess.Popen([str(DAEMON), "--platform-role", "entry"], stdout=self.log,
-                                        stderr=self.log, env={**os.environ, "AGATETIDE_NODE_FILE": str(path)})
-        until(lambda: self.is_ready(), name + " is ready", self.process)
+        self.start()
+
+    def start(self):
+        self.process = subprocess.Popen([str(DAEMON), "--platform-role", "entry"], stdout=self.log, stderr=self.log,
+                                        env={**os.environ, "AGATETIDE_NODE_FILE": str(self.settings_path)})
+        until(lambda: self.is_ready(), self.name + " is ready", self.process)
 
     def is_ready(self):
         try:
@@ -95,6 +98,8 @@
     routes = [
         {**route, "name": "open", "pathPrefix": "/open/", "routeType": "idempotent", "service": "plain", "anonymous": True},
         {**route, "name": "keyed", "pathPrefix": "/keyed/", "routeType": "idempotent", "service": "plain"},
+        {**route, "name": "stream", "pathPrefix": "/stream/", "routeType": "streaming", "service": "engine",
+         "resumable": True, "anonymous": True},
         {**route, "name": "step", "pathPrefix": "/step/", "routeType": "rollout", "service": "engine",
          "dueMs": 5000, "retentionS": 40}]
     return {"version": version, "routes": routes, "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 1000000},
@@ -632,7 +637,80 @@
     check(resumed_requests(site.engines[1:2]) and resumed_requests(new), "items of both versions were resumed")
 
 
+def stream(daemon, request_id, first=None, after=0):
+    """Starts a stream, or takes up the one of the request first; returns the status and the events' data."""
+    headers = {"Attempt-Id": request_id, "Timeout-Ms": "3000", "Model": "m"}
+    if first is not None:
+        headers.update({"Last-Event-Id": str(after), "Resumes": first})
+    status, body, _ = daemon.call("POST", "/stream/1", b"prompt", headers)
+    return status, [line[6:] for line in body.decode().splitlines() if line.startswith("data: ")]
+
+
+def software_of(events):
+    return {event.partition("@")[2] for event in events}
+
+
+def start_streams(site, count, prefix="stream"):
+    """Starts streams at all hosts; returns the software versions of their events by request id."""
+    started = {}
+    for i in range(count):
+        name = "%s-%d" % (prefix, i)
+        status, events = stream(site.daemons[i % len(site.daemons)], name)
+        check(status == 200 and len(events) == site.engines[0].events, "stream %s: %s %s" % (name, status, events))
+        started[name] = software_of(events)
+    return started
+
+
+def check_taken_up(site, started, suffix, must_go_on):
+    """Takes streams up after their second event; those of must_go_on's versions have to go on, and no
+    stream may hold events of two software versions."""
+    joined, refused = [], collections.Counter()
+    for i, (name, software) in enumerate(started.items()):
+        status, events = stream(site.daemons[(i + 1) % len(site.daemons)], name + suffix, name, 2)
+        if status == 200:
+            joined += [name] if software_of(events) != software else []
+        else:
+            check(status == 503, "status %d" % status)
+            refused[next(iter(software))] += 1
+    check(not joined, "%d of %d streams hold events of two software versions" % (len(joined), len(started)))
+    check(not set(refused) & must_go_on, "refused streams by software version: %s" % refused)
+    return refused
+
+
+def taken_up_streams_go_on_at_their_software_version(site):
+    """Guards against streams of callers that are joined from two software versions, also after all
+    hosts were killed, and against streams that cannot be taken up although their version serves."""
+    started = start_streams(site, 4, "early")
+    add_engines(site, "v2")
+    started.update(start_streams(site, 24, "late"))
+    check(set().union(*started.values()) == {"", "v2"}, "both versions began streams")
+    check_taken_up(site, started, "-up", {"", "v2"})
+    for daemon in site.daemons:
+        daemon.stop()
+    for daemon in site.daemons:
+        daemon.start()
+    until(lambda: all(len(site.addresses(d)) == len(site.daemons) for d in site.daemons), "all hosts are known")
+    check_taken_up(site, started, "-again", {"", "v2"})
+
+
+def streams_of_a_software_version_that_left_are_refused(site):
+    """Guards against streams that are continued by another software version when theirs has left."""
+    old = list(site.engines)
+    started = start_streams(site, 8)
+    add_engines(site, "v2")
+    for replica in old:
+        site.store.remove("servers/" + replica.name)
+    until(lambda: all(d.last_event("replica_gone", old[-1].name) for d in site.daemons), "the old version has left")
+    for daemon in site.daemons:
+        daemon.stop()
+        daemon.start()
+    check(check_taken_up(site, started, "-up", set()) == {"": 8}, "streams of the old version are refused")
+    check(stream(site.daemons[0], "new")[1][0].endswith("@v2"), "new streams begin")
+
+
 TESTS = [
+    (taken_up_streams_go_on_at_their_software_version, {"daemons": 2}),
+    (streams_of_a_software_version_that_left_are_refused, {"daemons": 2}),
     (broken_items_go_on_at_their_software_version, {"events": 8, "pause": 0.05}),
     (items_of_a_software_version_that_leaves_start_again, {"events": 20, "pause": 0.15}),
     (taken_over_items_go_on_at_their_software_version, {"daemons": 2, "events": 12, "pause": 0.25}),
