Try a prompt again after engines crashed while they ran it

What callers saw (the product's own interface): a sound sample of a step was never run again after two engines had crashed while they ran it.

Class of fault: blame by coincidence; all samples on a crashed engine break.

The fix: samples neither report crashes nor heed the quarantine, which stays for calls.

--- a/include/agatetide/daemon/crash_evidence.hpp
+++ b/include/agatetide/daemon/crash_evidence.hpp
@@ -52,6 +52,10 @@
                                        uint64_t aFingerprint,
                                        std::string aReplica);
 
+/// @brief Whether an upstream whose connection broke has crashed: it does not
+/// answer a probe.
+Awaitable<bool> HasCrashed(TrafficContext& aContext, std::string aReplica);
+
 /// @brief Key of the gossip record that reports a crash. aUnique keeps the keys
 /// of several reports distinct.
 std::string CrashRecordKey(uint64_t aFingerprint,
--- a/include/agatetide/daemon/rollout.hpp
+++ b/include/agatetide/daemon/rollout.hpp
@@ -82,6 +82,14 @@
     unsigned mBrokenStreamCount = 0;
   };
 
+  /// Crashes of engines that ran samples of a prompt, since the last complete
+  /// sample of it.
+  struct PromptCrashes
+  {
+    unsigned mCount = 0;
+    TimePoint mLast{};
+  };
+
   struct Step
   {
     std::string mHandle;
@@ -90,6 +98,8 @@
     TimePoint mDeadline{};
     std::vector<SampleState> mSampleStates;
     std::vector<policy::PromptGroupState> mGroups;
+    /// By prompt.
+    std::map<uint32_t, PromptCrashes> mPromptCrashes;
     /// Samples that are being generated, by index.
     std::map<uint32_t, ActiveSample> mActiveSamples;
     /// Complete samples by index.
@@ -128,6 +138,10 @@
   void StartSamples(const StepPtr& aStep);
   void StartSample(const StepPtr& aStep, size_t aGroup);
   void HandleStragglers(const StepPtr& aStep);
+  bool MustWaitAfterCrashes(const Step& aStep, uint32_t aPrompt) const;
+  Awaitable<void> CountCrash(StepPtr aStep,
+                             uint32_t aPrompt,
+                             std::string aReplica);
   void MoveQueuedStreams(const StepPtr& aStep);
   void AbortUnneededStreams(const StepPtr& aStep);
   size_t FreeEngineCount(const std::string& aModel) const;
--- a/src/agatetide/daemon/crash_evidence.cpp
+++ b/src/agatetide/daemon/crash_evidence.cpp
@@ -56,14 +56,11 @@
   }
 }
 
-Awaitable<void> ReportBrokenConnection(TrafficContext& aContext,
-                                       uint64_t aFingerprint,
-                                       std::string aReplica)
+Awaitable<bool> HasCrashed(TrafficContext& aContext, std::string aReplica)
 {
   const auto endpoint = http::ParseEndpoint(aReplica);
-  if (endpoint.has_error() ||
-      !aContext.mCrashEvidence.IsSuspicious(aFingerprint, aContext.mClock())) {
-    co_return;
+  if (endpoint.has_error()) {
+    co_return false;
   }
   http::Request probe;
   probe.mMethod = "GET";
@@ -72,7 +69,17 @@
   const auto answer =
     co_await aContext.mClient->Call(*endpoint, std::move(probe), options);
   // A crashing process may still accept the connection and then reset it.
-  const bool gone = answer.has_error();
+  co_return answer.has_error();
+}
+
+Awaitable<void> ReportBrokenConnection(TrafficContext& aContext,
+                                       uint64_t aFingerprint,
+                                       std::string aReplica)
+{
+  if (!aContext.mCrashEvidence.IsSuspicious(aFingerprint, aContext.mClock())) {
+    co_return;
+  }
+  const bool gone = co_await HasCrashed(aContext, std::string(aReplica));
   // A retry may have been answered in the meantime.
   if (!gone ||
       !aContext.mCrashEvidence.IsSuspicious(aFingerprint, aContext.mClock())) {
--- a/src/agatetide/daemon/rollout.cpp
+++ b/src/agatetide/daemon/rollout.cpp
@@ -24,6 +24,10 @@
 /// Backoff after a failed stream; doubles up to kMaxRetryBackoff.
 constexpr std::chrono::milliseconds kInitialRetryBackoff{ 50 };
 constexpr std::chrono::milliseconds kMaxRetryBackoff{ 1000 };
+/// After this many crashes of engines that ran a prompt, its samples pause for
+/// kPauseAfterCrash after each further one.
+constexpr unsigned kCrashesBeforePause = 2;
+constexpr std::chrono::milliseconds kPauseAfterCrash{ 4000 };
 /// How often a queued sample checks whether its step still needs it.
 constexpr std::chrono::milliseconds kQueueCheckInterval{ 1000 };
 /// A stream that receives no bytes for this long is resumed on another engine.
@@ -601,6 +605,33 @@
          !IsTooStale(aStep.mRequest.model(), aSample.mPartial.mWeightVersions);
 }
 
+/// Whether the samples of a prompt pause because several engines crashed while
+/// they ran it. They are only delayed: an engine that crashes breaks all the
+/// samples that it runs, whatever the cause, and the step still needs them.
+bool Rollout::MustWaitAfterCrashes(const Step& aStep, uint32_t aPrompt) const
+{
+  const auto found = aStep.mPromptCrashes.find(aPrompt);
+  return found != aStep.mPromptCrashes.end() &&
+         found->second.mCount >= kCrashesBeforePause &&
+         mContext.mClock() - found->second.mLast < kPauseAfterCrash;
+}
+
+Awaitable<void> Rollout::CountCrash(StepPtr aStep,
+                                    uint32_t aPrompt,
+                                    std::string aReplica)
+{
+  if (co_await HasCrashed(mContext, std::move(aReplica))) {
+    PromptCrashes& crashes = aStep->mPromptCrashes[aPrompt];
+    ++crashes.mCount;
+    crashes.mLast = mContext.mClock();
+    LogEvent("engine_crashed_under_prompt", LogLevel::Warning)
+      .Field("step", aStep->mHandle)
+      .Field("prompt", aPrompt)
+      .Field("crashes", crashes.mCount)
+      .Write();
+  }
+}
+
 /// Runs one stream of a sample, which resumes after the tokens it already has.
 Awaitable<Result<bool>> Rollout::RunStream(
   StepPtr aStep,
@@ -612,6 +643,12 @@
   if (configured == nullptr) {
     co_return UnknownStepError(aStep->mHandle);
   }
+  const uint32_t prompt = aIndex / aStep->mRequest.samples_per_prompt();
+  if (MustWaitAfterCrashes(*aStep, prompt)) {
+    co_return Error{ ErrorKind::Unavailable,
+                     "engines crashed while they ran the prompt",
+                     "none; it is tried again after a pause" };
+  }
   const auto limiter = FindOrCreateLimiter(mContext, *configured);
   if (!aPermit) {
     auto acquired = co_await AcquireSlot(aStep, aIndex, limiter);
@@ -641,15 +678,8 @@
     aStep->mHandle + "/" + std::to_string(aIndex) + "/" +
     std::to_string(mContext.mView->mSelf.mIncarnation) + "." +
     std::to_string(mContext.mNextId++);
-  const uint32_t prompt = aIndex / aStep->mRequest.samples_per_prompt();
   const std::string& promptText =
     aStep->mRequest.prompts(static_cast<int>(prompt));
-  const uint64_t fingerprint = Hash64(promptText, Hash64(model));
-  if (mContext.mView->mQuarantined.contains(fingerprint)) {
-    co_return Error{ ErrorKind::PermissionDenied,
-                     "the prompt crashed upstreams and is quarantined",
-                     "change the prompt, or ask an operator to look at it" };
-  }
   const auto replica =
     SelectReplicaForSample(*aStep, sample, upstream, requestId);
   if (replica.has_error()) {
@@ -716,14 +746,13 @@
                              done.error().mKind == ErrorKind::DataLoss;
     if (streamBroke && (sample.mPartial.mTokens == tokensBefore ||
                         ++sample.mBrokenStreamCount > 1)) {
-      asio::co_spawn(
-        mContext.mExecutor,
-        ReportBrokenConnection(mContext, fingerprint, replica->Address()),
-        asio::detached);
+      asio::co_spawn(mContext.mExecutor,
+                     CountCrash(aStep, prompt, replica->Address()),
+                     asio::detached);
     }
     co_return done.error();
   }
-  ReportCompletion(mContext, fingerprint);
+  aStep->mPromptCrashes.erase(prompt);
   aStep->mMeanStreamSeconds =
     aStep->mMeanStreamSeconds <= 0.0
       ? Seconds(elapsed)
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -27,6 +27,8 @@
 # A request that crashes upstreams may crash two before it is quarantined, and one
 # more until the other daemons know of the quarantine.
 MAX_LOST_UPSTREAMS = 3
+# Time in which a step whose engines crashed must be complete after the last crash.
+MAX_REPLACEMENT_S = 12
 
 
 class Bench:
@@ -570,6 +572,29 @@
     return f"{restarter.crashes} engines lost, another step complete in {took:.2f} s"
 
 
+def unlucky_step(bench):
+    """Guards against a sound sample that is never run again because several engines
+    crashed while they ran it: once all is calm, the step must be complete in time."""
+    key, model = bench.key("trainer"), bench.spec["trainer"]["model"]
+    origin = {"model": model, "prompts": ["sound " + uuid.uuid4().hex], "samples_per_prompt": 2, "max_tokens": 1600}
+    with Restarter(bench) as restarter:
+        step = client.call(bench.daemons[0]["callers"], "agatetide.v1.Rollout/StartStep", origin, key,
+                           uuid.uuid4().hex)["step"]
+        for _ in range(4):
+            time.sleep(1.5)  # The samples resume within a second.
+            for engine in bench.engines:
+                bench.deployment.signal(engine, signal.SIGKILL)
+        calm = time.monotonic()
+        complete = False
+        while not complete and time.monotonic() - calm < MAX_REPLACEMENT_S:
+            answer = client.call(bench.daemons[0]["callers"], "agatetide.v1.Rollout/Collect",
+                                 {"step": step, "wait_ms": 1000}, key)
+            complete = answer["complete"]
+    bench.end_faults()
+    assert complete, f"not complete {MAX_REPLACEMENT_S} s after {restarter.crashes} crashes"
+    return f"complete {time.monotonic() - calm:.1f} s after {restarter.crashes} crashes"
+
+
 def isolation(bench):
     """Guards against key material in upstream requests, log lines, messages between
     daemons or to the store, and error texts, and against access to the results and
@@ -615,7 +640,7 @@
 
 CASES = [checker, resend_all, resend_not_run, resend_lost_admission, entry_host, zone_lost, key_withdrawn,
          rolling_restart, upstream_leaves, region_cut, store_faults, ordering, engine_crash, poison, poison_step,
-         isolation]
+         unlucky_step, isolation]
 
 
 def main():
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -272,6 +272,9 @@
             handler.send_header(name, text)
         handler.end_headers()
         start = int(headers.get("Last-Event-Id") or 0) + 1
+        if self.breaks_after == 0:
+            handler.close_connection = True
+            return
         for number in range(start, start + 10 ** 6 if self.endless_stream else self.events + 1):
             time.sleep(self.pause)
             data = "x" * 20000 if self.endless_stream else "%s-%d" % (headers["Attempt-Id"], number)
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -708,7 +708,26 @@
     check(stream(site.daemons[0], "new")[1][0].endswith("@v2"), "new streams begin")
 
 
+def item_under_which_replicas_crashed_is_placed_again(site):
+    """Guards against a sound item that is given up or forgotten after all replicas broke off under it,
+    before its first event and within its text."""
+    for replica in site.engines:
+        replica.breaks_after = 0
+    check(site.submit(site.daemons[0], items=2) == 202, "accepted")
+    until(lambda: sum(len(r.requests) for r in site.engines) >= 12, "the items came again")
+    for replica in site.engines:
+        replica.breaks_after = 2
+    time.sleep(2)
+    for replica in site.engines:
+        replica.breaks_after = None
+    calm = time.monotonic()
+    results = site.read_all(site.daemons[0], 2, timeout=5)
+    check([r["state"] for r in results] == ["completed"] * 2, "the items are completed: %s" % results)
+    check(time.monotonic() - calm < 4, "the items waited for too long")
+
+
 TESTS = [
+    (item_under_which_replicas_crashed_is_placed_again, {}),
     (taken_up_streams_go_on_at_their_software_version, {"daemons": 2}),
     (streams_of_a_software_version_that_left_are_refused, {"daemons": 2}),
     (broken_items_go_on_at_their_software_version, {"events": 8, "pause": 0.05}),
