Add a soak of the daemons under random, overlapping faults

tests/soak.py runs three daemons on the doubles of the users' platform while callers keep their connections open until the process is gone, trainers submit steps (some twice) and callers take streams up at other hosts. Three threads stop, kill, freeze and reload hosts, refuse the store's calls, change the configuration, break engines and limit replicas, in series that overlap. Checked are: answers belong to their requests, non-idempotent requests run once, refused ones never, requests that ran are answered unless the host was killed, accepted steps are whole with unmixed texts, no stream has two software versions, planned stops exit with 0.

--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -10,6 +10,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 GROUP_TIMEOUT_S = 900
+SOAK_SEEDS = 5
 
 
 def run(command):
@@ -92,6 +93,12 @@
     return line_checks(["/usr/bin/python3", "tests/users_platform.py"])
 
 
+def soak(args):
+    """Runs a few seeds of the soak, each with its own faults."""
+    seeds = [str(args.seed + i) for i in range(SOAK_SEEDS)]
+    return line_checks(["/usr/bin/python3", "tests/soak.py", *seeds])
+
+
 def examples(_args):
     return line_checks(["/usr/bin/python3", "tests/examples.py"])
 
@@ -129,6 +136,7 @@
     "examples": examples,
     "integration": integration,
     "users_platform": users_platform,
+    "soak": soak,
     "ctl": ctl,
     "bad_input": bad_input,
     "faults": faults,
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,260 @@
+"""Runs daemons on doubles of the users' platform under random, overlapping faults and changes.
+
+`soak.py SEED...` prints "ok soak.SEED" or "FAIL soak.SEED reason" for each seed.
+"""
+
+import argparse
+import collections
+import http.client
+import random
+import signal
+import sys
+import threading
+import time
+import traceback
+
+import users_platform
+from users_platform import HOST, Site, add_engines, check, check_unmixed, config, software_of, until
+
+EVENTS = 6
+FAULTS_S = 9
+CALM_S = 25
+
+
+class Soak:
+    """One run: callers, trainers and faults on a site of its own."""
+
+    def __init__(self, seed, daemons):
+        self.random = random.Random(seed)
+        self.site = Site(daemons=daemons, plain=3, engines=3, events=EVENTS, pause=0.05)
+        add_engines(self.site, "v2", 2)
+        self.end = time.monotonic() + FAULTS_S
+        self.lock = threading.Lock()
+        self.killed_at = collections.defaultdict(list)  # by daemon name
+        self.busy = set()  # daemons that a fault acts on
+        self.unanswered, self.wrong = [], []
+        self.refused, self.steps, self.streams = set(), [], {}
+        self.config_version = 2
+
+    def running(self):
+        return time.monotonic() < self.end
+
+    def pick(self):
+        return self.site.daemons[self.random.randrange(len(self.site.daemons))]
+
+    def sleep(self, shortest, longest):
+        time.sleep(self.random.uniform(shortest, longest))
+
+    # Callers
+
+    def send_requests(self, number):
+        """Keeps one connection open and sends requests on it until the process behind it is gone."""
+        daemon = self.site.daemons[number % len(self.site.daemons)]
+        path = "/once/1" if number % 3 == 0 else "/open/1"
+        connection, count = None, 0
+        while self.running():
+            count += 1
+            name, sent_at = "soak-%d-%d" % (number, count), time.monotonic()
+            try:
+                connection = connection or http.client.HTTPConnection("127.0.0.1", daemon.front_port, timeout=6)
+                connection.request("POST", path, b"question", {"Host": HOST, "Attempt-Id": name, "Timeout-Ms": "2000"})
+                answer = connection.getresponse()
+                body = answer.read()
+                if answer.status == 200 and (body != b"answer to question" or
+                                             answer.getheader("Response-Signature") != "signed-" + name):
+                    self.wrong.append((name, body))
+                if answer.status in (429, 503):
+                    self.refused.add(name)
+                if answer.getheader("Connection", "") == "close":
+                    connection = None
+            except (OSError, http.client.HTTPException) as error:
+                connection = None
+                self.unanswered.append((name, daemon.name, sent_at, time.monotonic(), repr(error)))
+            time.sleep(0.02)
+
+    def submit_steps(self):
+        for number in range(1000):
+            if not self.running():
+                return
+            name = "soak-step-%d" % number
+            while self.running():
+                try:
+                    if self.site.submit(self.pick(), name, items=6) == 202:
+                        self.steps.append(name)
+                        break
+                except (OSError, http.client.HTTPException):
+                    pass
+                time.sleep(0.1)
+            time.sleep(0.4)
+
+    def take_streams_up(self):
+        """Starts streams and takes each up at another host."""
+        for number in range(1000):
+            if not self.running():
+                return
+            name = "soak-stream-%d" % number
+            for suffix, first in (("", None), ("-a", name), ("-b", name)):
+                try:
+                    status, events = users_platform.stream(self.pick(), name + suffix, first, 2)
+                except (OSError, http.client.HTTPException):
+                    status, events = 0, []
+                if status == 200:
+                    self.streams.setdefault(name, set()).update(software_of(events))
+                elif first is None:
+                    break
+                time.sleep(0.05)
+
+    # Faults
+
+    def acquire(self):
+        """Returns a daemon that no other fault acts on; at least one is left alone."""
+        with self.lock:
+            free = [d for d in self.site.daemons if d.name not in self.busy]
+            if len(free) < 2:
+                return None
+            daemon = free[self.random.randrange(len(free))]
+            self.busy.add(daemon.name)
+            return daemon
+
+    def restart(self, planned):
+        daemon = self.acquire()
+        if daemon is None:
+            return
+        if planned:
+            for _ in range(self.random.randrange(1, 4)):
+                daemon.process.send_signal(signal.SIGTERM)
+                self.sleep(0, 0.1)
+            check(daemon.process.wait(10) == 0, "exit code of a planned stop")
+        else:
+            self.killed_at[daemon.name].append(time.monotonic())
+            daemon.stop()
+        self.sleep(0, 0.5)
+        daemon.start()
+        self.busy.discard(daemon.name)
+
+    def freeze(self):
+        daemon = self.acquire()
+        if daemon is not None:
+            daemon.process.send_signal(signal.SIGSTOP)
+            self.sleep(0.2, 1.5)
+            daemon.process.send_signal(signal.SIGCONT)
+            self.busy.discard(daemon.name)
+
+    def reload(self):
+        for _ in range(3):
+            for daemon in self.site.daemons:
+                if daemon.process.poll() is None:
+                    daemon.process.send_signal(signal.SIGHUP)
+            self.sleep(0, 0.05)
+
+    def disturb_store(self):
+        self.site.store.refuse = True
+        self.sleep(0.1, 1.2)
+        self.site.store.refuse = False
+
+    def change_config(self):
+        for _ in range(self.random.randrange(1, 4)):
+            with self.lock:
+                self.config_version += self.random.randrange(1, 4)
+                self.site.store.put("op/config", config(self.config_version))
+            self.sleep(0, 0.2)
+
+    def break_engine(self):
+        engine = self.random.choice(self.site.engines)
+        engine.breaks_after = self.random.randrange(EVENTS)
+        self.sleep(0.2, 1.0)
+        engine.breaks_after = None
+
+    def limit_replica(self):
+        replica = self.random.choice(self.site.engines + self.site.plain)
+        replica.limit = self.random.uniform(2, 20)
+        self.sleep(0.5, 3)
+        replica.limit = None
+
+    def cause_faults(self):
+        faults = [lambda: self.restart(True), lambda: self.restart(False), self.freeze, self.reload,
+                  self.disturb_store, self.change_config, self.break_engine, self.limit_replica]
+        while self.running():
+            self.random.choice(faults)()
+            self.sleep(0.05, 0.6)
+
+    # Checks
+
+    def check_requests(self):
+        check(not self.wrong, "answers of other requests: %s" % self.wrong[:3])
+        runs = collections.Counter(r[0] for replica in self.site.plain for r in replica.requests)
+        once = {n for replica in self.site.plain for n, path, *_ in replica.requests if path.startswith("/once/")}
+        check(not [n for n in once if runs[n] > 1], "requests that ran twice: %s" % [n for n in once if runs[n] > 1])
+        ran = [n for n in self.refused if runs[n] and n in once]
+        check(not ran, "refused requests that ran: %s" % ran)
+        lost = [u for u in self.unanswered
+                if runs[u[0]] and not any(u[2] - 0.5 <= t <= u[3] + 0.5 for t in self.killed_at[u[1]])]
+        check(not lost, "requests that ran and got no answer: %s" % lost[:3])
+
+    def check_steps(self):
+        for name in self.steps:
+            results = self.site.read_all(self.site.daemons[0], 6, name, timeout=CALM_S)
+            check(len({r["id"] for r in results}) == 6, "each item once")
+            check({r["state"] for r in results} == {"completed"}, "items are completed: %s" % results)
+            check_unmixed(results, EVENTS)
+
+    def run(self):
+        failures = []
+
+        def guarded(work):
+            try:
+                work()
+            except Exception as error:  # pylint: disable=broad-except
+                failures.append(error)
+                traceback.print_exc()
+
+        callers = [lambda n=n: self.send_requests(n) for n in range(max(6, len(self.site.daemons)))]
+        work = [*callers, self.submit_steps, self.submit_steps_twice, self.take_streams_up, *[self.cause_faults] * 3]
+        threads = [threading.Thread(target=guarded, args=(w,)) for w in work]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        check(not failures, "a caller or fault failed: %r" % failures[:1])
+        until(lambda: all(d.is_ready() for d in self.site.daemons), "all hosts are ready again")
+        self.check_requests()
+        mixed = {n: s for n, s in self.streams.items() if len(s) > 1}
+        check(not mixed, "streams of two software versions: %s" % mixed)
+        self.check_steps()
+        return "%d steps, %d streams, %d requests refused, %d unanswered" % (
+            len(self.steps), len(self.streams), len(self.refused), len(self.unanswered))
+
+    def submit_steps_twice(self):
+        """Submits steps that were accepted once more at another host."""
+        while self.running():
+            if self.steps:
+                try:
+                    self.site.submit(self.pick(), self.random.choice(self.steps), items=6)
+                except (OSError, http.client.HTTPException):
+                    pass
+            time.sleep(0.3)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("seeds", nargs="*", type=int, default=[1, 2, 3])
+    parser.add_argument("--daemons", type=int, default=3)
+    args = parser.parse_args()
+    failed = False
+    for seed in args.seeds:
+        soak = None
+        try:
+            soak = Soak(seed, args.daemons)
+            print("ok soak.%d %s" % (seed, soak.run()), flush=True)
+        except Exception as error:  # pylint: disable=broad-except
+            failed = True
+            print("FAIL soak.%d %s" % (seed, error), flush=True)
+            traceback.print_exc()
+        finally:
+            if soak is not None:
+                soak.site.close()
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -97,6 +97,7 @@
     route = {"host": HOST, "priority": 2, "maxAttempts": 3, "timeoutMs": 4000, "targetLatencyMs": 500}
     routes = [
         {**route, "name": "open", "pathPrefix": "/open/", "routeType": "idempotent", "service": "plain", "anonymous": True},
+        {**route, "name": "once", "pathPrefix": "/once/", "routeType": "non_idempotent", "service": "plain", "anonymous": True},
         {**route, "name": "keyed", "pathPrefix": "/keyed/", "routeType": "idempotent", "service": "plain"},
         {**route, "name": "stream", "pathPrefix": "/stream/", "routeType": "streaming", "service": "engine",
          "resumable": True, "anonymous": True},
