--- a/src/agatetide/request/request_limits.cpp
+++ b/src/agatetide/request/request_limits.cpp
@@ -3,6 +3,7 @@
 #include "agatetide/base/event_log.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace agatetide::request {
 
@@ -16,9 +17,18 @@
 /// Rate of a host that may not use the replica but finds no other host that
 /// knows whether the limit still holds.
 constexpr double kProbesPerSecond = 0.25;
+/// Announced limits are rounded down to this many steps per doubling, so that
+/// small changes of a limit are not announced.
+constexpr double kAnnouncedStepsPerOctave = 4.0;
 /// Period over which the requests to a limited replica are counted in the log.
 constexpr std::chrono::seconds kCountPeriod{ 4 };
 
+double RoundForAnnouncement(double aLimit)
+{
+  return std::exp2(std::floor(std::log2(aLimit) * kAnnouncedStepsPerOctave) /
+                   kAnnouncedStepsPerOctave);
+}
+
 } // namespace
 
 RequestLimits::RequestLimits(const fleet::FleetView& aView,
@@ -219,9 +229,10 @@
       const bool confirmed = limit.mNamed && HasRecentReport(limit);
       // 0 means that the limit is not confirmed, so a limit of 0 is raised.
       announcement[replica] =
-        confirmed ? std::max(*limit.mNamed,
-                             policy::LimitShareOptions{}.mMinRequestsPerSecond)
-                  : 0.0;
+        confirmed
+          ? RoundForAnnouncement(std::max(
+              *limit.mNamed, policy::LimitShareOptions{}.mMinRequestsPerSecond))
+          : 0.0;
     }
   }
   return announcement;
--- a/src/agatetide/request/request_limits_test.cpp
+++ b/src/agatetide/request/request_limits_test.cpp
@@ -237,6 +237,20 @@
   cr_expect_eq(host.mPool.Limits().Delay(kReplica), Duration::zero());
 }
 
+// Guards against a registration that is written again with each response.
+Test(request_limits, a_small_change_of_a_limit_is_not_announced)
+{
+  ManualClock clock;
+  Host host("host", clock);
+  host.mPool.Limits().Record(kReplica, { 3.0, clock.Now() });
+  host.mPool.Limits().RecordDemand(kReplica);
+  const auto before = host.mPool.Limits().Announcement();
+  host.mPool.Limits().Record(kReplica, { 3.1, clock.Now() });
+  cr_expect(before == host.mPool.Limits().Announcement());
+  host.mPool.Limits().Record(kReplica, { 1.5, clock.Now() });
+  cr_expect(before != host.mPool.Limits().Announcement());
+}
+
 // Guards against holding a restarted replica to the limit of its predecessor.
 Test(request_limits, a_restarted_replica_has_no_limit)
 {
