--- a/include/agatetide/base/clock.hpp
+++ b/include/agatetide/base/clock.hpp
@@ -9,6 +9,12 @@
 using TimePoint = std::chrono::steady_clock::time_point;
 using Milliseconds = std::chrono::milliseconds;
 
+/// @brief Returns a duration as a number of seconds. Thread-safe.
+constexpr double Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
 /// @brief Source of monotonic time. Injected, so that tests control time.
 using Clock = std::function<TimePoint()>;
 
--- a/src/agatetide/policy/limit_share.cpp
+++ b/src/agatetide/policy/limit_share.cpp
@@ -43,8 +43,7 @@
 
 double RequestPacer::TokensAt(TimePoint aNow) const
 {
-  const double elapsed =
-    std::chrono::duration<double>(aNow - mUpdatedAt).count();
+  const double elapsed = Seconds(aNow - mUpdatedAt);
   const double capacity =
     std::max(1.0, mRequestsPerSecond * mOptions.mBurstSeconds);
   return std::min(mTokens + elapsed * mRequestsPerSecond, capacity);
--- a/src/agatetide/policy/staleness.cpp
+++ b/src/agatetide/policy/staleness.cpp
@@ -9,11 +9,6 @@
 /// Weight of a new interval in the mean.
 constexpr double kNewIntervalWeight = 0.3;
 
-double ToSeconds(Duration aTime)
-{
-  return std::chrono::duration<double>(aTime).count();
-}
-
 } // namespace
 
 bool MayDeliver(std::span<const uint64_t> aVersions,
@@ -35,7 +30,7 @@
     return;
   }
   if (mLatestVersion != 0) {
-    const double interval = ToSeconds(aNow - mLatestVersionTime) /
+    const double interval = Seconds(aNow - mLatestVersionTime) /
                             static_cast<double>(aVersion - mLatestVersion);
     mIntervalSeconds = mIntervalSeconds <= 0.0
                          ? interval
@@ -54,9 +49,9 @@
   // If a version is overdue, the next one is expected a whole interval from
   // now; otherwise every sample would wait for it.
   const double elapsed =
-    std::min(ToSeconds(aNow - mLatestVersionTime), mIntervalSeconds);
+    std::min(Seconds(aNow - mLatestVersionTime), mIntervalSeconds);
   const double elapsedInInterval = elapsed < mIntervalSeconds ? elapsed : 0.0;
-  return static_cast<uint64_t>((elapsedInInterval + ToSeconds(aTime)) /
+  return static_cast<uint64_t>((elapsedInInterval + Seconds(aTime)) /
                                mIntervalSeconds);
 }
 
--- a/src/agatetide/request/request_limits_test.cpp
+++ b/src/agatetide/request/request_limits_test.cpp
@@ -133,8 +133,7 @@
 
   void SendRequests(Host& aHost)
   {
-    aHost.mWaiting +=
-      aHost.mDemand * std::chrono::duration<double>(kTick).count();
+    aHost.mWaiting += aHost.mDemand * Seconds(kTick);
     while (aHost.mWaiting >= 1.0) {
       const TimePoint sentAt = mClock.Now();
       const auto reservation =
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -43,11 +43,6 @@
                      });
 }
 
-double Seconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 } // namespace
 
 void StepRunner::StartWaitingItems()
