Let calls that may not wait leave only limited replicas to others

While a request of a caller waited for a limited replica, scoring calls of the same service got no replica at all, also not one without a limit that the waiting request had tried already. They then waited 1 ms and counted as waiting themselves, so several of them could hold each other back until their deadline. Now a call that may not wait leaves the limited replicas alone while others wait, uses any other, and never waits.

Shares are no longer computed each 100 ms where no replica is limited.

Tests: a_request_waits_for_a_limited_replica and a_request_beyond_all_limits_is_refused_at_once cover the waiting, which had unit tests on the stand-in only. The mutual blocking has no test of its own.

--- a/include/agatetide/request/forwarder.hpp
+++ b/include/agatetide/request/forwarder.hpp
@@ -25,7 +25,7 @@
   /// continue it, and mRoute only limits the attempts.
   std::optional<StreamOrigin> mOrigin;
   /// How long the request may wait while the limits of all replicas are used
-  /// up. Requests that may not wait leave the replicas to those that wait.
+  /// up. Requests that may not wait leave limited replicas to those that wait.
   Duration mMaxLimitWait{};
   /// Watches the caller's connection. May be null.
   std::shared_ptr<http::CallerConnection> mCaller;
@@ -82,7 +82,7 @@
                      Result<UpstreamResponse> aResult,
                      TimePoint aSent);
   Result<UpstreamResponse> MakeResult(RequestState& aState) const;
-  static ReplicaFilter MakeFilter(const RequestState& aState);
+  ReplicaFilter MakeFilter(const RequestState& aState);
   TimePoint DeadlineOf(const RequestState& aState) const;
   std::string ChooseService(const fleet::Route& aRoute) const;
   Duration HedgeDelayFor(const RequestState& aState);
--- a/include/agatetide/request/request_limits.hpp
+++ b/include/agatetide/request/request_limits.hpp
@@ -45,6 +45,9 @@
   /// may send one now, and Duration::max() if it may not use the replica.
   Duration Delay(std::string_view aReplicaId) const;
 
+  /// @brief Whether the replica limits its requests.
+  bool IsLimited(std::string_view aReplicaId) const;
+
   /// @brief Requests per second that this host may send to the replica; 0 if
   /// the replica is not limited or this host may not use it.
   double Rate(std::string_view aReplicaId) const;
--- a/src/agatetide/request/forwarder.cpp
+++ b/src/agatetide/request/forwarder.cpp
@@ -177,7 +177,7 @@
   }
   aState->mRetryAfter = std::chrono::ceil<Milliseconds>(delay);
   const TimePoint end = std::min(aState->mLimitWaitEnd, DeadlineOf(*aState));
-  if (delay > end - mClock()) {
+  if (delay >= end - mClock()) {
     co_return false;
   }
   ++service.mWaitingCount;
@@ -206,25 +206,21 @@
 
 ReplicaFilter Forwarder::MakeFilter(const RequestState& aState)
 {
-  ReplicaFilter filter{ aState.mService, aState.mTriedReplicaIds, {} };
-  if (aState.mRequest.mOrigin) {
-    filter.mIsAllowed =
-      [origin = *aState.mRequest.mOrigin](const fleet::Replica& aReplica) {
-        return origin.IsOf(aReplica);
-      };
-  }
-  return filter;
+  const bool yields = aState.mRequest.mMaxLimitWait <= Duration::zero() &&
+                      mServices[aState.mService].mWaitingCount > 0;
+  return { aState.mService,
+           aState.mTriedReplicaIds,
+           [this, yields, origin = aState.mRequest.mOrigin](
+             const fleet::Replica& aReplica) {
+             return (!origin || origin->IsOf(aReplica)) &&
+                    (!yields || !mPool.Limits().IsLimited(aReplica.mId));
+           } };
 }
 
 bool Forwarder::StartAttempt(const std::shared_ptr<RequestState>& aState)
 {
-  const ReplicaFilter filter = MakeFilter(*aState);
-  const bool yields = aState->mRequest.mMaxLimitWait <= Duration::zero();
-  if (yields && mServices[aState->mService].mWaitingCount > 0) {
-    return false;
-  }
-  auto reservation =
-    mPool.ChooseAndReserve(filter, aState->mRequest.mPrototype.mId);
+  auto reservation = mPool.ChooseAndReserve(MakeFilter(*aState),
+                                            aState->mRequest.mPrototype.mId);
   if (!reservation) {
     return false;
   }
--- a/src/agatetide/request/forwarder_test.cpp
+++ b/src/agatetide/request/forwarder_test.cpp
@@ -63,6 +63,7 @@
     request.mRoute.mServices.push_back({ "service", 1.0 });
     request.mPrototype.mId = "id";
     request.mDeadline = mClock() + std::chrono::seconds(2);
+    request.mMaxLimitWait = mMaxLimitWait;
     Result<UpstreamResponse> result = Error{};
     asio::co_spawn(
       mContext,
@@ -77,6 +78,14 @@
     return result;
   }
 
+  /// Lets all replicas name a limit.
+  void LimitReplicas(double aRequestsPerSecond)
+  {
+    for (const auto& [id, replica] : mView.Replicas()) {
+      mPool.Limits().Record(id, { aRequestsPerSecond, mClock() });
+    }
+  }
+
   Awaitable<Result<UpstreamResponse>> Attempt(UpstreamRequest aRequest)
   {
     mSent.push_back(std::move(aRequest));
@@ -100,6 +109,7 @@
   ReplicaPool mPool{ mView, mClock, SeededRandom(1) };
   std::deque<Result<UpstreamResponse>> mScript;
   std::vector<UpstreamRequest> mSent;
+  Duration mMaxLimitWait{};
   /// Delays each attempt beyond the request's deadline.
   bool mHangs = false;
   /// When Run() returned.
@@ -201,3 +211,33 @@
   cr_expect_eq(result.error().mExecution, Execution::Unknown);
   cr_expect(fixture.mEnded - end < std::chrono::milliseconds(500));
 }
+
+// Guards against refusing a request that a limited replica can soon run.
+Test(forwarder, a_request_waits_for_a_limited_replica)
+{
+  Fixture fixture({ Response(200) });
+  fixture.mMaxLimitWait = std::chrono::seconds(1);
+  fixture.LimitReplicas(40.0);
+  const TimePoint start = fixture.mClock();
+  cr_expect(fixture.Run(fleet::RouteKind::Idempotent).has_value());
+  cr_expect_gt(fixture.mEnded - start, std::chrono::milliseconds(50));
+}
+
+// Guards against a request that waits although no replica can run it in time,
+// and against a refusal without a time to come back.
+Test(forwarder, a_request_beyond_all_limits_is_refused_at_once)
+{
+  for (const Duration maxWait :
+       { Duration::zero(), Duration(std::chrono::milliseconds(300)) }) {
+    Fixture fixture({ Response(200) });
+    fixture.mMaxLimitWait = maxWait;
+    fixture.LimitReplicas(2.0);
+    const TimePoint start = fixture.mClock();
+    const auto result = fixture.Run(fleet::RouteKind::Idempotent);
+    cr_assert(result.has_error());
+    cr_expect_eq(result.error().mExecution, Execution::NotRun);
+    cr_expect(result.error().mRetryAfter > std::chrono::milliseconds(1000));
+    cr_expect_lt(fixture.mEnded - start, std::chrono::milliseconds(100));
+    cr_expect(fixture.mSent.empty());
+  }
+}
--- a/src/agatetide/request/request_limits.cpp
+++ b/src/agatetide/request/request_limits.cpp
@@ -105,20 +105,23 @@
   return aLimit.mAnnouncedByOthers ? aLimit.mAnnouncedByOthers : aLimit.mNamed;
 }
 
-Duration RequestLimits::Delay(std::string_view aReplicaId) const
+bool RequestLimits::IsLimited(std::string_view aReplicaId) const
 {
   const auto found = mLimits.find(aReplicaId);
-  return found == mLimits.end() || !CurrentLimit(found->second)
-           ? Duration::zero()
-           : found->second.mPacer.Delay(mClock());
+  return found != mLimits.end() && CurrentLimit(found->second);
+}
+
+Duration RequestLimits::Delay(std::string_view aReplicaId) const
+{
+  return IsLimited(aReplicaId)
+           ? mLimits.find(aReplicaId)->second.mPacer.Delay(mClock())
+           : Duration::zero();
 }
 
 double RequestLimits::Rate(std::string_view aReplicaId) const
 {
-  const auto found = mLimits.find(aReplicaId);
-  return found == mLimits.end() || !CurrentLimit(found->second)
-           ? 0.0
-           : found->second.mPacer.Rate();
+  return IsLimited(aReplicaId) ? mLimits.find(aReplicaId)->second.mPacer.Rate()
+                               : 0.0;
 }
 
 void RequestLimits::RecordDemand(std::string_view aReplicaId)
@@ -166,11 +169,9 @@
 
 void RequestLimits::UpdateShares()
 {
-  Hosts hosts;
   std::map<std::string_view, Hosts> otherUsers;
   std::map<std::string_view, double> announced;
   for (const auto& [name, host] : mView.Hosts()) {
-    hosts.emplace_back(name);
     for (const auto& [replica, limit] : host.mRequestLimits) {
       if (name == mHost || mView.FindReplica(replica) == nullptr) {
         continue;
@@ -182,9 +183,6 @@
       }
     }
   }
-  if (!mView.Hosts().contains(mHost)) {
-    hosts.emplace_back(mHost);
-  }
   for (const auto& [replica, limit] : announced) {
     FindOrCreate(replica);
   }
@@ -192,6 +190,16 @@
     return !HasRecentReport(aItem.second) && !aItem.second.mNamed &&
            !announced.contains(aItem.first);
   });
+  if (mLimits.empty()) {
+    return;
+  }
+  Hosts hosts;
+  for (const auto& [name, host] : mView.Hosts()) {
+    hosts.emplace_back(name);
+  }
+  if (!mView.Hosts().contains(mHost)) {
+    hosts.emplace_back(mHost);
+  }
   for (auto& [replica, limit] : mLimits) {
     const auto byOthers = announced.find(replica);
     limit.mAnnouncedByOthers = byOthers == announced.end()
