--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -26,6 +26,7 @@
 DAEMON = ROOT / "build/release/agatetided"
 HOST = "site.example"
 WINDOW_S = 1
+MAX_ADDRESSES = 64  # in one answer
 
 
 def free_port():
@@ -117,9 +118,15 @@
         self.plain = [Replica(self.store, "plain-%d" % i, "plain", "z1") for i in range(plain)]
         self.engines = [Replica(self.store, "engine-%d" % i, "engine", "z1", {"m": 1}, events, pause)
                         for i in range(engines)]
-        self.daemons = [Daemon(self, "host-%d" % i) for i in range(daemons)]
-        until(lambda: self.lookup(self.daemons[0], "warm")[0] == 200, "the first lookup succeeds")
-        until(lambda: all(len(self.addresses(d)) == daemons for d in self.daemons), "all hosts are known")
+        self.daemons = []
+        try:
+            for i in range(daemons):
+                self.daemons.append(Daemon(self, "host-%d" % i))
+            until(lambda: self.lookup(self.daemons[0], "warm")[0] == 200, "the first lookup succeeds")
+            until(lambda: all(len(self.addresses(d)) == min(daemons, MAX_ADDRESSES) for d in self.daemons), "all hosts are known")
+        except Exception:
+            self.close()
+            raise
 
     def addresses(self, daemon):
         body = daemon.call("GET", "/resolve?name=%s&region=r1&zone=z1" % HOST, port=daemon.directory_port)[1]
