--- a/include/agatetide/http/client.hpp
+++ b/include/agatetide/http/client.hpp
@@ -25,6 +25,9 @@
   std::chrono::milliseconds mIdleConnectionTimeout{ 30000 };
   /// Source IP address of connections; if empty, the system chooses it.
   std::string mLocalAddress;
+  /// Called with the outcome of each attempt to open a connection. May be
+  /// empty.
+  std::function<void(const Endpoint&, bool aConnected)> mOnConnect;
 };
 
 /// @brief Cancels one call of a Client. Must be used on the client's executor
--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -385,6 +385,9 @@
     co_await connection->mStream.async_connect(
       Tcp::endpoint(address, aEndpoint.mPort),
       asio::redirect_error(asio::use_awaitable, error));
+    if (mOptions.mOnConnect) {
+      mOptions.mOnConnect(aEndpoint, !error);
+    }
     if (error) {
       const bool deadlineExceeded =
         std::chrono::steady_clock::now() >= aOptions.mDeadline;
--- a/src/agatetide/request/forwarder.cpp
+++ b/src/agatetide/request/forwarder.cpp
@@ -282,6 +282,7 @@
       LogEvent("attempt_failed", LogLevel::Warning)
         .Field("request_id", aState.mRequest.mPrototype.mId)
         .Field("replica", aReplica.mId)
+        .Field("ms", std::chrono::duration_cast<Milliseconds>(took).count())
         .Field("error", FormatError(error))
         .Write();
     }
