--- /dev/null
+++ b/tests/cut_off_hosts.py
@@ -0,0 +1,155 @@
+"""Runs daemons on hosts that are cut off from replicas while callers, the store and the other hosts reach them.
+
+Prints "ok NAME" or "FAIL NAME reason" for each test.
+"""
+
+import http.client
+import sys
+import time
+
+from users_platform import check, run_tests, until
+
+# A host serves its callers again this long after it was cut off.
+CONTACT_S = 4
+
+
+def replicas(site):
+    return [*site.plain, *site.engines]
+
+
+def cut_off(site, hosts, **options):
+    for replica in replicas(site):
+        for host in hosts:
+            replica.server.partition.cut(host.address, **options)
+
+
+def heal(site, hosts):
+    for replica in replicas(site):
+        for host in hosts:
+            replica.server.partition.heal(host.address)
+
+
+def served_shares(site, seconds, name, path="/open/1"):
+    """Sends lookups to all hosts by turns; returns the share that each served within a second, by host name."""
+    served = {d.name: [] for d in site.daemons}
+    end = time.monotonic() + seconds
+    count = 0
+    while time.monotonic() < end:
+        for daemon in site.daemons:
+            count += 1
+            try:
+                status = daemon.call("POST", path, b"question", timeout=1.2, headers={
+                    "Attempt-Id": "%s-%d" % (name, count), "Timeout-Ms": "1000"})[0]
+            except (OSError, http.client.HTTPException):
+                status = 0
+            served[daemon.name].append(status == 200)
+        time.sleep(0.05)
+    return {host: sum(results) / len(results) for host, results in served.items()}
+
+
+def callers_of_a_silently_cut_off_host_are_served(site):
+    """Guards against lookups that end at their deadline because their host waits for replicas that it cannot reach."""
+    served_shares(site, 0.5, "before")
+    cut_off(site, site.daemons[:2])
+    served_shares(site, CONTACT_S, "meanwhile")
+    shares = served_shares(site, 2, "cut")
+    check(min(shares.values()) > 0.95, "served: %s" % shares)
+
+
+def first_request_of_an_idle_cut_off_host_is_served(site):
+    """Guards against a host that learns of its cut only from requests that it fails."""
+    served_shares(site, 0.5, "before")
+    cut_off(site, site.daemons[:1])
+    time.sleep(CONTACT_S)
+    for path in ("/open/1", "/once/1"):
+        shares = served_shares(site, 0.1, "cut", path)
+        check(min(shares.values()) == 1, "%s served: %s" % (path, shares))
+        heal(site, site.daemons[:1])
+        time.sleep(2)
+        cut_off(site, site.daemons[:1])
+
+
+def requests_of_a_cut_off_host_run_once(site):
+    """Guards against requests that may not be repeated and that two hosts send."""
+    cut_off(site, site.daemons[:1])
+    served_shares(site, CONTACT_S, "once", "/once/1")
+    heal(site, site.daemons[:1])
+    served_shares(site, 2, "again", "/once/1")
+    names = [request[0] for replica in site.plain for request in replica.requests]
+    check(len(names) == len(set(names)), "a request ran twice")
+
+
+def step_of_a_cut_off_host_goes_on(site):
+    """Guards against samples that wait until the host that runs their step reaches the replicas again."""
+    for number, daemon in enumerate(site.daemons):
+        site.submit(daemon, "step-%d" % number)
+    until(lambda: sum(len(e.requests) for e in site.engines) >= 6, "items run")
+    owner = next(d for d in site.daemons if d.last_event("step_submitted", ""))
+    cut_off(site, [owner])
+    started = time.monotonic()
+    for number in range(len(site.daemons)):
+        results = site.read_all(owner, 6, "step-%d" % number)
+        check({r["state"] for r in results} == {"completed"}, "the samples are completed: %s" % results)
+    check(time.monotonic() - started < 2 * CONTACT_S, "took %.1f s" % (time.monotonic() - started))
+
+
+def address_answers_leave_out_cut_off_hosts(site):
+    """Guards against callers that are sent to hosts which reach no replica."""
+    first, *others = site.daemons
+    cut_off(site, [first])
+    served_shares(site, CONTACT_S, "cut")
+    for daemon in site.daemons:
+        check(len(site.addresses(daemon)) == len(others), "%s names %s" % (daemon.name, site.addresses(daemon)))
+    heal(site, [first])
+    until(lambda: all(len(site.addresses(d)) == len(site.daemons) for d in site.daemons), "all are named again", timeout=CONTACT_S)
+
+
+def hosts_that_are_all_cut_off_refuse_and_come_back(site):
+    """Guards against lookups that wait for their deadline, or a service that stays away, when no host reaches a replica."""
+    cut_off(site, site.daemons)
+    served_shares(site, CONTACT_S, "cut")
+    started = time.monotonic()
+    status, _, headers = site.lookup(site.daemons[0], "refused")
+    check(status == 503 and "Retry-After" in headers, "status %s" % status)
+    check(time.monotonic() - started < 1.5, "refused after %.1f s" % (time.monotonic() - started))
+    check(len(site.addresses(site.daemons[0])) == len(site.daemons), "all hosts are named if all are cut off")
+    heal(site, site.daemons)
+    until(lambda: all(site.lookup(d, "back")[0] == 200 for d in site.daemons), "all hosts serve", timeout=CONTACT_S)
+
+
+def replica_that_is_gone_is_not_blamed_on_the_host(site):
+    """Guards against hosts that take a dead replica, or the end of a whole service, for a cut of their own."""
+    site.plain[0].crash()
+    shares = served_shares(site, CONTACT_S, "crash")
+    check(min(shares.values()) > 0.95, "served: %s" % shares)
+    check(all(len(site.addresses(d)) == len(site.daemons) for d in site.daemons), "a host was taken for cut off")
+
+
+def caller_of_a_cut_off_host_that_leaves_frees_its_replica(site):
+    """Guards against a replica that goes on with a relayed request whose caller has left."""
+    cut_off(site, site.daemons[:1])
+    served_shares(site, CONTACT_S, "cut")
+    for replica in site.plain:
+        replica.pause = 3
+    try:
+        site.daemons[0].call("POST", "/open/1", b"question", {"Attempt-Id": "leaves", "Timeout-Ms": "5000"}, timeout=0.5)
+        check(False, "the request was answered")
+    except OSError:
+        pass
+    until(lambda: any(r.caller_left("leaves") for r in site.plain), "the replica is told", timeout=0.7)
+
+
+TESTS = [
+    (callers_of_a_silently_cut_off_host_are_served, {"daemons": 4}),
+    (first_request_of_an_idle_cut_off_host_is_served, {"daemons": 3}),
+    (requests_of_a_cut_off_host_run_once, {"daemons": 3}),
+    (step_of_a_cut_off_host_goes_on, {"daemons": 3, "events": 12, "pause": 0.2}),
+    (address_answers_leave_out_cut_off_hosts, {"daemons": 3}),
+    (hosts_that_are_all_cut_off_refuse_and_come_back, {"daemons": 2}),
+    (replica_that_is_gone_is_not_blamed_on_the_host, {"daemons": 2}),
+    (caller_of_a_cut_off_host_that_leaves_frees_its_replica, {"daemons": 2}),
+]
+
+
+if __name__ == "__main__":
+    sys.exit(run_tests("cut_off_hosts", TESTS))
--- /dev/null
+++ b/tests/harness/partition.py
@@ -0,0 +1,68 @@
+"""Cuts single hosts off from a server, by IP address, as a broken network does."""
+
+import ctypes
+import ipaddress
+import socket
+import struct
+import threading
+
+SO_ATTACH_FILTER, SO_DETACH_FILTER = 26, 27
+# Opcodes of the classic packet filter, and the offset of a packet's source address.
+LOAD_WORD, JUMP_IF_EQUAL, RETURN = 0x20, 0x15, 0x06
+SOURCE_ADDRESS = 0xFFF00000 + 12
+
+
+def _drop_packets(sock, addresses):
+    """Lets the kernel drop all packets from these addresses to the socket."""
+    lines = [(LOAD_WORD, 0, 0, SOURCE_ADDRESS)]
+    for address in addresses:
+        lines += [(JUMP_IF_EQUAL, 0, 1, int(ipaddress.ip_address(address))), (RETURN, 0, 0, 0)]
+    lines.append((RETURN, 0, 0, 0xFFFFFFFF))
+    program = ctypes.create_string_buffer(b"".join(struct.pack("HBBI", *line) for line in lines))
+    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("HxxxxxxP", len(lines), ctypes.addressof(program)))
+
+
+class Partition:
+    """The connections of one server, and the hosts that do not reach it."""
+
+    def __init__(self, listener):
+        self.listener, self.lock = listener, threading.Lock()
+        self.accepted, self.silent = [], set()
+
+    def add(self, sock):
+        """Called with each accepted connection; it has the filter of the listener."""
+        with self.lock:
+            self.accepted = [s for s in self.accepted if s.fileno() >= 0] + [sock]
+
+    def cut(self, address, established=True):
+        """Drops what the host sends from now on; established=False spares its open connections."""
+        with self.lock:
+            self.silent.add(address)
+            for sock in [self.listener, *(self.accepted if established else [])]:
+                if sock.fileno() >= 0:
+                    _drop_packets(sock, self.silent)
+
+    def reset(self, address):
+        """Resets the open connections of the host."""
+        with self.lock:
+            for sock in self.accepted:
+                try:
+                    if sock.getpeername()[0] == address:
+                        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                        sock.shutdown(socket.SHUT_RD)
+                        sock.close()
+                except OSError:
+                    pass
+
+    def heal(self, address):
+        with self.lock:
+            self.silent.discard(address)
+            for sock in [self.listener, *self.accepted]:
+                if sock.fileno() >= 0:
+                    if self.silent:
+                        _drop_packets(sock, self.silent)
+                    else:
+                        try:
+                            sock.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+                        except OSError:
+                            pass
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -6,17 +6,29 @@
 import base64
 import collections
 import json
+import socket
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
+from harness.partition import Partition
+
 
 class Server(ThreadingHTTPServer):
     daemon_threads = True
     allow_reuse_address = True
     request_queue_size = 128
 
+    def server_activate(self):
+        super().server_activate()
+        self.partition = Partition(self.socket)
+
+    def get_request(self):
+        sock, address = super().get_request()
+        self.partition.add(sock)
+        return sock, address
+
 
 def serve(handle):
     """Serves handle(handler, method, path, query, body) on a free port."""
@@ -208,6 +220,7 @@
         self.statuses = []  # of the next answers; 200 after them
         self.limit = None  # requests a second that its answers name
         self.arrivals = []  # times of its requests
+        self.running = {}  # connections of requests that take time, by id
         self.state = "ready"
         self.server = serve(self.handle)
         self.address = "127.0.0.1:%d" % self.server.server_port
@@ -225,6 +238,15 @@
         self.server.shutdown()
         self.server.server_close()
 
+    def caller_left(self, name):
+        """Whether the connection of a running request was closed by its sender."""
+        try:
+            return name in self.running and not self.running[name].recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def drain(self):
         self.state = "draining"
         self.register()
@@ -251,6 +273,7 @@
             self.stream(handler, headers)
             return
         if self.pause:
+            self.running[headers["Attempt-Id"]] = handler.connection
             time.sleep(self.pause)
         handler.reply(self.statuses.pop(0) if self.statuses else 200, b"answer to " + body,
                       [("Attempt-Id", headers["Attempt-Id"]), ("Response-Signature", "signed-" + headers["Attempt-Id"]),
--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -93,6 +93,10 @@
     return line_checks(["/usr/bin/python3", "tests/users_platform.py"])
 
 
+def cut_off_hosts(_args):
+    return line_checks(["/usr/bin/python3", "tests/cut_off_hosts.py"])
+
+
 def soak(args):
     """Runs a few seeds of the soak, each with its own faults."""
     seeds = [str(args.seed + i) for i in range(SOAK_SEEDS)]
@@ -136,6 +140,7 @@
     "examples": examples,
     "integration": integration,
     "users_platform": users_platform,
+    "cut_off_hosts": cut_off_hosts,
     "soak": soak,
     "ctl": ctl,
     "bad_input": bad_input,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -57,7 +57,7 @@
             count += 1
             name, sent_at = "soak-%d-%d" % (number, count), time.monotonic()
             try:
-                connection = connection or http.client.HTTPConnection("127.0.0.1", daemon.front_port, timeout=6)
+                connection = connection or http.client.HTTPConnection(daemon.address, daemon.front_port, timeout=6)
                 connection.request("POST", path, b"question", {"Host": HOST, "Attempt-Id": name, "Timeout-Ms": "2000"})
                 answer = connection.getresponse()
                 body = answer.read()
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -29,22 +29,24 @@
 MAX_ADDRESSES = 64  # in one answer
 
 
-def free_port():
+def free_port(address="127.0.0.1"):
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((address, 0))
         return probe.getsockname()[1]
 
 
 class Daemon:
-    """One daemon process on an entry host of its own."""
+    """One daemon process on an entry host of its own, with an IP address of its own."""
 
-    def __init__(self, site, name):
-        self.name, self.store_endpoint = name, StoreEndpoint(site.store)
-        self.front_port, self.directory_port, self.ready_port = free_port(), free_port(), free_port()
+    def __init__(self, site, number):
+        self.name, self.store_endpoint = "host-%d" % number, StoreEndpoint(site.store)
+        self.address = "127.0.1.%d" % (number + 1)
+        self.front_port, self.directory_port, self.ready_port, peer_port = (free_port(self.address) for _ in range(4))
         settings = {
-            "node": name, "ip": "127.0.0.1", "internalPorts": [free_port(), 0], "zone": "z1", "region": "r1", "zones": {"z1": "r1"},
-            "listen": {"front": "127.0.0.1:%d" % self.front_port, "ready": "127.0.0.1:%d" % self.ready_port,
-                       "directory": "127.0.0.1:%d" % self.directory_port},
+            "node": self.name, "ip": self.address, "internalPorts": [peer_port, 0],
+            "zone": "z1", "region": "r1", "zones": {"z1": "r1"},
+            "listen": {"front": "%s:%d" % (self.address, self.front_port), "ready": "%s:%d" % (self.address, self.ready_port),
+                       "directory": "%s:%d" % (self.address, self.directory_port)},
             "limits": {"maxFds": 1024},
             "bounds": {"revokeMs": 5000, "graceS": 2, "usageWindowS": WINDOW_S, "ttl_max_s": 5},
             "platform": {"address": self.store_endpoint.address}, "cloudApi": {"address": site.platform_api.address}}
@@ -66,7 +68,7 @@
             return False
 
     def call(self, method, path, body=None, headers=None, port=None, timeout=8):
-        connection = http.client.HTTPConnection("127.0.0.1", port or self.front_port, timeout=timeout)
+        connection = http.client.HTTPConnection(self.address, port or self.front_port, timeout=timeout)
         with contextlib.closing(connection):
             connection.request(method, path, body=body, headers={"Host": HOST, **(headers or {})})
             answer = connection.getresponse()
@@ -121,7 +123,7 @@
         self.daemons = []
         try:
             for i in range(daemons):
-                self.daemons.append(Daemon(self, "host-%d" % i))
+                self.daemons.append(Daemon(self, i))
             until(lambda: self.lookup(self.daemons[0], "warm")[0] == 200, "the first lookup succeeds")
             until(lambda: all(len(self.addresses(d)) == min(daemons, MAX_ADDRESSES) for d in self.daemons), "all hosts are known")
         except Exception:
@@ -422,7 +424,7 @@
     check(daemon.call("GET", "/lots/none", headers=key)[0] == 404, "unknown step")
     check(daemon.call("POST", "/open/1", b"x" * 1100000, {"Attempt-Id": "big"})[0] in (413, 429), "large body")
     check(daemon.call("POST", "/open/1", b"", {"Attempt-Id": "h", "X": "y" * 5000})[0] in (400, 431, 429), "large header")
-    with socket.create_connection(("127.0.0.1", daemon.front_port)) as raw:
+    with socket.create_connection((daemon.address, daemon.front_port)) as raw:
         raw.sendall(b"nonsense\r\n\r\n")
         check(b"400" in raw.recv(200), "bytes that are not HTTP get status 400")
     for key_name, value in (("servers/bad", "text"), ("servers/half", {"service": "plain"}),
@@ -464,7 +466,7 @@
             count += 1
             try:
                 if not reusable:
-                    connection = http.client.HTTPConnection("127.0.0.1", first.front_port, timeout=8)
+                    connection = http.client.HTTPConnection(first.address, first.front_port, timeout=8)
                     connection.connect()
                 reusable, status = call(connection, "press-%d-%d" % (number, count))
                 reusable = reusable and reuse
@@ -769,19 +771,20 @@
 ]
 
 
-def main():
+def run_tests(group, tests):
+    """Runs the tests that the command line names, or all; returns the exit code."""
     failed = False
-    for test, options in TESTS:
+    for test, options in tests:
         if len(sys.argv) > 1 and test.__name__ not in sys.argv[1:]:
             continue
         site = None
         try:
             site = Site(**options)
             test(site)
-            print("ok users_platform." + test.__name__, flush=True)
+            print("ok %s.%s" % (group, test.__name__), flush=True)
         except Exception as error:  # pylint: disable=broad-except
             failed = True
-            print("FAIL users_platform.%s %s" % (test.__name__, error), flush=True)
+            print("FAIL %s.%s %s" % (group, test.__name__, error), flush=True)
             traceback.print_exc()
         finally:
             if site is not None:
@@ -790,4 +793,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_tests("users_platform", TESTS))
