Send attempts through another host while this one reaches no replica

Steps of such hosts stood still.

Cause: a host had one path to replicas, its own, and nothing told it from a replica whether the host or the replica was at fault. It retried other replicas over the same broken path and waited 1 s for each connection, as long as its caller did in all. The store call has a second path and a step has one at its start; an attempt had none. Class: a fault of the host's own network that is taken for faults of its peers.

Why this works: - policy/reachability decides: a connection that fails or is lost raises a suspicion, a check of three random replicas of different services and zones confirms it if none accepts a connection. Kernels accept connections also while replicas are slow or full, so these are not taken for a cut. Nothing is checked while nothing fails. Rechecked each 0.6 to 0.9 s; two replicas must be reached again. - entry/replica_router sends each attempt directly, or to the same replica through a host that reaches replicas (own region first, only in regions that route and account allow). An attempt takes a second way only if it was certainly not run. Choice, retries, hedges, limits and usage stay with the first host, so each is counted once. entry/replica_relay sends for others, directly only, up to 160 attempts, 128 of them streams; it declines while it is cut off itself, stops or is full. - Connections to replicas: 250 ms to be established; lost if the kernel behind does not acknowledge within 500 ms (2 s if the request may not be repeated or is long); probed each second, so idle ones of a broken path are not reused. - Registrations say cut_off: address answers, owners of steps and the leader's lease prefer hosts that reach replicas. - http: a streamed response still notices that its caller disconnects, and a call canceled while connecting sends nothing.

--- a/include/agatetide/duty/leadership.hpp
+++ b/include/agatetide/duty/leadership.hpp
@@ -24,6 +24,9 @@
   /// Time between acquiring the lease and acting as the leader, so that calls
   /// still in flight from the previous holder have arrived.
   Milliseconds mActivationDelay{ 1000 };
+  /// A leader that reaches no replica keeps the lease at least for this long
+  /// after it acquired it, so that two hosts do not take turns quickly.
+  Milliseconds mMinTenure{ 3000 };
 };
 
 /// @brief Leader election: holds the lease of the daemon that carries out the
@@ -43,7 +46,8 @@
                                    const std::string& aIncarnation,
                                    const fleet::FleetView& aView);
 
-  /// @brief Renews the lease if it is held, or acquires it if it is free. Call
+  /// @brief Renews the lease if it is held, or acquires it if it is free. While
+  /// this host reaches no replica and another does, releases it instead. Call
   /// it several times a second.
   Awaitable<void> Maintain();
 
@@ -69,6 +73,8 @@
 
   bool ShouldCallStore(TimePoint aNow);
   Duration AcquireDelay() const;
+  bool ShouldLeaveToOthers() const;
+  Awaitable<void> StepDown();
 
   LeadershipOptions mOptions;
   coordination::Lease mLease;
--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -8,6 +8,8 @@
 #include "agatetide/entry/fleet_watch.hpp"
 #include "agatetide/entry/host_registry.hpp"
 #include "agatetide/entry/peer_channel.hpp"
+#include "agatetide/entry/replica_relay.hpp"
+#include "agatetide/entry/replica_router.hpp"
 #include "agatetide/entry/step_router.hpp"
 #include "agatetide/entry/store_router.hpp"
 #include "agatetide/entry/stream_forwarder.hpp"
@@ -48,6 +50,7 @@
   coordination::WatchCall mWatch;
   request::UpstreamCall mCallReplica;
   request::UpstreamStreamCall mStreamFromReplica;
+  request::ConnectCall mConnectToReplica;
   duty::VersionOrderCall mSendVersionOrder;
   duty::ReplicaStatusCall mReadReplicaStatus;
   duty::UsageReportCall mReportUsage;
@@ -141,6 +144,8 @@
   void RemoveExpiredReplicas();
   Awaitable<void> ReportEmptiedHosts();
   void ShareRequestLimits();
+  void ApplyReachability(bool aCutOff);
+  request::UpstreamRequest ObserveReports(request::UpstreamRequest aRequest);
   Awaitable<Result<steps::SubmitOutcome>> SubmitForPeer(
     steps::StepSubmission aSubmission);
 
@@ -160,6 +165,13 @@
   coordination::StoreCall mStore;
   FleetWatch mFleetWatch;
   request::ReplicaPool mPool;
+  request::ReachabilityMonitor mReachability;
+  /// Send attempts directly, and record what the responses say of replicas.
+  request::UpstreamCall mCallReplica;
+  request::UpstreamStreamCall mStreamFromReplica;
+  RelayClient mRelayClient;
+  RelayServer mRelayServer;
+  ReplicaRouter mReplicaRouter;
   request::Forwarder mForwarder;
   StreamOrigins mStreamOrigins;
   StreamForwarder mStreams;
--- a/include/agatetide/entry/host_registry.hpp
+++ b/include/agatetide/entry/host_registry.hpp
@@ -52,6 +52,10 @@
   void AnnounceRequestLimits(
     std::map<std::string, double, std::less<>> aLimits);
 
+  /// @brief Sets whether this host reaches no replica; see
+  /// fleet::EntryHost::mCutOff. Written with the next renewal.
+  void AnnounceCutOff(bool aCutOff);
+
   /// @brief Ids of the replicas of which all hosts know that this host uses
   /// them.
   std::set<std::string, std::less<>> AnnouncedReplicas() const;
--- a/include/agatetide/entry/peer_channel.hpp
+++ b/include/agatetide/entry/peer_channel.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatetide/coordination/watch_messages.hpp"
+#include "agatetide/entry/replica_relay.hpp"
 #include "agatetide/http/client.hpp"
 #include "agatetide/http/server.hpp"
 #include "agatetide/steps/step_service.hpp"
@@ -18,6 +19,8 @@
   coordination::StoreCall mStore;
   std::function<Awaitable<Result<steps::SubmitOutcome>>(steps::StepSubmission)>
     mSubmit;
+  /// Handles the requests of RelayClient.
+  std::function<http::Response(const http::Request&)> mRelay;
 };
 
 /// @brief Client and server for requests between daemons: watches, store calls
@@ -62,6 +65,7 @@
   Awaitable<http::Response> HandleWatch(http::Request aRequest);
   Awaitable<http::Response> HandleStore(http::Request aRequest);
   Awaitable<http::Response> HandleSubmit(http::Request aRequest);
+  Awaitable<http::Response> HandleRelay(http::Request aRequest);
   Awaitable<Result<std::string>> Post(http::Endpoint aPeer,
                                       std::string aTarget,
                                       std::string aBody,
--- /dev/null
+++ b/include/agatetide/entry/relay_messages.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "agatetide/request/upstream.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace agatetide::entry {
+
+/// @brief An attempt that another daemon should send.
+struct RelayRequest
+{
+  http::Endpoint mReplica;
+  /// mDeadline and mOnReport are not encoded.
+  request::UpstreamRequest mRequest;
+  Milliseconds mRemainingTime{ 0 };
+  bool mIsStream = false;
+  /// As request::StreamOptions::mIdleTimeout.
+  Milliseconds mIdleTimeout{ 0 };
+};
+
+/// @brief One message of the daemon that sends the attempt. mDeclined or
+/// mResult comes last, and exactly once.
+struct RelayFrame
+{
+  /// What the header of the response says of the replica.
+  std::optional<request::ReplicaReport> mReport;
+  std::optional<request::StreamEvent> mEvent;
+  /// The attempt was not sent, and why.
+  std::optional<Error> mDeclined;
+  std::optional<Result<request::UpstreamResponse>> mResult;
+};
+
+std::string Encode(const RelayRequest& aRequest);
+
+/// @brief Errors: InvalidArgument if the bytes are malformed.
+Result<RelayRequest> DecodeRelayRequest(std::string_view aBytes);
+
+/// @brief Encodes a frame with its length in front.
+std::string EncodeFrame(const RelayFrame& aFrame);
+
+/// @brief Splits received bytes into frames. Not thread-safe.
+class RelayFrameReader
+{
+public:
+  using Sink = std::function<bool(RelayFrame)>;
+
+  explicit RelayFrameReader(size_t aMaxFrameBytes)
+    : mMaxFrameBytes(aMaxFrameBytes)
+  {
+  }
+
+  /// @brief Passes each complete frame to aSink. Returns false if a frame is
+  /// malformed or too long, or if aSink returns false.
+  bool Feed(std::string_view aBytes, const Sink& aSink);
+
+private:
+  size_t mMaxFrameBytes;
+  std::string mBuffer;
+};
+
+} // namespace agatetide::entry
--- a/include/agatetide/entry/step_router.hpp
+++ b/include/agatetide/entry/step_router.hpp
@@ -60,7 +60,8 @@
   Awaitable<steps::SubmitOutcome> Submit(steps::StepSubmission aSubmission,
                                          TimePoint aDeadline);
 
-  /// @brief The daemon that should run the step; empty if none is available.
+  /// @brief The daemon that should run the step, one that reaches replicas if
+  /// there is any; empty if none is available.
   std::string OwnerOf(std::string_view aModel, std::string_view aStep) const;
 
 private:
--- a/include/agatetide/fleet/fleet_view.hpp
+++ b/include/agatetide/fleet/fleet_view.hpp
@@ -34,6 +34,8 @@
   std::string mIncarnation;
   /// Accepts no new callers or steps, but finishes those it has.
   bool mDraining = false;
+  /// Reaches no replica; other hosts send its requests.
+  bool mCutOff = false;
   /// The limited replicas that the host uses, with the limit that each named to
   /// it lately, in requests per second; 0 if it named none lately.
   std::map<std::string, double, std::less<>> mRequestLimits;
--- a/include/agatetide/fleet/service_config.hpp
+++ b/include/agatetide/fleet/service_config.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,8 @@
   Rollout,
 };
 
+using RegionSet = std::set<std::string, std::less<>>;
+
 struct WeightedService
 {
   std::string mService;
@@ -48,6 +51,9 @@
   /// Maximum number of attempts that a replica may have run. Attempts that were
   /// certainly not run have a limit of their own.
   unsigned mMaxAttempts = 1;
+  /// Regions whose hosts may handle the requests; std::nullopt allows all.
+  /// Read for relayed requests only.
+  std::optional<RegionSet> mAllowedRegions;
   /// Whether callers need no key.
   bool mAnonymous = false;
   /// Whether callers may take up streams that broke off.
@@ -89,6 +95,8 @@
 {
   std::string mName;
   std::vector<std::string> mKeys;
+  /// As Route::mAllowedRegions.
+  std::optional<RegionSet> mAllowedRegions;
   /// As Route::mPriority; std::nullopt if the account has none.
   std::optional<int> mPriority;
 };
@@ -121,6 +129,11 @@
   const Route* FindRoute(std::string_view aHttpHost,
                          std::string_view aPath) const;
 
+  /// @brief The regions that both the route and the account allow; std::nullopt
+  /// if neither names any. aAccount may be empty.
+  std::optional<RegionSet> AllowedRegions(const Route& aRoute,
+                                          std::string_view aAccount) const;
+
   /// @brief The account that the key belongs to; null if there is none.
   const ClientAccount* FindAccount(std::string_view aKey) const;
 };
--- a/include/agatetide/http/client.hpp
+++ b/include/agatetide/http/client.hpp
@@ -25,6 +25,12 @@
   std::chrono::milliseconds mIdleConnectionTimeout{ 30000 };
   /// Source IP address of connections; if empty, the system chooses it.
   std::string mLocalAddress;
+  /// A connection is lost if the server's kernel has not acknowledged what was
+  /// sent for this long. 0 leaves it to the system, which waits for minutes.
+  std::chrono::milliseconds mAcknowledgementTimeout{ 0 };
+  /// A connection on which nothing arrives is probed at this interval, so that
+  /// a broken path is noticed although nothing is sent. 0 disables it.
+  std::chrono::seconds mKeepAliveInterval{ 0 };
   /// Called with the outcome of each attempt to open a connection. May be
   /// empty.
   std::function<void(const Endpoint&, bool aConnected)> mOnConnect;
@@ -36,7 +42,8 @@
 {
 public:
   /// @brief Closes the connection of the call, so that the call fails with
-  /// Canceled. A call that is still connecting fails once its request is sent.
+  /// Canceled. A call that is still connecting fails once it is connected,
+  /// without sending its request.
   void operator()()
   {
     mRequested = true;
@@ -61,6 +68,8 @@
   /// already, a failed write does not prove that the server has not received
   /// the request.
   bool mFreshConnection = false;
+  /// Replaces ClientOptions::mAcknowledgementTimeout for this call if not 0.
+  std::chrono::milliseconds mAcknowledgementTimeout{ 0 };
   /// Maximum time until the response header arrives, and then between two
   /// pieces of the body for which the sink reports progress. The deadline
   /// applies as well; 0 disables the idle timeout.
@@ -121,6 +130,11 @@
                                      CallOptions aOptions,
                                      BodySink aSink);
 
+  /// @brief Opens a connection and keeps it for later calls. Returns whether
+  /// it was established within aTimeout.
+  Awaitable<bool> OpenConnection(Endpoint aEndpoint,
+                                 std::chrono::milliseconds aTimeout);
+
 private:
   struct State;
   explicit Client(std::shared_ptr<State> aState);
--- a/include/agatetide/http/message.hpp
+++ b/include/agatetide/http/message.hpp
@@ -63,7 +63,8 @@
   unsigned mStatus = 200;
   std::vector<Header> mHeaders;
   std::string mBody;
-  /// Writes the body chunk by chunk. If it returns an error, the connection is
+  /// Writes the body chunk by chunk; the server still tells Request::mCaller of
+  /// a disconnect meanwhile. If it returns an error, the connection is
   /// closed without the final chunk, so that the caller notices that the
   /// response is incomplete.
   std::function<Awaitable<Result<bool>>(ChunkWriter)> mStream;
--- a/include/agatetide/policy/host_ranking.hpp
+++ b/include/agatetide/policy/host_ranking.hpp
@@ -16,6 +16,8 @@
   std::string mRegion;
   bool mAlive = true;
   bool mDraining = false;
+  /// Reaches no replica.
+  bool mCutOff = false;
 };
 
 /// @brief Account and location of a caller; empty members are unknown.
@@ -29,8 +31,8 @@
 /// @brief Returns the indices of the hosts to use, best first: hosts in the
 /// caller's availability zone, then in its region, then the others. Within
 /// each group, rendezvous hashing by client account orders the hosts, so that
-/// accounts share few of them. Dead and draining hosts are left out unless
-/// there are no others.
+/// accounts share few of them. Dead, draining and cut-off hosts are left out
+/// unless there are no others; cut-off ones are used before the other two.
 std::vector<size_t> RankHosts(std::span<const HostCandidate> aHosts,
                               const CallerLocation& aCaller);
 
--- a/include/agatetide/request/replica_pool.hpp
+++ b/include/agatetide/request/replica_pool.hpp
@@ -94,6 +94,10 @@
   /// blocked for longer.
   void BlockFor(std::string_view aReplicaId, Duration aDuration);
 
+  /// @brief Makes all blocked replicas usable again: they failed because this
+  /// host could not reach them.
+  void UnblockAll();
+
   /// @brief Number of requests of this daemon that run on the replica.
   uint32_t RunningRequests(std::string_view aReplicaId) const;
 
--- a/include/agatetide/request/upstream.hpp
+++ b/include/agatetide/request/upstream.hpp
@@ -4,6 +4,7 @@
 #include "agatetide/base/clock.hpp"
 #include "agatetide/base/error.hpp"
 #include "agatetide/fleet/replica.hpp"
+#include "agatetide/fleet/service_config.hpp"
 #include "agatetide/http/client.hpp"
 #include "agatetide/http/message.hpp"
 
@@ -15,6 +16,20 @@
 
 namespace agatetide::request {
 
+/// @brief What the header of a response says of its replica.
+struct ReplicaReport
+{
+  /// Requests per second that the replica accepts from all hosts together;
+  /// std::nullopt if it does not limit them.
+  std::optional<double> mRequestLimit;
+  /// When the request of the response was sent.
+  TimePoint mSentAt{};
+};
+
+/// @brief Receives the report of each response of the replica that a request
+/// names.
+using ReplicaReportSink = std::function<void(const ReplicaReport&)>;
+
 /// @brief One attempt to run a request on a replica.
 struct UpstreamRequest
 {
@@ -41,6 +56,11 @@
   /// Number of the last event received for the sample; the stream resumes
   /// after it. std::nullopt starts from the beginning.
   std::optional<uint32_t> mResumeAfter;
+  /// Regions in which other hosts may get the request; std::nullopt allows all.
+  /// Not sent to the replica.
+  std::optional<fleet::RegionSet> mAllowedRegions;
+  /// Called when the header of the response has arrived. May be empty.
+  ReplicaReportSink mOnReport;
 };
 
 /// @brief Load of a replica as reported in a response.
--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -192,7 +192,8 @@
                           fleet::Route aRoute);
   request::UpstreamRequest MakeRequest(const OwnedStep& aStep,
                                        size_t aIndex,
-                                       std::string aReplicaId) const;
+                                       std::string aReplicaId,
+                                       const fleet::Route& aRoute) const;
   void HandleStreamError(OwnedStep& aStep,
                          size_t aIndex,
                          const fleet::Replica& aReplica,
--- a/src/agatetide/duty/leadership.cpp
+++ b/src/agatetide/duty/leadership.cpp
@@ -2,6 +2,8 @@
 
 #include "agatetide/base/event_log.hpp"
 
+#include <algorithm>
+
 namespace agatetide::duty {
 
 namespace {
@@ -61,11 +63,47 @@
     if (name == mHost) {
       break;
     }
-    delay += host.mDraining ? Duration{} : Duration(mOptions.mAcquireDelay);
+    const bool precedes = !host.mDraining && !host.mCutOff;
+    delay += precedes ? Duration(mOptions.mAcquireDelay) : Duration{};
   }
   return std::min<Duration>(delay, mOptions.mMaxAcquireDelay);
 }
 
+/// Whether this host reaches no replica, so that its orders reach none, and
+/// another host does.
+bool Leadership::ShouldLeaveToOthers() const
+{
+  const auto self = mView->Hosts().find(mHost);
+  if (self == mView->Hosts().end() || !self->second.mCutOff) {
+    return false;
+  }
+  return std::any_of(
+    mView->Hosts().begin(), mView->Hosts().end(), [](const auto& aItem) {
+      return !aItem.second.mCutOff && !aItem.second.mDraining;
+    });
+}
+
+Awaitable<void> Leadership::StepDown()
+{
+  const TimePoint now = mClock();
+  const bool tooEarly =
+    mLease.IsHeld() && now - mLease.HeldSince() < mOptions.mMinTenure;
+  const bool calledLately =
+    mLastStoreCall && now - *mLastStoreCall < mOptions.mResignRetryDelay;
+  if (!mLease.MayExistInStore() || tooEarly || calledLately) {
+    co_return;
+  }
+  mLastStoreCall = now;
+  mWasHeld = false;
+  const auto released = co_await mLease.Release();
+  LogEvent("leadership")
+    .Field("held", false)
+    .Field("reason",
+           released.has_error() ? FormatError(released.error())
+                                : std::string("reaches no replica"))
+    .Write();
+}
+
 /// Whether to renew, acquire or check the lease now.
 bool Leadership::ShouldCallStore(TimePoint aNow)
 {
@@ -103,6 +141,12 @@
     }
     co_return;
   }
+  if (ShouldLeaveToOthers()) {
+    co_await StepDown();
+    if (!mLease.IsHeld()) {
+      co_return;
+    }
+  }
   if (!ShouldCallStore(now)) {
     co_return;
   }
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -69,6 +69,9 @@
       },
       [self = daemon.get()](steps::StepSubmission aSubmission) {
         return self->SubmitForPeer(std::move(aSubmission));
+      },
+      [relay = &daemon->mRelayServer](const http::Request& aRequest) {
+        return relay->Handle(aRequest);
       } });
   if (peers.has_error()) {
     return peers.error();
@@ -128,7 +131,64 @@
                     std::move(aPeer), std::move(aRequest), aTimeout);
                 })
   , mPool(mView, mClock, ProcessRandom(), mOptions.mSelf.mName)
-  , mForwarder(mExecutor, mPool, mHooks.mCallReplica, mClock, ProcessRandom())
+  , mReachability({},
+                  mExecutor,
+                  mView,
+                  mHooks.mConnectToReplica,
+                  mClock,
+                  ProcessRandom())
+  , mCallReplica([this](http::Endpoint aReplica,
+                        request::UpstreamRequest aRequest,
+                        std::shared_ptr<http::CancelHandle> aCancel) {
+    return mHooks.mCallReplica(std::move(aReplica),
+                               ObserveReports(std::move(aRequest)),
+                               std::move(aCancel));
+  })
+  , mStreamFromReplica([this](http::Endpoint aReplica,
+                              request::UpstreamRequest aRequest,
+                              request::StreamOptions aStream) {
+    return mHooks.mStreamFromReplica(std::move(aReplica),
+                                     ObserveReports(std::move(aRequest)),
+                                     std::move(aStream));
+  })
+  , mRelayClient(mExecutor)
+  , mRelayServer({},
+                 mExecutor,
+                 mView,
+                 mReachability,
+                 mCallReplica,
+                 mStreamFromReplica)
+  , mReplicaRouter({},
+                   mClock,
+                   ProcessRandom(),
+                   mOptions.mSelf.mName,
+                   mView,
+                   mReachability,
+                   mCallReplica,
+                   mStreamFromReplica,
+                   [this](http::Endpoint aPeer,
+                          http::Endpoint aReplica,
+                          request::UpstreamRequest aRequest,
+                          const request::StreamOptions* aStream,
+                          std::shared_ptr<http::CancelHandle> aCancel) {
+                     return mRelayClient.Send(
+                       std::move(aPeer),
+                       std::move(aReplica),
+                       ObserveReports(std::move(aRequest)),
+                       aStream,
+                       std::move(aCancel));
+                   })
+  , mForwarder(
+      mExecutor,
+      mPool,
+      [this](http::Endpoint aReplica,
+             request::UpstreamRequest aRequest,
+             std::shared_ptr<http::CancelHandle> aCancel) {
+        return mReplicaRouter.Call(
+          std::move(aReplica), std::move(aRequest), std::move(aCancel));
+      },
+      mClock,
+      ProcessRandom())
   , mStreamOrigins(mExecutor, mStore, mBootClock)
   , mStreams(mView, mForwarder, mStreamOrigins)
   , mStepStore(mStore, mHooks.mWatch)
@@ -136,7 +196,13 @@
                   mView,
                   mPool,
                   mForwarder,
-                  mHooks.mStreamFromReplica,
+                  [this](http::Endpoint aReplica,
+                         request::UpstreamRequest aRequest,
+                         request::StreamOptions aStream) {
+                    return mReplicaRouter.Stream(std::move(aReplica),
+                                                 std::move(aRequest),
+                                                 std::move(aStream));
+                  },
                   mStepStore,
                   mClock,
                   [this] { return mWallClock.Now(); },
@@ -176,6 +242,9 @@
   mView.SetRegions(mOptions.mRegions);
   mView.SetMaxStaleness(mOptions.mMaxKeyWithdrawalDelay - kKeyWithdrawalMargin);
   mView.mOnChange = [this] { mRunner.StartWaitingItems(); };
+  mReachability.mOnChange = [this](bool aCutOff) {
+    ApplyReachability(aCutOff);
+  };
 }
 
 void EntryDaemon::Start()
@@ -193,6 +262,7 @@
 Awaitable<void> EntryDaemon::BeginDrain()
 {
   mDraining = true;
+  mRelayServer.BeginDrain();
   co_await mRegistry.BeginDrain();
   co_await mLeadership->Resign();
 }
@@ -404,6 +474,29 @@
   }
 }
 
+/// Tells the other hosts whether this one reaches replicas. Replicas that
+/// failed because of the cut are usable through other hosts at once.
+void EntryDaemon::ApplyReachability(bool aCutOff)
+{
+  mRegistry.AnnounceCutOff(aCutOff);
+  mPool.UnblockAll();
+}
+
+request::UpstreamRequest EntryDaemon::ObserveReports(
+  request::UpstreamRequest aRequest)
+{
+  aRequest.mOnReport = [this,
+                        replica = aRequest.mReplicaId,
+                        next = std::move(aRequest.mOnReport)](
+                         const request::ReplicaReport& aReport) {
+    mPool.Limits().Record(replica, { aReport.mRequestLimit, aReport.mSentAt });
+    if (next) {
+      next(aReport);
+    }
+  };
+  return aRequest;
+}
+
 /// Announces which limited replicas this host uses, and divides their limits
 /// among the hosts that use them.
 void EntryDaemon::ShareRequestLimits()
--- a/src/agatetide/entry/host_registry.cpp
+++ b/src/agatetide/entry/host_registry.cpp
@@ -26,6 +26,7 @@
     { "region", aHost.mRegion },
     { "incarnation", aHost.mIncarnation },
     { "draining", aHost.mDraining },
+    { "cut_off", aHost.mCutOff },
     { "request_limits", aHost.mRequestLimits }
   }.dump();
 }
@@ -66,10 +67,19 @@
   host.mRegion = text("region");
   host.mIncarnation = text("incarnation");
   host.mDraining = value.value("draining", json(false)) == json(true);
+  host.mCutOff = value.value("cut_off", json(false)) == json(true);
   host.mRequestLimits = DecodeRequestLimits(value);
   return host;
 }
 
+/// Whether two registrations of one incarnation say the same.
+bool SameState(const fleet::EntryHost& aLeft, const fleet::EntryHost& aRight)
+{
+  return aLeft.mDraining == aRight.mDraining &&
+         aLeft.mCutOff == aRight.mCutOff &&
+         aLeft.mRequestLimits == aRight.mRequestLimits;
+}
+
 } // namespace
 
 HostRegistry::HostRegistry(HostRegistryOptions aOptions,
@@ -96,9 +106,7 @@
       co_return false;
     }
     if (renewed->mTtlSeconds > 0) {
-      const bool upToDate = mPublished.mDraining == mSelf.mDraining &&
-                            mPublished.mRequestLimits == mSelf.mRequestLimits;
-      if (upToDate) {
+      if (SameState(mPublished, mSelf)) {
         co_return true;
       }
       co_return co_await WriteRegistration(mLeaseId);
@@ -147,6 +155,12 @@
   mSelf.mRequestLimits = std::move(aLimits);
 }
 
+void HostRegistry::AnnounceCutOff(bool aCutOff)
+{
+  mSelf.mCutOff = aCutOff;
+  UpdateView();
+}
+
 std::set<std::string, std::less<>> HostRegistry::AnnouncedReplicas() const
 {
   std::set<std::string, std::less<>> replicas;
@@ -271,8 +285,7 @@
     const auto known = mView.Hosts().find(name);
     changed = changed || known == mView.Hosts().end() ||
               known->second.mIncarnation != host.mIncarnation ||
-              known->second.mDraining != host.mDraining ||
-              known->second.mRequestLimits != host.mRequestLimits;
+              !SameState(known->second, host);
   }
   if (changed) {
     mView.SetHosts(std::move(hosts));
--- a/src/agatetide/entry/peer_channel.cpp
+++ b/src/agatetide/entry/peer_channel.cpp
@@ -17,7 +17,7 @@
 constexpr std::string_view kUnknown = "unknown";
 constexpr std::string_view kContentType = "application/octet-stream";
 constexpr unsigned kOk = 200;
-constexpr size_t kMaxConnections = 256;
+constexpr size_t kMaxConnections = 512;
 /// Daemons of one availability zone answer within milliseconds.
 constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
 
@@ -80,9 +80,17 @@
   if (aRequest.mTarget == kSubmitTarget) {
     return HandleSubmit(std::move(aRequest));
   }
+  if (aRequest.mTarget == kRelayTarget) {
+    return HandleRelay(std::move(aRequest));
+  }
   return HandleWatch(std::move(aRequest));
 }
 
+Awaitable<http::Response> PeerChannel::HandleRelay(http::Request aRequest)
+{
+  co_return mHandlers.mRelay(aRequest);
+}
+
 Awaitable<http::Response> PeerChannel::HandleSubmit(http::Request aRequest)
 {
   auto submission = steps::DecodeSubmission(aRequest.mBody);
--- /dev/null
+++ b/src/agatetide/entry/replica_router.cpp
@@ -0,0 +1,186 @@
+#include "agatetide/entry/replica_router.hpp"
+
+#include "agatetide/base/event_log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace agatetide::entry {
+
+using request::StreamOptions;
+using request::UpstreamRequest;
+using request::UpstreamResponse;
+
+namespace {
+
+bool IsCanceled(const std::shared_ptr<http::CancelHandle>& aCancel)
+{
+  return aCancel && aCancel->IsCanceled();
+}
+
+/// Whether a failure says that the path to the replica may be broken. Only
+/// connections that were not established or were lost do; what a replica
+/// answers, and how long it takes, does not.
+bool IsPathFailure(const Error& aError)
+{
+  switch (aError.mKind) {
+    case ErrorKind::Unavailable:
+    case ErrorKind::OutcomeUnknown:
+    case ErrorKind::DeadlineExceeded:
+      return true;
+    default:
+      return false;
+  }
+}
+
+} // namespace
+
+ReplicaRouter::ReplicaRouter(ReplicaRouterOptions aOptions,
+                             Clock aClock,
+                             Random aRandom,
+                             std::string aSelf,
+                             const fleet::FleetView& aView,
+                             request::ReachabilityMonitor& aMonitor,
+                             request::UpstreamCall aCall,
+                             request::UpstreamStreamCall aStream,
+                             PeerRelayCall aRelay)
+  : mOptions(aOptions)
+  , mClock(std::move(aClock))
+  , mRandom(std::move(aRandom))
+  , mSelf(std::move(aSelf))
+  , mView(aView)
+  , mMonitor(aMonitor)
+  , mCall(std::move(aCall))
+  , mStream(std::move(aStream))
+  , mRelay(std::move(aRelay))
+{
+}
+
+Awaitable<Result<UpstreamResponse>> ReplicaRouter::Call(
+  http::Endpoint aReplica,
+  UpstreamRequest aRequest,
+  std::shared_ptr<http::CancelHandle> aCancel)
+{
+  return Send(
+    std::move(aReplica), std::move(aRequest), nullptr, std::move(aCancel));
+}
+
+Awaitable<Result<UpstreamResponse>> ReplicaRouter::Stream(
+  http::Endpoint aReplica,
+  UpstreamRequest aRequest,
+  StreamOptions aOptions)
+{
+  const auto cancel = aOptions.mCancel;
+  co_return co_await Send(
+    std::move(aReplica), std::move(aRequest), &aOptions, cancel);
+}
+
+Awaitable<Result<UpstreamResponse>> ReplicaRouter::SendDirectly(
+  http::Endpoint aReplica,
+  UpstreamRequest aRequest,
+  const StreamOptions* aStream,
+  std::shared_ptr<http::CancelHandle> aCancel)
+{
+  if (aStream != nullptr) {
+    return mStream(std::move(aReplica), std::move(aRequest), *aStream);
+  }
+  return mCall(std::move(aReplica), std::move(aRequest), std::move(aCancel));
+}
+
+Awaitable<Result<UpstreamResponse>> ReplicaRouter::Send(
+  http::Endpoint aReplica,
+  UpstreamRequest aRequest,
+  const StreamOptions* aStream,
+  std::shared_ptr<http::CancelHandle> aCancel)
+{
+  const bool relayedFirst = mMonitor.IsCutOff();
+  if (relayedFirst) {
+    auto relayed =
+      co_await SendThroughPeers(aReplica, aRequest, aStream, aCancel);
+    if (relayed) {
+      co_return std::move(*relayed);
+    }
+  }
+  auto result = co_await SendDirectly(aReplica, aRequest, aStream, aCancel);
+  if (result.has_value() || IsCanceled(aCancel) ||
+      !IsPathFailure(result.error())) {
+    co_return result;
+  }
+  const bool cutOff = co_await mMonitor.CheckAfterFailure();
+  if (!cutOff || relayedFirst || IsCanceled(aCancel) ||
+      result.error().mExecution != Execution::NotRun) {
+    co_return result;
+  }
+  auto relayed =
+    co_await SendThroughPeers(aReplica, aRequest, aStream, aCancel);
+  co_return relayed ? std::move(*relayed) : std::move(result);
+}
+
+/// The daemons to ask: those of this region in random order, then the others,
+/// all that reach replicas as far as is known.
+std::vector<std::string> ReplicaRouter::Peers(
+  const UpstreamRequest& aRequest) const
+{
+  std::vector<std::tuple<bool, uint64_t, std::string>> ranks;
+  for (const auto& [name, host] : mView.Hosts()) {
+    const auto backoff = mPeerBackoffUntil.find(name);
+    const bool allowed = !aRequest.mAllowedRegions ||
+                         aRequest.mAllowedRegions->contains(host.mRegion);
+    if (name == mSelf || host.mDraining || host.mCutOff || !allowed ||
+        host.mPeerAddress.empty() ||
+        (backoff != mPeerBackoffUntil.end() && mClock() < backoff->second)) {
+      continue;
+    }
+    ranks.emplace_back(host.mRegion != mView.Region(), mRandom(), name);
+  }
+  std::sort(ranks.begin(), ranks.end());
+  std::vector<std::string> peers;
+  for (auto& [otherRegion, order, name] : ranks) {
+    if (peers.size() < mOptions.mMaxPeers) {
+      peers.push_back(std::move(name));
+    }
+  }
+  return peers;
+}
+
+/// std::nullopt if no daemon could send the attempt; it was certainly not run
+/// then.
+Awaitable<std::optional<Result<UpstreamResponse>>>
+ReplicaRouter::SendThroughPeers(http::Endpoint aReplica,
+                                UpstreamRequest aRequest,
+                                const StreamOptions* aStream,
+                                std::shared_ptr<http::CancelHandle> aCancel)
+{
+  for (const std::string& name : Peers(aRequest)) {
+    if (IsCanceled(aCancel) || mClock() >= aRequest.mDeadline) {
+      break;
+    }
+    const auto host = mView.Hosts().find(name);
+    const auto endpoint = host == mView.Hosts().end()
+                            ? Result<http::Endpoint>(Error{})
+                            : http::ParseEndpoint(host->second.mPeerAddress);
+    if (endpoint.has_error()) {
+      continue;
+    }
+    auto outcome =
+      co_await mRelay(*endpoint, aReplica, aRequest, aStream, aCancel);
+    LogEvent("attempt_relayed", LogLevel::Debug)
+      .Field("request_id", aRequest.mId)
+      .Field("replica", aRequest.mReplicaId)
+      .Field("host", name)
+      .Field("taken", outcome.mTaken)
+      .Write();
+    if (outcome.mTaken) {
+      co_return std::optional(std::move(outcome.mResult));
+    }
+    mPeerBackoffUntil[name] = mClock() + mOptions.mPeerBackoff;
+    LogEvent("relay_declined", LogLevel::Warning)
+      .Field("request_id", aRequest.mId)
+      .Field("host", name)
+      .Field("error", FormatError(outcome.mResult.error()))
+      .Write();
+  }
+  co_return std::nullopt;
+}
+
+} // namespace agatetide::entry
--- a/src/agatetide/entry/step_router.cpp
+++ b/src/agatetide/entry/step_router.cpp
@@ -29,14 +29,19 @@
                                 std::string_view aStep) const
 {
   std::vector<std::pair<uint64_t, std::string_view>> ranks;
+  std::vector<std::pair<uint64_t, std::string_view>> cutOff;
   for (const auto& [name, host] : mView.Hosts()) {
     const auto backoff = mPeerBackoffUntil.find(name);
     if (host.mRegion == mView.Region() && !host.mDraining &&
         !host.mPeerAddress.empty() &&
         (backoff == mPeerBackoffUntil.end() || mClock() >= backoff->second)) {
-      ranks.emplace_back(Hash64(name, Hash64(aModel)), name);
+      (host.mCutOff ? cutOff : ranks)
+        .emplace_back(Hash64(name, Hash64(aModel)), name);
     }
   }
+  if (ranks.empty()) {
+    ranks = std::move(cutOff);
+  }
   if (ranks.empty()) {
     return {};
   }
--- a/src/agatetide/fleet/service_config.cpp
+++ b/src/agatetide/fleet/service_config.cpp
@@ -39,4 +39,19 @@
   return account == mAccounts.end() ? nullptr : &account->second;
 }
 
+std::optional<RegionSet> ServiceConfig::AllowedRegions(
+  const Route& aRoute,
+  std::string_view aAccount) const
+{
+  const auto account = mAccounts.find(aAccount);
+  if (account == mAccounts.end() || !account->second.mAllowedRegions) {
+    return aRoute.mAllowedRegions;
+  }
+  RegionSet regions = *account->second.mAllowedRegions;
+  std::erase_if(regions, [&](const std::string& aRegion) {
+    return aRoute.mAllowedRegions && !aRoute.mAllowedRegions->contains(aRegion);
+  });
+  return regions;
+}
+
 } // namespace agatetide::fleet
--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -6,6 +6,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <charconv>
 #include <deque>
@@ -44,10 +47,37 @@
   SteadyTime mIdleSince{};
   /// From the server's "keep-alive: timeout", if it sent one.
   std::chrono::milliseconds mIdleConnectionTimeout = std::chrono::hours(1);
+  /// As set on the socket; 0 if it is the system's.
+  std::chrono::milliseconds mAcknowledgementTimeout{ 0 };
 };
 
 using ConnectionPtr = std::unique_ptr<Connection>;
 
+void SetTcpOption(Tcp::socket& aSocket, int aOption, int64_t aValue)
+{
+  const int value = static_cast<int>(aValue);
+  ::setsockopt(
+    aSocket.native_handle(), IPPROTO_TCP, aOption, &value, sizeof value);
+}
+
+void SetAcknowledgementTimeout(Connection& aConnection,
+                               std::chrono::milliseconds aTimeout)
+{
+  if (aConnection.mAcknowledgementTimeout != aTimeout) {
+    aConnection.mAcknowledgementTimeout = aTimeout;
+    SetTcpOption(
+      aConnection.mStream.socket(), TCP_USER_TIMEOUT, aTimeout.count());
+  }
+}
+
+void EnableKeepAlive(Tcp::socket& aSocket, std::chrono::seconds aInterval)
+{
+  ErrorCode ignored;
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  SetTcpOption(aSocket, TCP_KEEPIDLE, aInterval.count());
+  SetTcpOption(aSocket, TCP_KEEPINTVL, aInterval.count());
+}
+
 Error ConnectError(const Endpoint& aEndpoint, const ErrorCode& aError)
 {
   const bool timedOut = aError == beast::error::timeout;
@@ -68,11 +98,9 @@
            Execution::Unknown };
 }
 
-Error CanceledError()
+Error CanceledError(Execution aExecution = Execution::Unknown)
 {
-  return {
-    ErrorKind::Canceled, "the call was canceled", "none", Execution::Unknown
-  };
+  return { ErrorKind::Canceled, "the call was canceled", "none", aExecution };
 }
 
 Error IncompleteResponse(const Endpoint& aEndpoint)
@@ -396,7 +424,11 @@
         deadlineExceeded ? ErrorKind::DeadlineExceeded : ErrorKind::Unavailable;
       co_return failure;
     }
-    connection->mStream.socket().set_option(Tcp::no_delay(true), error);
+    Tcp::socket& socket = connection->mStream.socket();
+    socket.set_option(Tcp::no_delay(true), error);
+    if (mOptions.mKeepAliveInterval.count() > 0) {
+      EnableKeepAlive(socket, mOptions.mKeepAliveInterval);
+    }
     co_return connection;
   }
 
@@ -408,7 +440,14 @@
     if (connected.has_error()) {
       co_return connected.error();
     }
+    if (aOptions.mCancel && aOptions.mCancel->IsCanceled()) {
+      co_return CanceledError(Execution::NotRun);
+    }
     Connection& connection = **connected;
+    SetAcknowledgementTimeout(connection,
+                              aOptions.mAcknowledgementTimeout.count() > 0
+                                ? aOptions.mAcknowledgementTimeout
+                                : mOptions.mAcknowledgementTimeout);
     const auto message = ToMessage(aEndpoint, aRequest);
     connection.mStream.expires_at(aOptions.mDeadline);
     ErrorCode error;
@@ -439,6 +478,23 @@
 
 Client::~Client() = default;
 
+Awaitable<bool> Client::OpenConnection(Endpoint aEndpoint,
+                                       std::chrono::milliseconds aTimeout)
+{
+  const std::shared_ptr<State> state = mState;
+  CallOptions options;
+  options.mDeadline = std::chrono::steady_clock::now() + aTimeout;
+  options.mFreshConnection = true;
+  auto connected = co_await state->Connect(aEndpoint, options);
+  if (connected.has_error()) {
+    co_return false;
+  }
+  SetAcknowledgementTimeout(**connected,
+                            state->mOptions.mAcknowledgementTimeout);
+  state->ReturnIdle(aEndpoint, std::move(*connected));
+  co_return true;
+}
+
 Awaitable<Result<Response>> Client::Call(Endpoint aEndpoint,
                                          Request aRequest,
                                          CallOptions aOptions)
--- a/src/agatetide/http/server.cpp
+++ b/src/agatetide/http/server.cpp
@@ -348,7 +348,9 @@
     } else {
       response = co_await Handle(aState, std::move(request));
     }
-    monitor.reset();
+    if (!response.mStream) {
+      monitor.reset();
+    }
     if (caller->IsDisconnected()) {
       co_return;
     }
@@ -360,6 +362,7 @@
             aStream, response, keepAlive, options.mTransferTimeout)
         : co_await WriteComplete(
             aStream, response, keepAlive, options.mTransferTimeout);
+    monitor.reset();
     if (!written) {
       co_return;
     }
--- a/src/agatetide/policy/host_ranking.cpp
+++ b/src/agatetide/policy/host_ranking.cpp
@@ -20,20 +20,35 @@
   return !aCaller.mRegion.empty() && aHost.mRegion == aCaller.mRegion ? 1 : 2;
 }
 
+enum class Availability
+{
+  Serving,
+  CutOff,
+  Gone,
+};
+
+Availability AvailabilityOf(const HostCandidate& aHost)
+{
+  if (!aHost.mAlive || aHost.mDraining) {
+    return Availability::Gone;
+  }
+  return aHost.mCutOff ? Availability::CutOff : Availability::Serving;
+}
+
 } // namespace
 
 std::vector<size_t> RankHosts(std::span<const HostCandidate> aHosts,
                               const CallerLocation& aCaller)
 {
-  const bool anyAvailable =
-    std::any_of(aHosts.begin(), aHosts.end(), [](const HostCandidate& aHost) {
-      return aHost.mAlive && !aHost.mDraining;
-    });
+  auto best = Availability::Gone;
+  for (const HostCandidate& host : aHosts) {
+    best = std::min(best, AvailabilityOf(host));
+  }
   using Rank = std::tuple<unsigned, uint64_t, size_t>;
   std::vector<Rank> ranks;
   for (size_t i = 0; i < aHosts.size(); ++i) {
     const HostCandidate& host = aHosts[i];
-    if (anyAvailable && (!host.mAlive || host.mDraining)) {
+    if (AvailabilityOf(host) != best) {
       continue;
     }
     const uint64_t hash = Hash64(host.mAddress, Hash64(aCaller.mAccount));
--- a/src/agatetide/request/replica_pool.cpp
+++ b/src/agatetide/request/replica_pool.cpp
@@ -216,4 +216,11 @@
   load.mBlockedUntil = std::max(load.mBlockedUntil, mClock() + aDuration);
 }
 
+void ReplicaPool::UnblockAll()
+{
+  for (auto& [id, load] : mLoads) {
+    load.mBlockedUntil = {};
+  }
+}
+
 } // namespace agatetide::request
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -256,9 +256,11 @@
   }
 }
 
-request::UpstreamRequest StepRunner::MakeRequest(const OwnedStep& aStep,
-                                                 size_t aIndex,
-                                                 std::string aReplicaId) const
+request::UpstreamRequest StepRunner::MakeRequest(
+  const OwnedStep& aStep,
+  size_t aIndex,
+  std::string aReplicaId,
+  const fleet::Route& aRoute) const
 {
   const StepItem& item = aStep.mItems[aIndex];
   const ItemRun& run = aStep.mRuns[aIndex];
@@ -269,6 +271,9 @@
   request.mHeaders.push_back({ "host", aStep.mRecord.mHttpHost });
   request.mBody = item.mBody;
   request.mAccount = aStep.mRecord.mAccount;
+  if (const auto& config = mContext.mView.Config()) {
+    request.mAllowedRegions = config->AllowedRegions(aRoute, request.mAccount);
+  }
   request.mReplicaId = std::move(aReplicaId);
   request.mDeadline = mContext.mClock() + kStreamTimeout;
   request.mFreshConnection = run.mFailures > 0;
@@ -294,7 +299,8 @@
     [this, aStep, aIndex, &aRoute, &replica](request::StreamEvent aEvent) {
       return HandleEvent(*aStep, aIndex, aRoute, replica, std::move(aEvent));
     };
-  request::UpstreamRequest request = MakeRequest(*aStep, aIndex, replica.mId);
+  request::UpstreamRequest request =
+    MakeRequest(*aStep, aIndex, replica.mId, aRoute);
   const auto response = co_await mContext.mStream(
     replica.mEndpoint, std::move(request), std::move(options));
   run.mCancel.reset();
@@ -387,6 +393,7 @@
     if (route != nullptr) {
       request::ForwardRequest request;
       request.mRoute = *route;
+      request.mPrototype.mAllowedRegions = route->mAllowedRegions;
       request.mPrototype.mId = scoring->mId;
       request.mPrototype.mTarget = scoring->mPath;
       request.mPrototype.mHeaders.push_back({ "host", scoring->mHttpHost });
