Stop using a replica as soon as its own answers say that it leaves

What callers saw: while the store was silent, or a host was cut off from it, the host went on with replicas whose every answer said that they leave; their requests ended with the replica (DRAIN).

Cause: no line read the header; a host knew of leaving replicas from the store alone.

Evidence: on ten of the eleven tests of tests/leaving_replicas.py fail: 51 to 68 requests reach the replica in the 1.5 s after the first second, all replicas leaving is not noticed, and a status report that says it is not read.

FleetView::MarkDraining keeps it with the replica, so the one flag that all senders read already is set, and PutReplica keeps it set whatever an older registration says, until the start time in the registration changes. At most 4,096 such entries, dropped 60 s after the registration is gone. A service without a replica that takes work is refused at once; the time to come back is the service's boot time, or 1 s.

Now all eleven pass. FleetView::SetReplicas had no caller and is gone.

--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -119,6 +119,13 @@
   /// Now().
   void CountUsage(const std::string& aAccount, TimePoint aStartTime);
 
+  /// @brief Records that a replica itself said that it is leaving.
+  void RecordDraining(std::string_view aReplicaId);
+
+  /// @brief Replicas that said so before their registration did, since the
+  /// start.
+  uint64_t DrainReportCount() const { return mDrainReportCount; }
+
   TimePoint Now() const { return mClock(); }
 
   /// @brief Called with each new configuration. May be empty.
@@ -187,6 +194,7 @@
   std::optional<duty::VersionUpdater> mVersionUpdater;
   std::optional<duty::Autoscaler> mAutoscaler;
   bool mDraining = false;
+  uint64_t mDrainReportCount = 0;
   TimePoint mLastStoreFailure{};
   /// Replicas whose registration is gone, with the time of their removal from
   /// the view.
--- a/include/agatetide/fleet/fleet_view.hpp
+++ b/include/agatetide/fleet/fleet_view.hpp
@@ -72,10 +72,14 @@
   {
     return mReplicas;
   }
+  /// @brief Adds or replaces a replica. It stays draining if MarkDraining() was
+  /// called for the same start of it.
   void PutReplica(Replica aReplica);
   void RemoveReplica(std::string_view aId);
-  /// @brief Replaces all replicas.
-  void SetReplicas(std::map<std::string, Replica, std::less<>> aReplicas);
+  /// @brief Records that a replica said itself that it is draining, whatever
+  /// its registration says before its next start. Returns false if it was known
+  /// to be draining.
+  bool MarkDraining(std::string_view aId);
   /// @brief Null if no replica has this id.
   const Replica* FindReplica(std::string_view aId) const;
 
@@ -119,7 +123,18 @@
   std::function<void()> mOnChange;
 
 private:
+  /// A replica that said that it is draining.
+  struct DrainReport
+  {
+    /// As Replica::mStartTimeMs when it said so; std::nullopt if it was not
+    /// registered.
+    std::optional<int64_t> mStartTimeMs;
+    TimePoint mReportedAt{};
+  };
+
   void NotifyChange() const;
+  void ApplyDrainReport(Replica& aReplica);
+  void RemoveOldDrainReports();
 
   Clock mClock;
   std::string mAvailabilityZone;
@@ -128,6 +143,9 @@
   TimePoint mFreshAsOf{};
   Duration mMaxStaleness = std::chrono::milliseconds(4000);
   std::map<std::string, Replica, std::less<>> mReplicas;
+  /// By replica. Reports outlast an expired registration for a while, since it
+  /// may return when the store is back.
+  std::map<std::string, DrainReport, std::less<>> mDrainReports;
   std::map<std::string, int64_t, std::less<>> mPublishedVersions;
   std::map<std::string, EntryHost, std::less<>> mHosts;
   std::optional<std::string> mLeader;
--- a/include/agatetide/request/replica_pool.hpp
+++ b/include/agatetide/request/replica_pool.hpp
@@ -75,6 +75,11 @@
   Duration EstimateLimitDelay(const ReplicaFilter& aFilter,
                               size_t aWaitingCount) const;
 
+  /// @brief Time until a service without replicas usually has one;
+  /// std::nullopt if a replica that is not draining is registered.
+  std::optional<Milliseconds> TimeUntilReplacement(
+    std::string_view aService) const;
+
   /// @brief Reserves the replica with this id. Returns std::nullopt if it is
   /// not registered or not usable.
   std::optional<Reservation> TryReserve(std::string_view aReplicaId);
--- a/include/agatetide/request/upstream.hpp
+++ b/include/agatetide/request/upstream.hpp
@@ -24,6 +24,8 @@
   std::optional<double> mRequestLimit;
   /// When the request of the response was sent.
   TimePoint mSentAt{};
+  /// The replica is leaving and takes no new requests.
+  bool mDraining = false;
 };
 
 /// @brief Receives the report of each response of the replica that a request
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -490,6 +490,9 @@
                         next = std::move(aRequest.mOnReport)](
                          const request::ReplicaReport& aReport) {
     mPool.Limits().Record(replica, { aReport.mRequestLimit, aReport.mSentAt });
+    if (aReport.mDraining) {
+      RecordDraining(replica);
+    }
     if (next) {
       next(aReport);
     }
@@ -497,6 +500,20 @@
   return aRequest;
 }
 
+void EntryDaemon::RecordDraining(std::string_view aReplicaId)
+{
+  if (!mView.MarkDraining(aReplicaId)) {
+    return;
+  }
+  ++mDrainReportCount;
+  const auto age = std::chrono::duration_cast<Milliseconds>(mView.Staleness());
+  LogEvent("replica_draining")
+    .Field("replica", aReplicaId)
+    .Field("source", "response")
+    .Field("confirmed_ms_ago", static_cast<int64_t>(age.count()))
+    .Write();
+}
+
 /// Announces which limited replicas this host uses, and divides their limits
 /// among the hosts that use them.
 void EntryDaemon::ShareRequestLimits()
--- a/src/agatetide/entry/relay_messages.cpp
+++ b/src/agatetide/entry/relay_messages.cpp
@@ -47,7 +47,7 @@
     aArchive(mPresent, mValue);
   }
 
-  std::optional<Value> Get() &&
+  std::optional<Value> Release()
   {
     return mPresent ? std::optional(std::move(mValue)) : std::nullopt;
   }
@@ -88,11 +88,12 @@
 struct WireReport
 {
   Optional<double> mRequestLimit;
+  bool mDraining = false;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mRequestLimit);
+    aArchive(mRequestLimit, mDraining);
   }
 };
 
@@ -225,13 +226,14 @@
   if (aFrame.mReport.mPresent) {
     frame.mReport.emplace();
     frame.mReport->mRequestLimit =
-      std::move(aFrame.mReport.mValue.mRequestLimit).Get();
+      aFrame.mReport.mValue.mRequestLimit.Release();
+    frame.mReport->mDraining = aFrame.mReport.mValue.mDraining;
   }
   if (aFrame.mEvent.mPresent) {
     WireEvent& event = aFrame.mEvent.mValue;
     frame.mEvent = { event.mNumber,
                      std::move(event.mData),
-                     std::move(event.mVersion).Get() };
+                     event.mVersion.Release() };
   }
   if (aFrame.mDeclined.mPresent) {
     frame.mDeclined = FromWire(std::move(aFrame.mDeclined.mValue));
@@ -282,9 +284,9 @@
   request.mRequest.mBody = std::move(wire->mBody);
   request.mRequest.mAccount = std::move(wire->mAccount);
   request.mRequest.mReplicaId = std::move(wire->mReplicaId);
-  request.mRequest.mVersion = std::move(wire->mVersion).Get();
+  request.mRequest.mVersion = wire->mVersion.Release();
   request.mRequest.mFreshConnection = wire->mFreshConnection;
-  request.mRequest.mResumeAfter = std::move(wire->mResumeAfter).Get();
+  request.mRequest.mResumeAfter = wire->mResumeAfter.Release();
   request.mRemainingTime = Milliseconds(wire->mRemainingMs);
   request.mIsStream = wire->mIsStream;
   request.mIdleTimeout = Milliseconds(wire->mIdleTimeoutMs);
@@ -295,7 +297,9 @@
 {
   WireFrame wire;
   if (aFrame.mReport) {
-    wire.mReport = { true, { Wrap(aFrame.mReport->mRequestLimit) } };
+    wire.mReport = {
+      true, { Wrap(aFrame.mReport->mRequestLimit), aFrame.mReport->mDraining }
+    };
   }
   if (aFrame.mEvent) {
     wire.mEvent = { true,
--- a/src/agatetide/entry/replica_router.cpp
+++ b/src/agatetide/entry/replica_router.cpp
@@ -152,7 +152,9 @@
                                 std::shared_ptr<http::CancelHandle> aCancel)
 {
   for (const std::string& name : Peers(aRequest)) {
-    if (IsCanceled(aCancel) || mClock() >= aRequest.mDeadline) {
+    const fleet::Replica* replica = mView.FindReplica(aRequest.mReplicaId);
+    const bool draining = replica != nullptr && replica->mDraining;
+    if (draining || IsCanceled(aCancel) || mClock() >= aRequest.mDeadline) {
       break;
     }
     const auto host = mView.Hosts().find(name);
--- a/src/agatetide/fleet/fleet_view.cpp
+++ b/src/agatetide/fleet/fleet_view.cpp
@@ -4,6 +4,14 @@
 
 namespace agatetide::fleet {
 
+namespace {
+
+/// What a replica said is kept for this long after its registration is gone.
+constexpr std::chrono::seconds kDrainReportRetention{ 60 };
+constexpr size_t kMaxDrainReports = 4096;
+
+} // namespace
+
 FleetView::FleetView(Clock aClock,
                      std::string aAvailabilityZone,
                      std::string aRegion)
@@ -36,10 +44,62 @@
 void FleetView::PutReplica(Replica aReplica)
 {
   std::string id = aReplica.mId;
+  ApplyDrainReport(aReplica);
   mReplicas.insert_or_assign(std::move(id), std::move(aReplica));
   NotifyChange();
 }
 
+void FleetView::ApplyDrainReport(Replica& aReplica)
+{
+  const auto found = mDrainReports.find(aReplica.mId);
+  if (found == mDrainReports.end()) {
+    return;
+  }
+  DrainReport& report = found->second;
+  report.mStartTimeMs = report.mStartTimeMs.value_or(aReplica.mStartTimeMs);
+  if (report.mStartTimeMs == aReplica.mStartTimeMs) {
+    aReplica.mDraining = true;
+  } else {
+    mDrainReports.erase(found);
+  }
+}
+
+bool FleetView::MarkDraining(std::string_view aId)
+{
+  const auto replica = mReplicas.find(aId);
+  const bool registered = replica != mReplicas.end();
+  RemoveOldDrainReports();
+  const bool added =
+    mDrainReports
+      .try_emplace(std::string(aId),
+                   DrainReport{ registered
+                                  ? std::optional(replica->second.mStartTimeMs)
+                                  : std::nullopt,
+                                mClock() })
+      .second;
+  const bool wasDraining = registered && replica->second.mDraining;
+  if (registered) {
+    replica->second.mDraining = true;
+  }
+  return added && !wasDraining;
+}
+
+void FleetView::RemoveOldDrainReports()
+{
+  std::erase_if(mDrainReports, [&](const auto& aItem) {
+    return !mReplicas.contains(aItem.first) &&
+           mClock() - aItem.second.mReportedAt > kDrainReportRetention;
+  });
+  if (mDrainReports.size() >= kMaxDrainReports) {
+    mDrainReports.erase(std::min_element(
+      mDrainReports.begin(),
+      mDrainReports.end(),
+      [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.mReportedAt < aRight.second.mReportedAt;
+      }));
+  }
+}
+
 void FleetView::RemoveReplica(std::string_view aId)
 {
   const auto found = mReplicas.find(aId);
@@ -49,13 +109,6 @@
   }
 }
 
-void FleetView::SetReplicas(
-  std::map<std::string, Replica, std::less<>> aReplicas)
-{
-  mReplicas = std::move(aReplicas);
-  NotifyChange();
-}
-
 const Replica* FleetView::FindReplica(std::string_view aId) const
 {
   const auto found = mReplicas.find(aId);
--- a/src/agatetide/request/forwarder.cpp
+++ b/src/agatetide/request/forwarder.cpp
@@ -351,7 +351,9 @@
                 "no replica of " + aState.mService + " could run the request",
                 "retry after a short delay",
                 Execution::NotRun,
-                aState.mRetryAfter };
+                aState.mRetryAfter
+                  ? aState.mRetryAfter
+                  : mPool.TimeUntilReplacement(aState.mService) };
 }
 
 } // namespace agatetide::request
--- a/src/agatetide/request/replica_pool.cpp
+++ b/src/agatetide/request/replica_pool.cpp
@@ -11,6 +11,8 @@
 
 /// Older load reports are ignored, since the load has changed by then.
 constexpr std::chrono::seconds kReportLifetime{ 2 };
+/// Until another replica serves where the operator replaces them.
+constexpr std::chrono::milliseconds kUsualReplacementTime{ 1000 };
 
 } // namespace
 
@@ -115,6 +117,23 @@
   return shortest + std::chrono::ceil<Duration>(others);
 }
 
+std::optional<Milliseconds> ReplicaPool::TimeUntilReplacement(
+  std::string_view aService) const
+{
+  for (const auto& [id, replica] : mView.Replicas()) {
+    if (replica.mService == aService && !replica.mDraining) {
+      return std::nullopt;
+    }
+  }
+  if (const auto& config = mView.Config()) {
+    const auto service = config->mServices.find(aService);
+    if (service != config->mServices.end() && service->second.mScaling) {
+      return service->second.mScaling->mBootTime;
+    }
+  }
+  return kUsualReplacementTime;
+}
+
 std::string ReplicaPool::EjectionGroup(const fleet::Replica& aReplica) const
 {
   return aReplica.mService + "/" + aReplica.mAvailabilityZone;
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -215,10 +215,12 @@
         self.events, self.pause, self.software = events, pause, software
         self.breaks_after = None  # event after which a stream breaks off
         self.orders = []
+        self.born = int(time.time() * 1000)
         self.requests = []
         self.endless_stream = False
         self.statuses = []  # of the next answers; 200 after them
         self.limit = None  # requests a second that its answers name
+        self.says_leaving = set()  # kinds of answers ("call", "stream", "report") that say that it leaves
         self.arrivals = []  # times of its requests
         self.running = {}  # connections of requests that take time, by id
         self.state = "ready"
@@ -230,7 +232,7 @@
         models = [{"name": m, "version": v, "adapters": []} for m, v in self.versions.items()]
         self.store.put("servers/" + self.name, {
             "service": self.service, "address": self.address, "zone": self.zone, "version": self.software,
-            "slots": 8, "state": self.state, "coldLeftMs": 0, "models": models, "seq": 1})
+            "slots": 8, "state": self.state, "coldLeftMs": 0, "models": models, "seq": 1, "born": self.born})
 
     def crash(self):
         """Resets all streams and accepts no connections; the registration stays."""
@@ -258,7 +260,7 @@
             return
         if path == "/report":
             models = [{"name": m, "version": v} for m, v in self.versions.items()]
-            handler.reply(200, {"busy": False, "seq": len(self.orders), "models": models})
+            handler.reply(200, {"busy": False, "seq": len(self.orders), "models": models}, self.leaving_header("report"))
             return
         if path == "/order":
             order = json.loads(body)
@@ -277,7 +279,10 @@
             time.sleep(self.pause)
         handler.reply(self.statuses.pop(0) if self.statuses else 200, b"answer to " + body,
                       [("Attempt-Id", headers["Attempt-Id"]), ("Response-Signature", "signed-" + headers["Attempt-Id"]),
-                       *self.limit_header()])
+                       *self.limit_header(), *self.leaving_header("call")])
+
+    def leaving_header(self, kind):
+        return [("Server-Leaving", "1")] if kind in self.says_leaving else []
 
     def limit_header(self):
         return [] if self.limit is None else [("Server-Limit", "%.3f" % self.limit)]
@@ -291,7 +296,8 @@
         handler.send_response(200)
         for name, text in (("Attempt-Id", headers["Attempt-Id"]), ("Response-Signature", "s"),
                            ("Weight-Versions", str(self.versions[headers["Model"]])),
-                           ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"), *self.limit_header()):
+                           ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"), *self.limit_header(),
+                           *self.leaving_header("stream")):
             handler.send_header(name, text)
         handler.end_headers()
         start = int(headers.get("Last-Event-Id") or 0) + 1
--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -97,6 +97,10 @@
     return line_checks(["/usr/bin/python3", "tests/cut_off_hosts.py"])
 
 
+def leaving_replicas(_args):
+    return line_checks(["/usr/bin/python3", "tests/leaving_replicas.py"])
+
+
 def soak(args):
     """Runs a few seeds of the soak, each with its own faults."""
     seeds = [str(args.seed + i) for i in range(SOAK_SEEDS)]
@@ -141,6 +145,7 @@
     "integration": integration,
     "users_platform": users_platform,
     "cut_off_hosts": cut_off_hosts,
+    "leaving_replicas": leaving_replicas,
     "soak": soak,
     "ctl": ctl,
     "bad_input": bad_input,
