Split the tests on the users' platform by subject

tests/users_platform.py had 796 lines: the site that all such tests start, and tests of many subjects. The site is now tests/harness/site.py; planned stops and software versions have files, and groups, of their own. No test or check is changed; the groups that differed in a file name only are built by one function.

--- a/tests/cut_off_hosts.py
+++ b/tests/cut_off_hosts.py
@@ -7,7 +7,7 @@
 import sys
 import time
 
-from users_platform import check, run_tests, until
+from harness.site import check, run_tests, until
 
 # A host serves its callers again this long after it was cut off.
 CONTACT_S = 4
--- a/tests/leaving_replicas.py
+++ b/tests/leaving_replicas.py
@@ -7,8 +7,8 @@
 import time
 
 from cut_off_hosts import cut_off
+from harness.site import check, run_tests, until
 from harness.users_platform import Replica
-from users_platform import check, run_tests, until
 
 # A replica gets no new requests this long after a host knows that it leaves; the platform allows 3 s.
 DRAIN_S = 1
--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -81,24 +81,9 @@
     return results
 
 
-def model(_args):
-    return line_checks(["/usr/bin/python3", "tests/model.py"])
-
-
-def integration(_args):
-    return line_checks(["/usr/bin/python3", "tests/integration.py"])
-
-
-def users_platform(_args):
-    return line_checks(["/usr/bin/python3", "tests/users_platform.py"])
-
-
-def cut_off_hosts(_args):
-    return line_checks(["/usr/bin/python3", "tests/cut_off_hosts.py"])
-
-
-def leaving_replicas(_args):
-    return line_checks(["/usr/bin/python3", "tests/leaving_replicas.py"])
+def script(name):
+    """Returns a group that runs a script of tests."""
+    return lambda _args: line_checks(["/usr/bin/python3", "tests/%s.py" % name])
 
 
 def soak(args):
@@ -107,22 +92,10 @@
     return line_checks(["/usr/bin/python3", "tests/soak.py", *seeds])
 
 
-def examples(_args):
-    return line_checks(["/usr/bin/python3", "tests/examples.py"])
-
-
 def faults(args):
     return line_checks(["/usr/bin/python3", "tests/faults.py", "--seed", str(args.seed)])
 
 
-def ctl(_args):
-    return line_checks(["/usr/bin/python3", "tests/ctl_test.py"])
-
-
-def bad_input(_args):
-    return line_checks(["/usr/bin/python3", "tests/bad_input.py"])
-
-
 def sanitizers(args):
     """Builds and runs the fuzz program with sanitizers."""
     for command in (["cmake", "--preset", "asan"],
@@ -140,27 +113,22 @@
 GROUPS = {
     "lint": lint,
     "unit": unit,
-    "model": model,
-    "examples": examples,
-    "integration": integration,
-    "users_platform": users_platform,
-    "cut_off_hosts": cut_off_hosts,
-    "leaving_replicas": leaving_replicas,
+    "model": script("model"),
+    "examples": script("examples"),
+    "integration": script("integration"),
+    "users_platform": script("users_platform"),
+    "software_versions": script("software_versions"),
+    "planned_stop": script("planned_stop"),
+    "cut_off_hosts": script("cut_off_hosts"),
+    "leaving_replicas": script("leaving_replicas"),
     "soak": soak,
-    "ctl": ctl,
-    "bad_input": bad_input,
+    "ctl": script("ctl_test"),
+    "bad_input": script("bad_input"),
     "faults": faults,
     "sanitizers": sanitizers,
 }
 
 
-def script_exists(name):
-    """Returns whether the script of a group exists."""
-    script = {"model": "tests/model.py", "integration": "tests/integration.py",
-              "ctl": "tests/ctl_test.py", "bad_input": "tests/bad_input.py", "faults": "tests/faults.py"}
-    return name not in script or (ROOT / script[name]).exists()
-
-
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("groups", nargs="*", choices=[*GROUPS, []])
@@ -176,7 +144,7 @@
 
     known_failures = read_known_failures()
     passed, failed = 0, 0
-    for name in args.groups or [group for group in GROUPS if script_exists(group)]:
+    for name in args.groups or GROUPS:
         started = time.monotonic()
         results = GROUPS[name](args)
         passed_here = sum(1 for _, result in results if result)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -13,8 +13,8 @@
 import time
 import traceback
 
-import users_platform
-from users_platform import HOST, Site, add_engines, check, check_unmixed, config, software_of, until
+from harness.site import HOST, Site, check, config, until
+from software_versions import add_engines, check_unmixed, software_of, stream
 
 EVENTS = 6
 FAULTS_S = 9
@@ -96,7 +96,7 @@
             name = "soak-stream-%d" % number
             for suffix, first in (("", None), ("-a", name), ("-b", name)):
                 try:
-                    status, events = users_platform.stream(self.pick(), name + suffix, first, 2)
+                    status, events = stream(self.pick(), name + suffix, first, 2)
                 except (OSError, http.client.HTTPException):
                     status, events = 0, []
                 if status == 200:
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -3,175 +3,15 @@
 Prints "ok NAME" or "FAIL NAME reason" for each test.
 """
 
-import base64
 import collections
-import contextlib
-import http.client
-import json
-import os
 import pathlib
 import signal
 import socket
-import subprocess
 import sys
-import tempfile
 import threading
 import time
-import traceback
-
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
-from harness.users_platform import PlatformApi, Replica, Store, StoreEndpoint  # noqa: E402
-
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-DAEMON = ROOT / "build/release/agatetided"
-HOST = "site.example"
-WINDOW_S = 1
-MAX_ADDRESSES = 64  # in one answer
-
-
-def free_port(address="127.0.0.1"):
-    with socket.socket() as probe:
-        probe.bind((address, 0))
-        return probe.getsockname()[1]
-
-
-class Daemon:
-    """One daemon process on an entry host of its own, with an IP address of its own."""
-
-    def __init__(self, site, number):
-        self.name, self.store_endpoint = "host-%d" % number, StoreEndpoint(site.store)
-        self.address = "127.0.1.%d" % (number + 1)
-        self.front_port, self.directory_port, self.ready_port, peer_port = (free_port(self.address) for _ in range(4))
-        settings = {
-            "node": self.name, "ip": self.address, "internalPorts": [peer_port, 0],
-            "zone": "z1", "region": "r1", "zones": {"z1": "r1"},
-            "listen": {"front": "%s:%d" % (self.address, self.front_port), "ready": "%s:%d" % (self.address, self.ready_port),
-                       "directory": "%s:%d" % (self.address, self.directory_port)},
-            "limits": {"maxFds": 1024},
-            "bounds": {"revokeMs": 5000, "graceS": 2, "usageWindowS": WINDOW_S, "ttl_max_s": 5},
-            "platform": {"address": self.store_endpoint.address}, "cloudApi": {"address": site.platform_api.address}}
-        self.folder = tempfile.TemporaryDirectory()
-        self.settings_path = pathlib.Path(self.folder.name) / "node.json"
-        self.settings_path.write_text(json.dumps(settings))
-        self.log = open(pathlib.Path(self.folder.name) / "log", "w+")
-        self.start()
-
-    def start(self):
-        self.process = subprocess.Popen([str(DAEMON), "--platform-role", "entry"], stdout=self.log, stderr=self.log,
-                                        env={**os.environ, "AGATETIDE_NODE_FILE": str(self.settings_path)})
-        until(lambda: self.is_ready(), self.name + " is ready", self.process)
-
-    def is_ready(self):
-        try:
-            return self.call("GET", "/readyz", port=self.ready_port)[0] == 200
-        except OSError:
-            return False
-
-    def call(self, method, path, body=None, headers=None, port=None, timeout=8):
-        connection = http.client.HTTPConnection(self.address, port or self.front_port, timeout=timeout)
-        with contextlib.closing(connection):
-            connection.request(method, path, body=body, headers={"Host": HOST, **(headers or {})})
-            answer = connection.getresponse()
-            return answer.status, answer.read(), dict(answer.getheaders())
-
-    def last_event(self, event, field):
-        """Returns the last log line with this event that contains field; empty if there is none."""
-        lines = (pathlib.Path(self.folder.name) / "log").read_text().splitlines()
-        return next((line for line in reversed(lines) if "event=%s " % event in line and field in line), "")
-
-    def stop(self, signal_number=signal.SIGKILL):
-        self.process.send_signal(signal_number)
-        return self.process.wait(10)
-
-
-def until(condition, description, process=None, timeout=12):
-    """Waits until the condition holds; raises AssertionError after the timeout or if the process ends."""
-    end = time.monotonic() + timeout
-    while time.monotonic() < end:
-        if condition():
-            return
-        if process is not None and process.poll() is not None:
-            raise AssertionError("%s: the process ended with %d" % (description, process.returncode))
-        time.sleep(0.03)
-    raise AssertionError("timed out: " + description)
-
-
-def config(version=2, keys=("key-a",), **changes):
-    route = {"host": HOST, "priority": 2, "maxAttempts": 3, "timeoutMs": 4000, "targetLatencyMs": 500}
-    routes = [
-        {**route, "name": "open", "pathPrefix": "/open/", "routeType": "idempotent", "service": "plain", "anonymous": True},
-        {**route, "name": "once", "pathPrefix": "/once/", "routeType": "non_idempotent", "service": "plain", "anonymous": True},
-        {**route, "name": "keyed", "pathPrefix": "/keyed/", "routeType": "idempotent", "service": "plain"},
-        {**route, "name": "stream", "pathPrefix": "/stream/", "routeType": "streaming", "service": "engine",
-         "resumable": True, "anonymous": True},
-        {**route, "name": "step", "pathPrefix": "/step/", "routeType": "rollout", "service": "engine",
-         "dueMs": 5000, "retentionS": 40}]
-    return {"version": version, "routes": routes, "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 1000000},
-            "services": [{"name": "plain"}, {"name": "engine", "engine": {"slots": 8}}],
-            "tenants": [{"name": "acct", "apiKeys": list(keys)}], **changes}
-
-
-class Site:
-    """The test doubles of the platform, replicas and daemons of one test."""
-
-    def __init__(self, daemons=1, plain=2, engines=2, events=4, pause=0.0):
-        self.store, self.platform_api = Store(), PlatformApi()
-        self.store.put("op/config", config())
-        self.plain = [Replica(self.store, "plain-%d" % i, "plain", "z1") for i in range(plain)]
-        self.engines = [Replica(self.store, "engine-%d" % i, "engine", "z1", {"m": 1}, events, pause)
-                        for i in range(engines)]
-        self.daemons = []
-        try:
-            for i in range(daemons):
-                self.daemons.append(Daemon(self, i))
-            until(lambda: self.lookup(self.daemons[0], "warm")[0] == 200, "the first lookup succeeds")
-            until(lambda: all(len(self.addresses(d)) == min(daemons, MAX_ADDRESSES) for d in self.daemons), "all hosts are known")
-        except Exception:
-            self.close()
-            raise
-
-    def addresses(self, daemon):
-        body = daemon.call("GET", "/resolve?name=%s&region=r1&zone=z1" % HOST, port=daemon.directory_port)[1]
-        return json.loads(body).get("addrs", [])
-
-    def lookup(self, daemon, request_id, path="/open/1", **headers):
-        return daemon.call("POST", path, b"question", {"Attempt-Id": request_id, "Timeout-Ms": "3000", **headers})
-
-    def submit(self, daemon, request_id="step-1", items=6, **fields):
-        step = {"step": 0, "model": "m", "minVersion": 1, "desired": 1, "items": [
-            {"id": "%s-item-%d" % (request_id, i), "path": "/step/x/%d" % i, "headers": {"Model": "m", "Length-Hint": "64"},
-             "body": base64.b64encode(b"prompt").decode(), "tokens": 10, "group": "g",
-             "scorer": {"id": "%s-score-%d" % (request_id, i), "host": HOST, "path": "/open/score",
-                        "body": base64.b64encode(b"score").decode()}} for i in range(items)], **fields}
-        return daemon.call("POST", "/step/" + request_id, json.dumps(step),
-                           {"Attempt-Id": request_id, "Authorization": "Bearer key-a"})[0]
-
-    def read(self, daemon, request_id="step-1", after=0):
-        status, body, _ = daemon.call("GET", "/lots/%s?after=%d" % (request_id, after),
-                                      headers={"Authorization": "Bearer key-a", "Wait-Ms": "300"})
-        return json.loads(body) if status == 200 else {"status": status, "results": [], "nextToken": after}
-
-    def read_all(self, daemon, total, request_id="step-1", timeout=12):
-        results = []
-
-        def read_more():
-            results.extend(self.read(daemon, request_id, len(results))["results"])
-            return len(results) == total
-
-        until(read_more, "%d results of %s" % (total, request_id), timeout=timeout)
-        return results
-
-    def close(self):
-        for daemon in self.daemons:
-            if daemon.process.poll() is None:
-                daemon.stop()
-            daemon.log.close()
-            daemon.folder.cleanup()
-
-
-def check(condition, description):
-    if not condition:
-        raise AssertionError(description)
+
+from harness.site import check, config, run_tests, until
 
 
 def lookup_reaches_a_named_replica(site):
@@ -436,88 +276,6 @@
     check(daemon.process.poll() is None, "still runs")
 
 
-def draining_host_finishes_and_leaves(site):
-    """Guards against a draining host that still takes steps, or exits before its requests are done."""
-    first, second = site.daemons
-    site.submit(first)
-    first.process.send_signal(signal.SIGTERM)
-    until(lambda: len(site.addresses(second)) == 1, "the host left the answers", timeout=3)
-    check(not first.is_ready(), "not ready")
-    check(site.submit(first, "step-2") == 503, "no new step")
-    check(site.lookup(first, "late")[0] == 200, "still serves lookups")
-    check(first.process.wait(10) == 0, "exit code")
-    check(len(site.read_all(second, 6)) == 6, "the step is complete")
-
-
-def stopping_host_answers_all_it_has_accepted(site):
-    """Guards against dropped requests at shutdown: sends on new and on kept connections until one is refused."""
-    first, errors, outcomes = site.daemons[0], [], collections.Counter()
-
-    def call(connection, request_id):
-        connection.request("POST", "/open/1", b"question", {"Host": HOST, "Attempt-Id": request_id, "Timeout-Ms": "3000"})
-        answer = connection.getresponse()
-        answer.read()
-        outcomes[answer.status] += 1
-        return answer.status == 200 and answer.getheader("Connection", "") != "close", answer.status
-
-    def send_repeatedly(number, reuse):
-        connection, reusable, status, count = None, False, 200, 0
-        while status == 200 and first.process.poll() is None:
-            count += 1
-            try:
-                if not reusable:
-                    connection = http.client.HTTPConnection(first.address, first.front_port, timeout=8)
-                    connection.connect()
-                reusable, status = call(connection, "press-%d-%d" % (number, count))
-                reusable = reusable and reuse
-            except (OSError, http.client.HTTPException) as error:
-                errors.append(repr(error))
-                return
-
-    threads = [threading.Thread(target=send_repeatedly, args=(i, i % 2 == 0)) for i in range(6)]
-    for thread in threads:
-        thread.start()
-    time.sleep(0.3)
-    first.process.send_signal(signal.SIGTERM)
-    for thread in threads:
-        thread.join()
-    check(first.process.wait(5) == 0, "exit code")
-    check(not errors, "failed requests: %s" % errors)
-    check(outcomes[200] > 12, "served %s" % outcomes)
-
-
-def stopping_host_answers_requests_that_outlast_it(site):
-    """Guards against dropped requests that a slow replica would answer only after the host has exited."""
-    first, outcomes = site.daemons[0], []
-
-    def send_lookup(number):
-        try:
-            outcomes.append(site.lookup(first, "slow-%d" % number)[0])
-        except (OSError, http.client.HTTPException) as error:
-            outcomes.append(repr(error))
-
-    for replica in site.plain:
-        replica.pause = 1.5
-    first.process.send_signal(signal.SIGTERM)
-    time.sleep(0.8)
-    threads = [threading.Thread(target=send_lookup, args=(i,)) for i in range(4)]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-    check(first.process.wait(5) == 0, "exit code")
-    check(outcomes == [504] * 4, "outcomes %s" % outcomes)
-
-
-def host_stops_in_time_without_the_store(site):
-    """Guards against a shutdown that waits for the store."""
-    first = site.daemons[0]
-    site.submit(first)
-    site.store.silent = True
-    first.process.send_signal(signal.SIGTERM)
-    check(first.process.wait(2) == 0, "exit code")
-
-
 def press(site, seconds, path="/open/1", callers=4, **headers):
     """Sends lookups to all hosts from many callers; returns how often each status came."""
     end, outcomes = time.monotonic() + seconds, collections.Counter()
@@ -590,134 +348,6 @@
     check_limit(site.engines, 3.0, start + 4)
 
 
-def check_unmixed(results, events):
-    """Checks that each text is complete and comes from replicas of one software version."""
-    for result in results:
-        lines = result["text"].split("\n")
-        check([line.split("@")[0].rsplit("-", 1)[1] for line in lines] == [str(n + 1) for n in range(events)],
-              "an incomplete text: %s" % lines)
-        check(len({line.partition("@")[2] for line in lines}) == 1, "a text of two software versions: %s" % lines)
-
-
-def resumed_requests(replicas):
-    return [r for replica in replicas for r in replica.requests if int(r[2].get("Last-Event-Id") or 0) > 0]
-
-
-def add_engines(site, software, count=2):
-    events, pause = site.engines[0].events, site.engines[0].pause
-    added = [Replica(site.store, "engine-%s-%d" % (software, i), "engine", "z1", {"m": 1}, events, pause, software)
-             for i in range(count)]
-    site.engines += added
-    time.sleep(0.3)
-    return added
-
-
-def broken_items_go_on_at_their_software_version(site):
-    """Guards against texts that are joined from replicas of two software versions after a stream broke."""
-    new = add_engines(site, "v2")
-    site.engines[0].breaks_after = new[0].breaks_after = 3
-    check(site.submit(site.daemons[0], items=24) == 202, "accepted")
-    check_unmixed(site.read_all(site.daemons[0], 24), 8)
-    check(resumed_requests(site.engines[:2]) and resumed_requests(new), "items of both versions were resumed")
-
-
-def items_of_a_software_version_that_leaves_start_again(site):
-    """Guards against items that wait for a software version that has left, and against joining their
-    texts with another one's."""
-    old = list(site.engines)
-    check(site.submit(site.daemons[0], items=8) == 202, "accepted")
-    until(lambda: sum(len(e.requests) for e in old) == 8, "all items run")
-    time.sleep(1)
-    add_engines(site, "v2")
-    for replica in old:
-        replica.crash()
-        site.store.remove("servers/" + replica.name)
-    check_unmixed(site.read_all(site.daemons[0], 8), 20)
-
-
-def taken_over_items_go_on_at_their_software_version(site):
-    """Guards against a daemon that takes a step over and continues its texts with another software version."""
-    first, second = site.daemons
-    new = add_engines(site, "v2")
-    check(site.submit(first, items=16) == 202, "accepted")
-    time.sleep(1.6)
-    site.engines[0].drain()
-    first.stop()
-    check_unmixed(site.read_all(second, 16), 12)
-    check(resumed_requests(site.engines[1:2]) and resumed_requests(new), "items of both versions were resumed")
-
-
-def stream(daemon, request_id, first=None, after=0):
-    """Starts a stream, or takes up the one of the request first; returns the status and the events' data."""
-    headers = {"Attempt-Id": request_id, "Timeout-Ms": "3000", "Model": "m"}
-    if first is not None:
-        headers.update({"Last-Event-Id": str(after), "Resumes": first})
-    status, body, _ = daemon.call("POST", "/stream/1", b"prompt", headers)
-    return status, [line[6:] for line in body.decode().splitlines() if line.startswith("data: ")]
-
-
-def software_of(events):
-    return {event.partition("@")[2] for event in events}
-
-
-def start_streams(site, count, prefix="stream"):
-    """Starts streams at all hosts; returns the software versions of their events by request id."""
-    started = {}
-    for i in range(count):
-        name = "%s-%d" % (prefix, i)
-        status, events = stream(site.daemons[i % len(site.daemons)], name)
-        check(status == 200 and len(events) == site.engines[0].events, "stream %s: %s %s" % (name, status, events))
-        started[name] = software_of(events)
-    return started
-
-
-def check_taken_up(site, started, suffix, must_go_on):
-    """Takes streams up after their second event; those of must_go_on's versions have to go on, and no
-    stream may hold events of two software versions."""
-    joined, refused = [], collections.Counter()
-    for i, (name, software) in enumerate(started.items()):
-        status, events = stream(site.daemons[(i + 1) % len(site.daemons)], name + suffix, name, 2)
-        if status == 200:
-            joined += [name] if software_of(events) != software else []
-        else:
-            check(status == 503, "status %d" % status)
-            refused[next(iter(software))] += 1
-    check(not joined, "%d of %d streams hold events of two software versions" % (len(joined), len(started)))
-    check(not set(refused) & must_go_on, "refused streams by software version: %s" % refused)
-    return refused
-
-
-def taken_up_streams_go_on_at_their_software_version(site):
-    """Guards against streams of callers that are joined from two software versions, also after all
-    hosts were killed, and against streams that cannot be taken up although their version serves."""
-    started = start_streams(site, 4, "early")
-    add_engines(site, "v2")
-    started.update(start_streams(site, 24, "late"))
-    check(set().union(*started.values()) == {"", "v2"}, "both versions began streams")
-    check_taken_up(site, started, "-up", {"", "v2"})
-    for daemon in site.daemons:
-        daemon.stop()
-    for daemon in site.daemons:
-        daemon.start()
-    until(lambda: all(len(site.addresses(d)) == len(site.daemons) for d in site.daemons), "all hosts are known")
-    check_taken_up(site, started, "-again", {"", "v2"})
-
-
-def streams_of_a_software_version_that_left_are_refused(site):
-    """Guards against streams that are continued by another software version when theirs has left."""
-    old = list(site.engines)
-    started = start_streams(site, 8)
-    add_engines(site, "v2")
-    for replica in old:
-        site.store.remove("servers/" + replica.name)
-    until(lambda: all(d.last_event("replica_gone", old[-1].name) for d in site.daemons), "the old version has left")
-    for daemon in site.daemons:
-        daemon.stop()
-        daemon.start()
-    check(check_taken_up(site, started, "-up", set()) == {"": 8}, "streams of the old version are refused")
-    check(stream(site.daemons[0], "new")[1][0].endswith("@v2"), "new streams begin")
-
-
 def item_under_which_replicas_crashed_is_placed_again(site):
     """Guards against a sound item that is given up or forgotten after all replicas broke off under it,
     before its first event and within its text."""
@@ -738,15 +368,9 @@
 
 TESTS = [
     (item_under_which_replicas_crashed_is_placed_again, {}),
-    (taken_up_streams_go_on_at_their_software_version, {"daemons": 2}),
-    (streams_of_a_software_version_that_left_are_refused, {"daemons": 2}),
-    (broken_items_go_on_at_their_software_version, {"events": 8, "pause": 0.05}),
-    (items_of_a_software_version_that_leaves_start_again, {"events": 20, "pause": 0.15}),
-    (taken_over_items_go_on_at_their_software_version, {"daemons": 2, "events": 12, "pause": 0.25}),
     (replica_in_need_gets_no_more_than_its_limit, {"daemons": 3}),
     (requests_beyond_all_limits_are_refused_with_a_time, {"daemons": 2}),
     (items_keep_the_limit_of_a_replica, {"daemons": 2}),
-    (host_stops_in_time_without_the_store, {"events": 20, "pause": 0.2}),
     (lookup_reaches_a_named_replica, {}),
     (unknown_routes_and_keys_are_refused, {}),
     (withdrawn_key_stops_at_once_and_without_the_store_in_time, {}),
@@ -765,32 +389,8 @@
     (usage_windows_are_sealed_and_reported_once, {"daemons": 2}),
     (host_to_be_emptied_is_answered, {}),
     (malformed_input_is_refused_and_harmless, {}),
-    (stopping_host_answers_all_it_has_accepted, {"pause": 0.35}),
-    (stopping_host_answers_requests_that_outlast_it, {}),
-    (draining_host_finishes_and_leaves, {"daemons": 2, "events": 6, "pause": 0.1}),
 ]
 
 
-def run_tests(group, tests):
-    """Runs the tests that the command line names, or all; returns the exit code."""
-    failed = False
-    for test, options in tests:
-        if len(sys.argv) > 1 and test.__name__ not in sys.argv[1:]:
-            continue
-        site = None
-        try:
-            site = Site(**options)
-            test(site)
-            print("ok %s.%s" % (group, test.__name__), flush=True)
-        except Exception as error:  # pylint: disable=broad-except
-            failed = True
-            print("FAIL %s.%s %s" % (group, test.__name__, error), flush=True)
-            traceback.print_exc()
-        finally:
-            if site is not None:
-                site.close()
-    return 1 if failed else 0
-
-
 if __name__ == "__main__":
     sys.exit(run_tests("users_platform", TESTS))
