Refuse requests that would outlast a host that stops

What callers saw: in a planned stop of one host, in calm, requests that came late in the grace period were taken and passed on; 0.45 s before its end they got 504, among them requests that may not be repeated. They did get an answer here, but not one that lets a caller repeat them.

Cause: the host refused requests only from 0.9 s before the end on, whatever they need. Class: work accepted without looking at the time that is left.

Why this works: while a host stops, a request that may not be repeated is sent to a replica only if its whole time ends before the host does, and one that may be if its usual latency does (policy/shutdown_admission). The same holds for retries and hedges. All others are refused at once as not run, without a time to come back, since other hosts serve them.

--- a/include/agatetide/base/error.hpp
+++ b/include/agatetide/base/error.hpp
@@ -50,7 +50,8 @@
   std::string mMessage;
   std::string mRemedy;
   Execution mExecution = Execution::NotRun;
-  /// When a repetition may succeed; std::nullopt if that is unknown.
+  /// When a repetition may succeed; std::nullopt if that is unknown, 0 if other
+  /// hosts can run it at once.
   std::optional<std::chrono::milliseconds> mRetryAfter;
 };
 
--- a/include/agatetide/request/forwarder.hpp
+++ b/include/agatetide/request/forwarder.hpp
@@ -37,6 +37,10 @@
   std::function<void()> mOnReplicaFailure;
 };
 
+/// @brief The refusal of work that would outlast a host that stops. Other hosts
+/// can do it at once.
+Error HostStoppingError();
+
 /// @brief Forwards requests to replicas, with retries and hedged requests
 /// where the route allows them. Not thread-safe; all calls must come from the
 /// daemon's executor.
@@ -53,12 +57,15 @@
   /// @brief Forwards a request and returns the response of a replica: the
   /// first one with a status below 500, or a failure response when no attempt
   /// is left. Errors: Unavailable with Execution::NotRun when no replica ran
-  /// the request and none will; OutcomeUnknown; DeadlineExceeded; Canceled
-  /// when the caller has disconnected.
+  /// the request and none will, also when it would outlast this host, which is
+  /// about to stop; OutcomeUnknown; DeadlineExceeded; Canceled when the caller
+  /// has disconnected.
   Awaitable<Result<UpstreamResponse>> Run(ForwardRequest aRequest);
 
   /// @brief Limits the deadline of all requests, including running ones, so
-  /// that a daemon that shuts down answers them before its process exits.
+  /// that a daemon that shuts down answers them before its process exits. Sends
+  /// nothing more that would probably be cut then; see
+  /// policy::FitsBeforeStop().
   void SetShutdownDeadline(TimePoint aDeadline);
 
 private:
@@ -81,9 +88,10 @@
                      const fleet::Replica& aReplica,
                      Result<UpstreamResponse> aResult,
                      TimePoint aSent);
-  Result<UpstreamResponse> MakeResult(RequestState& aState) const;
+  Result<UpstreamResponse> MakeResult(RequestState& aState);
   ReplicaFilter MakeFilter(const RequestState& aState);
   TimePoint DeadlineOf(const RequestState& aState) const;
+  bool FitsBeforeShutdown(const RequestState& aState);
   std::string ChooseService(const fleet::Route& aRoute) const;
   Duration HedgeDelayFor(const RequestState& aState);
 
--- a/src/agatetide/request/forwarder.cpp
+++ b/src/agatetide/request/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "agatetide/request/forwarder.hpp"
 
 #include "agatetide/base/event_log.hpp"
+#include "agatetide/policy/shutdown_admission.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -34,6 +35,15 @@
 
 } // namespace
 
+Error HostStoppingError()
+{
+  return { ErrorKind::Unavailable,
+           "this host is about to stop",
+           "send it to another host",
+           Execution::NotRun,
+           Milliseconds(0) };
+}
+
 /// A running request and its attempts.
 struct Forwarder::RequestState
 {
@@ -125,12 +135,15 @@
   mRequests.insert(state.get());
   state->mLimitWaitEnd = mClock() + request.mMaxLimitWait;
   TimePoint hedgeAt = mClock() + HedgeDelayFor(*state);
-  StartAttempt(state);
+  if (FitsBeforeShutdown(*state)) {
+    StartAttempt(state);
+  }
   while (!state->mResponse && !state->mCallerGone &&
          mClock() < DeadlineOf(*state)) {
     const bool mayRetry = state->mAttemptCount < request.mRoute.mMaxAttempts &&
                           (idempotent || !state->mMayHaveRun) &&
-                          state->mRefusalCount < kMaxRefusals;
+                          state->mRefusalCount < kMaxRefusals &&
+                          FitsBeforeShutdown(*state);
     if (state->mPendingAttempts == 0 && (!mayRetry || !StartAttempt(state))) {
       if (!mayRetry || !co_await AwaitLimit(state)) {
         break;
@@ -175,7 +188,8 @@
   if (delay == Duration::max()) {
     co_return false;
   }
-  aState->mRetryAfter = std::chrono::ceil<Milliseconds>(delay);
+  aState->mRetryAfter =
+    std::max(std::chrono::ceil<Milliseconds>(delay), kMinLimitWait);
   const TimePoint end = std::min(aState->mLimitWaitEnd, DeadlineOf(*aState));
   if (delay >= end - mClock()) {
     co_return false;
@@ -199,6 +213,21 @@
   }
 }
 
+bool Forwarder::FitsBeforeShutdown(const RequestState& aState)
+{
+  if (mShutdownDeadline == TimePoint::max()) {
+    return true;
+  }
+  const TimePoint now = mClock();
+  policy::PendingRequest pending;
+  pending.mIdempotent =
+    aState.mRequest.mRoute.mKind == fleet::RouteKind::Idempotent;
+  pending.mTimeLeft = aState.mRequest.mDeadline - now;
+  pending.mUsualLatency = mServices[aState.mService].mHedgeDelay.Delay();
+  pending.mTargetLatency = aState.mRequest.mRoute.mTargetLatency;
+  return policy::FitsBeforeStop(pending, mShutdownDeadline - now);
+}
+
 TimePoint Forwarder::DeadlineOf(const RequestState& aState) const
 {
   return std::min(aState.mRequest.mDeadline, mShutdownDeadline);
@@ -318,7 +347,7 @@
   }
 }
 
-Result<UpstreamResponse> Forwarder::MakeResult(RequestState& aState) const
+Result<UpstreamResponse> Forwarder::MakeResult(RequestState& aState)
 {
   if (aState.mResponse) {
     return std::move(*aState.mResponse);
@@ -333,6 +362,9 @@
     return std::move(*aState.mFailureResponse);
   }
   const bool mayRun = aState.mMayHaveRun || aState.mPendingAttempts > 0;
+  if (!mayRun && !FitsBeforeShutdown(aState)) {
+    return HostStoppingError();
+  }
   if (mClock() >= DeadlineOf(aState)) {
     return Error{ ErrorKind::DeadlineExceeded,
                   "no replica responded before the deadline",
