--- a/src/agatetide/http/faulty_server_test.cpp
+++ b/src/agatetide/http/faulty_server_test.cpp
@@ -164,6 +164,14 @@
   co_await aConnection.ReadHeader();
 }
 
+/// Sends the first bytes of a response and closes the connection.
+Awaitable<void> SendPart(http::ScriptedConnection& aConnection,
+                         std::string_view aPart)
+{
+  co_await aConnection.ReadHeader();
+  co_await aConnection.Write(std::string(aPart));
+}
+
 Awaitable<void> SendInterimResponses(http::ScriptedConnection& aConnection)
 {
   co_await aConnection.ReadHeader();
@@ -272,6 +280,31 @@
   }
 }
 
+// Guards against a response whose head broke off and that is returned as a
+// complete one without a body, with or without a length in the head.
+Test(http_client, takes_no_part_of_a_head_for_an_answer)
+{
+  for (const std::string_view head :
+       { "HTTP/1.1 200 OK\r\nServer: a\r\nContent-Length: 4\r\n\r\n",
+         "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n" }) {
+    for (size_t length = 0; length < head.size(); ++length) {
+      asio::io_context context;
+      http::ScriptedServer broken(
+        context.get_executor(), [&](http::ScriptedConnection& aConnection) {
+          return SendPart(aConnection, head.substr(0, length));
+        });
+      const auto client = http::Client::Create(context.get_executor());
+      CallOutcome outcome;
+      asio::co_spawn(context,
+                     CallServer(*client, broken.Port(), outcome),
+                     [&](const std::exception_ptr&) { context.stop(); });
+      context.run();
+      cr_expect(!outcome.mSucceeded, "accepted after %zu bytes", length);
+      cr_expect(outcome.mError.mExecution == Execution::Unknown);
+    }
+  }
+}
+
 // Guards against an interim response that is returned as the final one, and
 // against an endless series of them.
 Test(http_client, takes_no_interim_answer_for_the_final_one)
--- /dev/null
+++ b/tests/broken_responses.py
@@ -0,0 +1,75 @@
+"""Runs daemons before replicas whose responses break off or fail.
+
+Prints "ok NAME" or "FAIL NAME reason" for each test.
+"""
+
+import sys
+
+from harness.site import check, run_tests, until
+from software_versions import check_unmixed, resumed_requests, stream
+
+EVENTS = 6
+# A response of a plain stand-in replica ends its head after at least as many bytes.
+MIN_HEAD_BYTES = 130
+
+
+def response_whose_head_breaks_off_is_not_an_answer(site):
+    """Guards against a 200 with an empty or short body that is made of a part of a replica's head."""
+    daemon = site.daemons[0]
+    for cut in [1, 12, 15, 16, 17, 40, 60, 80, 100, MIN_HEAD_BYTES]:
+        for replica in site.plain:
+            replica.cut_response_at = cut
+        for path in ("/open/1", "/once/1"):
+            status, body, _ = site.lookup(daemon, "cut-%d-%s" % (cut, path[1:5]), path)
+            check(status in (502, 504), "%s cut after %d bytes: %d %r" % (path, cut, status, body))
+
+
+def request_is_served_by_the_next_replica_after_a_broken_head(site):
+    """Guards against a broken head that fails a request which another replica can run, or that joins its answer."""
+    site.plain[0].cut_response_at = 100
+    for i in range(20):
+        status, body, headers = site.lookup(site.daemons[0], "next-%d" % i)
+        check(status == 200 and body == b"answer to question", "%d %r" % (status, body))
+        check(headers["Response-Signature"] == "signed-next-%d" % i, "signature of another answer")
+    check(site.plain[0].requests, "the broken replica was asked")
+
+
+def item_whose_stream_broke_gets_no_text_of_a_failure(site):
+    """Guards against the text of a failed response in the middle of a sample, and against taking one for its end."""
+    broken, failing = site.engines
+    for status in (500, 503, 429, 404, 206, 204):
+        broken.breaks_after, failing.statuses = 3, [status] * 2
+        name = "step-%d" % status
+        check(site.submit(site.daemons[0], name, items=4) == 202, "accepted")
+        until(lambda: not failing.statuses, "the failures were sent")
+        broken.breaks_after = None
+        results = site.read_all(site.daemons[0], 4, name)
+        check({r["state"] for r in results} == {"completed"}, "%d: %s" % (status, results))
+        check_unmixed(results, EVENTS)
+    check(resumed_requests(site.engines), "streams were resumed")
+
+
+def stream_of_a_caller_that_broke_is_not_joined_with_a_failure(site):
+    """Guards against a caller's stream that broke off and looks complete, or holds the text of a failure."""
+    broken, failing = site.engines
+    for status in (500, 503, 404):
+        broken.breaks_after, failing.statuses = 3, [status] * 20
+        for i in range(6):
+            result, events = stream(site.daemons[0], "stream-%d-%d" % (status, i))
+            check(result != 200, "%d, after a failure with %d: %s" % (result, status, events))
+    broken.breaks_after, failing.statuses = None, []
+    for i in range(4):
+        result, events = stream(site.daemons[0], "whole-%d" % i)
+        check(result == 200 and len(events) == EVENTS, "%d: %s" % (result, events))
+
+
+TESTS = [
+    (response_whose_head_breaks_off_is_not_an_answer, {}),
+    (request_is_served_by_the_next_replica_after_a_broken_head, {}),
+    (item_whose_stream_broke_gets_no_text_of_a_failure, {"events": EVENTS, "pause": 0.05}),
+    (stream_of_a_caller_that_broke_is_not_joined_with_a_failure, {"events": EVENTS, "pause": 0.02}),
+]
+
+
+if __name__ == "__main__":
+    sys.exit(run_tests("broken_responses", TESTS))
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -15,6 +15,10 @@
 from harness.partition import Partition
 
 
+# Senders may still send requests to a replica this long after they know that it leaves.
+DRAIN_S = 3
+
+
 class Server(ThreadingHTTPServer):
     daemon_threads = True
     allow_reuse_address = True
@@ -66,6 +70,25 @@
     return server
 
 
+class CutWriter:
+    """Passes the first bytes of a response on and then breaks off."""
+
+    def __init__(self, file, count):
+        self.file, self.count, self.closed = file, count, False
+
+    def write(self, data):
+        self.file.write(data[:self.count])
+        self.count -= len(data)
+        if self.count <= 0:
+            raise BrokenPipeError
+
+    def flush(self):
+        self.file.flush()
+
+    def close(self):
+        self.file.close()
+
+
 class StoreEndpoint:
     """An address of the store for one host, which can refuse or ignore its requests."""
 
@@ -219,8 +242,11 @@
         self.requests = []
         self.endless_stream = False
         self.statuses = []  # of the next answers; 200 after them
+        self.cut_response_at = None  # bytes of its responses after which the connection ends
         self.limit = None  # requests a second that its answers name
         self.says_leaving = set()  # kinds of answers ("call", "stream", "report") that say that it leaves
+        self.told = {}  # when each sender was first told that it leaves, by IP address
+        self.late_arrivals = []  # (sender, when it was told, time) of requests after DRAIN_S
         self.arrivals = []  # times of its requests
         self.running = {}  # connections of requests that take time, by id
         self.state = "ready"
@@ -260,7 +286,7 @@
             return
         if path == "/report":
             models = [{"name": m, "version": v} for m, v in self.versions.items()]
-            handler.reply(200, {"busy": False, "seq": len(self.orders), "models": models}, self.leaving_header("report"))
+            handler.reply(200, {"busy": False, "seq": len(self.orders), "models": models}, self.leaving_header("report", handler))
             return
         if path == "/order":
             order = json.loads(body)
@@ -269,7 +295,9 @@
             handler.reply(202)
             self.register()
             return
-        self.arrivals.append(time.monotonic())
+        if self.cut_response_at is not None:
+            handler.wfile = CutWriter(handler.wfile, self.cut_response_at)
+        self.record_arrival(handler.client_address[0])
         self.requests.append((headers.get("Attempt-Id"), path, dict(headers.items()), body))
         if headers.get("Model"):
             self.stream(handler, headers)
@@ -277,12 +305,31 @@
         if self.pause:
             self.running[headers["Attempt-Id"]] = handler.connection
             time.sleep(self.pause)
-        handler.reply(self.statuses.pop(0) if self.statuses else 200, b"answer to " + body,
+        self.answer(handler, headers, self.statuses.pop(0) if self.statuses else 200, b"answer to " + body)
+
+    def answer(self, handler, headers, status, body):
+        handler.reply(status, body,
                       [("Attempt-Id", headers["Attempt-Id"]), ("Response-Signature", "signed-" + headers["Attempt-Id"]),
-                       *self.limit_header(), *self.leaving_header("call")])
+                       *self.limit_header(), *self.leaving_header("call", handler)])
+
+    def record_arrival(self, sender):
+        now = time.monotonic()
+        self.arrivals.append(now)
+        told = self.told.get(sender)
+        if told is not None and now > told + DRAIN_S:
+            self.late_arrivals.append((sender, told, now))
+
+    def start_again(self):
+        """Starts as a new process under the same name, which does not leave."""
+        self.says_leaving, self.told, self.state = set(), {}, "ready"
+        self.born = max(self.born + 1, int(time.time() * 1000))
+        self.register()
 
-    def leaving_header(self, kind):
-        return [("Server-Leaving", "1")] if kind in self.says_leaving else []
+    def leaving_header(self, kind, handler):
+        if kind not in self.says_leaving:
+            return []
+        self.told.setdefault(handler.client_address[0], time.monotonic())
+        return [("Server-Leaving", "1")]
 
     def limit_header(self):
         return [] if self.limit is None else [("Server-Limit", "%.3f" % self.limit)]
@@ -293,11 +340,14 @@
         return max((sum(first <= t <= first + seconds for t in times) for first in times), default=0)
 
     def stream(self, handler, headers):
+        if self.statuses:
+            self.answer(handler, headers, self.statuses.pop(0), b"id: 1\ndata: error text\n\n")
+            return
         handler.send_response(200)
         for name, text in (("Attempt-Id", headers["Attempt-Id"]), ("Response-Signature", "s"),
                            ("Weight-Versions", str(self.versions[headers["Model"]])),
                            ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"), *self.limit_header(),
-                           *self.leaving_header("stream")):
+                           *self.leaving_header("stream", handler)):
             handler.send_header(name, text)
         handler.end_headers()
         start = int(headers.get("Last-Event-Id") or 0) + 1
--- a/tests/leaving_replicas.py
+++ b/tests/leaving_replicas.py
@@ -153,7 +153,7 @@
 def other_values_change_nothing(site):
     """Guards against taking any value of the header for the word that the replica leaves."""
     daemon, replica = site.daemons[0], site.plain[0]
-    replica.leaving_header = lambda _kind: [("Server-Leaving", "0"), ("Server-Leaving", "yes")]
+    replica.leaving_header = lambda *_: [("Server-Leaving", "0"), ("Server-Leaving", "yes")]
     look_up(site, daemon, "other", 0.5)
     since = time.monotonic()
     look_up(site, daemon, "still", 1)
