Let hosts that stop go on sending for hosts that are cut off

The stopping hosts served their own callers meanwhile.

Cause: a host declined relayed attempts from SIGTERM on, and was not asked any more. Class: draining taken for the end of service.

Why this works: a daemon that stops sends for others what ends before it does, and streams, which resume elsewhere, until its last second; it is asked after all others.

Evidence: hosts_that_stop_go_on_sending_for_cut_off_ones fails on with 504 at the first lookup, and passes now.

--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -97,8 +97,9 @@
   void Start();
 
   /// @brief Resigns as leader and announces that this host accepts no new
-  /// callers. Running steps continue.
-  Awaitable<void> BeginDrain();
+  /// callers. Running steps continue, and attempts of other hosts that end
+  /// before aEnd are sent.
+  Awaitable<void> BeginDrain(TimePoint aEnd);
 
   /// @brief Stores the state that other hosts need to continue the work of this
   /// one, and deregisters it. Call it last, before the process exits.
--- a/include/agatetide/entry/replica_relay.hpp
+++ b/include/agatetide/entry/replica_relay.hpp
@@ -56,8 +56,9 @@
   /// the request is malformed.
   http::Response Handle(const http::Request& aRequest);
 
-  /// @brief Declines further attempts; running ones go on.
-  void BeginDrain() { mDraining = true; }
+  /// @brief Declines further attempts that could outlast aEnd, and streams,
+  /// which can be resumed elsewhere, from then on. Running ones go on.
+  void BeginDrain(TimePoint aEnd) { mEnd = aEnd; }
 
 private:
   struct Attempt;
@@ -74,7 +75,7 @@
   request::ReachabilityMonitor& mMonitor;
   request::UpstreamCall mCall;
   request::UpstreamStreamCall mStream;
-  bool mDraining = false;
+  TimePoint mEnd = TimePoint::max();
   size_t mRunning = 0;
   size_t mRunningStreams = 0;
 };
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -259,10 +259,10 @@
   asio::co_spawn(mExecutor, RecoverLoop(), asio::detached);
 }
 
-Awaitable<void> EntryDaemon::BeginDrain()
+Awaitable<void> EntryDaemon::BeginDrain(TimePoint aEnd)
 {
   mDraining = true;
-  mRelayServer.BeginDrain();
+  mRelayServer.BeginDrain(aEnd);
   co_await mRegistry.BeginDrain();
   co_await mLeadership->Resign();
 }
--- a/src/agatetide/entry/replica_relay.cpp
+++ b/src/agatetide/entry/replica_relay.cpp
@@ -172,7 +172,9 @@
 std::optional<Error> RelayServer::DeclineReason(
   const RelayRequest& aRequest) const
 {
-  if (mDraining) {
+  const TimePoint now = std::chrono::steady_clock::now();
+  if (now >= mEnd ||
+      (!aRequest.mIsStream && aRequest.mRemainingTime > mEnd - now)) {
     return Declined("this host is about to stop");
   }
   if (mMonitor.IsCutOff()) {
--- a/src/agatetide/entry/replica_router.cpp
+++ b/src/agatetide/entry/replica_router.cpp
@@ -116,26 +116,28 @@
   co_return relayed ? std::move(*relayed) : std::move(result);
 }
 
-/// The daemons to ask: those of this region in random order, then the others,
-/// all that reach replicas as far as is known.
+/// The daemons to ask, all that reach replicas as far as is known: those of
+/// this region in random order, then the others; those that are about to stop
+/// come last.
 std::vector<std::string> ReplicaRouter::Peers(
   const UpstreamRequest& aRequest) const
 {
-  std::vector<std::tuple<bool, uint64_t, std::string>> ranks;
+  std::vector<std::tuple<bool, bool, uint64_t, std::string>> ranks;
   for (const auto& [name, host] : mView.Hosts()) {
     const auto backoff = mPeerBackoffUntil.find(name);
     const bool allowed = !aRequest.mAllowedRegions ||
                          aRequest.mAllowedRegions->contains(host.mRegion);
-    if (name == mSelf || host.mDraining || host.mCutOff || !allowed ||
+    if (name == mSelf || host.mCutOff || !allowed ||
         host.mPeerAddress.empty() ||
         (backoff != mPeerBackoffUntil.end() && mClock() < backoff->second)) {
       continue;
     }
-    ranks.emplace_back(host.mRegion != mView.Region(), mRandom(), name);
+    const bool otherRegion = host.mRegion != mView.Region();
+    ranks.emplace_back(host.mDraining, otherRegion, mRandom(), name);
   }
   std::sort(ranks.begin(), ranks.end());
   std::vector<std::string> peers;
-  for (auto& [otherRegion, order, name] : ranks) {
+  for (auto& [draining, otherRegion, order, name] : ranks) {
     if (peers.size() < mOptions.mMaxPeers) {
       peers.push_back(std::move(name));
     }
--- a/tests/cut_off_hosts.py
+++ b/tests/cut_off_hosts.py
@@ -4,6 +4,7 @@
 """
 
 import http.client
+import signal
 import sys
 import time
 
@@ -139,7 +140,21 @@
     until(lambda: any(r.caller_left("leaves") for r in site.plain), "the replica is told", timeout=0.7)
 
 
+def hosts_that_stop_go_on_sending_for_cut_off_ones(site):
+    """Guards against a planned stop of the hosts that reach replicas, during which cut-off ones serve nobody."""
+    first, *others = site.daemons
+    cut_off(site, [first])
+    until(lambda: site.lookup(first, "cut")[0] == 200, "served through others")
+    for daemon in others:
+        daemon.process.send_signal(signal.SIGTERM)
+    time.sleep(0.2)
+    for number in range(10):
+        status = first.call("POST", "/open/1", b"question", {"Attempt-Id": "stop-%d" % number, "Timeout-Ms": "300"})[0]
+        check(status == 200, "lookup %d: %d" % (number, status))
+
+
 TESTS = [
+    (hosts_that_stop_go_on_sending_for_cut_off_ones, {"daemons": 3}),
     (callers_of_a_silently_cut_off_host_are_served, {"daemons": 4}),
     (first_request_of_an_idle_cut_off_host_is_served, {"daemons": 3}),
     (requests_of_a_cut_off_host_run_once, {"daemons": 3}),
