Ask a host that sends enough streams for requests all the same

The log had hundreds of relay_declined lines in a tenth of a second.

Cause: the pause after a refusal was kept by host, whatever was refused; the limits on relayed work are by kind. Each refusal was logged.

Why this works: the pause is kept by host and kind; the line is written once a second, with the number that it leaves out.

--- a/include/agatetide/entry/replica_router.hpp
+++ b/include/agatetide/entry/replica_router.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agatetide/base/event_log.hpp"
 #include "agatetide/base/random.hpp"
 #include "agatetide/fleet/fleet_view.hpp"
 #include "agatetide/request/reachability_monitor.hpp"
@@ -33,12 +34,14 @@
 {
   /// Maximum number of daemons that are asked to send one attempt.
   size_t mMaxPeers = 4;
-  /// Time for which a daemon that could not send an attempt isn't asked again.
+  /// Time for which a daemon that could not send an attempt isn't asked again
+  /// for one of the same kind.
   Milliseconds mPeerBackoff{ 1000 };
 };
 
 /// @brief Sends attempts to replicas directly, or through another daemon while
-/// this host reaches no replica.
+/// this host reaches no replica. If no daemon can send one then, and no
+/// connection of before is open, the attempt fails at once.
 ///
 /// An attempt takes a second way only if it was certainly not run. The other
 /// daemon sends it to the same replica and never passes it on, so that attempts
@@ -87,8 +90,8 @@
     request::UpstreamRequest aRequest,
     const request::StreamOptions* aStream,
     std::shared_ptr<http::CancelHandle> aCancel);
-  std::vector<std::string> Peers(
-    const request::UpstreamRequest& aRequest) const;
+  std::vector<std::string> Peers(const request::UpstreamRequest& aRequest,
+                                 bool aIsStream) const;
 
   ReplicaRouterOptions mOptions;
   Clock mClock;
@@ -99,8 +102,10 @@
   request::UpstreamCall mCall;
   request::UpstreamStreamCall mStream;
   PeerRelayCall mRelay;
-  /// Time until which a daemon isn't asked, by host.
-  std::map<std::string, TimePoint, std::less<>> mPeerBackoffUntil;
+  /// Time until which a daemon isn't asked, by host and whether the attempt is
+  /// a stream: a daemon that sends enough streams may still send requests.
+  std::map<std::pair<std::string, bool>, TimePoint> mPeerBackoffUntil;
+  LogLimiter mDeclineLog;
 };
 
 } // namespace agatetide::entry
--- a/src/agatetide/entry/replica_router.cpp
+++ b/src/agatetide/entry/replica_router.cpp
@@ -119,12 +119,12 @@
 /// The daemons to ask, all that reach replicas as far as is known: those of
 /// this region in random order, then the others; those that are about to stop
 /// come last.
-std::vector<std::string> ReplicaRouter::Peers(
-  const UpstreamRequest& aRequest) const
+std::vector<std::string> ReplicaRouter::Peers(const UpstreamRequest& aRequest,
+                                              bool aIsStream) const
 {
   std::vector<std::tuple<bool, bool, uint64_t, std::string>> ranks;
   for (const auto& [name, host] : mView.Hosts()) {
-    const auto backoff = mPeerBackoffUntil.find(name);
+    const auto backoff = mPeerBackoffUntil.find({ name, aIsStream });
     const bool allowed = !aRequest.mAllowedRegions ||
                          aRequest.mAllowedRegions->contains(host.mRegion);
     if (name == mSelf || host.mCutOff || !allowed ||
@@ -153,7 +153,8 @@
                                 const StreamOptions* aStream,
                                 std::shared_ptr<http::CancelHandle> aCancel)
 {
-  for (const std::string& name : Peers(aRequest)) {
+  const bool isStream = aStream != nullptr;
+  for (const std::string& name : Peers(aRequest, isStream)) {
     const fleet::Replica* replica = mView.FindReplica(aRequest.mReplicaId);
     const bool draining = replica != nullptr && replica->mDraining;
     if (draining || IsCanceled(aCancel) || mClock() >= aRequest.mDeadline) {
@@ -177,12 +178,15 @@
     if (outcome.mTaken) {
       co_return std::optional(std::move(outcome.mResult));
     }
-    mPeerBackoffUntil[name] = mClock() + mOptions.mPeerBackoff;
-    LogEvent("relay_declined", LogLevel::Warning)
-      .Field("request_id", aRequest.mId)
-      .Field("host", name)
-      .Field("error", FormatError(outcome.mResult.error()))
-      .Write();
+    mPeerBackoffUntil[{ name, isStream }] = mClock() + mOptions.mPeerBackoff;
+    if (mDeclineLog.Allow(mClock())) {
+      LogEvent("relay_declined", LogLevel::Warning)
+        .Field("request_id", aRequest.mId)
+        .Field("host", name)
+        .Field("error", FormatError(outcome.mResult.error()))
+        .Field("suppressed", mDeclineLog.ResetSuppressedCount())
+        .Write();
+    }
   }
   co_return std::nullopt;
 }
