Refuse at once what neither a cut-off host nor another one can send

Cause: the host opened one new connection after the other, up to six, 250 ms each, though it knew that none would be established. Class: retries over a path that is known to be broken.

Why this works: such an attempt uses only a connection that is open already, since those may live on while new ones are refused; without one it fails at once, and the caller gets 503, as not run, and can go to another host.

--- a/include/agatetide/http/client.hpp
+++ b/include/agatetide/http/client.hpp
@@ -68,6 +68,8 @@
   /// already, a failed write does not prove that the server has not received
   /// the request.
   bool mFreshConnection = false;
+  /// Fails with Unavailable at once instead of opening a connection.
+  bool mOpenConnectionOnly = false;
   /// Replaces ClientOptions::mAcknowledgementTimeout for this call if not 0.
   std::chrono::milliseconds mAcknowledgementTimeout{ 0 };
   /// Maximum time until the response header arrives, and then between two
--- a/include/agatetide/request/upstream.hpp
+++ b/include/agatetide/request/upstream.hpp
@@ -55,6 +55,9 @@
   /// or when it must be known whether the request was sent, since a reused
   /// connection may already be closed by the replica.
   bool mFreshConnection = false;
+  /// Uses only a connection that is open already. Set while this host cannot
+  /// open any.
+  bool mOpenConnectionOnly = false;
   /// Number of the last event received for the sample; the stream resumes
   /// after it. std::nullopt starts from the beginning.
   std::optional<uint32_t> mResumeAfter;
--- a/src/agatetide/entry/replica_router.cpp
+++ b/src/agatetide/entry/replica_router.cpp
@@ -93,13 +93,15 @@
   const StreamOptions* aStream,
   std::shared_ptr<http::CancelHandle> aCancel)
 {
-  const bool relayedFirst = mMonitor.IsCutOff();
-  if (relayedFirst) {
+  if (mMonitor.IsCutOff()) {
     auto relayed =
       co_await SendThroughPeers(aReplica, aRequest, aStream, aCancel);
     if (relayed) {
       co_return std::move(*relayed);
     }
+    // Connections of before may live on. A new one could only fail, later.
+    aRequest.mOpenConnectionOnly = true;
+    co_return co_await SendDirectly(aReplica, aRequest, aStream, aCancel);
   }
   auto result = co_await SendDirectly(aReplica, aRequest, aStream, aCancel);
   if (result.has_value() || IsCanceled(aCancel) ||
@@ -107,7 +109,7 @@
     co_return result;
   }
   const bool cutOff = co_await mMonitor.CheckAfterFailure();
-  if (!cutOff || relayedFirst || IsCanceled(aCancel) ||
+  if (!cutOff || IsCanceled(aCancel) ||
       result.error().mExecution != Execution::NotRun) {
     co_return result;
   }
--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -88,6 +88,15 @@
            Execution::NotRun };
 }
 
+Error NoOpenConnection(const Endpoint& aEndpoint)
+{
+  return { ErrorKind::Unavailable,
+           "no connection to " + aEndpoint.mAddress + ":" +
+             std::to_string(aEndpoint.mPort) + " is open",
+           "use another address",
+           Execution::NotRun };
+}
+
 Error TransferError(const Endpoint& aEndpoint, const ErrorCode& aError)
 {
   const bool timedOut = aError == beast::error::timeout;
@@ -387,6 +396,9 @@
         co_return idle;
       }
     }
+    if (aOptions.mOpenConnectionOnly) {
+      co_return NoOpenConnection(aEndpoint);
+    }
     auto connection = std::make_unique<Connection>(mExecutor);
     ErrorCode error;
     const auto address = asio::ip::make_address(aEndpoint.mAddress, error);
--- a/tests/cut_off_hosts.py
+++ b/tests/cut_off_hosts.py
@@ -153,8 +153,23 @@
         check(status == 200, "lookup %d: %d" % (number, status))
 
 
+def requests_are_refused_at_once_when_nobody_can_send_them(site):
+    """Guards against lookups that a cut-off host holds until their deadline although no other host is there."""
+    first, second = site.daemons
+    cut_off(site, [first])
+    served_shares(site, 1, "cut")
+    second.stop()
+    until(lambda: len(site.addresses(first)) == 1, "the other host is gone")
+    for number in range(5):
+        started = time.monotonic()
+        status = site.lookup(first, "alone-%d" % number)[0]
+        took = time.monotonic() - started
+        check(status == 503 and took < 0.3, "lookup %d: %d after %.2f s" % (number, status, took))
+
+
 TESTS = [
     (hosts_that_stop_go_on_sending_for_cut_off_ones, {"daemons": 3}),
+    (requests_are_refused_at_once_when_nobody_can_send_them, {"daemons": 2}),
     (callers_of_a_silently_cut_off_host_are_served, {"daemons": 4}),
     (first_request_of_an_idle_cut_off_host_is_served, {"daemons": 3}),
     (requests_of_a_cut_off_host_run_once, {"daemons": 3}),
