Pass on a promise that a request has not run only if the replica gives it

What callers could see: a replica that may have run a request answers 503, 429 or 408 without saying that it has not; the caller got that status, which is a promise here, and repeats a request that may run once only (REFUSED, TWICE).

Cause: a replica's failure was passed on with its status, though three statuses mean more to callers than to replicas. Class: a promise inferred from a status.

Why this works: such a response counts as an unknown outcome: requests that may be repeated go to another replica, others end in 502, without the signature.

--- a/tests/broken_responses.py
+++ b/tests/broken_responses.py
@@ -63,7 +63,23 @@
         check(result == 200 and len(events) == EVENTS, "%d: %s" % (result, events))
 
 
+def refusal_that_promises_nothing_is_not_passed_on_as_a_promise(site):
+    """Guards against a 429 or 503 for a request that a replica may have run: callers repeat it."""
+    daemon = site.daemons[0]
+    for refusal in (503, 429, 408):
+        for replica in site.plain:
+            replica.statuses = [refusal] * 8
+        status, _, headers = site.lookup(daemon, "once-%d" % refusal, "/once/1")
+        check(status == 502, "%d after a %d" % (status, refusal))
+        check("Response-Signature" not in headers, "a failure of this service has no signature")
+        for replica in site.plain:
+            replica.statuses = []
+        site.plain[0].statuses = [refusal] * 2
+        check(all(site.lookup(daemon, "again-%d-%d" % (refusal, i))[0] == 200 for i in range(4)), "served by another replica")
+
+
 TESTS = [
+    (refusal_that_promises_nothing_is_not_passed_on_as_a_promise, {}),
     (response_whose_head_breaks_off_is_not_an_answer, {}),
     (request_is_served_by_the_next_replica_after_a_broken_head, {}),
     (item_whose_stream_broke_gets_no_text_of_a_failure, {"events": EVENTS, "pause": 0.05}),
