Cut hosts off and let replicas leave in the soak

The soak's hosts now lose their paths to all replicas, some or all of them at once, with open connections that hang, live on or are reset; its replicas say in every answer that they leave, with and without the store, and start again under their name. It checks that no request reaches a replica from a host that has known for over 3 s that it leaves, unless the host was frozen or restarted since.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -14,6 +14,7 @@
 import traceback
 
 from harness.site import HOST, Site, check, config, until
+from harness.users_platform import DRAIN_S
 from software_versions import add_engines, check_unmixed, software_of, stream
 
 EVENTS = 6
@@ -31,6 +32,7 @@
         self.end = time.monotonic() + FAULTS_S
         self.lock = threading.Lock()
         self.killed_at = collections.defaultdict(list)  # by daemon name
+        self.disturbed_at = collections.defaultdict(list)  # restarts and freezes, by daemon address
         self.busy = set()  # daemons that a fault acts on
         self.starting = set()  # daemons whose program may not have begun to run
         self.unanswered, self.wrong = [], []
@@ -115,8 +117,13 @@
                 return None
             daemon = free[self.random.randrange(len(free))]
             self.busy.add(daemon.name)
+            self.disturbed_at[daemon.address].append(time.monotonic())
             return daemon
 
+    def release(self, daemon):
+        self.disturbed_at[daemon.address].append(time.monotonic())
+        self.busy.discard(daemon.name)
+
     def restart(self, planned):
         daemon = self.acquire()
         if daemon is None:
@@ -133,7 +140,7 @@
         self.starting.add(daemon.name)
         daemon.start()
         self.starting.discard(daemon.name)
-        self.busy.discard(daemon.name)
+        self.release(daemon)
 
     def freeze(self):
         daemon = self.acquire()
@@ -141,7 +148,7 @@
             daemon.process.send_signal(signal.SIGSTOP)
             self.sleep(0.2, 1.5)
             daemon.process.send_signal(signal.SIGCONT)
-            self.busy.discard(daemon.name)
+            self.release(daemon)
 
     def reload(self):
         for _ in range(3):
@@ -174,9 +181,37 @@
         self.sleep(0.5, 3)
         replica.limit = None
 
+    def cut_off(self):
+        """Takes all paths to replicas from some hosts; their open connections hang, live on or are reset."""
+        daemons = [d for d in self.site.daemons if self.random.random() < 0.6]
+        replicas = [*self.site.engines, *self.site.plain]
+        how = self.random.choice(["hang", "live on", "reset"])
+        for replica in replicas:
+            for daemon in daemons:
+                replica.server.partition.cut(daemon.address, established=how == "hang")
+                if how == "reset":
+                    replica.server.partition.reset(daemon.address)
+        self.sleep(0.3, 4)
+        for replica in replicas:
+            for daemon in daemons:
+                replica.server.partition.heal(daemon.address)
+
+    def leave(self):
+        """Lets a replica say that it leaves, to the store as well or not, and start again."""
+        replica = self.random.choice([self.site.plain[0], self.site.engines[0], self.site.engines[-1]])
+        with self.lock:
+            if replica.says_leaving:
+                return
+            replica.says_leaving = {"call", "stream", "report"}
+        if self.random.random() < 0.5:
+            replica.drain()
+        self.sleep(DRAIN_S, DRAIN_S + 2)
+        replica.start_again()
+
     def cause_faults(self):
         faults = [lambda: self.restart(True), lambda: self.restart(False), self.freeze, self.reload,
-                  self.disturb_store, self.change_config, self.break_engine, self.limit_replica]
+                  self.disturb_store, self.change_config, self.break_engine, self.limit_replica, self.cut_off,
+                  self.leave]
         while self.running():
             self.random.choice(faults)()
             self.sleep(0.05, 0.6)
@@ -194,6 +229,13 @@
                 if runs[u[0]] and not any(u[2] - 0.5 <= t <= u[3] + 0.5 for t in self.killed_at[u[1]])]
         check(not lost, "requests that ran and got no answer: %s" % lost[:3])
 
+    def check_drained(self):
+        """No request may reach a replica from a host that has long known that it leaves."""
+        late = [(replica.name, sender, told, now) for replica in [*self.site.plain, *self.site.engines]
+                for sender, told, now in replica.late_arrivals
+                if not any(told - 0.5 <= t <= now for t in self.disturbed_at[sender])]
+        check(not late, "requests to replicas that leave: %s" % late[:3])
+
     def check_steps(self):
         for name in self.steps:
             results = self.site.read_all(self.site.daemons[0], 6, name, timeout=CALM_S)
@@ -221,6 +263,7 @@
         check(not failures, "a caller or fault failed: %r" % failures[:1])
         until(lambda: all(d.is_ready() for d in self.site.daemons), "all hosts are ready again")
         self.check_requests()
+        self.check_drained()
         mixed = {n: s for n, s in self.streams.items() if len(s) > 1}
         check(not mixed, "streams of two software versions: %s" % mixed)
         self.check_steps()
