Check more replicas before a host counts as cut off

What callers could see: where most replicas are down, a host whose check of three random ones reaches none takes that for a cut of its own. Since a cut-off host refuses what no other host can send, hosts that still reach a few replicas would refuse everything. Found by reading; with 80% of the replicas down a check of three misses the rest in 51% of cases, one of nine in 13%.

Cause: a small sample decides about a claim on all replicas.

After the failure of a single replica the cost stays at three connections.

--- a/include/agatetide/request/reachability_monitor.hpp
+++ b/include/agatetide/request/reachability_monitor.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <span>
 #include <vector>
 
 namespace agatetide::request {
@@ -19,8 +20,12 @@
 struct ReachabilityMonitorOptions
 {
   policy::ReachabilityOptions mPolicy;
-  /// Replicas that a check connects to.
-  size_t mCheckedReplicas = 3;
+  /// Replicas that a check connects to first.
+  size_t mFirstReplicas = 3;
+  /// Replicas that it connects to as well if too few of those are reached
+  /// within mFurtherDelay, since they may all have failed.
+  size_t mFurtherReplicas = 6;
+  Milliseconds mFurtherDelay{ 100 };
 };
 
 /// @brief Finds out whether this host reaches replicas at all. Connects to
@@ -52,6 +57,11 @@
   struct Check;
 
   Awaitable<void> RunCheck();
+  void StartConnecting(const std::shared_ptr<Check>& aCheck,
+                       std::span<const http::Endpoint> aEndpoints);
+  Awaitable<void> AwaitReached(std::shared_ptr<Check> aCheck,
+                               size_t aEnough,
+                               TimePoint aEnd);
   Awaitable<void> Connect(std::shared_ptr<Check> aCheck,
                           http::Endpoint aEndpoint);
   Awaitable<void> RecheckUntilRestored();
--- a/src/agatetide/request/reachability_monitor.cpp
+++ b/src/agatetide/request/reachability_monitor.cpp
@@ -15,8 +15,7 @@
 
 namespace asio = boost::asio;
 
-/// A check in progress. Its timer never expires; canceling it wakes those that
-/// wait for the result.
+/// A check in progress. Canceling its timer wakes those that wait for it.
 struct ReachabilityMonitor::Check
 {
   Check(const asio::any_io_executor& aExecutor, TimePoint aStart)
@@ -66,8 +65,9 @@
       return seen.insert(aReplica->mAvailabilityZone).second || newService;
     });
   std::vector<http::Endpoint> endpoints;
+  const size_t count = mOptions.mFirstReplicas + mOptions.mFurtherReplicas;
   for (const fleet::Replica* replica : replicas) {
-    if (endpoints.size() < mOptions.mCheckedReplicas) {
+    if (endpoints.size() < count) {
       endpoints.push_back(replica->mEndpoint);
     }
   }
@@ -96,23 +96,48 @@
   const auto check = std::make_shared<Check>(mExecutor, mClock());
   mRunning = check;
   const auto endpoints = ChooseReplicas();
-  check->mTried = endpoints.size();
-  for (const http::Endpoint& endpoint : endpoints) {
-    asio::co_spawn(mExecutor, Connect(check, endpoint), asio::detached);
-  }
+  const std::span<const http::Endpoint> all(endpoints);
+  const auto first = all.first(std::min(all.size(), mOptions.mFirstReplicas));
   // One reached replica proves that the host is not cut off; several must be
   // reached before it counts as restored.
-  const size_t enough = IsCutOff() ? check->mTried : 1;
-  while (check->mReached < enough &&
-         check->mReached + check->mFailed < check->mTried) {
-    co_await check->mDone.async_wait(
-      asio::redirect_error(asio::use_awaitable, ignored));
+  const size_t enough = IsCutOff() ? mOptions.mPolicy.mRestoredReplicas : 1;
+  StartConnecting(check, first);
+  co_await AwaitReached(check, enough, check->mStart + mOptions.mFurtherDelay);
+  if (check->mReached < enough) {
+    StartConnecting(check, all.subspan(first.size()));
+    co_await AwaitReached(check, enough, TimePoint::max());
   }
   mRunning = nullptr;
   Finish(*check);
   check->mDone.cancel();
 }
 
+void ReachabilityMonitor::StartConnecting(
+  const std::shared_ptr<Check>& aCheck,
+  std::span<const http::Endpoint> aEndpoints)
+{
+  aCheck->mTried += aEndpoints.size();
+  for (const http::Endpoint& endpoint : aEndpoints) {
+    asio::co_spawn(mExecutor, Connect(aCheck, endpoint), asio::detached);
+  }
+}
+
+/// Waits until aEnough replicas are reached, all have failed, or aEnd has
+/// passed.
+Awaitable<void> ReachabilityMonitor::AwaitReached(std::shared_ptr<Check> aCheck,
+                                                  size_t aEnough,
+                                                  TimePoint aEnd)
+{
+  boost::system::error_code ignored;
+  while (aCheck->mReached < aEnough &&
+         aCheck->mReached + aCheck->mFailed < aCheck->mTried &&
+         mClock() < aEnd) {
+    aCheck->mDone.expires_at(aEnd);
+    co_await aCheck->mDone.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
 void ReachabilityMonitor::Finish(const Check& aCheck)
 {
   const TimePoint now = mClock();
