Let idle hosts notice that they are cut off

What callers saw: a host without requests stayed in the address answers after it was cut off, and its first request paid for a failed connection and a check, over 0.5 s.

Cause: only requests looked at connections. The kernel ends idle ones whose keep-alive probes get no answer, but nobody asked it. Class: evidence that is at hand and not read.

Why this works: each half second a host drops idle connections that ended; if one of them failed, rather than being closed by its replica, the host checks its paths. No request or connection is added while nothing fails.

Evidence: idle_host_notices_its_cut_without_requests fails on (in the answers for 4 s and longer) and passes now.

--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -64,6 +64,9 @@
   /// Errors: InvalidArgument if the value is malformed.
   std::function<Result<fleet::Replica>(const coordination::StoreEntry&)>
     mDecodeReplica;
+  /// Drops idle connections to replicas that ended, and returns how many of
+  /// them failed.
+  std::function<size_t()> mDropEndedConnections;
   /// The entry that reports that a host with a disk holds no data.
   std::function<coordination::StorePut(std::string_view aHost)>
     mEncodeHostRetired;
@@ -145,6 +148,7 @@
   Awaitable<void> DutyLoop();
   Awaitable<void> UsageLoop();
   Awaitable<void> RecoverLoop();
+  Awaitable<void> PathLoop();
   void ApplyOperatorEntry(const coordination::StoreEntry& aEntry);
   void ApplyReplica(const coordination::StoreEntry& aEntry);
   void SetReplicas(const std::vector<coordination::StoreEntry>& aEntries);
--- a/include/agatetide/http/client.hpp
+++ b/include/agatetide/http/client.hpp
@@ -119,6 +119,10 @@
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
+  /// @brief Drops idle connections that ended. Returns how many of them failed,
+  /// rather than being closed by their server.
+  size_t DropEndedConnections();
+
   /// @brief Sends a request and returns the complete response.
   Awaitable<Result<Response>> Call(Endpoint aEndpoint,
                                    Request aRequest,
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -25,6 +25,7 @@
 constexpr std::chrono::milliseconds kReplicaWatchTimeout{ 1800 };
 constexpr std::chrono::milliseconds kDutyInterval{ 100 };
 constexpr std::chrono::milliseconds kUsageInterval{ 250 };
+constexpr std::chrono::milliseconds kPathInterval{ 500 };
 /// Interval at which the leader sweeps all records for steps whose owner is
 /// gone.
 constexpr std::chrono::milliseconds kSweepInterval{ 4000 };
@@ -257,6 +258,7 @@
   asio::co_spawn(mExecutor, DutyLoop(), asio::detached);
   asio::co_spawn(mExecutor, UsageLoop(), asio::detached);
   asio::co_spawn(mExecutor, RecoverLoop(), asio::detached);
+  asio::co_spawn(mExecutor, PathLoop(), asio::detached);
 }
 
 Awaitable<void> EntryDaemon::BeginDrain(TimePoint aEnd)
@@ -474,6 +476,20 @@
   }
 }
 
+/// Checks the paths to replicas when idle connections failed, so that a host
+/// without requests notices that it is cut off, too.
+Awaitable<void> EntryDaemon::PathLoop()
+{
+  asio::steady_timer timer(mExecutor);
+  for (;;) {
+    timer.expires_after(kPathInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+    if (mHooks.mDropEndedConnections() > 0) {
+      co_await mReachability.CheckAfterFailure();
+    }
+  }
+}
+
 /// Tells the other hosts whether this one reaches replicas. Replicas that
 /// failed because of the cut are usable through other hosts at once.
 void EntryDaemon::ApplyReachability(bool aCutOff)
--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -328,9 +328,17 @@
   bool mLimitExceeded = false;
 };
 
-/// Whether an idle connection can be reused: the server has neither closed it
-/// nor sent anything without being asked.
-bool IsReusable(Connection& aConnection)
+enum class IdleState
+{
+  /// The server has neither closed it nor sent anything without being asked.
+  Reusable,
+  /// The server closed it, or sent something.
+  Used,
+  /// It was reset, or the server's kernel is not reached any more.
+  Failed,
+};
+
+IdleState IdleStateOf(Connection& aConnection)
 {
   ErrorCode error;
   auto& socket = aConnection.mStream.socket();
@@ -338,7 +346,11 @@
   socket.non_blocking(true, error);
   socket.receive(
     asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-  return error == asio::error::would_block;
+  if (error == asio::error::would_block) {
+    return IdleState::Reusable;
+  }
+  return !error || error == asio::error::eof ? IdleState::Used
+                                             : IdleState::Failed;
 }
 
 } // namespace
@@ -370,7 +382,7 @@
       if (now - connection->mIdleSince <
             std::min(mOptions.mIdleConnectionTimeout,
                      connection->mIdleConnectionTimeout) &&
-          IsReusable(*connection)) {
+          IdleStateOf(*connection) == IdleState::Reusable) {
         return connection;
       }
     }
@@ -490,6 +502,19 @@
 
 Client::~Client() = default;
 
+size_t Client::DropEndedConnections()
+{
+  size_t failed = 0;
+  for (auto& [key, connections] : mState->mIdleConnections) {
+    std::erase_if(connections, [&](const ConnectionPtr& aConnection) {
+      const IdleState idle = IdleStateOf(*aConnection);
+      failed += idle == IdleState::Failed ? 1 : 0;
+      return idle != IdleState::Reusable;
+    });
+  }
+  return failed;
+}
+
 Awaitable<bool> Client::OpenConnection(Endpoint aEndpoint,
                                        std::chrono::milliseconds aTimeout)
 {
--- a/tests/cut_off_hosts.py
+++ b/tests/cut_off_hosts.py
@@ -70,6 +70,17 @@
         cut_off(site, site.daemons[:1])
 
 
+def idle_host_notices_its_cut_without_requests(site):
+    """Guards against callers that are still sent to a host which has had no request since it was cut off."""
+    served_shares(site, 0.5, "before")
+    first, *others = site.daemons
+    cut_off(site, [first])
+    until(lambda: all(len(site.addresses(d)) == len(others) for d in site.daemons), "it left the answers", timeout=CONTACT_S)
+    started = time.monotonic()
+    check(site.lookup(first, "first")[0] == 200, "its first request is served")
+    check(time.monotonic() - started < 0.2, "took %.2f s" % (time.monotonic() - started))
+
+
 def requests_of_a_cut_off_host_run_once(site):
     """Guards against requests that may not be repeated and that two hosts send."""
     cut_off(site, site.daemons[:1])
@@ -171,6 +182,7 @@
     (hosts_that_stop_go_on_sending_for_cut_off_ones, {"daemons": 3}),
     (requests_are_refused_at_once_when_nobody_can_send_them, {"daemons": 2}),
     (callers_of_a_silently_cut_off_host_are_served, {"daemons": 4}),
+    (idle_host_notices_its_cut_without_requests, {"daemons": 3}),
     (first_request_of_an_idle_cut_off_host_is_served, {"daemons": 3}),
     (requests_of_a_cut_off_host_run_once, {"daemons": 3}),
     (step_of_a_cut_off_host_goes_on, {"daemons": 3, "events": 12, "pause": 0.2}),
