Let failed orders raise the suspicion that a host is cut off

Cause: only requests raised the suspicion. The leader's requests went over open connections, which lived on; its orders and status requests, which use connections of their own, failed unnoticed. Class: evidence that one component has and another one needs.

Why this works: an order or a status request that fails as a broken path does lets the host check its paths, like a request. The rule for which failures count is now in one place.

Evidence: leader_whose_orders_reach_nobody_hands_over fails on and on the code before (the version is not loaded within 4 s) and passes now.

--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -149,6 +149,8 @@
   Awaitable<void> UsageLoop();
   Awaitable<void> RecoverLoop();
   Awaitable<void> PathLoop();
+  template<class T>
+  Awaitable<Result<T>> CheckPathsAfter(Awaitable<Result<T>> aCall);
   void ApplyOperatorEntry(const coordination::StoreEntry& aEntry);
   void ApplyReplica(const coordination::StoreEntry& aEntry);
   void SetReplicas(const std::vector<coordination::StoreEntry>& aEntries);
--- a/include/agatetide/request/reachability_monitor.hpp
+++ b/include/agatetide/request/reachability_monitor.hpp
@@ -17,6 +17,11 @@
 /// @brief Opens a connection to a replica; returns whether it was established.
 using ConnectCall = std::function<Awaitable<bool>(http::Endpoint)>;
 
+/// @brief Whether a failure says that the path to the replica may be broken.
+/// Only connections that were not established or were lost do; what a replica
+/// answers, and how long it takes, does not.
+bool MayBePathFailure(const Error& aError);
+
 struct ReachabilityMonitorOptions
 {
   policy::ReachabilityOptions mPolicy;
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -78,13 +78,20 @@
     return peers.error();
   }
   daemon->mPeerChannel = std::move(*peers);
-  daemon->mVersionUpdater.emplace(duty::VersionUpdaterOptions{},
-                                  daemon->mExecutor,
-                                  daemon->mView,
-                                  *daemon->mLeadership,
-                                  daemon->mHooks.mSendVersionOrder,
-                                  daemon->mHooks.mReadReplicaStatus,
-                                  daemon->mClock);
+  daemon->mVersionUpdater.emplace(
+    duty::VersionUpdaterOptions{},
+    daemon->mExecutor,
+    daemon->mView,
+    *daemon->mLeadership,
+    [self = daemon.get()](http::Endpoint aReplica, duty::VersionOrder aOrder) {
+      return self->CheckPathsAfter(
+        self->mHooks.mSendVersionOrder(std::move(aReplica), std::move(aOrder)));
+    },
+    [self = daemon.get()](http::Endpoint aReplica, std::string aReplicaId) {
+      return self->CheckPathsAfter(self->mHooks.mReadReplicaStatus(
+        std::move(aReplica), std::move(aReplicaId)));
+    },
+    daemon->mClock);
   daemon->mAutoscaler.emplace(duty::AutoscalerOptions{},
                               daemon->mExecutor,
                               daemon->mView,
@@ -476,6 +483,17 @@
   }
 }
 
+/// Makes a call to a replica, and checks the paths to replicas if it failed.
+template<class T>
+Awaitable<Result<T>> EntryDaemon::CheckPathsAfter(Awaitable<Result<T>> aCall)
+{
+  auto result = co_await std::move(aCall);
+  if (result.has_error() && request::MayBePathFailure(result.error())) {
+    co_await mReachability.CheckAfterFailure();
+  }
+  co_return result;
+}
+
 /// Checks the paths to replicas when idle connections failed, so that a host
 /// without requests notices that it is cut off, too.
 Awaitable<void> EntryDaemon::PathLoop()
--- a/src/agatetide/entry/replica_router.cpp
+++ b/src/agatetide/entry/replica_router.cpp
@@ -18,21 +18,6 @@
   return aCancel && aCancel->IsCanceled();
 }
 
-/// Whether a failure says that the path to the replica may be broken. Only
-/// connections that were not established or were lost do; what a replica
-/// answers, and how long it takes, does not.
-bool IsPathFailure(const Error& aError)
-{
-  switch (aError.mKind) {
-    case ErrorKind::Unavailable:
-    case ErrorKind::OutcomeUnknown:
-    case ErrorKind::DeadlineExceeded:
-      return true;
-    default:
-      return false;
-  }
-}
-
 } // namespace
 
 ReplicaRouter::ReplicaRouter(ReplicaRouterOptions aOptions,
@@ -105,7 +90,7 @@
   }
   auto result = co_await SendDirectly(aReplica, aRequest, aStream, aCancel);
   if (result.has_value() || IsCanceled(aCancel) ||
-      !IsPathFailure(result.error())) {
+      !request::MayBePathFailure(result.error())) {
     co_return result;
   }
   const bool cutOff = co_await mMonitor.CheckAfterFailure();
--- a/src/agatetide/request/reachability_monitor.cpp
+++ b/src/agatetide/request/reachability_monitor.cpp
@@ -15,6 +15,18 @@
 
 namespace asio = boost::asio;
 
+bool MayBePathFailure(const Error& aError)
+{
+  switch (aError.mKind) {
+    case ErrorKind::Unavailable:
+    case ErrorKind::OutcomeUnknown:
+    case ErrorKind::DeadlineExceeded:
+      return true;
+    default:
+      return false;
+  }
+}
+
 /// A check in progress. Canceling its timer wakes those that wait for it.
 struct ReachabilityMonitor::Check
 {
--- a/tests/cut_off_hosts.py
+++ b/tests/cut_off_hosts.py
@@ -81,6 +81,17 @@
     check(time.monotonic() - started < 0.2, "took %.2f s" % (time.monotonic() - started))
 
 
+def leader_whose_orders_reach_nobody_hands_over(site):
+    """Guards against steps that wait for weights: the leader cannot open connections to replicas, while the
+    open ones, which carry its requests, live on."""
+    until(lambda: any(d.last_event("leadership", "held=true") for d in site.daemons), "there is a leader")
+    leader = next(d for d in site.daemons if d.last_event("leadership", "held=true"))
+    served_shares(site, 0.5, "before")
+    cut_off(site, [leader], established=False)
+    site.store.put("op/version/m", {"model": "m", "version": 2})
+    until(lambda: all(e.versions["m"] == 2 for e in site.engines), "the version is loaded", timeout=CONTACT_S)
+
+
 def requests_of_a_cut_off_host_run_once(site):
     """Guards against requests that may not be repeated and that two hosts send."""
     cut_off(site, site.daemons[:1])
@@ -182,6 +193,7 @@
     (hosts_that_stop_go_on_sending_for_cut_off_ones, {"daemons": 3}),
     (requests_are_refused_at_once_when_nobody_can_send_them, {"daemons": 2}),
     (callers_of_a_silently_cut_off_host_are_served, {"daemons": 4}),
+    (leader_whose_orders_reach_nobody_hands_over, {"daemons": 2}),
     (idle_host_notices_its_cut_without_requests, {"daemons": 3}),
     (first_request_of_an_idle_cut_off_host_is_served, {"daemons": 3}),
     (requests_of_a_cut_off_host_run_once, {"daemons": 3}),
