Split the registrations of replicas off the entry daemon

The line replica now tells whether the replica counts as draining, also when its registration says otherwise.

--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -8,6 +8,7 @@
 #include "agatetide/entry/fleet_watch.hpp"
 #include "agatetide/entry/host_registry.hpp"
 #include "agatetide/entry/peer_channel.hpp"
+#include "agatetide/entry/replica_registrations.hpp"
 #include "agatetide/entry/replica_relay.hpp"
 #include "agatetide/entry/replica_router.hpp"
 #include "agatetide/entry/step_router.hpp"
@@ -61,9 +62,7 @@
   /// Errors: InvalidArgument if the value is malformed.
   std::function<Result<OperatorEntry>(const coordination::StoreEntry&)>
     mDecodeOperatorEntry;
-  /// Errors: InvalidArgument if the value is malformed.
-  std::function<Result<fleet::Replica>(const coordination::StoreEntry&)>
-    mDecodeReplica;
+  DecodeReplicaCall mDecodeReplica;
   /// Drops idle connections to replicas that ended, and returns how many of
   /// them failed.
   std::function<size_t()> mDropEndedConnections;
@@ -114,6 +113,7 @@
   const fleet::FleetView& View() const { return mView; }
   request::ReplicaPool& Pool() { return mPool; }
   request::Forwarder& Forwarder() { return mForwarder; }
+  ReplicaRegistrations& Replicas() { return mReplicas; }
   StreamForwarder& Streams() { return mStreams; }
   steps::StepService& Steps() { return mSteps; }
   StepRouter& Router() { return mStepRouter; }
@@ -123,13 +123,6 @@
   /// Now().
   void CountUsage(const std::string& aAccount, TimePoint aStartTime);
 
-  /// @brief Records that a replica itself said that it is leaving.
-  void RecordDraining(std::string_view aReplicaId);
-
-  /// @brief Replicas that said so before their registration did, since the
-  /// start.
-  uint64_t DrainReportCount() const { return mDrainReportCount; }
-
   TimePoint Now() const { return mClock(); }
 
   /// @brief Called with each new configuration. May be empty.
@@ -152,10 +145,6 @@
   template<class T>
   Awaitable<Result<T>> CheckPathsAfter(Awaitable<Result<T>> aCall);
   void ApplyOperatorEntry(const coordination::StoreEntry& aEntry);
-  void ApplyReplica(const coordination::StoreEntry& aEntry);
-  void SetReplicas(const std::vector<coordination::StoreEntry>& aEntries);
-  void ApplyReplicaChange(const coordination::StoreChange& aChange);
-  void RemoveExpiredReplicas();
   Awaitable<void> ReportEmptiedHosts();
   void ShareRequestLimits();
   void ApplyReachability(bool aCutOff);
@@ -179,6 +168,7 @@
   coordination::StoreCall mStore;
   FleetWatch mFleetWatch;
   request::ReplicaPool mPool;
+  ReplicaRegistrations mReplicas;
   request::ReachabilityMonitor mReachability;
   /// Send attempts directly, and record what the responses say of replicas.
   request::UpstreamCall mCallReplica;
@@ -201,11 +191,6 @@
   std::optional<duty::VersionUpdater> mVersionUpdater;
   std::optional<duty::Autoscaler> mAutoscaler;
   bool mDraining = false;
-  uint64_t mDrainReportCount = 0;
-  TimePoint mLastStoreFailure{};
-  /// Replicas whose registration is gone, with the time of their removal from
-  /// the view.
-  std::map<std::string, TimePoint, std::less<>> mExpiredReplicas;
   std::set<std::string> mDiskHostsToRetire;
   std::set<std::string> mEmptiedHosts;
 };
--- /dev/null
+++ b/include/agatetide/entry/replica_registrations.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "agatetide/base/clock.hpp"
+#include "agatetide/coordination/store.hpp"
+#include "agatetide/fleet/fleet_view.hpp"
+#include "agatetide/request/request_limits.hpp"
+
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+
+namespace agatetide::entry {
+
+/// @brief Decodes a registration. Errors: InvalidArgument if it is malformed.
+using DecodeReplicaCall =
+  std::function<Result<fleet::Replica>(const coordination::StoreEntry&)>;
+
+/// @brief Keeps the view's replicas as they register in the store and as they
+/// say themselves. Replicas whose registration is gone stay for a while around
+/// an outage of the store. Not thread-safe: use it only on the executor of the
+/// daemon.
+class ReplicaRegistrations
+{
+public:
+  /// Precondition: aView and aLimits outlive the object. aPrefix is the prefix
+  /// of the store keys, which end in the replica's id.
+  ReplicaRegistrations(std::string aPrefix,
+                       DecodeReplicaCall aDecode,
+                       fleet::FleetView& aView,
+                       request::RequestLimits& aLimits,
+                       Clock aClock);
+
+  /// @brief Replaces what is known by all registrations in the store.
+  void Reset(std::span<const coordination::StoreEntry> aEntries);
+
+  /// @brief Applies one change in the store.
+  void Apply(const coordination::StoreChange& aChange);
+
+  /// @brief Removes replicas whose registration has not come back in time. Call
+  /// it when all changes so far were applied.
+  void RemoveExpired();
+
+  /// @brief Records that a read or a watch of the store failed.
+  void RecordStoreFailure() { mLastStoreFailure = mClock(); }
+
+  /// @brief Whether the store failed lately.
+  bool IsOutageRecent() const;
+
+  /// @brief Records that a replica itself said that it is leaving.
+  void RecordDraining(std::string_view aReplicaId);
+
+  /// @brief Replicas that said so before their registration did, since the
+  /// start.
+  uint64_t DrainReportCount() const { return mDrainReportCount; }
+
+private:
+  void Put(const coordination::StoreEntry& aEntry);
+
+  std::string mPrefix;
+  DecodeReplicaCall mDecode;
+  fleet::FleetView& mView;
+  request::RequestLimits& mLimits;
+  Clock mClock;
+  TimePoint mLastStoreFailure{};
+  /// Replicas whose registration is gone, with the time of their removal from
+  /// the view.
+  std::map<std::string, TimePoint, std::less<>> mExpired;
+  uint64_t mDrainReportCount = 0;
+};
+
+} // namespace agatetide::entry
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -32,12 +32,6 @@
 /// Interval at which changes of the hosts are checked, so that changes of
 /// several hosts, which often come together, are handled at once.
 constexpr std::chrono::milliseconds kRecoverInterval{ 400 };
-/// Registrations that expired during an outage of the store return within this
-/// time if their replica still runs.
-constexpr std::chrono::milliseconds kReplicaRemovalDelay{ 2300 };
-/// An outage of the store counts as recent for this long after the last failed
-/// call.
-constexpr std::chrono::milliseconds kRecentOutagePeriod{ 3000 };
 
 } // namespace
 
@@ -139,6 +133,11 @@
                     std::move(aPeer), std::move(aRequest), aTimeout);
                 })
   , mPool(mView, mClock, ProcessRandom(), mOptions.mSelf.mName)
+  , mReplicas(mHooks.mReplicaPrefix,
+              mHooks.mDecodeReplica,
+              mView,
+              mPool.Limits(),
+              mClock)
   , mReachability({},
                   mExecutor,
                   mView,
@@ -334,12 +333,12 @@
   };
   hooks.mOnFresh = [this](TimePoint aAsOf) { mView.MarkFresh(aAsOf); };
   hooks.mOnError = [this](const Error& aError) {
-    if (mClock() - mLastStoreFailure > kRecentOutagePeriod) {
+    if (!mReplicas.IsOutageRecent()) {
       LogEvent("store_lost", LogLevel::Warning)
         .Field("error", FormatError(aError))
         .Write();
     }
-    mLastStoreFailure = mClock();
+    mReplicas.RecordStoreFailure();
   };
   co_await WatchKeys(std::move(options), std::move(hooks));
 }
@@ -383,90 +382,16 @@
   options.mMaxWait = kReplicaWatchTimeout;
   PrefixWatchHooks hooks;
   hooks.mOnReset = [this](const std::vector<StoreEntry>& aEntries) {
-    SetReplicas(aEntries);
+    mReplicas.Reset(aEntries);
   };
   hooks.mOnChange = [this](const StoreChange& aChange) {
-    ApplyReplicaChange(aChange);
+    mReplicas.Apply(aChange);
   };
-  hooks.mOnFresh = [this](TimePoint) { RemoveExpiredReplicas(); };
-  hooks.mOnError = [this](const Error&) { mLastStoreFailure = mClock(); };
+  hooks.mOnFresh = [this](TimePoint) { mReplicas.RemoveExpired(); };
+  hooks.mOnError = [this](const Error&) { mReplicas.RecordStoreFailure(); };
   co_await WatchKeys(std::move(options), std::move(hooks));
 }
 
-void EntryDaemon::ApplyReplica(const StoreEntry& aEntry)
-{
-  auto replica = mHooks.mDecodeReplica(aEntry);
-  if (replica.has_error()) {
-    LogEvent("replica_ignored", LogLevel::Warning)
-      .Field("key", aEntry.mKey)
-      .Field("error", FormatError(replica.error()))
-      .Write();
-    return;
-  }
-  const fleet::Replica* known = mView.FindReplica(replica->mId);
-  if (known == nullptr || known->mDraining != replica->mDraining) {
-    LogEvent("replica")
-      .Field("replica", replica->mId)
-      .Field("upstream", replica->mService)
-      .Field("availability_zone", replica->mAvailabilityZone)
-      .Field("software_version", replica->mSoftwareVersion)
-      .Field("preemptible", replica->mPreemptible)
-      .Field("draining", replica->mDraining)
-      .Write();
-  }
-  if (known != nullptr && known->mStartTimeMs != replica->mStartTimeMs) {
-    mPool.Limits().Forget(replica->mId);
-  }
-  mExpiredReplicas.erase(replica->mId);
-  mView.PutReplica(std::move(*replica));
-}
-
-void EntryDaemon::SetReplicas(const std::vector<StoreEntry>& aEntries)
-{
-  std::set<std::string_view> present;
-  for (const StoreEntry& entry : aEntries) {
-    present.insert(
-      std::string_view(entry.mKey).substr(mHooks.mReplicaPrefix.size()));
-    ApplyReplica(entry);
-  }
-  for (const auto& [id, replica] : mView.Replicas()) {
-    if (!present.contains(id)) {
-      mExpiredReplicas.try_emplace(id, mClock() + kReplicaRemovalDelay);
-    }
-  }
-  RemoveExpiredReplicas();
-}
-
-void EntryDaemon::ApplyReplicaChange(const StoreChange& aChange)
-{
-  if (!aChange.mRemoved) {
-    ApplyReplica(aChange.mEntry);
-    return;
-  }
-  const std::string id =
-    aChange.mEntry.mKey.substr(mHooks.mReplicaPrefix.size());
-  const bool outage = mLastStoreFailure != TimePoint{} &&
-                      mClock() - mLastStoreFailure < kRecentOutagePeriod;
-  mExpiredReplicas.try_emplace(
-    id, outage ? mClock() + kReplicaRemovalDelay : mClock());
-  RemoveExpiredReplicas();
-}
-
-void EntryDaemon::RemoveExpiredReplicas()
-{
-  for (auto expired = mExpiredReplicas.begin();
-       expired != mExpiredReplicas.end();) {
-    if (mClock() < expired->second) {
-      ++expired;
-      continue;
-    }
-    LogEvent("replica_gone").Field("replica", expired->first).Write();
-    mView.RemoveReplica(expired->first);
-    mPool.Limits().Forget(expired->first);
-    expired = mExpiredReplicas.erase(expired);
-  }
-}
-
 Awaitable<void> EntryDaemon::DutyLoop()
 {
   asio::steady_timer timer(mExecutor);
@@ -525,7 +450,7 @@
                          const request::ReplicaReport& aReport) {
     mPool.Limits().Record(replica, { aReport.mRequestLimit, aReport.mSentAt });
     if (aReport.mDraining) {
-      RecordDraining(replica);
+      mReplicas.RecordDraining(replica);
     }
     if (next) {
       next(aReport);
@@ -534,20 +459,6 @@
   return aRequest;
 }
 
-void EntryDaemon::RecordDraining(std::string_view aReplicaId)
-{
-  if (!mView.MarkDraining(aReplicaId)) {
-    return;
-  }
-  ++mDrainReportCount;
-  const auto age = std::chrono::duration_cast<Milliseconds>(mView.Staleness());
-  LogEvent("replica_draining")
-    .Field("replica", aReplicaId)
-    .Field("source", "response")
-    .Field("confirmed_ms_ago", static_cast<int64_t>(age.count()))
-    .Write();
-}
-
 /// Announces which limited replicas this host uses, and divides their limits
 /// among the hosts that use them.
 void EntryDaemon::ShareRequestLimits()
--- /dev/null
+++ b/src/agatetide/entry/replica_registrations.cpp
@@ -0,0 +1,129 @@
+#include "agatetide/entry/replica_registrations.hpp"
+
+#include "agatetide/base/event_log.hpp"
+
+#include <set>
+
+namespace agatetide::entry {
+
+using coordination::StoreChange;
+using coordination::StoreEntry;
+
+namespace {
+
+/// Registrations that expired during an outage of the store return within this
+/// time if their replica still runs.
+constexpr std::chrono::milliseconds kReplicaRemovalDelay{ 2300 };
+/// An outage of the store counts as recent for this long after the last failed
+/// call.
+constexpr std::chrono::milliseconds kRecentOutagePeriod{ 3000 };
+
+} // namespace
+
+ReplicaRegistrations::ReplicaRegistrations(std::string aPrefix,
+                                           DecodeReplicaCall aDecode,
+                                           fleet::FleetView& aView,
+                                           request::RequestLimits& aLimits,
+                                           Clock aClock)
+  : mPrefix(std::move(aPrefix))
+  , mDecode(std::move(aDecode))
+  , mView(aView)
+  , mLimits(aLimits)
+  , mClock(std::move(aClock))
+{
+}
+
+bool ReplicaRegistrations::IsOutageRecent() const
+{
+  return mLastStoreFailure != TimePoint{} &&
+         mClock() - mLastStoreFailure < kRecentOutagePeriod;
+}
+
+void ReplicaRegistrations::Put(const StoreEntry& aEntry)
+{
+  auto replica = mDecode(aEntry);
+  if (replica.has_error()) {
+    LogEvent("replica_ignored", LogLevel::Warning)
+      .Field("key", aEntry.mKey)
+      .Field("error", FormatError(replica.error()))
+      .Write();
+    return;
+  }
+  const std::string id = replica->mId;
+  const fleet::Replica* known = mView.FindReplica(id);
+  const bool isNew = known == nullptr;
+  const bool wasDraining = !isNew && known->mDraining;
+  if (!isNew && known->mStartTimeMs != replica->mStartTimeMs) {
+    mLimits.Forget(id);
+  }
+  mExpired.erase(id);
+  mView.PutReplica(std::move(*replica));
+  const fleet::Replica& current = *mView.FindReplica(id);
+  if (isNew || wasDraining != current.mDraining) {
+    LogEvent("replica")
+      .Field("replica", id)
+      .Field("upstream", current.mService)
+      .Field("availability_zone", current.mAvailabilityZone)
+      .Field("software_version", current.mSoftwareVersion)
+      .Field("preemptible", current.mPreemptible)
+      .Field("draining", current.mDraining)
+      .Write();
+  }
+}
+
+void ReplicaRegistrations::Reset(std::span<const StoreEntry> aEntries)
+{
+  std::set<std::string_view> present;
+  for (const StoreEntry& entry : aEntries) {
+    present.insert(std::string_view(entry.mKey).substr(mPrefix.size()));
+    Put(entry);
+  }
+  for (const auto& [id, replica] : mView.Replicas()) {
+    if (!present.contains(id)) {
+      mExpired.try_emplace(id, mClock() + kReplicaRemovalDelay);
+    }
+  }
+  RemoveExpired();
+}
+
+void ReplicaRegistrations::Apply(const StoreChange& aChange)
+{
+  if (!aChange.mRemoved) {
+    Put(aChange.mEntry);
+    return;
+  }
+  const std::string id = aChange.mEntry.mKey.substr(mPrefix.size());
+  mExpired.try_emplace(
+    id, IsOutageRecent() ? mClock() + kReplicaRemovalDelay : mClock());
+  RemoveExpired();
+}
+
+void ReplicaRegistrations::RemoveExpired()
+{
+  for (auto expired = mExpired.begin(); expired != mExpired.end();) {
+    if (mClock() < expired->second) {
+      ++expired;
+      continue;
+    }
+    LogEvent("replica_gone").Field("replica", expired->first).Write();
+    mView.RemoveReplica(expired->first);
+    mLimits.Forget(expired->first);
+    expired = mExpired.erase(expired);
+  }
+}
+
+void ReplicaRegistrations::RecordDraining(std::string_view aReplicaId)
+{
+  if (!mView.MarkDraining(aReplicaId)) {
+    return;
+  }
+  ++mDrainReportCount;
+  const auto age = std::chrono::duration_cast<Milliseconds>(mView.Staleness());
+  LogEvent("replica_draining")
+    .Field("replica", aReplicaId)
+    .Field("source", "response")
+    .Field("confirmed_ms_ago", static_cast<int64_t>(age.count()))
+    .Write();
+}
+
+} // namespace agatetide::entry
