Find the address of another daemon in one place

Three routers looked a host up and parsed its peer address, two of them with the same lines. FleetView::PeerEndpoint does it. No behaviour changes; the unit tests of entry pass.

--- a/include/agatetide/fleet/fleet_view.hpp
+++ b/include/agatetide/fleet/fleet_view.hpp
@@ -96,6 +96,10 @@
     return mHosts;
   }
   void SetHosts(std::map<std::string, EntryHost, std::less<>> aHosts);
+  /// @brief Where the daemon of a host listens for other daemons. Errors:
+  /// NotFound if the host is not known; InvalidArgument if its daemon does not
+  /// listen for others.
+  Result<http::Endpoint> PeerEndpoint(std::string_view aHost) const;
 
   /// @brief The holder of the leader lease; empty if the lease is free,
   /// std::nullopt before the leader key is first read.
--- a/src/agatetide/entry/replica_router.cpp
+++ b/src/agatetide/entry/replica_router.cpp
@@ -147,10 +147,7 @@
     if (draining || IsCanceled(aCancel) || mClock() >= aRequest.mDeadline) {
       break;
     }
-    const auto host = mView.Hosts().find(name);
-    const auto endpoint = host == mView.Hosts().end()
-                            ? Result<http::Endpoint>(Error{})
-                            : http::ParseEndpoint(host->second.mPeerAddress);
+    const auto endpoint = mView.PeerEndpoint(name);
     if (endpoint.has_error()) {
       continue;
     }
--- a/src/agatetide/entry/step_router.cpp
+++ b/src/agatetide/entry/step_router.cpp
@@ -56,11 +56,10 @@
   const steps::StepSubmission& aSubmission) const
 {
   const std::string owner = OwnerOf(aSubmission.mModel, aSubmission.mId);
-  const auto host = mView.Hosts().find(owner);
-  if (owner == mSelf || host == mView.Hosts().end()) {
+  if (owner == mSelf) {
     return std::nullopt;
   }
-  const auto endpoint = http::ParseEndpoint(host->second.mPeerAddress);
+  const auto endpoint = mView.PeerEndpoint(owner);
   if (endpoint.has_error()) {
     return std::nullopt;
   }
--- a/src/agatetide/entry/store_router.cpp
+++ b/src/agatetide/entry/store_router.cpp
@@ -78,10 +78,7 @@
 {
   const std::vector<std::string> peers = Peers();
   for (const std::string& name : peers) {
-    const auto host = mView.Hosts().find(name);
-    const auto endpoint = host == mView.Hosts().end()
-                            ? Result<http::Endpoint>(Error{})
-                            : http::ParseEndpoint(host->second.mPeerAddress);
+    const auto endpoint = mView.PeerEndpoint(name);
     if (endpoint.has_error()) {
       continue;
     }
--- a/src/agatetide/fleet/fleet_view.cpp
+++ b/src/agatetide/fleet/fleet_view.cpp
@@ -128,6 +128,17 @@
   mHosts = std::move(aHosts);
 }
 
+Result<http::Endpoint> FleetView::PeerEndpoint(std::string_view aHost) const
+{
+  const auto found = mHosts.find(aHost);
+  if (found == mHosts.end()) {
+    return Error{ ErrorKind::NotFound,
+                  "the host " + std::string(aHost) + " is not known",
+                  "use another host" };
+  }
+  return http::ParseEndpoint(found->second.mPeerAddress);
+}
+
 std::string FleetView::RegionOf(std::string_view aAvailabilityZone) const
 {
   const auto found = mRegions.find(aAvailabilityZone);
