Let hosts pass large requests on to each other

What callers could see: a request with a body over 8 MiB at a host that is cut off ended in 502, though the deployment allows it; the other hosts were not asked for 1 s afterwards, so requests next to it failed as well. Found by reading.

Cause: the address for other daemons kept the default limit for bodies, the one for callers has the operator's. Class: two limits on one path.

Why this works: daemons accept 64 MiB from each other, more than any host accepts from its callers.

Evidence: large_request_of_a_cut_off_host_is_served gets 502 on the code before and 200 now.

--- a/src/agatetide/entry/peer_channel.cpp
+++ b/src/agatetide/entry/peer_channel.cpp
@@ -18,6 +18,9 @@
 constexpr std::string_view kContentType = "application/octet-stream";
 constexpr unsigned kOk = 200;
 constexpr size_t kMaxConnections = 512;
+/// Above what hosts accept from callers, since requests of callers are passed
+/// on.
+constexpr size_t kMaxBodyBytes = size_t{ 64 } << 20U;
 /// Daemons of one availability zone answer within milliseconds.
 constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
 
@@ -59,6 +62,7 @@
   options.mAddress = aListen.mAddress;
   options.mPort = aListen.mPort;
   options.mMaxConnections = kMaxConnections;
+  options.mMaxBodyBytes = kMaxBodyBytes;
   auto server =
     http::Server::Create(std::move(aExecutor),
                          options,
--- a/tests/cut_off_hosts.py
+++ b/tests/cut_off_hosts.py
@@ -8,7 +8,7 @@
 import sys
 import time
 
-from harness.site import check, run_tests, until
+from harness.site import check, config, run_tests, until
 
 # A host serves its callers again this long after it was cut off.
 CONTACT_S = 4
@@ -148,6 +148,19 @@
     check(all(len(site.addresses(d)) == len(site.daemons) for d in site.daemons), "a host was taken for cut off")
 
 
+def large_request_of_a_cut_off_host_is_served(site):
+    """Guards against requests that callers may send but hosts may not pass on, and that others pay for."""
+    site.store.put("op/config", config(3, limits={"maxHeaderBytes": 4096, "maxBodyBytes": 16000000}))
+    first = site.daemons[0]
+    until(lambda: first.last_event("config", "version=3"), "the limit is in force")
+    cut_off(site, [first])
+    served_shares(site, 1, "cut")
+    body = b"x" * 9000000
+    status = first.call("POST", "/open/1", body, {"Attempt-Id": "large", "Timeout-Ms": "3500"})[0]
+    check(status == 200, "status %d" % status)
+    check(site.lookup(first, "small")[0] == 200, "the next request is served")
+
+
 def caller_of_a_cut_off_host_that_leaves_frees_its_replica(site):
     """Guards against a replica that goes on with a relayed request whose caller has left."""
     cut_off(site, site.daemons[:1])
@@ -201,6 +214,7 @@
     (address_answers_leave_out_cut_off_hosts, {"daemons": 3}),
     (hosts_that_are_all_cut_off_refuse_and_come_back, {"daemons": 2}),
     (replica_that_is_gone_is_not_blamed_on_the_host, {"daemons": 2}),
+    (large_request_of_a_cut_off_host_is_served, {"daemons": 2}),
     (caller_of_a_cut_off_host_that_leaves_frees_its_replica, {"daemons": 2}),
 ]
 
