Reproduce requests that crash one replica after the other

The tests let replicas end as a process does (connections reset at once, the port refuses, back after 1.5 s under a new id or born, the old registration expires after 3.6 s) when they begin to run a body.

--- a/tests/harness/partition.py
+++ b/tests/harness/partition.py
@@ -22,6 +22,12 @@
     sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("HxxxxxxP", len(lines), ctypes.addressof(program)))
 
 
+def _disconnect(sock):
+    """Resets a connection as the end of its process does: connecting to no address family drops it."""
+    address = struct.pack("H14x", socket.AF_UNSPEC)
+    ctypes.CDLL(None).connect(sock.fileno(), address, len(address))
+
+
 class Partition:
     """The connections of one server, and the hosts that do not reach it."""
 
@@ -54,6 +60,13 @@
                 except OSError:
                     pass
 
+    def abort_all(self):
+        """Resets all open connections at once, also those that a thread is using."""
+        with self.lock:
+            for sock in self.accepted:
+                if sock.fileno() >= 0:
+                    _disconnect(sock)
+
     def heal(self, address):
         with self.lock:
             self.silent.discard(address)
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -7,6 +7,7 @@
 import collections
 import json
 import socket
+import sys
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -17,6 +18,12 @@
 
 # Senders may still send requests to a replica this long after they know that it leaves.
 DRAIN_S = 3
+# A server that is closed accepts no connections after this time.
+ACCEPT_POLL_S = 0.05
+# The registration of a replica that ended is removed after this time.
+EXPIRY_S = 3.6
+# Time in which a replica that ended is back.
+RESTART_S = 1.5
 
 
 class Server(ThreadingHTTPServer):
@@ -28,14 +35,19 @@
         super().server_activate()
         self.partition = Partition(self.socket)
 
+    def handle_error(self, request, client_address):
+        """Connections that break off are a part of the tests."""
+        if not isinstance(sys.exc_info()[1], OSError):
+            super().handle_error(request, client_address)
+
     def get_request(self):
         sock, address = super().get_request()
         self.partition.add(sock)
         return sock, address
 
 
-def serve(handle):
-    """Serves handle(handler, method, path, query, body) on a free port."""
+def serve(handle, port=0):
+    """Serves handle(handler, method, path, query, body) on a port, or on a free one."""
 
     class Handler(BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
@@ -65,8 +77,8 @@
         def log_message(self, *_args):
             pass
 
-    server = Server(("127.0.0.1", 0), Handler)
-    threading.Thread(target=server.serve_forever, daemon=True).start()
+    server = Server(("127.0.0.1", port), Handler)
+    threading.Thread(target=server.serve_forever, args=(ACCEPT_POLL_S,), daemon=True).start()
     return server
 
 
@@ -250,6 +262,9 @@
         self.arrivals = []  # times of its requests
         self.running = {}  # connections of requests that take time, by id
         self.state = "ready"
+        self.crashing_bodies = set()  # the process ends when it begins to run one of these
+        self.crashes = []  # (time, request id) of each end under such a body
+        self.ending = threading.Lock()
         self.server = serve(self.handle)
         self.address = "127.0.0.1:%d" % self.server.server_port
         self.register()
@@ -266,6 +281,30 @@
         self.server.shutdown()
         self.server.server_close()
 
+    def end_process(self, restart_s=RESTART_S, new_id=True):
+        """Ends as a process does, and starts again after a while; returns False if it has ended already."""
+        if not self.ending.acquire(blocking=False):
+            return False
+        server, old_name = self.server, self.name
+        server.partition.abort_all()
+        server.shutdown()
+        server.server_close()
+        server.partition.abort_all()
+        threading.Thread(target=self.restart, args=(old_name, restart_s, new_id), daemon=True).start()
+        return True
+
+    def restart(self, old_name, restart_s, new_id):
+        time.sleep(restart_s)
+        self.born = max(self.born + 1, int(time.time() * 1000))
+        if new_id:
+            self.name = "%s.%d" % (old_name.partition(".")[0], self.born)
+        self.server = serve(self.handle, self.server.server_port)
+        self.ending.release()
+        self.register()
+        if new_id:
+            time.sleep(max(0, EXPIRY_S - restart_s))
+            self.store.remove("servers/" + old_name)
+
     def caller_left(self, name):
         """Whether the connection of a running request was closed by its sender."""
         try:
@@ -299,6 +338,11 @@
             handler.wfile = CutWriter(handler.wfile, self.cut_response_at)
         self.record_arrival(handler.client_address[0])
         self.requests.append((headers.get("Attempt-Id"), path, dict(headers.items()), body))
+        if body in self.crashing_bodies:
+            if self.end_process():
+                self.crashes.append((time.monotonic(), headers.get("Attempt-Id")))
+            handler.close_connection = True
+            return
         if headers.get("Model"):
             self.stream(handler, headers)
             return
