--- a/include/agatetide/fleet/service_config.hpp
+++ b/include/agatetide/fleet/service_config.hpp
@@ -65,6 +65,9 @@
   /// Time from the submission of a step after which its waiting items are
   /// abandoned.
   Milliseconds mItemLifetime{ 60000 };
+
+  /// @brief Whether requests of the route may run on replicas of the service.
+  bool Allows(std::string_view aService) const;
 };
 
 /// @brief Limits for the number of replicas of a service per availability zone.
--- a/src/agatetide/entry/stream_forwarder.cpp
+++ b/src/agatetide/entry/stream_forwarder.cpp
@@ -19,15 +19,6 @@
            Execution::NotRun };
 }
 
-bool Allows(const fleet::Route& aRoute, const StreamOrigin& aOrigin)
-{
-  return std::any_of(aRoute.mServices.begin(),
-                     aRoute.mServices.end(),
-                     [&](const fleet::WeightedService& aService) {
-                       return aService.mService == aOrigin.mService;
-                     });
-}
-
 } // namespace
 
 StreamForwarder::StreamForwarder(const fleet::FleetView& aView,
@@ -59,7 +50,7 @@
                                "the stream");
     }
   }
-  if (!served || !Allows(aRoute, *origin)) {
+  if (!served || !aRoute.Allows(origin->mService)) {
     co_return CannotContinue("no replica of " + origin->mService +
                              " has the software version of the stream, " +
                              origin->mSoftwareVersion);
--- a/src/agatetide/fleet/service_config.cpp
+++ b/src/agatetide/fleet/service_config.cpp
@@ -1,7 +1,17 @@
 #include "agatetide/fleet/service_config.hpp"
 
+#include <algorithm>
+
 namespace agatetide::fleet {
 
+bool Route::Allows(std::string_view aService) const
+{
+  return std::any_of(
+    mServices.begin(), mServices.end(), [&](const WeightedService& aWeighted) {
+      return aWeighted.mService == aService;
+    });
+}
+
 void ServiceConfig::IndexKeys()
 {
   mAccountOfKey.clear();
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -34,15 +34,6 @@
 /// HTTP status of an item that would fail on every replica.
 constexpr unsigned kUnprocessableStatus = 422;
 
-bool Serves(const fleet::Route& aRoute, const fleet::Replica& aReplica)
-{
-  return std::any_of(aRoute.mServices.begin(),
-                     aRoute.mServices.end(),
-                     [&](const fleet::WeightedService& aService) {
-                       return aService.mService == aReplica.mService;
-                     });
-}
-
 } // namespace
 
 void StepRunner::StartWaitingItems()
@@ -116,7 +107,7 @@
   }
   item.mWaitedSeconds = Seconds(mContext.mClock() - aRun.mWaitingSince);
   for (const auto& [id, replica] : mContext.mView.Replicas()) {
-    if (Serves(aRoute, replica) && !replica.mDraining &&
+    if (aRoute.Allows(replica.mService) && !replica.mDraining &&
         HasWeights(aStep, replica)) {
       (aRun.Fits(replica) ? item.mCanContinue : item.mCanRestart) = true;
     }
@@ -134,7 +125,7 @@
   const auto& promptReplicas =
     aStep->mPromptReplicas[aStep->mItems[aIndex].mGroup];
   for (const auto& [id, replica] : mContext.mView.Replicas()) {
-    if (!Serves(aRoute, replica) || !run.Fits(replica)) {
+    if (!aRoute.Allows(replica.mService) || !run.Fits(replica)) {
       continue;
     }
     mContext.mPool.Limits().RecordDemand(id);
