Share the lease of short-lived records

Origins of streams keep one lease for many entries and replace it after 300 s. Crash records need the same, so the lease gets a class of its own. No change of behaviour; stream_origins_test passes as it was.

--- a/include/agatetide/entry/stream_origins.hpp
+++ b/include/agatetide/entry/stream_origins.hpp
@@ -2,6 +2,7 @@
 
 #include "agatetide/base/clock.hpp"
 #include "agatetide/coordination/store.hpp"
+#include "agatetide/entry/record_lease.hpp"
 #include "agatetide/request/upstream.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -66,17 +67,16 @@
     request::StreamOrigin aOrigin);
   Awaitable<void> WriteLoop();
   Awaitable<Result<bool>> WriteBatch(std::vector<WritePtr> aWrites);
-  Awaitable<Result<int64_t>> Lease();
 
   boost::asio::any_io_executor mExecutor;
   coordination::StoreCall mStore;
-  Clock mClock;
   /// Default origins by HTTP host; they never change.
   std::map<std::string, request::StreamOrigin, std::less<>> mDefaults;
   std::deque<WritePtr> mWrites;
   bool mWriting = false;
-  int64_t mLeaseId = 0;
-  TimePoint mLeaseGrantedAt{};
+  /// Streams are taken up soon after they broke off, so their entries are
+  /// removed after a time.
+  RecordLease mLease;
 };
 
 } // namespace agatetide::entry
--- a/src/agatetide/entry/stream_origins.cpp
+++ b/src/agatetide/entry/stream_origins.cpp
@@ -21,10 +21,6 @@
 constexpr std::string_view kDefaultPrefix = "agatetide/stream-default/";
 /// Limit of the store for the writes of a transaction.
 constexpr size_t kMaxBatch = 32;
-/// Streams are taken up soon after they broke off, so their entries are removed
-/// after a time. New entries use the lease for kLeaseUse only.
-constexpr std::chrono::seconds kLeaseTtl{ 600 };
-constexpr std::chrono::seconds kLeaseUse{ 300 };
 constexpr int kMaxAttempts = 3;
 
 std::string StreamKey(std::string_view aRequestId)
@@ -77,8 +73,8 @@
                              StoreCall aStore,
                              Clock aClock)
   : mExecutor(std::move(aExecutor))
-  , mStore(std::move(aStore))
-  , mClock(std::move(aClock))
+  , mStore(aStore)
+  , mLease({}, std::move(aStore), std::move(aClock))
 {
 }
 
@@ -213,7 +209,7 @@
 {
   Error error = Unwritten();
   for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    const auto lease = co_await Lease();
+    const auto lease = co_await mLease.Acquire();
     if (lease.has_error()) {
       error = lease.error();
       continue;
@@ -230,26 +226,10 @@
     if (written.has_error()) {
       error = written.error();
     } else {
-      mLeaseId = 0;
+      mLease.Forget();
     }
   }
   co_return error;
 }
 
-Awaitable<Result<int64_t>> StreamOrigins::Lease()
-{
-  if (mLeaseId != 0 && mClock() - mLeaseGrantedAt < kLeaseUse) {
-    co_return mLeaseId;
-  }
-  const TimePoint sent = mClock();
-  StoreRequest request = LeaseGrantRequest{ kLeaseTtl.count() };
-  const auto granted = co_await mStore(std::move(request));
-  if (granted.has_error()) {
-    co_return granted.error();
-  }
-  mLeaseId = granted->mLeaseId;
-  mLeaseGrantedAt = sent;
-  co_return mLeaseId;
-}
-
 } // namespace agatetide::entry
