Tell refused connections from those without a response

A probe said only whether a connection was established. A refused one shows that a process has ended, silence does not; both tests of the monitor state the same cases as before in the new terms. No change of behaviour.

--- a/include/agatetide/http/client.hpp
+++ b/include/agatetide/http/client.hpp
@@ -136,10 +136,11 @@
                                      CallOptions aOptions,
                                      BodySink aSink);
 
-  /// @brief Opens a connection and keeps it for later calls. Returns whether
-  /// it was established within aTimeout.
-  Awaitable<bool> OpenConnection(Endpoint aEndpoint,
-                                 std::chrono::milliseconds aTimeout);
+  /// @brief Opens a connection and keeps it for later calls. Errors:
+  /// DeadlineExceeded if it was not established within aTimeout, Unavailable if
+  /// it was refused.
+  Awaitable<Result<bool>> OpenConnection(Endpoint aEndpoint,
+                                         std::chrono::milliseconds aTimeout);
 
 private:
   struct State;
--- a/include/agatetide/request/reachability_monitor.hpp
+++ b/include/agatetide/request/reachability_monitor.hpp
@@ -14,8 +14,16 @@
 
 namespace agatetide::request {
 
-/// @brief Opens a connection to a replica; returns whether it was established.
-using ConnectCall = std::function<Awaitable<bool>(http::Endpoint)>;
+enum class ConnectOutcome
+{
+  Connected,
+  /// The replica's host responded that nothing accepts connections there.
+  Refused,
+  NoResponse,
+};
+
+/// @brief Opens a connection to a replica.
+using ConnectCall = std::function<Awaitable<ConnectOutcome>(http::Endpoint)>;
 
 /// @brief Whether a failure says that the path to the replica may be broken.
 /// Only connections that were not established or were lost do; what a replica
--- a/src/agatetide/entry/replica_router_test.cpp
+++ b/src/agatetide/entry/replica_router_test.cpp
@@ -106,9 +106,14 @@
   Clock mClock = SteadyClock();
   fleet::FleetView mView{ mClock, "zone", "region" };
   request::ReachabilityMonitor mMonitor{
-    {},     mContext.get_executor(),
-    mView,  [](http::Endpoint) -> Awaitable<bool> { co_return false; },
-    mClock, SeededRandom(1)
+    {},
+    mContext.get_executor(),
+    mView,
+    [](http::Endpoint) -> Awaitable<request::ConnectOutcome> {
+      co_return request::ConnectOutcome::NoResponse;
+    },
+    mClock,
+    SeededRandom(1)
   };
   Result<UpstreamResponse> mDirectResult = Failure(Execution::NotRun);
   Result<UpstreamResponse> mRelayResult = UpstreamResponse{ 200 };
--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -515,8 +515,9 @@
   return failed;
 }
 
-Awaitable<bool> Client::OpenConnection(Endpoint aEndpoint,
-                                       std::chrono::milliseconds aTimeout)
+Awaitable<Result<bool>> Client::OpenConnection(
+  Endpoint aEndpoint,
+  std::chrono::milliseconds aTimeout)
 {
   const std::shared_ptr<State> state = mState;
   CallOptions options;
@@ -524,7 +525,7 @@
   options.mFreshConnection = true;
   auto connected = co_await state->Connect(aEndpoint, options);
   if (connected.has_error()) {
-    co_return false;
+    co_return connected.error();
   }
   SetAcknowledgementTimeout(**connected,
                             state->mOptions.mAcknowledgementTimeout);
--- a/src/agatetide/request/reachability_monitor.cpp
+++ b/src/agatetide/request/reachability_monitor.cpp
@@ -89,7 +89,8 @@
 Awaitable<void> ReachabilityMonitor::Connect(std::shared_ptr<Check> aCheck,
                                              http::Endpoint aEndpoint)
 {
-  const bool reached = co_await mConnect(std::move(aEndpoint));
+  const bool reached =
+    co_await mConnect(std::move(aEndpoint)) == ConnectOutcome::Connected;
   ++(reached ? aCheck->mReached : aCheck->mFailed);
   aCheck->mDone.cancel();
 }
--- a/src/agatetide/request/reachability_monitor_test.cpp
+++ b/src/agatetide/request/reachability_monitor_test.cpp
@@ -38,15 +38,16 @@
     };
   }
 
-  Awaitable<bool> Connect(uint16_t aPort)
+  Awaitable<ConnectOutcome> Connect(uint16_t aPort)
   {
     ++mConnectCount;
     if (mReachable.contains(aPort)) {
-      co_return true;
+      co_return ConnectOutcome::Connected;
     }
     asio::steady_timer timer(mContext, kConnectTimeout);
     co_await timer.async_wait(asio::use_awaitable);
-    co_return mReachable.contains(aPort);
+    co_return mReachable.contains(aPort) ? ConnectOutcome::Connected
+                                         : ConnectOutcome::NoResponse;
   }
 
   bool CheckAfterFailure()
