Remember at all hosts which requests crash replicas

Cause: nothing remembered the end of a replica. maxAttempts bounds one attempt of a caller; the next one, here or elsewhere, started from nothing. Class: a limit over repetitions that is kept per attempt and per host.

Hosts now count the replicas that end under a request (a refused connection while others are reached, or the registration), share the records through the store in the prefix that all watch already, and refuse the request at once from the third crash on, with 503 and the time of the next trial. The fix works since the count outlives attempts, hosts and restarts, and since a crash has one name whoever reports it. A complete answer anywhere clears the request; suspects run apart from each other, and two trials free a sound request that met a burst.

--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -5,6 +5,7 @@
 #include "agatetide/duty/leadership.hpp"
 #include "agatetide/duty/usage_ledger.hpp"
 #include "agatetide/duty/version_updater.hpp"
+#include "agatetide/entry/crash_records.hpp"
 #include "agatetide/entry/fleet_watch.hpp"
 #include "agatetide/entry/host_registry.hpp"
 #include "agatetide/entry/peer_channel.hpp"
@@ -176,6 +177,9 @@
   RelayClient mRelayClient;
   RelayServer mRelayServer;
   ReplicaRouter mReplicaRouter;
+  request::CrashDetector mCrashDetector;
+  request::CrashSuspects mCrashSuspects;
+  CrashRecords mCrashRecords;
   request::Forwarder mForwarder;
   StreamOrigins mStreamOrigins;
   StreamForwarder mStreams;
--- a/include/agatetide/entry/host_registry.hpp
+++ b/include/agatetide/entry/host_registry.hpp
@@ -63,6 +63,12 @@
   /// @brief Revokes the lease, which removes the registration.
   Awaitable<void> Deregister();
 
+  /// @brief Called with all entries and with each change below
+  /// fleet::kLivePrefix, also with those that say nothing of hosts. May be
+  /// empty.
+  std::function<void(const std::vector<coordination::StoreEntry>&)> mOnSnapshot;
+  std::function<void(const coordination::StoreChange&)> mOnChange;
+
 private:
   Awaitable<bool> Renew();
   Awaitable<bool> WriteRegistration(int64_t aLeaseId);
--- a/include/agatetide/request/forwarder.hpp
+++ b/include/agatetide/request/forwarder.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatetide/policy/retry_budget.hpp"
+#include "agatetide/request/crash_suspects.hpp"
 #include "agatetide/request/replica_pool.hpp"
 #include "agatetide/request/upstream.hpp"
 
@@ -24,6 +25,9 @@
   /// Set if the request continues a stream: it goes to replicas that can
   /// continue it, and mRoute only limits the attempts.
   std::optional<StreamOrigin> mOrigin;
+  /// Whether the request is refused when it has crashed several replicas. Only
+  /// for requests that their callers repeat.
+  bool mCountCrashes = false;
   /// How long the request may wait while the limits of all replicas are used
   /// up. Requests that may not wait leave limited replicas to those that wait.
   Duration mMaxLimitWait{};
@@ -47,9 +51,10 @@
 class Forwarder
 {
 public:
-  /// Precondition: aPool outlives the forwarder and its requests.
+  /// Precondition: aPool and aSuspects outlive the forwarder and its requests.
   Forwarder(boost::asio::any_io_executor aExecutor,
             ReplicaPool& aPool,
+            CrashSuspects& aSuspects,
             UpstreamCall aCall,
             Clock aClock,
             Random aRandom);
@@ -58,8 +63,8 @@
   /// first one with a status below 500, or a failure response when no attempt
   /// is left. Errors: Unavailable with Execution::NotRun when no replica ran
   /// the request and none will, also when it would outlast this host, which is
-  /// about to stop; OutcomeUnknown; DeadlineExceeded; Canceled when the caller
-  /// has disconnected.
+  /// about to stop, or when it crashes replicas; OutcomeUnknown;
+  /// DeadlineExceeded; Canceled when the caller has disconnected.
   Awaitable<Result<UpstreamResponse>> Run(ForwardRequest aRequest);
 
   /// @brief Limits the deadline of all requests, including running ones, so
@@ -79,6 +84,12 @@
     size_t mWaitingCount = 0;
   };
 
+  Awaitable<Result<UpstreamResponse>> RunAttempts(
+    std::shared_ptr<RequestState> aState);
+  Awaitable<bool> Admit(std::shared_ptr<RequestState> aState);
+  bool MayRetrySuspect(RequestState& aState);
+  Awaitable<bool> AwaitSettled(std::shared_ptr<RequestState> aState);
+  Awaitable<void> Sleep(std::shared_ptr<RequestState> aState, Duration aTime);
   bool StartAttempt(const std::shared_ptr<RequestState>& aState);
   Awaitable<bool> AwaitLimit(std::shared_ptr<RequestState> aState);
   Awaitable<void> RunAttempt(std::shared_ptr<RequestState> aState,
@@ -97,6 +108,7 @@
 
   boost::asio::any_io_executor mExecutor;
   ReplicaPool& mPool;
+  CrashSuspects& mSuspects;
   UpstreamCall mCall;
   Clock mClock;
   Random mRandom;
--- a/include/agatetide/request/replica_pool.hpp
+++ b/include/agatetide/request/replica_pool.hpp
@@ -25,6 +25,16 @@
   Duration mLatency{};
 };
 
+/// @brief Whether a request may crash the replica that runs it.
+enum class SuspectKind
+{
+  None,
+  /// One of the requests that ran on a crashed replica.
+  Possible,
+  /// Runs on an idle replica if possible, and other requests avoid that one.
+  Probable,
+};
+
 /// @brief Selects the replicas that may run a request.
 struct ReplicaFilter
 {
@@ -33,6 +43,8 @@
   std::set<std::string> mExcludedIds;
   /// An empty function allows all replicas.
   std::function<bool(const fleet::Replica&)> mIsAllowed;
+  /// Suspects share no replica with each other if possible.
+  SuspectKind mSuspect = SuspectKind::None;
 };
 
 /// @brief Tracks the load of the replicas and chooses replicas for requests.
@@ -51,7 +63,9 @@
   class Reservation
   {
   public:
-    Reservation(ReplicaPool& aPool, fleet::Replica aReplica);
+    Reservation(ReplicaPool& aPool,
+                fleet::Replica aReplica,
+                SuspectKind aSuspect = SuspectKind::None);
     Reservation(Reservation&& aOther) noexcept;
     Reservation& operator=(Reservation&&) = delete;
     ~Reservation();
@@ -61,6 +75,7 @@
   private:
     ReplicaPool* mPool;
     fleet::Replica mReplica;
+    SuspectKind mSuspect;
   };
 
   /// @brief Chooses a replica and logs the choice. Returns std::nullopt if no
@@ -117,10 +132,13 @@
   const fleet::FleetView& View() const { return mView; }
 
 private:
+  struct Candidates;
   struct Load
   {
     /// Requests of this daemon that run on the replica.
     uint32_t mRunning = 0;
+    /// Suspects among them.
+    std::map<SuspectKind, uint32_t> mSuspects;
     /// Requests of other daemons at the time of the last report.
     double mOtherRequests = 0.0;
     TimePoint mReportedAt{};
@@ -133,7 +151,9 @@
   /// Whether the replica passes the filter, apart from its limit.
   bool Passes(const ReplicaFilter& aFilter,
               const fleet::Replica& aReplica) const;
-  void Release(const std::string& aReplicaId);
+  void Release(const std::string& aReplicaId, SuspectKind aSuspect);
+  Candidates FindCandidates(const ReplicaFilter& aFilter);
+  std::optional<size_t> Choose(Candidates& aCandidates, SuspectKind aSuspect);
   std::string EjectionGroup(const fleet::Replica& aReplica) const;
 
   const fleet::FleetView& mView;
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -185,9 +185,25 @@
                        aStream,
                        std::move(aCancel));
                    })
+  , mCrashDetector({},
+                   mExecutor,
+                   mView,
+                   mReachability,
+                   mHooks.mConnectToReplica,
+                   mClock)
+  , mCrashSuspects({},
+                   mExecutor,
+                   mCrashDetector,
+                   mOptions.mSelf.mName,
+                   mBootClock,
+                   [this](request::CrashRecord aTrial) {
+                     return mCrashRecords.ClaimTrial(std::move(aTrial));
+                   })
+  , mCrashRecords({}, mExecutor, mCrashSuspects.Table(), mStore, mBootClock)
   , mForwarder(
       mExecutor,
       mPool,
+      mCrashSuspects,
       [this](http::Endpoint aReplica,
              request::UpstreamRequest aRequest,
              std::shared_ptr<http::CancelHandle> aCancel) {
@@ -249,6 +265,12 @@
   mView.SetRegions(mOptions.mRegions);
   mView.SetMaxStaleness(mOptions.mMaxKeyWithdrawalDelay - kKeyWithdrawalMargin);
   mView.mOnChange = [this] { mRunner.StartWaitingItems(); };
+  mRegistry.mOnSnapshot = [this](const std::vector<StoreEntry>& aEntries) {
+    mCrashRecords.ApplySnapshot(aEntries);
+  };
+  mRegistry.mOnChange = [this](const StoreChange& aChange) {
+    mCrashRecords.ApplyChange(aChange);
+  };
   mReachability.mOnChange = [this](bool aCutOff) {
     ApplyReachability(aCutOff);
   };
@@ -265,6 +287,7 @@
   asio::co_spawn(mExecutor, UsageLoop(), asio::detached);
   asio::co_spawn(mExecutor, RecoverLoop(), asio::detached);
   asio::co_spawn(mExecutor, PathLoop(), asio::detached);
+  asio::co_spawn(mExecutor, mCrashRecords.Maintain(), asio::detached);
 }
 
 Awaitable<void> EntryDaemon::BeginDrain(TimePoint aEnd)
--- a/src/agatetide/entry/host_registry.cpp
+++ b/src/agatetide/entry/host_registry.cpp
@@ -211,9 +211,15 @@
   PrefixWatchHooks hooks;
   hooks.mOnReset = [this](const std::vector<StoreEntry>& aEntries) {
     ApplySnapshot(aEntries);
+    if (mOnSnapshot) {
+      mOnSnapshot(aEntries);
+    }
   };
   hooks.mOnChange = [this](const StoreChange& aChange) {
     ApplyChange(aChange);
+    if (mOnChange) {
+      mOnChange(aChange);
+    }
   };
   co_await WatchPrefix(
     std::move(options), std::move(hooks), mStore, mWatch, mClock);
--- a/src/agatetide/request/forwarder.cpp
+++ b/src/agatetide/request/forwarder.cpp
@@ -27,12 +27,40 @@
 constexpr std::chrono::milliseconds kUnreachableBlockTime{ 500 };
 /// Shortest wait for a limited replica.
 constexpr std::chrono::milliseconds kMinLimitWait{ 1 };
+/// Copies of a suspect at this host wait for each other, asking this often.
+constexpr std::chrono::milliseconds kSuspectPollInterval{ 10 };
+/// It is usually known after this time whether a replica has crashed.
+constexpr std::chrono::milliseconds kMaxSettleWait{ 400 };
+/// Another host runs the trial of a refused request: time until its outcome is
+/// usually known.
+constexpr std::chrono::milliseconds kUsualTrialTime{ 1000 };
 /// HTTP status of a request that a replica ran but failed.
 constexpr unsigned kFailedStatus = 500;
 /// Delay before a hedged request, as a fraction of the route's target latency.
 /// Used until enough latencies were measured.
 constexpr double kDefaultHedgeFraction = 0.6;
 
+/// Whether the connection to the replica ended, as it does when the replica
+/// crashes.
+bool IsBroken(const Error& aError)
+{
+  return aError.mExecution == Execution::Unknown &&
+         (aError.mKind == ErrorKind::OutcomeUnknown ||
+          aError.mKind == ErrorKind::DataLoss);
+}
+
+SuspectKind SuspectKindOf(policy::CrashVerdict aVerdict)
+{
+  switch (aVerdict) {
+    case policy::CrashVerdict::Run:
+      return SuspectKind::None;
+    case policy::CrashVerdict::RunApart:
+      return SuspectKind::Possible;
+    default:
+      return SuspectKind::Probable;
+  }
+}
+
 } // namespace
 
 Error HostStoppingError()
@@ -51,10 +79,19 @@
     : mTimer(aExecutor)
     , mRequest(std::move(aRequest))
   {
+    if (mRequest.mCountCrashes) {
+      mCallerRequest.emplace(mRequest.mPrototype, mRequest.mRoute);
+    }
   }
 
   asio::steady_timer mTimer;
   ForwardRequest mRequest;
+  /// std::nullopt if crashes under the request are not counted.
+  std::optional<CallerRequest> mCallerRequest;
+  policy::CrashVerdict mVerdict = policy::CrashVerdict::Run;
+  CrashSuspects::RunningMark mRunningMark;
+  /// Waits until then for what is not known yet of crashes.
+  std::optional<TimePoint> mSettleWaitEnd;
   std::string mService;
   std::set<std::string> mTriedReplicaIds;
   std::vector<std::shared_ptr<http::CancelHandle>> mCancels;
@@ -64,6 +101,8 @@
   unsigned mRefusalCount = 0;
   bool mMayHaveRun = false;
   bool mStarted = false;
+  /// Whether the connection of an attempt broke.
+  bool mBroke = false;
   bool mCallerGone = false;
   bool mFailed = false;
   /// The first response with a status below 500.
@@ -79,11 +118,13 @@
 
 Forwarder::Forwarder(asio::any_io_executor aExecutor,
                      ReplicaPool& aPool,
+                     CrashSuspects& aSuspects,
                      UpstreamCall aCall,
                      Clock aClock,
                      Random aRandom)
   : mExecutor(std::move(aExecutor))
   , mPool(aPool)
+  , mSuspects(aSuspects)
   , mCall(std::move(aCall))
   , mClock(std::move(aClock))
   , mRandom(std::move(aRandom))
@@ -123,14 +164,111 @@
   const ForwardRequest& request = state->mRequest;
   state->mService =
     request.mOrigin ? request.mOrigin->mService : ChooseService(request.mRoute);
-  ServiceState& service = mServices[state->mService];
-  service.mHedgeBudget.OnRequest();
   if (request.mCaller) {
     request.mCaller->OnDisconnect([state] {
       state->mCallerGone = true;
       state->mTimer.cancel();
     });
   }
+  Result<UpstreamResponse> result = Error{};
+  if (co_await Admit(state)) {
+    result = co_await RunAttempts(state);
+  } else {
+    result = MakeResult(*state);
+  }
+  if (request.mCaller) {
+    request.mCaller->OnDisconnect({});
+  }
+  co_return result;
+}
+
+/// Decides whether a request may run that crashed replicas before. Only one of
+/// several copies runs at this host at a time, since each may crash another
+/// replica.
+Awaitable<bool> Forwarder::Admit(std::shared_ptr<RequestState> aState)
+{
+  if (!aState->mCallerRequest) {
+    co_return true;
+  }
+  CallerRequest& request = *aState->mCallerRequest;
+  const TimePoint waitEnd =
+    std::min(mClock() + Duration(aState->mRequest.mRoute.mTargetLatency),
+             DeadlineOf(*aState));
+  for (;;) {
+    const policy::CrashJudgement judgement = mSuspects.Judge(request);
+    aState->mVerdict = judgement.mVerdict;
+    aState->mRetryAfter = judgement.mRetryAfter;
+    if (judgement.mVerdict == policy::CrashVerdict::Refuse) {
+      co_return false;
+    }
+    const bool wait = judgement.mVerdict != policy::CrashVerdict::Run &&
+                      mSuspects.IsRunning(request);
+    if (!wait || aState->mCallerGone || mClock() >= waitEnd) {
+      break;
+    }
+    co_await Sleep(aState, kSuspectPollInterval);
+  }
+  aState->mRetryAfter.reset();
+  if (aState->mVerdict != policy::CrashVerdict::Run) {
+    aState->mRunningMark = mSuspects.MarkRunning(request);
+  }
+  if (aState->mVerdict == policy::CrashVerdict::RunTrial &&
+      !co_await mSuspects.ClaimTrial(request)) {
+    aState->mVerdict = policy::CrashVerdict::Refuse;
+    aState->mRetryAfter = kUsualTrialTime;
+    co_return false;
+  }
+  co_return !aState->mCallerGone;
+}
+
+Awaitable<void> Forwarder::Sleep(std::shared_ptr<RequestState> aState,
+                                 Duration aTime)
+{
+  aState->mTimer.expires_after(aTime);
+  boost::system::error_code ignored;
+  co_await aState->mTimer.async_wait(
+    asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+/// Whether a request whose attempt broke off may be sent again. One that may
+/// have crashed two replicas may not: its caller has to send it again, which
+/// leaves time to find out.
+bool Forwarder::MayRetrySuspect(RequestState& aState)
+{
+  if (!aState.mCallerRequest || !aState.mBroke) {
+    return true;
+  }
+  aState.mVerdict = mSuspects.Judge(*aState.mCallerRequest).mVerdict;
+  if (aState.mVerdict != policy::CrashVerdict::Run && !aState.mRunningMark) {
+    aState.mRunningMark = mSuspects.MarkRunning(*aState.mCallerRequest);
+  }
+  return aState.mVerdict == policy::CrashVerdict::Run ||
+         aState.mVerdict == policy::CrashVerdict::RunApart;
+}
+
+/// Waits a little for what is not known yet of crashes under the request.
+/// Returns false if all is known, or if it takes too long.
+Awaitable<bool> Forwarder::AwaitSettled(std::shared_ptr<RequestState> aState)
+{
+  const TimePoint now = mClock();
+  if (!aState->mSettleWaitEnd) {
+    aState->mSettleWaitEnd = now + kMaxSettleWait;
+  }
+  if (now >= *aState->mSettleWaitEnd ||
+      !mSuspects.IsUnsettled(*aState->mCallerRequest)) {
+    co_return false;
+  }
+  co_await Sleep(aState, kSuspectPollInterval);
+  co_return true;
+}
+
+Awaitable<Result<UpstreamResponse>> Forwarder::RunAttempts(
+  std::shared_ptr<RequestState> aState)
+{
+  const std::shared_ptr<RequestState>& state = aState;
+  const ForwardRequest& request = state->mRequest;
+  ServiceState& service = mServices[state->mService];
+  service.mHedgeBudget.OnRequest();
   const bool idempotent = request.mRoute.mKind == fleet::RouteKind::Idempotent;
   mRequests.insert(state.get());
   state->mLimitWaitEnd = mClock() + request.mMaxLimitWait;
@@ -140,18 +278,24 @@
   }
   while (!state->mResponse && !state->mCallerGone &&
          mClock() < DeadlineOf(*state)) {
-    const bool mayRetry = state->mAttemptCount < request.mRoute.mMaxAttempts &&
-                          (idempotent || !state->mMayHaveRun) &&
-                          state->mRefusalCount < kMaxRefusals &&
-                          FitsBeforeShutdown(*state);
+    const bool hasAttempts =
+      state->mAttemptCount < request.mRoute.mMaxAttempts &&
+      (idempotent || !state->mMayHaveRun) &&
+      state->mRefusalCount < kMaxRefusals && FitsBeforeShutdown(*state);
+    const bool mayRetry = hasAttempts && MayRetrySuspect(*state);
+    if (state->mPendingAttempts == 0 && hasAttempts && !mayRetry &&
+        co_await AwaitSettled(state)) {
+      continue;
+    }
     if (state->mPendingAttempts == 0 && (!mayRetry || !StartAttempt(state))) {
       if (!mayRetry || !co_await AwaitLimit(state)) {
         break;
       }
       continue;
     }
-    if (state->mPendingAttempts == 1 && idempotent && mayRetry &&
-        mClock() >= hedgeAt) {
+    const bool mayHedge =
+      idempotent && mayRetry && state->mVerdict == policy::CrashVerdict::Run;
+    if (state->mPendingAttempts == 1 && mayHedge && mClock() >= hedgeAt) {
       hedgeAt = request.mDeadline;
       if (service.mHedgeBudget.TryTake()) {
         StartAttempt(state);
@@ -160,7 +304,6 @@
     if (state->mResponse || state->mPendingAttempts == 0) {
       continue; // The attempt finished without suspending.
     }
-    const bool mayHedge = idempotent && mayRetry;
     state->mTimer.expires_at(mayHedge ? std::min(hedgeAt, DeadlineOf(*state))
                                       : DeadlineOf(*state));
     boost::system::error_code ignored;
@@ -168,9 +311,6 @@
       asio::redirect_error(asio::use_awaitable, ignored));
   }
   mRequests.erase(state.get());
-  if (request.mCaller) {
-    request.mCaller->OnDisconnect({});
-  }
   for (const auto& cancel : state->mCancels) {
     (*cancel)();
   }
@@ -243,7 +383,8 @@
              const fleet::Replica& aReplica) {
              return (!origin || origin->IsOf(aReplica)) &&
                     (!yields || !mPool.Limits().IsLimited(aReplica.mId));
-           } };
+           },
+           SuspectKindOf(aState.mVerdict) };
 }
 
 bool Forwarder::StartAttempt(const std::shared_ptr<RequestState>& aState)
@@ -318,6 +459,12 @@
     if (notRun) {
       mPool.BlockFor(aReplica.mId, kUnreachableBlockTime);
     }
+    if (IsBroken(error)) {
+      aState.mBroke = true;
+      if (aState.mCallerRequest) {
+        mSuspects.RecordBrokenAttempt(*aState.mCallerRequest, aReplica);
+      }
+    }
     aState.mLastError = error;
     return;
   }
@@ -330,6 +477,9 @@
                                          : Duration(kBusyBlockTime));
     return;
   }
+  if (aState.mCallerRequest) {
+    mSuspects.RecordCompletion(*aState.mCallerRequest);
+  }
   aResult->mOrigin = { aReplica.mService, aReplica.mSoftwareVersion };
   const bool conclusive = aResult->mStatus < 500;
   mPool.RecordAttempt(aReplica, { !conclusive, took });
@@ -362,6 +512,13 @@
     return std::move(*aState.mFailureResponse);
   }
   const bool mayRun = aState.mMayHaveRun || aState.mPendingAttempts > 0;
+  if (!mayRun && aState.mVerdict == policy::CrashVerdict::Refuse) {
+    return Error{ ErrorKind::Unavailable,
+                  "replicas crashed when they ran this request",
+                  "change the request, or come back later",
+                  Execution::NotRun,
+                  aState.mRetryAfter };
+  }
   if (!mayRun && !FitsBeforeShutdown(aState)) {
     return HostStoppingError();
   }
--- a/src/agatetide/request/forwarder_test.cpp
+++ b/src/agatetide/request/forwarder_test.cpp
@@ -40,21 +40,27 @@
 }
 
 /// Three replicas; attempts get the scripted results in order, and refusals
-/// after the last one.
+/// after the last one. Replicas whose connection broke have crashed, unless
+/// mAlive is set.
 struct Fixture
 {
   explicit Fixture(std::deque<Result<UpstreamResponse>> aScript)
     : mScript(std::move(aScript))
   {
     for (const char* id : { "a", "b", "c" }) {
-      fleet::Replica replica;
-      replica.mId = id;
-      replica.mService = "service";
-      replica.mAddress = id;
-      mView.PutReplica(std::move(replica));
+      AddReplica(id);
     }
   }
 
+  void AddReplica(const std::string& aId)
+  {
+    fleet::Replica replica;
+    replica.mId = aId;
+    replica.mService = "service";
+    replica.mAddress = aId;
+    mView.PutReplica(std::move(replica));
+  }
+
   Result<UpstreamResponse> Run(fleet::RouteKind aKind)
   {
     ForwardRequest request;
@@ -64,6 +70,7 @@
     request.mPrototype.mId = "id";
     request.mDeadline = mClock() + std::chrono::seconds(2);
     request.mMaxLimitWait = mMaxLimitWait;
+    request.mCountCrashes = true;
     Result<UpstreamResponse> result = Error{};
     asio::co_spawn(
       mContext,
@@ -88,6 +95,7 @@
 
   Awaitable<Result<UpstreamResponse>> Attempt(UpstreamRequest aRequest)
   {
+    const std::string replica = aRequest.mReplicaId;
     mSent.push_back(std::move(aRequest));
     if (mHangs) {
       asio::steady_timer timer(mContext, std::chrono::seconds(5));
@@ -100,6 +108,10 @@
       next = std::move(mScript.front());
       mScript.pop_front();
     }
+    if (next.has_error() && mReplaces) {
+      mView.RemoveReplica(replica);
+      AddReplica(replica + "'");
+    }
     co_return next;
   }
 
@@ -114,8 +126,38 @@
   bool mHangs = false;
   /// When Run() returned.
   TimePoint mEnded{};
+  ReachabilityMonitor mMonitor{ {},
+                                mContext.get_executor(),
+                                mView,
+                                [](
+                                  http::Endpoint) -> Awaitable<ConnectOutcome> {
+                                  co_return ConnectOutcome::Connected;
+                                },
+                                mClock,
+                                SeededRandom(3) };
+  CrashDetector mDetector{ {},
+                           mContext.get_executor(),
+                           mView,
+                           mMonitor,
+                           [this](http::Endpoint) -> Awaitable<ConnectOutcome> {
+                             co_return mAlive ? ConnectOutcome::Connected
+                                              : ConnectOutcome::Refused;
+                           },
+                           mClock };
+  CrashSuspects mSuspects{ {},
+                           mContext.get_executor(),
+                           mDetector,
+                           "host",
+                           mClock,
+                           [this](CrashRecord) -> Awaitable<bool> {
+                             co_return mGrantsTrials; } };
+  bool mGrantsTrials = true;
+  bool mAlive = false;
+  /// Whether replicas that crashed are back at once under another id.
+  bool mReplaces = false;
   Forwarder mForwarder{ mContext.get_executor(),
                         mPool,
+                        mSuspects,
                         [this](http::Endpoint,
                                UpstreamRequest aRequest,
                                std::shared_ptr<http::CancelHandle>) {
@@ -241,3 +283,48 @@
     cr_expect(fixture.mSent.empty());
   }
 }
+
+// Guards against one request of a caller that ends three replicas: two end, and
+// the caller has to come again.
+Test(forwarder, a_request_that_crashes_two_replicas_is_not_sent_to_a_third)
+{
+  Fixture fixture({ LostResponse(), LostResponse(), Response(200) });
+  const auto result = fixture.Run(fleet::RouteKind::Idempotent);
+  cr_assert(result.has_error());
+  cr_expect_eq(fixture.mSent.size(), 2);
+  cr_expect_eq(result.error().mKind, ErrorKind::OutcomeUnknown);
+  cr_expect_eq(result.error().mExecution, Execution::Unknown);
+}
+
+// Guards against fewer attempts than the route allows for a request whose
+// answers are lost while the replicas live.
+Test(forwarder, lost_answers_of_living_replicas_do_not_end_a_request)
+{
+  Fixture fixture({ LostResponse(), LostResponse(), Response(200) });
+  fixture.mAlive = true;
+  cr_expect(fixture.Run(fleet::RouteKind::Idempotent).has_value());
+  cr_expect_eq(fixture.mSent.size(), 3);
+}
+
+// Guards against a request that comes again after it crashed three replicas,
+// and against a refusal that promises too much, too little, or no time to come
+// back.
+Test(forwarder, a_request_that_crashed_three_replicas_is_refused_at_once)
+{
+  Fixture fixture({ LostResponse(), LostResponse(), LostResponse() });
+  fixture.mReplaces = true;
+  fixture.Run(fleet::RouteKind::Idempotent);
+  const auto third = fixture.Run(fleet::RouteKind::Idempotent);
+  cr_assert(third.has_error());
+  cr_expect_eq(third.error().mExecution, Execution::Unknown);
+  const size_t sent = fixture.mSent.size();
+  cr_expect_eq(sent, 3);
+  const TimePoint start = fixture.mClock();
+  const auto result = fixture.Run(fleet::RouteKind::Idempotent);
+  cr_assert(result.has_error());
+  cr_expect_eq(fixture.mSent.size(), sent);
+  cr_expect_eq(result.error().mKind, ErrorKind::Unavailable);
+  cr_expect_eq(result.error().mExecution, Execution::NotRun);
+  cr_expect(result.error().mRetryAfter > std::chrono::milliseconds(1000));
+  cr_expect_lt(fixture.mEnded - start, std::chrono::milliseconds(100));
+}
--- a/src/agatetide/request/replica_pool.cpp
+++ b/src/agatetide/request/replica_pool.cpp
@@ -28,31 +28,42 @@
 }
 
 ReplicaPool::Reservation::Reservation(ReplicaPool& aPool,
-                                      fleet::Replica aReplica)
+                                      fleet::Replica aReplica,
+                                      SuspectKind aSuspect)
   : mPool(&aPool)
   , mReplica(std::move(aReplica))
+  , mSuspect(aSuspect)
 {
-  ++mPool->mLoads[mReplica.mId].mRunning;
+  Load& load = mPool->mLoads[mReplica.mId];
+  ++load.mRunning;
+  if (mSuspect != SuspectKind::None) {
+    ++load.mSuspects[mSuspect];
+  }
   mPool->mLimits.CountSent(mReplica.mId);
 }
 
 ReplicaPool::Reservation::Reservation(Reservation&& aOther) noexcept
   : mPool(std::exchange(aOther.mPool, nullptr))
   , mReplica(std::move(aOther.mReplica))
+  , mSuspect(aOther.mSuspect)
 {
 }
 
 ReplicaPool::Reservation::~Reservation()
 {
   if (mPool != nullptr) {
-    mPool->Release(mReplica.mId);
+    mPool->Release(mReplica.mId, mSuspect);
   }
 }
 
-void ReplicaPool::Release(const std::string& aReplicaId)
+void ReplicaPool::Release(const std::string& aReplicaId, SuspectKind aSuspect)
 {
   const auto found = mLoads.find(aReplicaId);
   --found->second.mRunning;
+  if (aSuspect != SuspectKind::None &&
+      --found->second.mSuspects[aSuspect] == 0) {
+    found->second.mSuspects.erase(aSuspect);
+  }
   if (found->second.mRunning == 0 && mView.FindReplica(aReplicaId) == nullptr) {
     mLoads.erase(found);
   }
@@ -139,12 +150,21 @@
   return aReplica.mService + "/" + aReplica.mAvailabilityZone;
 }
 
-std::optional<ReplicaPool::Reservation> ReplicaPool::ChooseAndReserve(
-  const ReplicaFilter& aFilter,
-  std::string_view aRequestId)
+/// The replicas that may run a request; all lists have the same order.
+struct ReplicaPool::Candidates
 {
-  std::vector<const fleet::Replica*> replicas;
-  std::vector<policy::ReplicaCandidate> candidates;
+  std::vector<const fleet::Replica*> mReplicas;
+  std::vector<policy::ReplicaCandidate> mChoices;
+  /// Replicas to choose only if there is no other.
+  std::vector<bool> mExcluded;
+  /// Replicas that run a suspect which the request should not run beside.
+  std::vector<bool> mRunSuspects;
+};
+
+ReplicaPool::Candidates ReplicaPool::FindCandidates(
+  const ReplicaFilter& aFilter)
+{
+  Candidates candidates;
   const TimePoint now = mClock();
   for (const auto& [id, replica] : mView.Replicas()) {
     if (!Passes(aFilter, replica)) {
@@ -154,50 +174,88 @@
     if (mLimits.Delay(id) > Duration::zero()) {
       continue;
     }
-    policy::ReplicaCandidate candidate;
-    candidate.mAddress = replica.mAddress;
-    candidate.mSameRegion =
+    policy::ReplicaCandidate choice;
+    bool runsSuspect = false;
+    choice.mAddress = replica.mAddress;
+    choice.mSameRegion =
       mView.RegionOf(replica.mAvailabilityZone) == mView.Region();
     const double share =
       mEjection.HasEverEjected()
         ? mEjection.TrafficShare(EjectionGroup(replica), id, now)
         : 1.0;
-    candidate.mExcluded =
+    const bool excluded =
       IsBlocked(id) || (share < 1.0 && UniformUnit(mRandom) >= share);
-    if (const auto load = mLoads.find(id); load != mLoads.end()) {
-      candidate.mOwnRunning = load->second.mRunning;
-      candidate.mReportedRunning =
-        static_cast<uint32_t>(OtherRequests(load->second));
+    if (const auto found = mLoads.find(id); found != mLoads.end()) {
+      const Load& load = found->second;
+      choice.mOwnRunning = load.mRunning;
+      choice.mReportedRunning = static_cast<uint32_t>(OtherRequests(load));
+      runsSuspect = aFilter.mSuspect == SuspectKind::None
+                      ? load.mSuspects.contains(SuspectKind::Probable)
+                      : !load.mSuspects.empty();
     }
-    replicas.push_back(&replica);
-    candidates.push_back(candidate);
+    candidates.mReplicas.push_back(&replica);
+    candidates.mChoices.push_back(std::move(choice));
+    candidates.mExcluded.push_back(excluded);
+    candidates.mRunSuspects.push_back(runsSuspect);
   }
+  return candidates;
+}
+
+/// Relaxes the conditions one by one: any replica is better than failing the
+/// request.
+std::optional<size_t> ReplicaPool::Choose(Candidates& aCandidates,
+                                          SuspectKind aSuspect)
+{
+  enum Condition
+  {
+    Idle,
+    WithoutSuspect,
+    NotExcluded,
+    Any,
+  };
   const policy::ReplicaChoiceOptions options;
-  auto chosen =
-    policy::ChooseReplica(candidates, options, mRandom, mRoundRobinCounter);
-  if (!chosen) {
-    // Prefer an ejected or blocked replica to failing the request.
-    for (policy::ReplicaCandidate& candidate : candidates) {
-      candidate.mExcluded = false;
+  std::vector<policy::ReplicaCandidate>& choices = aCandidates.mChoices;
+  const bool wantsIdle = aSuspect == SuspectKind::Probable;
+  for (int condition = wantsIdle ? Idle : WithoutSuspect; condition <= Any;
+       ++condition) {
+    for (size_t i = 0; i < choices.size(); ++i) {
+      const bool busy = policy::EstimatedRequests(choices[i]) > 0.0;
+      choices[i].mExcluded =
+        (condition <= Idle && busy) ||
+        (condition <= WithoutSuspect && aCandidates.mRunSuspects[i]) ||
+        (condition <= NotExcluded && aCandidates.mExcluded[i]);
+    }
+    const auto chosen =
+      policy::ChooseReplica(choices, options, mRandom, mRoundRobinCounter);
+    if (chosen) {
+      return chosen;
     }
-    chosen =
-      policy::ChooseReplica(candidates, options, mRandom, mRoundRobinCounter);
   }
+  return std::nullopt;
+}
+
+std::optional<ReplicaPool::Reservation> ReplicaPool::ChooseAndReserve(
+  const ReplicaFilter& aFilter,
+  std::string_view aRequestId)
+{
+  Candidates candidates = FindCandidates(aFilter);
+  const auto chosen = Choose(candidates, aFilter.mSuspect);
   if (!chosen) {
     return std::nullopt;
   }
-  const fleet::Replica& replica = *replicas[*chosen];
+  const fleet::Replica& replica = *candidates.mReplicas[*chosen];
+  const policy::ReplicaCandidate& choice = candidates.mChoices[*chosen];
   LogEvent("route", LogLevel::Debug)
     .Field("request_id", aRequestId)
     .Field("upstream", aFilter.mService)
     .Field("replica", replica.mId)
-    .Field("candidates", static_cast<uint64_t>(candidates.size()))
-    .Field("own_running", candidates[*chosen].mOwnRunning)
-    .Field("others", candidates[*chosen].mReportedRunning)
+    .Field("candidates", static_cast<uint64_t>(candidates.mReplicas.size()))
+    .Field("own_running", choice.mOwnRunning)
+    .Field("others", choice.mReportedRunning)
     .Field("reason",
            aFilter.mExcludedIds.empty() ? "lowest load" : "another attempt")
     .Write();
-  return Reservation(*this, replica);
+  return Reservation(*this, replica, aFilter.mSuspect);
 }
 
 std::optional<ReplicaPool::Reservation> ReplicaPool::TryReserve(
