Take streams up only where the store knows of one origin

Cause: without a name, the default origin was used if all replicas that this host knows have it; both were copies of unknown age, and the store was not asked. A stream that begins elsewhere now leaves a mark for its HTTP host in the transaction with its own entry, before its first byte goes out, and unnamed requests read the mark. The mark is written once for each lease that the entries use, so it lives as long as they do.

The price: one store read for each unnamed request, and transactions of 16 instead of 32 streams.

--- a/include/agatetide/entry/stream_origins.hpp
+++ b/include/agatetide/entry/stream_origins.hpp
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 
 namespace agatetide::entry {
@@ -22,7 +23,9 @@
 /// Each HTTP host has a default origin, which is stored once. Only streams that
 /// began elsewhere are stored one by one: a stream without an entry began at
 /// the default origin. So nothing is written per stream while replicas of one
-/// software version serve. Not thread-safe: use it only on the executor of the
+/// software version serve. A stream whose first request is not named can be
+/// continued only while no stream of its HTTP host has an entry. Not
+/// thread-safe: use it only on the executor of the
 /// daemon.
 class StreamOrigins
 {
@@ -38,9 +41,10 @@
                                  std::string aRequestId,
                                  request::StreamOrigin aOrigin);
 
-  /// @brief Returns where the stream of this request began; the default origin
-  /// if aRequestId is empty. Errors: those of the store; NotFound if no stream
-  /// of the HTTP host has begun.
+  /// @brief Returns where the stream of this request began. If aRequestId is
+  /// empty, returns the default origin unless streams began elsewhere in the
+  /// last minutes. Errors: those of the store; NotFound if no stream of the
+  /// HTTP host has begun; InvalidArgument if the request has to be named.
   Awaitable<Result<request::StreamOrigin>> Find(std::string aHttpHost,
                                                 std::string aRequestId);
 
@@ -52,6 +56,7 @@
     {
     }
 
+    std::string mHttpHost;
     std::string mKey;
     std::string mValue;
     std::optional<Result<bool>> mResult;
@@ -67,11 +72,17 @@
     request::StreamOrigin aOrigin);
   Awaitable<void> WriteLoop();
   Awaitable<Result<bool>> WriteBatch(std::vector<WritePtr> aWrites);
+  coordination::TransactionRequest MakeTransaction(
+    std::span<const WritePtr> aWrites,
+    int64_t aLease) const;
 
   boost::asio::any_io_executor mExecutor;
   coordination::StoreCall mStore;
   /// Default origins by HTTP host; they never change.
   std::map<std::string, request::StreamOrigin, std::less<>> mDefaults;
+  /// By HTTP host, the lease of the entry that says that streams began
+  /// elsewhere.
+  std::map<std::string, int64_t, std::less<>> mElsewhereLeases;
   std::deque<WritePtr> mWrites;
   bool mWriting = false;
   /// Streams are taken up soon after they broke off, so their entries are
--- a/src/agatetide/entry/stream_origins.cpp
+++ b/src/agatetide/entry/stream_origins.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
+#include <set>
+
 namespace agatetide::entry {
 
 namespace asio = boost::asio;
@@ -19,8 +21,11 @@
 
 constexpr std::string_view kStreamPrefix = "agatetide/stream/";
 constexpr std::string_view kDefaultPrefix = "agatetide/stream-default/";
-/// Limit of the store for the writes of a transaction.
-constexpr size_t kMaxBatch = 32;
+/// Entries for HTTP hosts of which streams began elsewhere.
+constexpr std::string_view kElsewherePrefix = "agatetide/stream-elsewhere/";
+/// Half of the store's limit for the writes of a transaction, since each stream
+/// may need another one for its HTTP host.
+constexpr size_t kMaxBatch = 16;
 constexpr int kMaxAttempts = 3;
 
 std::string StreamKey(std::string_view aRequestId)
@@ -28,6 +33,11 @@
   return std::string(kStreamPrefix) + std::string(aRequestId);
 }
 
+std::string ElsewhereKey(std::string_view aHttpHost)
+{
+  return std::string(kElsewherePrefix) + std::to_string(Hash64(aHttpHost));
+}
+
 std::string DefaultKey(std::string_view aHttpHost)
 {
   return std::string(kDefaultPrefix) + std::to_string(Hash64(aHttpHost));
@@ -106,6 +116,17 @@
     if (own->has_value()) {
       co_return std::move(**own);
     }
+  } else {
+    const auto elsewhere = co_await ReadKey(mStore, ElsewhereKey(aHttpHost));
+    if (elsewhere.has_error()) {
+      co_return elsewhere.error();
+    }
+    if (elsewhere->has_value()) {
+      co_return Error{ ErrorKind::InvalidArgument,
+                       "streams of several software versions have begun, and "
+                       "the request does not name the one that started it",
+                       "name that request, or start the stream again" };
+    }
   }
   if (const auto known = mDefaults.find(aHttpHost); known != mDefaults.end()) {
     co_return known->second;
@@ -161,8 +182,7 @@
                                               std::string aRequestId,
                                               StreamOrigin aOrigin)
 {
-  const auto byDefault =
-    co_await FindOrCreateDefault(std::move(aHttpHost), aOrigin);
+  const auto byDefault = co_await FindOrCreateDefault(aHttpHost, aOrigin);
   if (byDefault.has_error()) {
     co_return byDefault.error();
   }
@@ -170,6 +190,7 @@
     co_return true;
   }
   const auto write = std::make_shared<Write>(mExecutor);
+  write->mHttpHost = std::move(aHttpHost);
   write->mKey = StreamKey(aRequestId);
   write->mValue = Encode(aOrigin);
   write->mTimer.expires_at(TimePoint::max());
@@ -204,6 +225,27 @@
   mWriting = false;
 }
 
+/// Also marks the HTTP hosts of the streams, with an entry that lives as long
+/// as those of the streams.
+TransactionRequest StreamOrigins::MakeTransaction(
+  std::span<const WritePtr> aWrites,
+  int64_t aLease) const
+{
+  TransactionRequest transaction;
+  std::set<std::string_view> marked;
+  for (const WritePtr& write : aWrites) {
+    transaction.mPuts.push_back({ write->mKey, write->mValue, aLease });
+    const auto lease = mElsewhereLeases.find(write->mHttpHost);
+    const bool isMarked =
+      lease != mElsewhereLeases.end() && lease->second == aLease;
+    if (!isMarked && marked.insert(write->mHttpHost).second) {
+      transaction.mPuts.push_back(
+        { ElsewhereKey(write->mHttpHost), "{}", aLease });
+    }
+  }
+  return transaction;
+}
+
 /// Repeats a write whose outcome is unknown, since its content is the same.
 Awaitable<Result<bool>> StreamOrigins::WriteBatch(std::vector<WritePtr> aWrites)
 {
@@ -214,13 +256,12 @@
       error = lease.error();
       continue;
     }
-    TransactionRequest transaction;
-    for (const WritePtr& write : aWrites) {
-      transaction.mPuts.push_back({ write->mKey, write->mValue, *lease });
-    }
-    StoreRequest request = std::move(transaction);
+    StoreRequest request = MakeTransaction(aWrites, *lease);
     const auto written = co_await mStore(std::move(request));
     if (written.has_value() && written->mSucceeded) {
+      for (const WritePtr& write : aWrites) {
+        mElsewhereLeases[write->mHttpHost] = *lease;
+      }
       co_return true;
     }
     if (written.has_error()) {
--- a/src/agatetide/entry/stream_origins_test.cpp
+++ b/src/agatetide/entry/stream_origins_test.cpp
@@ -147,3 +147,33 @@
   store.mStore.Apply(write);
   cr_expect(daemon.Find("bad").has_error());
 }
+
+// Guards against a host that continues a stream at the default origin because
+// it has not heard of the replicas where it began: the store knows.
+Test(stream_origins, unnamed_requests_need_streams_of_one_origin)
+{
+  FaultyStore store;
+  Daemon first(store);
+  Daemon second(store);
+  cr_assert(first.Record("old", kOld));
+  cr_expect(*first.Find("") == kOld);
+  cr_assert(second.Record("new", kNew));
+  cr_expect(first.Find("").has_error());
+  cr_expect(*first.Find("old") == kOld);
+}
+
+// Guards against an end of that knowledge before the entries of the streams
+// end.
+Test(stream_origins, the_mark_of_other_origins_lives_as_long_as_their_streams)
+{
+  FaultyStore store;
+  Daemon daemon(store);
+  cr_assert(daemon.Record("old", kOld));
+  for (int i = 0; i < 8; ++i) {
+    cr_assert(daemon.Record("new-" + std::to_string(i), kNew));
+    store.mClock.Advance(std::chrono::seconds(100));
+    cr_expect(daemon.Find("").has_error());
+  }
+  store.mClock.Advance(std::chrono::seconds(190));
+  cr_expect(daemon.Find("").has_error());
+}
--- a/tests/harness/site.py
+++ b/tests/harness/site.py
@@ -32,12 +32,12 @@
 class Daemon:
     """One daemon process on an entry host of its own, with an IP address of its own."""
 
-    def __init__(self, site, number):
+    def __init__(self, site, number, listens_for_peers=True):
         self.name, self.store_endpoint = "host-%d" % number, StoreEndpoint(site.store)
         self.address = "127.0.1.%d" % (number + 1)
         self.front_port, self.directory_port, self.ready_port, peer_port = (free_port(self.address) for _ in range(4))
         settings = {
-            "node": self.name, "ip": self.address, "internalPorts": [peer_port, 0],
+            "node": self.name, "ip": self.address, "internalPorts": [peer_port, 0] if listens_for_peers else [],
             "zone": "z1", "region": "r1", "zones": {"z1": "r1"},
             "listen": {"front": "%s:%d" % (self.address, self.front_port), "ready": "%s:%d" % (self.address, self.ready_port),
                        "directory": "%s:%d" % (self.address, self.directory_port)},
@@ -68,10 +68,14 @@
             answer = connection.getresponse()
             return answer.status, answer.read(), dict(answer.getheaders())
 
+    def lines(self, event):
+        """Returns the log lines with this event."""
+        log = (pathlib.Path(self.folder.name) / "log").read_text(errors="replace")
+        return [line for line in log.splitlines() if "event=%s " % event in line]
+
     def last_event(self, event, field):
         """Returns the last log line with this event that contains field; empty if there is none."""
-        lines = (pathlib.Path(self.folder.name) / "log").read_text().splitlines()
-        return next((line for line in reversed(lines) if "event=%s " % event in line and field in line), "")
+        return next((line for line in reversed(self.lines(event)) if field in line), "")
 
     def stop(self, signal_number=signal.SIGKILL):
         self.process.send_signal(signal_number)
@@ -108,7 +112,7 @@
 class Site:
     """The test doubles of the platform, replicas and daemons of one test."""
 
-    def __init__(self, daemons=1, plain=2, engines=2, events=4, pause=0.0):
+    def __init__(self, daemons=1, plain=2, engines=2, events=4, pause=0.0, peers=True):
         self.store, self.platform_api = Store(), PlatformApi()
         self.store.put("op/config", config())
         self.plain = [Replica(self.store, "plain-%d" % i, "plain", "z1") for i in range(plain)]
@@ -117,7 +121,7 @@
         self.daemons = []
         try:
             for i in range(daemons):
-                self.daemons.append(Daemon(self, i))
+                self.daemons.append(Daemon(self, i, peers))
             until(lambda: self.lookup(self.daemons[0], "warm")[0] == 200, "the first lookup succeeds")
             until(lambda: all(len(self.addresses(d)) == min(daemons, MAX_ADDRESSES) for d in self.daemons), "all hosts are known")
         except Exception:
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -106,11 +106,12 @@
 
     def __init__(self, store):
         self.store, self.refuse, self.silent = store, False, False
+        self.silent_prefix = None  # prefix whose reads and watches get no answer
         self.server = serve(self.handle)
         self.address = "127.0.0.1:%d" % self.server.server_port
 
     def handle(self, handler, method, path, query, body):
-        while self.silent:
+        while self.silent or (self.silent_prefix is not None and query.get("pathPrefix") == self.silent_prefix):
             time.sleep(0.05)
         if self.refuse:
             handler.reply(429)
@@ -137,6 +138,12 @@
             self.write_locked(key, json.dumps(value).encode(), lease)
             self.lock.notify_all()
 
+    def put_bytes(self, key, data):
+        """Writes a value that need not be JSON."""
+        with self.lock:
+            self.write_locked(key, data, 0)
+            self.lock.notify_all()
+
     def remove(self, key):
         with self.lock:
             self.delete_locked(key)
--- a/tests/software_versions.py
+++ b/tests/software_versions.py
@@ -11,6 +11,9 @@
 from harness.users_platform import Replica
 
 
+LONGEST_WATCH_S = 2.5
+
+
 def check_unmixed(results, events):
     """Checks that each text is complete and comes from replicas of one software version."""
     for result in results:
@@ -139,7 +142,31 @@
     check(stream(site.daemons[0], "new")[1][0].endswith("@v2"), "new streams begin")
 
 
+def host_with_an_old_list_joins_no_streams(site):
+    """Guards against a host that takes up a stream at another software version because it has not heard of the
+    replicas where the stream began; the caller does not name the request that began it."""
+    first, second = site.daemons
+    check(stream(first, "default")[0] == 200, "a stream of the old version")
+    first.store_endpoint.silent_prefix = "servers/"
+    time.sleep(LONGEST_WATCH_S)
+    add_engines(site, "v2")
+    until(lambda: second.last_event("replica", "software_version=v2"), "the other host knows the new replicas")
+    check(not first.last_event("replica", "software_version=v2"), "the host does not")
+    started = {}
+    for number in range(20):
+        name = "new-%d" % number
+        started[name] = software_of(stream(second, name)[1])
+    check({"v2"} in started.values(), "streams of the new version began")
+    joined = collections.Counter()
+    for name in started:
+        status, events = stream(first, name + "-up", "", 2)
+        if status == 200 and software_of(events) != started[name]:
+            joined["joined"] += 1
+    check(not joined, "%d of %d streams hold events of two software versions" % (joined["joined"], len(started)))
+
+
 TESTS = [
+    (host_with_an_old_list_joins_no_streams, {"daemons": 2, "peers": False}),
     (taken_up_streams_go_on_at_their_software_version, {"daemons": 2}),
     (streams_of_a_software_version_that_left_are_refused, {"daemons": 2}),
     (broken_items_go_on_at_their_software_version, {"events": 8, "pause": 0.05}),
