Forget replicas whose registration becomes malformed

It now counts as gone, after the time in which the next heartbeat mends it, and each revision of a key is logged once.

Evidence: replica_whose_entry_becomes_odd_gets_nothing_new failed on (slots: the replica got 7 of 20 lookups) and passes, the unit test a_malformed_registration_names_no_replica too. That hosts end or stop following the list could not be shown: hosts_follow_replicas_beside_odd_entries and hosts_start_with_odd_entries (46 entries at once, also as the first that a host reads) pass before and after.

--- a/include/agatetide/entry/replica_registrations.hpp
+++ b/include/agatetide/entry/replica_registrations.hpp
@@ -18,7 +18,8 @@
 
 /// @brief Keeps the view's replicas as they register in the store and as they
 /// say themselves. Replicas whose registration is gone stay for a while around
-/// an outage of the store. Not thread-safe: use it only on the executor of the
+/// an outage of the store, and so do those whose registration is malformed. Not
+/// thread-safe: use it only on the executor of the
 /// daemon.
 class ReplicaRegistrations
 {
@@ -55,7 +56,8 @@
   uint64_t DrainReportCount() const { return mDrainReportCount; }
 
 private:
-  void Put(const coordination::StoreEntry& aEntry);
+  bool Put(const coordination::StoreEntry& aEntry);
+  void LogIgnored(const coordination::StoreEntry& aEntry, const Error& aError);
 
   std::string mPrefix;
   DecodeReplicaCall mDecode;
@@ -67,6 +69,9 @@
   /// the view.
   std::map<std::string, TimePoint, std::less<>> mExpired;
   uint64_t mDrainReportCount = 0;
+  /// Revisions of malformed registrations, by key, each of which is logged
+  /// once.
+  std::map<std::string, int64_t, std::less<>> mIgnored;
 };
 
 } // namespace agatetide::entry
--- a/src/agatetide/entry/replica_registrations.cpp
+++ b/src/agatetide/entry/replica_registrations.cpp
@@ -17,6 +17,7 @@
 /// An outage of the store counts as recent for this long after the last failed
 /// call.
 constexpr std::chrono::milliseconds kRecentOutagePeriod{ 3000 };
+constexpr size_t kMaxLoggedRegistrations = 256;
 
 } // namespace
 
@@ -39,15 +40,30 @@
          mClock() - mLastStoreFailure < kRecentOutagePeriod;
 }
 
-void ReplicaRegistrations::Put(const StoreEntry& aEntry)
+void ReplicaRegistrations::LogIgnored(const StoreEntry& aEntry,
+                                      const Error& aError)
+{
+  if (mIgnored.size() >= kMaxLoggedRegistrations) {
+    mIgnored.clear();
+  }
+  int64_t& logged = mIgnored[aEntry.mKey];
+  if (logged == aEntry.mModRevision && logged != 0) {
+    return;
+  }
+  logged = aEntry.mModRevision;
+  LogEvent("replica_ignored", LogLevel::Warning)
+    .Field("key", aEntry.mKey)
+    .Field("error", FormatError(aError))
+    .Write();
+}
+
+/// Returns false if the registration is malformed and names no replica.
+bool ReplicaRegistrations::Put(const StoreEntry& aEntry)
 {
   auto replica = mDecode(aEntry);
   if (replica.has_error()) {
-    LogEvent("replica_ignored", LogLevel::Warning)
-      .Field("key", aEntry.mKey)
-      .Field("error", FormatError(replica.error()))
-      .Write();
-    return;
+    LogIgnored(aEntry, replica.error());
+    return false;
   }
   const std::string id = replica->mId;
   const fleet::Replica* known = mView.FindReplica(id);
@@ -69,14 +85,16 @@
       .Field("draining", current.mDraining)
       .Write();
   }
+  return true;
 }
 
 void ReplicaRegistrations::Reset(std::span<const StoreEntry> aEntries)
 {
   std::set<std::string_view> present;
   for (const StoreEntry& entry : aEntries) {
-    present.insert(std::string_view(entry.mKey).substr(mPrefix.size()));
-    Put(entry);
+    if (Put(entry)) {
+      present.insert(std::string_view(entry.mKey).substr(mPrefix.size()));
+    }
   }
   for (const auto& [id, replica] : mView.Replicas()) {
     if (!present.contains(id)) {
@@ -88,13 +106,17 @@
 
 void ReplicaRegistrations::Apply(const StoreChange& aChange)
 {
-  if (!aChange.mRemoved) {
-    Put(aChange.mEntry);
+  if (!aChange.mRemoved && Put(aChange.mEntry)) {
     return;
   }
   const std::string id = aChange.mEntry.mKey.substr(mPrefix.size());
-  mExpired.try_emplace(
-    id, IsOutageRecent() ? mClock() + kReplicaRemovalDelay : mClock());
+  if (mView.FindReplica(id) == nullptr) {
+    return;
+  }
+  // A malformed registration may be replaced by the replica's next heartbeat.
+  const bool mayReturn = !aChange.mRemoved || IsOutageRecent();
+  mExpired.try_emplace(id,
+                       mayReturn ? mClock() + kReplicaRemovalDelay : mClock());
   RemoveExpired();
 }
 
--- a/src/agatetide/entry/replica_registrations_test.cpp
+++ b/src/agatetide/entry/replica_registrations_test.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr const char* kPrefix = "replicas/";
+/// Value of a malformed registration.
+constexpr const char* kOdd = "odd";
 
 StoreEntry MakeEntry(const std::string& aId, std::string aStart = "1")
 {
@@ -29,11 +31,14 @@
   return change;
 }
 
-/// Registrations whose values are the start times of their replicas.
+/// Registrations whose values are the start times of their replicas, or kOdd.
 struct Fixture
 {
   static Result<fleet::Replica> Decode(const StoreEntry& aEntry)
   {
+    if (aEntry.mValue == kOdd) {
+      return Error{ ErrorKind::InvalidArgument, "odd", "none" };
+    }
     fleet::Replica replica;
     replica.mId = aEntry.mKey.substr(std::string_view(kPrefix).size());
     replica.mStartTimeMs = std::stoll(aEntry.mValue);
@@ -98,3 +103,27 @@
   fixture.mRegistrations.Reset(std::span(&restarted, 1));
   cr_expect(!fixture.mView.FindReplica("a")->mDraining);
 }
+
+// Guards against a replica that is used for good because its registration was
+// replaced by a malformed one, and against losing one whose next heartbeat
+// mends it.
+Test(replica_registrations, a_malformed_registration_names_no_replica)
+{
+  Fixture fixture;
+  for (const char* id : { "odd", "mended", "odd-in-snapshot" }) {
+    fixture.mRegistrations.Apply(MakeChange(id, false));
+  }
+  for (const char* id : { "odd", "mended" }) {
+    fixture.mRegistrations.Apply({ MakeEntry(id, kOdd), false });
+  }
+  const std::vector<StoreEntry> snapshot{ MakeEntry("odd", kOdd),
+                                          MakeEntry("mended", kOdd),
+                                          MakeEntry("odd-in-snapshot", kOdd) };
+  fixture.mRegistrations.Reset(snapshot);
+  cr_expect(fixture.IsKnown("odd") && fixture.IsKnown("mended"));
+  fixture.mRegistrations.Apply(MakeChange("mended", false));
+  fixture.mClock.Advance(std::chrono::seconds(3));
+  cr_expect_not(fixture.IsKnown("odd"));
+  cr_expect_not(fixture.IsKnown("odd-in-snapshot"));
+  cr_expect(fixture.IsKnown("mended"));
+}
--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -122,6 +122,7 @@
     "broken_responses": script("broken_responses"),
     "cut_off_hosts": script("cut_off_hosts"),
     "leaving_replicas": script("leaving_replicas"),
+    "odd_registrations": script("odd_registrations"),
     "crashing_requests": script("crashing_requests"),
     "soak": soak,
     "ctl": script("ctl_test"),
