Play requests that crash replicas, and odd entries, at random

The soak repeats a request that ends each plain replica which runs it, through all hosts, beside the other faults; replicas come back under a new id or their own. After the faults it checks that the request runs no more than the users' bound allows and that sound ones are served.

--- a/tests/fuzz/fuzz_input.cpp
+++ b/tests/fuzz/fuzz_input.cpp
@@ -1,3 +1,4 @@
+#include "fuzz_store_entries.hpp"
 #include "mutation.hpp"
 
 #include "agatetide/base/encoding.hpp"
@@ -256,6 +257,7 @@
       { "fuzz_schema", FuzzSchema },
       { "fuzz_transcoding", FuzzTranscoding },
       { "fuzz_http", FuzzHttp },
+      { "fuzz_store_entries", fuzz::FuzzStoreEntries },
     };
   int exitCode = 0;
   for (const auto& [name, run] : targets) {
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -270,6 +270,7 @@
         self.running = {}  # connections of requests that take time, by id
         self.state = "ready"
         self.crashing_bodies = set()  # the process ends when it begins to run one of these
+        self.keeps_id = False  # when it starts again after such an end
         self.crashes = []  # (time, request id) of each end under such a body
         self.ending = threading.Lock()
         self.server = serve(self.handle)
@@ -306,6 +307,7 @@
         if new_id:
             self.name = "%s.%d" % (old_name.partition(".")[0], self.born)
         self.server = serve(self.handle, self.server.server_port)
+        self.says_leaving, self.told, self.state = set(), {}, "ready"
         self.ending.release()
         self.register()
         if new_id:
@@ -346,7 +348,7 @@
         self.record_arrival(handler.client_address[0])
         self.requests.append((headers.get("Attempt-Id"), path, dict(headers.items()), body))
         if body in self.crashing_bodies:
-            if self.end_process():
+            if self.end_process(new_id=not self.keeps_id):
                 self.crashes.append((time.monotonic(), headers.get("Attempt-Id")))
             handler.close_connection = True
             return
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -15,11 +15,14 @@
 
 from harness.site import HOST, Site, check, config, until
 from harness.users_platform import DRAIN_S
+import crashing_requests
 from software_versions import add_engines, check_unmixed, software_of, stream
 
 EVENTS = 6
 FAULTS_S = 9
 CALM_S = 25
+# Repetitions of a request that crashes replicas, after the faults have ended.
+LATE_REPETITIONS = 12
 
 
 class Soak:
@@ -38,6 +41,11 @@
         self.unanswered, self.wrong = [], []
         self.refused, self.steps, self.streams = set(), [], {}
         self.config_version = 2
+        self.crashing_body = b"crash-%d" % seed
+        self.crashing_path = self.random.choice(["/open/2", "/once/2"])
+        for replica in self.site.plain:
+            replica.crashing_bodies.add(self.crashing_body)
+            replica.keeps_id = self.random.random() < 0.3
 
     def running(self):
         return time.monotonic() < self.end
@@ -90,6 +98,17 @@
                 time.sleep(0.1)
             time.sleep(0.4)
 
+    def crash_replicas(self):
+        """Repeats a request that crashes each replica which runs it, through all hosts."""
+        for number in range(1000):
+            if not self.running():
+                return
+            self.send_crashing_request(self.pick(), "soak-crash-%d" % number)
+            self.sleep(0.2, 0.8)
+
+    def send_crashing_request(self, daemon, name):
+        return crashing_requests.send(daemon, name, self.crashing_path, self.crashing_body, 1000)[0]
+
     def take_streams_up(self):
         """Starts streams and takes each up at another host."""
         for number in range(1000):
@@ -236,6 +255,19 @@
                 if not any(told - 0.5 <= t <= now for t in self.disturbed_at[sender])]
         check(not late, "requests to replicas that leave: %s" % late[:3])
 
+    def check_crashing_request(self):
+        """A request that crashes replicas is refused by all hosts, and sound ones are not."""
+        ended = len(crashing_requests.crashes(self.site))
+        time.sleep(crashing_requests.CONTACT_S)
+        before = len(crashing_requests.runs(self.site, self.crashing_body))
+        for number in range(LATE_REPETITIONS):
+            self.send_crashing_request(self.site.daemons[number % len(self.site.daemons)], "late-%d" % number)
+        late = len(crashing_requests.runs(self.site, self.crashing_body)) - before
+        allowed = max(0, crashing_requests.CRASHES - ended) + crashing_requests.LATE_RUNS
+        check(late <= allowed, "%d late runs of a request under which %d replicas had ended" % (late, ended))
+        until(lambda: all(self.site.lookup(d, "sound")[0] == 200 for d in self.site.daemons), "sound requests are served")
+        return "%d replicas crashed, %d late runs" % (len(crashing_requests.crashes(self.site)), late)
+
     def check_steps(self):
         for name in self.steps:
             results = self.site.read_all(self.site.daemons[0], 6, name, timeout=CALM_S)
@@ -254,7 +286,8 @@
                 traceback.print_exc()
 
         callers = [lambda n=n: self.send_requests(n) for n in range(max(6, len(self.site.daemons)))]
-        work = [*callers, self.submit_steps, self.submit_steps_twice, self.take_streams_up, *[self.cause_faults] * 3]
+        work = [*callers, self.crash_replicas, self.submit_steps, self.submit_steps_twice, self.take_streams_up,
+                *[self.cause_faults] * 3]
         threads = [threading.Thread(target=guarded, args=(w,)) for w in work]
         for thread in threads:
             thread.start()
@@ -262,13 +295,14 @@
             thread.join()
         check(not failures, "a caller or fault failed: %r" % failures[:1])
         until(lambda: all(d.is_ready() for d in self.site.daemons), "all hosts are ready again")
+        crashing = self.check_crashing_request()
         self.check_requests()
         self.check_drained()
         mixed = {n: s for n, s in self.streams.items() if len(s) > 1}
         check(not mixed, "streams of two software versions: %s" % mixed)
         self.check_steps()
-        return "%d steps, %d streams, %d requests refused, %d unanswered" % (
-            len(self.steps), len(self.streams), len(self.refused), len(self.unanswered))
+        return "%d steps, %d streams, %d requests refused, %d unanswered, %s" % (
+            len(self.steps), len(self.streams), len(self.refused), len(self.unanswered), crashing)
 
     def submit_steps_twice(self):
         """Submits steps that were accepted once more at another host."""
