Judge crashing requests by one policy on both interfaces

Both now use policy::JudgeRequest and request::RecentCompletions. What stays apart is how records reach the other hosts (gossip here, the store there), the probe, and that this interface has two crashes and no trial.

--- a/include/agatetide/daemon/crash_evidence.hpp
+++ b/include/agatetide/daemon/crash_evidence.hpp
@@ -3,12 +3,12 @@
 #include "agatetide/base/awaitable.hpp"
 #include "agatetide/base/clock.hpp"
 #include "agatetide/coordination/messages.hpp"
+#include "agatetide/policy/crash_verdict.hpp"
+#include "agatetide/request/recent_completions.hpp"
 
-#include <deque>
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <unordered_set>
 
 namespace agatetide::daemon {
@@ -24,20 +24,21 @@
 class CrashEvidence
 {
 public:
+  explicit CrashEvidence(Clock aClock);
+
   /// @brief Records that a request was answered completely and clears a
   /// suspicion. Returns whether it was suspected.
-  bool RecordCompletion(uint64_t aFingerprint, TimePoint aNow);
+  bool RecordCompletion(uint64_t aFingerprint);
 
   /// @brief Records that a request was reported as a suspect.
   void RecordSuspect(uint64_t aFingerprint);
 
   /// @brief Whether a failure of this request makes it a suspect, because it
   /// has no recent completion.
-  bool IsSuspicious(uint64_t aFingerprint, TimePoint aNow) const;
+  bool IsSuspicious(uint64_t aFingerprint) const;
 
 private:
-  std::unordered_map<uint64_t, TimePoint> mCompleted;
-  std::deque<uint64_t> mCompletionOrder;
+  request::RecentCompletions mCompletions;
   std::unordered_set<uint64_t> mSuspects;
 };
 
@@ -70,6 +71,9 @@
                     uint64_t aFingerprint,
                     int64_t aSinceMs);
 
+/// @brief Whether a request that crashed this many upstreams is quarantined.
+bool IsQuarantined(size_t aCrashes);
+
 /// @brief The fingerprint as 16 hexadecimal digits.
 std::string FormatFingerprint(uint64_t aFingerprint);
 
--- a/include/agatetide/daemon/traffic.hpp
+++ b/include/agatetide/daemon/traffic.hpp
@@ -89,7 +89,7 @@
   std::map<std::string, std::shared_ptr<ConcurrencyLimiter>> mLimiters;
   std::map<std::string, uint64_t> mRoundRobinCounters;
   uint64_t mNextId = 1;
-  CrashEvidence mCrashEvidence;
+  CrashEvidence mCrashEvidence{ mClock };
   /// Replicas on which requests are being retried whose connection to another
   /// replica broke. Two such requests avoid the same replica if possible, so
   /// that when one crashes the replica, the other is not suspected.
--- a/src/agatetide/daemon/call_dispatcher.cpp
+++ b/src/agatetide/daemon/call_dispatcher.cpp
@@ -528,7 +528,7 @@
     }
   }
   if (brokenAttempts > 0 && result.has_error() &&
-      mContext.mCrashEvidence.IsSuspicious(fingerprint, mContext.mClock())) {
+      mContext.mCrashEvidence.IsSuspicious(fingerprint)) {
     asio::steady_timer timer(mContext.mExecutor, kCrashPropagationDelay);
     co_await timer.async_wait(asio::use_awaitable);
   }
--- a/src/agatetide/daemon/control.cpp
+++ b/src/agatetide/daemon/control.cpp
@@ -49,7 +49,6 @@
 constexpr const char* kSuspicionClearedTopic = "acquittal";
 /// Crashes count towards a quarantine for this time.
 constexpr int64_t kCrashLifetimeMs = int64_t{ 10 } * 60 * 1000;
-constexpr size_t kMinCrashesForQuarantine = 2;
 constexpr uint64_t kQuarantineLifetimeMs = uint64_t{ 24 } * 3600 * 1000;
 
 /// This daemon's entry in the membership.
@@ -548,7 +547,7 @@
       .Field("upstream", aReplica)
       .Field("crashes", static_cast<uint64_t>(crashes))
       .Write();
-    if (crashes >= kMinCrashesForQuarantine) {
+    if (IsQuarantined(crashes)) {
       GossipRecord quarantine;
       quarantine.mTopic = kQuarantineTopic;
       quarantine.mKey = key;
--- a/src/agatetide/daemon/crash_evidence.cpp
+++ b/src/agatetide/daemon/crash_evidence.cpp
@@ -12,43 +12,40 @@
 
 namespace {
 
-constexpr std::chrono::seconds kCompletionRetention{ 60 };
-constexpr size_t kMaxCompletions = 8192;
+constexpr size_t kMaxSuspects = 8192;
+/// A call is sent to two upstreams at most, so it crashes no more by itself.
+constexpr size_t kMaxCrashes = 2;
 constexpr std::chrono::milliseconds kProbeTimeout{ 1000 };
 constexpr uint64_t kSameCrashWindowMs = 1000;
 
 } // namespace
 
-bool CrashEvidence::RecordCompletion(uint64_t aFingerprint, TimePoint aNow)
+CrashEvidence::CrashEvidence(Clock aClock)
+  : mCompletions({}, std::move(aClock))
 {
-  if (mCompleted.insert_or_assign(aFingerprint, aNow).second) {
-    mCompletionOrder.push_back(aFingerprint);
-  }
-  if (mCompletionOrder.size() > kMaxCompletions) {
-    mCompleted.erase(mCompletionOrder.front());
-    mCompletionOrder.pop_front();
-  }
+}
+
+bool CrashEvidence::RecordCompletion(uint64_t aFingerprint)
+{
+  mCompletions.Record(FormatFingerprint(aFingerprint));
   return mSuspects.erase(aFingerprint) > 0;
 }
 
 void CrashEvidence::RecordSuspect(uint64_t aFingerprint)
 {
-  if (mSuspects.size() < kMaxCompletions) {
+  if (mSuspects.size() < kMaxSuspects) {
     mSuspects.insert(aFingerprint);
   }
 }
 
-bool CrashEvidence::IsSuspicious(uint64_t aFingerprint, TimePoint aNow) const
+bool CrashEvidence::IsSuspicious(uint64_t aFingerprint) const
 {
-  const auto found = mCompleted.find(aFingerprint);
-  return found == mCompleted.end() ||
-         aNow - found->second > kCompletionRetention;
+  return !mCompletions.Contains(FormatFingerprint(aFingerprint));
 }
 
 void ReportCompletion(TrafficContext& aContext, uint64_t aFingerprint)
 {
-  if (aContext.mCrashEvidence.RecordCompletion(aFingerprint,
-                                               aContext.mClock())) {
+  if (aContext.mCrashEvidence.RecordCompletion(aFingerprint)) {
     TrafficReport report;
     report.mKind = TrafficReport::Kind::SuspicionCleared;
     report.mFingerprint = aFingerprint;
@@ -76,13 +73,12 @@
                                        uint64_t aFingerprint,
                                        std::string aReplica)
 {
-  if (!aContext.mCrashEvidence.IsSuspicious(aFingerprint, aContext.mClock())) {
+  if (!aContext.mCrashEvidence.IsSuspicious(aFingerprint)) {
     co_return;
   }
   const bool gone = co_await HasCrashed(aContext, std::string(aReplica));
   // A retry may have been answered in the meantime.
-  if (!gone ||
-      !aContext.mCrashEvidence.IsSuspicious(aFingerprint, aContext.mClock())) {
+  if (!gone || !aContext.mCrashEvidence.IsSuspicious(aFingerprint)) {
     co_return;
   }
   aContext.mCrashEvidence.RecordSuspect(aFingerprint);
@@ -93,6 +89,16 @@
   aContext.mControl.mReport(std::move(report));
 }
 
+bool IsQuarantined(size_t aCrashes)
+{
+  policy::CrashHistory history;
+  history.mCrashes = aCrashes;
+  policy::CrashVerdictOptions options;
+  options.mMaxCrashes = kMaxCrashes;
+  return policy::JudgeRequest(history, options).mVerdict ==
+         policy::CrashVerdict::Refuse;
+}
+
 std::string FormatFingerprint(uint64_t aFingerprint)
 {
   std::array<char, 17> text{};
