--- a/include/agatetide/entry/peer_channel.hpp
+++ b/include/agatetide/entry/peer_channel.hpp
@@ -66,6 +66,7 @@
   Awaitable<http::Response> HandleStore(http::Request aRequest);
   Awaitable<http::Response> HandleSubmit(http::Request aRequest);
   Awaitable<http::Response> HandleRelay(http::Request aRequest);
+  Awaitable<http::Response> RefuseUnknown(http::Request aRequest);
   Awaitable<Result<std::string>> Post(http::Endpoint aPeer,
                                       std::string aTarget,
                                       std::string aBody,
--- a/src/agatetide/entry/peer_channel.cpp
+++ b/src/agatetide/entry/peer_channel.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Version of the messages between daemons. Builds without the header have 1.
+constexpr int kProtocolVersion = 2;
+constexpr const char* kVersionHeader = "agatetide-peer-version";
 constexpr const char* kWatchTarget = "/watch";
 constexpr const char* kStoreTarget = "/store";
 constexpr const char* kSubmitTarget = "/step";
@@ -18,12 +21,30 @@
 constexpr std::string_view kContentType = "application/octet-stream";
 constexpr unsigned kOk = 200;
 constexpr size_t kMaxConnections = 512;
+constexpr size_t kMaxLoggedTargetBytes = 80;
 /// Above what hosts accept from callers, since requests of callers are passed
 /// on.
 constexpr size_t kMaxBodyBytes = size_t{ 64 } << 20U;
 /// Daemons of one availability zone answer within milliseconds.
 constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
 
+/// Names the versions of both daemons in an error about a message that one of
+/// them cannot read.
+Error WithVersions(Error aError, const std::vector<http::Header>& aPeerHeaders)
+{
+  const std::string_view peer = http::FindHeader(aPeerHeaders, kVersionHeader);
+  aError.mMessage += " (this daemon has version " +
+                     std::to_string(kProtocolVersion) +
+                     " of the messages between daemons, the other one " +
+                     std::string(peer.empty() ? "1" : peer) + ")";
+  return aError;
+}
+
+http::Response MakePeerError(const Error& aError, const http::Request& aRequest)
+{
+  return http::MakeErrorResponse(WithVersions(aError, aRequest.mHeaders), {});
+}
+
 std::string_view OutcomeText(steps::SubmitOutcome aOutcome)
 {
   switch (aOutcome) {
@@ -87,7 +108,20 @@
   if (aRequest.mTarget == kRelayTarget) {
     return HandleRelay(std::move(aRequest));
   }
-  return HandleWatch(std::move(aRequest));
+  if (aRequest.mTarget == kWatchTarget) {
+    return HandleWatch(std::move(aRequest));
+  }
+  return RefuseUnknown(std::move(aRequest));
+}
+
+/// A message of a later build.
+Awaitable<http::Response> PeerChannel::RefuseUnknown(http::Request aRequest)
+{
+  const Error unknown{ ErrorKind::NotFound,
+                       "this daemon does not know messages to " +
+                         aRequest.mTarget.substr(0, kMaxLoggedTargetBytes),
+                       "ask another daemon" };
+  co_return MakePeerError(unknown, aRequest);
 }
 
 Awaitable<http::Response> PeerChannel::HandleRelay(http::Request aRequest)
@@ -99,7 +133,7 @@
 {
   auto submission = steps::DecodeSubmission(aRequest.mBody);
   if (submission.has_error()) {
-    co_return http::MakeErrorResponse(submission.error(), {});
+    co_return MakePeerError(submission.error(), aRequest);
   }
   const auto outcome = co_await mHandlers.mSubmit(std::move(*submission));
   if (outcome.has_error()) {
@@ -113,7 +147,7 @@
 {
   auto request = DecodePeerWatchRequest(aRequest.mBody);
   if (request.has_error()) {
-    co_return http::MakeErrorResponse(request.error(), {});
+    co_return MakePeerError(request.error(), aRequest);
   }
   const auto reply = co_await mHandlers.mWatch(std::move(*request));
   if (reply.has_error()) {
@@ -126,7 +160,7 @@
 {
   auto request = DecodeStoreRequest(aRequest.mBody);
   if (request.has_error()) {
-    co_return http::MakeErrorResponse(request.error(), {});
+    co_return MakePeerError(request.error(), aRequest);
   }
   const auto reply = co_await mHandlers.mStore(std::move(*request));
   if (reply.has_error()) {
@@ -144,6 +178,8 @@
   request.mTarget = std::move(aTarget);
   request.mBody = std::move(aBody);
   request.mHeaders.push_back({ "content-type", std::string(kContentType) });
+  request.mHeaders.push_back(
+    { kVersionHeader, std::to_string(kProtocolVersion) });
   http::CallOptions options;
   options.mDeadline = std::chrono::steady_clock::now() + aTimeout;
   auto answer = co_await mClient->Call(
