--- a/tests/harness/site.py
+++ b/tests/harness/site.py
@@ -32,7 +32,8 @@
 class Daemon:
     """One daemon process on an entry host of its own, with an IP address of its own."""
 
-    def __init__(self, site, number, listens_for_peers=True):
+    def __init__(self, site, number, listens_for_peers=True, program=DAEMON):
+        self.program = program
         self.name, self.store_endpoint = "host-%d" % number, StoreEndpoint(site.store)
         self.address = "127.0.1.%d" % (number + 1)
         self.front_port, self.directory_port, self.ready_port, peer_port = (free_port(self.address) for _ in range(4))
@@ -51,7 +52,7 @@
         self.start()
 
     def start(self):
-        self.process = subprocess.Popen([str(DAEMON), "--platform-role", "entry"], stdout=self.log, stderr=self.log,
+        self.process = subprocess.Popen([str(self.program), "--platform-role", "entry"], stdout=self.log, stderr=self.log,
                                         env={**os.environ, "AGATETIDE_NODE_FILE": str(self.settings_path)})
         until(lambda: self.is_ready(), self.name + " is ready", self.process)
 
@@ -112,7 +113,7 @@
 class Site:
     """The test doubles of the platform, replicas and daemons of one test."""
 
-    def __init__(self, daemons=1, plain=2, engines=2, events=4, pause=0.0, peers=True):
+    def __init__(self, daemons=1, plain=2, engines=2, events=4, pause=0.0, peers=True, program=DAEMON):
         self.store, self.platform_api = Store(), PlatformApi()
         self.store.put("op/config", config())
         self.plain = [Replica(self.store, "plain-%d" % i, "plain", "z1") for i in range(plain)]
@@ -121,7 +122,7 @@
         self.daemons = []
         try:
             for i in range(daemons):
-                self.daemons.append(Daemon(self, i, peers))
+                self.daemons.append(Daemon(self, i, peers, program))
             until(lambda: self.lookup(self.daemons[0], "warm")[0] == 200, "the first lookup succeeds")
             until(lambda: all(len(self.addresses(d)) == min(daemons, MAX_ADDRESSES) for d in self.daemons), "all hosts are known")
         except Exception:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -28,9 +28,9 @@
 class Soak:
     """One run: callers, trainers and faults on a site of its own."""
 
-    def __init__(self, seed, daemons):
+    def __init__(self, seed, daemons, **options):
         self.random = random.Random(seed)
-        self.site = Site(daemons=daemons, plain=3, engines=3, events=EVENTS, pause=0.05)
+        self.site = Site(daemons=daemons, plain=3, engines=3, events=EVENTS, pause=0.05, **options)
         add_engines(self.site, "v2", 2)
         self.end = time.monotonic() + FAULTS_S
         self.lock = threading.Lock()
@@ -39,6 +39,7 @@
         self.busy = set()  # daemons that a fault acts on
         self.starting = set()  # daemons whose program may not have begun to run
         self.unanswered, self.wrong = [], []
+        self.answers = collections.Counter()  # by status, 0 if there was none
         self.refused, self.steps, self.streams = set(), [], {}
         self.config_version = 2
         self.crashing_body = b"crash-%d" % seed
@@ -71,6 +72,7 @@
                 connection.request("POST", path, b"question", {"Host": HOST, "Attempt-Id": name, "Timeout-Ms": "2000"})
                 answer = connection.getresponse()
                 body = answer.read()
+                self.answers[answer.status] += 1
                 if answer.status == 200 and (body != b"answer to question" or
                                              answer.getheader("Response-Signature") != "signed-" + name):
                     self.wrong.append((name, body))
@@ -80,6 +82,7 @@
                     connection = None
             except (OSError, http.client.HTTPException) as error:
                 connection = None
+                self.answers[0] += 1
                 self.unanswered.append((name, daemon.name, sent_at, time.monotonic(), repr(error)))
             time.sleep(0.02)
 
@@ -275,6 +278,12 @@
             check({r["state"] for r in results} == {"completed"}, "items are completed: %s" % results)
             check_unmixed(results, EVENTS)
 
+    def work(self):
+        """Returns what the callers and the causes of faults do, each in a thread of its own."""
+        callers = [lambda n=n: self.send_requests(n) for n in range(max(6, len(self.site.daemons)))]
+        return [*callers, self.crash_replicas, self.submit_steps, self.submit_steps_twice, self.take_streams_up,
+                *[self.cause_faults] * 3]
+
     def run(self):
         failures = []
 
@@ -285,10 +294,7 @@
                 failures.append(error)
                 traceback.print_exc()
 
-        callers = [lambda n=n: self.send_requests(n) for n in range(max(6, len(self.site.daemons)))]
-        work = [*callers, self.crash_replicas, self.submit_steps, self.submit_steps_twice, self.take_streams_up,
-                *[self.cause_faults] * 3]
-        threads = [threading.Thread(target=guarded, args=(w,)) for w in work]
+        threads = [threading.Thread(target=guarded, args=(w,)) for w in self.work()]
         for thread in threads:
             thread.start()
         for thread in threads:
