--- a/src/agatetide/coordination/peer_messages_test.cpp
+++ b/src/agatetide/coordination/peer_messages_test.cpp
@@ -1,41 +1,27 @@
-#include "agatetide/base/encoding.hpp"
+#include "agatetide/coordination/recorded_bytes.hpp"
 #include "agatetide/coordination/store_messages.hpp"
 #include "agatetide/coordination/watch_messages.hpp"
 
 #include <criterion/criterion.h>
 
-#include <string>
-
 using namespace agatetide;
 using namespace agatetide::coordination;
 
-namespace {
-
-/// Compares with the bytes that the build of b8b7489 wrote. Builds side by side
-/// read each other's: a change needs a new kind of message or entry, see
-/// docs/platform.md.
-void ExpectBytes(const std::string& aEncoded, const char* aRecorded)
-{
-  const std::string hex = HexEncode(aEncoded);
-  cr_expect_str_eq(hex.c_str(), aRecorded);
-}
-
-} // namespace
-
 // Guards against hosts of two builds that cannot pass changes of the store on.
 Test(peer_messages, the_form_of_watches_does_not_change)
 {
-  ExpectBytes(Encode(PeerWatchRequest{ "p/", 7, 1500 }),
-              "010200000000000000702f0700000000000000dc05000000000000");
+  ExpectRecordedBytes(Encode(PeerWatchRequest{ "p/", 7, 1500 }),
+                      "010200000000000000702f0700000000000000dc05000000000000");
   PeerWatchReply reply;
   reply.mChanges.push_back({ { "k", "v", 1, 2, 3 }, true });
   reply.mRevision = 9;
   reply.mWaitedMs = 4;
   reply.mStalenessMs = 5;
-  ExpectBytes(Encode(reply),
-              "01010000000000000001000000000000006b010000000000000076010000"
-              "000000000002000000000000000300000000000000010900000000000000"
-              "04000000000000000500000000000000");
+  ExpectRecordedBytes(
+    Encode(reply),
+    "01010000000000000001000000000000006b010000000000000076010000"
+    "000000000002000000000000000300000000000000010900000000000000"
+    "04000000000000000500000000000000");
 }
 
 // Guards against hosts of two builds that cannot call the store for each other.
@@ -46,27 +32,30 @@
   transaction.mPuts = { { "k", "v", 5 } };
   transaction.mDeletes = { { "d" } };
   transaction.mReadOnFailure = { "r" };
-  ExpectBytes(Encode(StoreRequest(RangeRequest{ "a", "b", 3 })),
-              "00010100000000000000610100000000000000620300000000000000");
-  ExpectBytes(Encode(StoreRequest(transaction)),
-              "010101000000000000000100000000000000630400000000000000010000"
-              "000000000001000000000000006b01000000000000007605000000000000"
-              "000100000000000000010000000000000064010000000000000001000000"
-              "0000000072");
-  ExpectBytes(Encode(StoreRequest(LeaseGrantRequest{ 6 })),
-              "02010600000000000000");
-  ExpectBytes(Encode(StoreRequest(LeaseKeepAliveRequest{ 7 })),
-              "03010700000000000000");
-  ExpectBytes(Encode(StoreRequest(LeaseRevokeRequest{ 8 })),
-              "04010800000000000000");
+  ExpectRecordedBytes(
+    Encode(StoreRequest(RangeRequest{ "a", "b", 3 })),
+    "00010100000000000000610100000000000000620300000000000000");
+  ExpectRecordedBytes(
+    Encode(StoreRequest(transaction)),
+    "010101000000000000000100000000000000630400000000000000010000"
+    "000000000001000000000000006b01000000000000007605000000000000"
+    "000100000000000000010000000000000064010000000000000001000000"
+    "0000000072");
+  ExpectRecordedBytes(Encode(StoreRequest(LeaseGrantRequest{ 6 })),
+                      "02010600000000000000");
+  ExpectRecordedBytes(Encode(StoreRequest(LeaseKeepAliveRequest{ 7 })),
+                      "03010700000000000000");
+  ExpectRecordedBytes(Encode(StoreRequest(LeaseRevokeRequest{ 8 })),
+                      "04010800000000000000");
   StoreReply reply;
   reply.mRevision = 1;
   reply.mSucceeded = true;
   reply.mEntries = { { "k", "v", 1, 2, 3 } };
   reply.mLeaseId = 4;
   reply.mTtlSeconds = 5;
-  ExpectBytes(Encode(reply),
-              "01010000000000000001010000000000000001000000000000006b010000"
-              "000000000076010000000000000002000000000000000300000000000000"
-              "04000000000000000500000000000000");
+  ExpectRecordedBytes(
+    Encode(reply),
+    "01010000000000000001010000000000000001000000000000006b010000"
+    "000000000076010000000000000002000000000000000300000000000000"
+    "04000000000000000500000000000000");
 }
--- a/src/agatetide/entry/relay_messages_test.cpp
+++ b/src/agatetide/entry/relay_messages_test.cpp
@@ -1,26 +1,12 @@
-#include "agatetide/base/encoding.hpp"
+#include "agatetide/coordination/recorded_bytes.hpp"
 #include "agatetide/entry/relay_messages.hpp"
 
 #include <criterion/criterion.h>
 
-#include <string>
-
 using namespace agatetide;
+using agatetide::coordination::ExpectRecordedBytes;
 using namespace agatetide::entry;
 
-namespace {
-
-/// Compares with the bytes that the build of b8b7489 wrote. Builds side by side
-/// read each other's: a change needs a new kind of message or entry, see
-/// docs/platform.md.
-void ExpectBytes(const std::string& aEncoded, const char* aRecorded)
-{
-  const std::string hex = HexEncode(aEncoded);
-  cr_expect_str_eq(hex.c_str(), aRecorded);
-}
-
-} // namespace
-
 // Guards against hosts of two builds that cannot send attempts for each other.
 Test(relay_messages, the_form_of_attempts_does_not_change)
 {
@@ -38,12 +24,13 @@
   request.mRemainingTime = Milliseconds(6);
   request.mIsStream = true;
   request.mIdleTimeout = Milliseconds(7);
-  ExpectBytes(Encode(request),
-              "01080000000000000031302e302e302e3150000100000000000000690400"
-              "000000000000504f535402000000000000002f7401000000000000000100"
-              "0000000000006e0100000000000000760100000000000000620100000000"
-              "000000610100000000000000720104000000000000000101050000000600"
-              "000000000000010700000000000000");
+  ExpectRecordedBytes(
+    Encode(request),
+    "01080000000000000031302e302e302e3150000100000000000000690400"
+    "000000000000504f535402000000000000002f7401000000000000000100"
+    "0000000000006e0100000000000000760100000000000000620100000000"
+    "000000610100000000000000720104000000000000000101050000000600"
+    "000000000000010700000000000000");
 }
 
 // Guards against events and responses that the other build cannot read.
@@ -54,13 +41,14 @@
   event.mEvent = request::StreamEvent{ 1, "d", 3 };
   event.mDeclined =
     Error{ ErrorKind::Unavailable, "m", "r", Execution::NotRun };
-  ExpectBytes(EncodeFrame(event),
-              "000000a50101010000000000000440010101000000010000000000000064"
-              "010300000000000000010b00000000000000756e617661696c61626c6501"
-              "000000000000006d01000000000000007207000000000000006e6f745f72"
-              "756e00000000000000000000000000000000000000000000000000000000"
-              "000000000000000000000000000000000000000000000000000000000000"
-              "00000000000000000000000000000000000000");
+  ExpectRecordedBytes(
+    EncodeFrame(event),
+    "000000a50101010000000000000440010101000000010000000000000064"
+    "010300000000000000010b00000000000000756e617661696c61626c6501"
+    "000000000000006d01000000000000007207000000000000006e6f745f72"
+    "756e00000000000000000000000000000000000000000000000000000000"
+    "000000000000000000000000000000000000000000000000000000000000"
+    "00000000000000000000000000000000000000");
   request::UpstreamResponse response;
   response.mStatus = 200;
   response.mHeaders = { { "n", "v" } };
@@ -71,11 +59,12 @@
   response.mLoad = request::ReportedLoad{ 1, 2, 3 };
   RelayFrame last;
   last.mResult = response;
-  ExpectBytes(EncodeFrame(last),
-              "000000a40100000000000000000000000000000000000000000000000000"
-              "000000000000000000000000000000000000000000000000000000000000"
-              "000000000000000000000000000000000000000000000000000000000000"
-              "000000000000000000000000000001c80000000100000000000000010000"
-              "00000000006e010000000000000076010000000000000062010101000000"
-              "000000007301010000000200000003000000");
+  ExpectRecordedBytes(
+    EncodeFrame(last),
+    "000000a40100000000000000000000000000000000000000000000000000"
+    "000000000000000000000000000000000000000000000000000000000000"
+    "000000000000000000000000000000000000000000000000000000000000"
+    "000000000000000000000000000001c80000000100000000000000010000"
+    "00000000006e010000000000000076010000000000000062010101000000"
+    "000000007301010000000200000003000000");
 }
--- a/src/agatetide/request/replica_pool.cpp
+++ b/src/agatetide/request/replica_pool.cpp
@@ -194,7 +194,7 @@
                       : !load.mSuspects.empty();
     }
     candidates.mReplicas.push_back(&replica);
-    candidates.mChoices.push_back(std::move(choice));
+    candidates.mChoices.push_back(choice);
     candidates.mExcluded.push_back(excluded);
     candidates.mRunSuspects.push_back(runsSuspect);
   }
--- a/src/agatetide/steps/step_test.cpp
+++ b/src/agatetide/steps/step_test.cpp
@@ -1,24 +1,14 @@
-#include "agatetide/base/encoding.hpp"
+#include "agatetide/coordination/recorded_bytes.hpp"
 #include "agatetide/steps/step.hpp"
 
 #include <criterion/criterion.h>
 
-#include <string>
-
 using namespace agatetide;
+using agatetide::coordination::ExpectRecordedBytes;
 using namespace agatetide::steps;
 
 namespace {
 
-/// Compares with the bytes that the build of b8b7489 wrote. Builds side by side
-/// read each other's: a change needs a new kind of message or entry, see
-/// docs/platform.md.
-void ExpectBytes(const std::string& aEncoded, const char* aRecorded)
-{
-  const std::string hex = HexEncode(aEncoded);
-  cr_expect_str_eq(hex.c_str(), aRecorded);
-}
-
 StepItem Item()
 {
   StepItem item;
@@ -47,13 +37,14 @@
   submission.mMinVersion = 2;
   submission.mDesiredGroups = 3;
   submission.mItems = { Item() };
-  ExpectBytes(EncodeSubmission(submission),
-              "010200000000000000696401000000000000006101000000000000006802"
-              "000000000000002f7301000000000000006d020000000000000003000000"
-              "010000000000000001000000000000006902000000000000002f70010000"
-              "000000000001000000000000006e01000000000000007601000000000000"
-              "006201000000000000006703000000010000000000000001000000000000"
-              "007301000000000000006802000000000000002f71010000000000000063");
+  ExpectRecordedBytes(
+    EncodeSubmission(submission),
+    "010200000000000000696401000000000000006101000000000000006802"
+    "000000000000002f7301000000000000006d020000000000000003000000"
+    "010000000000000001000000000000006902000000000000002f70010000"
+    "000000000001000000000000006e01000000000000007601000000000000"
+    "006201000000000000006703000000010000000000000001000000000000"
+    "007301000000000000006802000000000000002f71010000000000000063");
   StepRecord record;
   record.mId = "id";
   record.mAccount = "a";
@@ -69,39 +60,43 @@
   record.mOwner = "o";
   record.mRegion = "r";
   record.mEnded = true;
-  ExpectBytes(EncodeRecord(record),
-              "010200000000000000696401000000000000006101000000000000006802"
-              "000000000000002f7301000000000000006d020000000000000003000000"
-              "040000000500000000000000060000000700000000000000010000000000"
-              "00006f01000000000000007201");
+  ExpectRecordedBytes(
+    EncodeRecord(record),
+    "010200000000000000696401000000000000006101000000000000006802"
+    "000000000000002f7301000000000000006d020000000000000003000000"
+    "040000000500000000000000060000000700000000000000010000000000"
+    "00006f01000000000000007201");
 }
 
 // Guards against items, results or texts that another build cannot read.
 Test(step, the_form_of_stored_items_and_results_does_not_change)
 {
-  ExpectBytes(EncodeItems({ Item() }),
-              "01010000000000000001000000000000006902000000000000002f700100"
-              "00000000000001000000000000006e010000000000000076010000000000"
-              "000062010000000000000067030000000100000000000000010000000000"
-              "00007301000000000000006802000000000000002f710100000000000000"
-              "63");
+  ExpectRecordedBytes(
+    EncodeItems({ Item() }),
+    "01010000000000000001000000000000006902000000000000002f700100"
+    "00000000000001000000000000006e010000000000000076010000000000"
+    "000062010000000000000067030000000100000000000000010000000000"
+    "00007301000000000000006802000000000000002f710100000000000000"
+    "63");
   ItemResult result;
   result.mId = "i";
   result.mState = ItemState::Abandoned;
   result.mText = "t";
   result.mVersions = { 1, 2 };
   result.mScore = "s";
-  ExpectBytes(EncodeResults({ result }),
-              "010100000000000000010000000000000069010100000000000000740200"
-              "000000000000010000000000000002000000000000000100000000000000"
-              "73");
+  ExpectRecordedBytes(
+    EncodeResults({ result }),
+    "010100000000000000010000000000000069010100000000000000740200"
+    "000000000000010000000000000002000000000000000100000000000000"
+    "73");
   PartialSample partial;
   partial.mId = "i";
   partial.mEvents = { "e" };
   partial.mVersions = { 3 };
   partial.mSoftwareVersion = "v1";
-  ExpectBytes(EncodePartials({ partial }),
-              "010100000000000000010000000000000069010000000000000001000000"
-              "000000006501000000000000000300000000000000020000000000000076"
-              "31");
+  ExpectRecordedBytes(
+    EncodePartials({ partial }),
+    "010100000000000000010000000000000069010000000000000001000000"
+    "000000006501000000000000000300000000000000020000000000000076"
+    "31");
 }
