--- a/src/agatetide/entry/crash_records_test.cpp
+++ b/src/agatetide/entry/crash_records_test.cpp
@@ -161,7 +161,9 @@
     cr_expect_eq(decoded->mShortHash, record.mShortHash);
     cr_expect_eq(decoded->mSoftware, record.mSoftware);
     cr_expect_eq(decoded->mReplicaStartMs, record.mReplicaStartMs);
-    cr_expect_str_eq(decoded->Name().c_str(), record.Name().c_str());
+    const std::string name = record.Name();
+    const std::string decodedName = decoded->Name();
+    cr_expect_str_eq(decodedName.c_str(), name.c_str());
     cr_expect_str_eq(decoded->mTarget.c_str(), record.mTarget.c_str());
   }
 }
