--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,93 +1,107 @@
-"""A replica that leaves still gets requests long after its registration says so, since the store's connections went silent."""
+"""A batch job that was accepted is run by nobody, after its first host froze and the second one was killed."""
 
 import pathlib
+import signal
 import sys
-import threading
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
-from deployment import SmallSite, run_case  # noqa: E402
+from deployment import MODELS, SmallSite, run_case  # noqa: E402
 from harness.site import config  # noqa: E402
 
-CONTACT_S, DRAIN_S = 4.0, 3.0
-MARGIN_S = 0.3
-READERS = 12
+CONTACT_S, STUCK_S = 4.0, 5.0
+FREEZE_S, CALM_S, RESTART_S, ITEMS = 5.0, 6.0, 1.0, 8
+DEADLINE_S = 40.0
 
 
 def body(record, trouble):
-    site = SmallSite(config(), events=20, pause=0.2)
+    # The first daemon is the leader; it is alone in its region, like two others in theirs.
+    site = SmallSite(config(), events=100, pause=0.2, regions={"z3": "r2", "z1": "r1", "z2": "r1"})
     try:
         return run(site, record, trouble)
     finally:
         site.close()
 
 
+def freeze(owner, record):
+    """Freezes the host that runs the job, until another one has taken the job over."""
+    owner.process.send_signal(signal.SIGSTOP)
+    record.write("%s freezes" % owner.name)
+    time.sleep(FREEZE_S)
+    owner.process.send_signal(signal.SIGCONT)
+    record.write("%s wakes after %.1f s" % (owner.name, FREEZE_S))
+
+
+def kill(daemon, record):
+    daemon.stop(signal.SIGKILL)
+    record.write("%s is killed" % daemon.name)
+    time.sleep(RESTART_S)
+    daemon.start()
+    record.write("%s runs again" % daemon.name)
+
+
+def watch_job(site, record, reader, end):
+    """Returns for how long no item was at a replica before all were listed, and how many are listed at the end."""
+    idle_since, longest, next_read, seen, listed = time.monotonic(), 0.0, 0.0, 0, 0
+    while time.monotonic() < end and listed < ITEMS:
+        running = sum(name.startswith("job-1-item") for engine in site.engines for name in list(engine.streams))
+        begun = sum(request[0].startswith("job-1-item") for engine in site.engines for request in list(engine.requests))
+        if running or begun != seen:
+            idle_since, seen = time.monotonic(), begun
+        longest = max(longest, time.monotonic() - idle_since)
+        if time.monotonic() > next_read:
+            next_read = time.monotonic() + 0.5
+            page = site.read(reader, "job-1")
+            listed = len(page["results"])
+            record.write("%d items run, %d of %d listed%s" % (
+                running, listed, ITEMS, ", status %d" % page["status"] if "status" in page else ""))
+        time.sleep(0.05)
+    return longest, listed
+
+
 def run(site, record, trouble):
-    record.write("trainers: 1 job, read by %d readers at each daemon" % READERS)
-    site.submit(site.daemons[0], "job-1", 24)
-    stop_reading, stop_lookups = time.monotonic() + 4, threading.Event()
-
-    def read(daemon):
-        while time.monotonic() < stop_reading:
-            try:
-                daemon.call("GET", "/lots/job-1?after=24", headers={"Authorization": "Bearer key-a", "Wait-Ms": "500"})
-            except OSError as error:
-                record.write("reader at %s: %r" % (daemon.name, error))
-            time.sleep(0.1)
-
-    readers = [threading.Thread(target=read, args=(d,), daemon=True) for d in site.daemons for _ in range(READERS)]
-    for reader in readers:
-        reader.start()
-    for reader in readers:
-        reader.join()
+    time.sleep(2)
+    leader, entry = site.daemons[0], site.daemons[1]
+    def owner_of(job):
+        return next(d for d in site.daemons
+                    if any("step=%s " % job in line and "outcome=accepted" in line for line in d.lines("step_submitted")))
+
+    # A host that the others do not watch: its freeze shows as soon as its lease ends.
+    watched = {d.last_event("watch_source", "prefix=agatetide/live/").split("source=")[1].split()[0] for d in site.daemons}
+    model = None
+    for candidate in MODELS:
+        site.submit(entry, "probe-" + candidate, 1, model=candidate)
+        if owner_of("probe-" + candidate).name not in watched:
+            model = candidate
+    if model is None:
+        raise RuntimeError("no model's jobs run at a host that no other one watches")
+    time.sleep(1)
+    submitted_at = time.monotonic()
+    record.write("trainer: submits job-1 with %d items at %s: %d" % (
+        ITEMS, entry.name, site.submit(entry, "job-1", ITEMS, model=model)))
+    owner = owner_of("job-1")
+    other = next(d for d in site.daemons[1:] if d is not owner)
+    record.write("%s runs job-1; %s is the other host of its region; %s is the leader: %s" % (
+        owner.name, other.name, leader.name, leader.last_event("leadership", "held=true")))
     time.sleep(1)
-    leaving, sent = site.plain[0], {}
-
-    def look_up(daemon, number):
-        count = 0
-        while not stop_lookups.is_set():
-            name = "lookup-%d-%d" % (number, count)
-            count += 1
-            sent[name] = time.monotonic()
-            try:
-                status = site.lookup(daemon, name)[0]
-            except OSError as error:
-                status = repr(error)
-            if status != 200:
-                record.write("client: %s at %s: %s" % (name, daemon.name, status))
-            stop_lookups.wait(0.1)
-
-    for number, daemon in enumerate(site.daemons):
-        threading.Thread(target=look_up, args=(daemon, number), daemon=True).start()
-    silent_at = time.monotonic()
     if trouble:
-        for daemon in site.daemons:
-            count = daemon.store_endpoint.silence_open_connections()
-            record.write("%d open connections of %s to the store go silent; new ones work" % (count, daemon.name))
-    time.sleep(1.0)
-    leaving.drain()
-    acknowledged_at = time.monotonic()
-    record.write("%s reports that it is draining, %.1f s after the connections went silent; it goes on serving" % (
-        leaving.name, acknowledged_at - silent_at))
-    end = time.monotonic() + 12
-    seen, late = len(leaving.requests), 0
-    while time.monotonic() < end:
-        time.sleep(0.05)
-        requests, arrivals = list(leaving.requests), list(leaving.arrivals)
-        for request, arrival in zip(requests[seen:], arrivals[seen:]):
-            in_touch = sent.get(request[0], 0) > silent_at + CONTACT_S
-            if arrival > acknowledged_at + DRAIN_S + MARGIN_S and in_touch:
-                late += 1
-                record.write("%s gets %s %.2f s after it said that it drains" % (leaving.name, request[0], arrival - acknowledged_at))
-        seen = len(requests)
-    stop_lookups.set()
+        freeze(owner, record)
+        time.sleep(CALM_S)
+        if not any("step=job-1 " in line for line in other.lines("step_taken_over")):
+            raise RuntimeError("%s has not taken job-1 over" % other.name)
+        record.write("%s runs job-1" % other.name)
+        kill(other, record)
+    time.sleep(CONTACT_S)
+    record.write("the machines are in touch, the store is stable")
+    longest, listed = watch_job(site, record, other, submitted_at + DEADLINE_S)
+    record.write("trainer: gives up after %.0f s with %d of %d items; for %.1f s no item was at a replica" % (
+        DEADLINE_S, listed, ITEMS, longest))
     for daemon in site.daemons:
-        for event in ("store_lost", "watch_source", "peer_avoided", "replica"):
-            for line in daemon.lines(event)[-6:]:
+        for event in ("step_taken_over", "step_stopped"):
+            for line in daemon.lines(event):
                 record.write("log of %s: %s" % (daemon.name, line))
-    record.write("%d requests came later than drainMs" % late)
-    return late > 0
+    return listed < ITEMS and longest >= STUCK_S
 
 
 if __name__ == "__main__":
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -54,16 +54,31 @@
     def __init__(self, store):
         self.dead, self.connections, self.lock = set(), set(), threading.Lock()
         self.loses_answer = None  # called with path and body; true if the answer of the call is lost
+        self.down = False  # calls are not executed and never answered
+        self.delays_call = None  # called with path and body; seconds after which the call is executed, without an answer
+        self.on_late_execution = None  # called with the body and the status
         self.closing = threading.Event()
         super().__init__(store)
 
     def handle(self, handler, method, path, query, body):
         with self.lock:
             self.connections.add(handler.connection)
+            if self.down:
+                self.dead.add(handler.connection)
+        if handler.connection in self.dead:
+            self.closing.wait()
+            return
         call = json.loads(body) if body else {}
+        delay_s = self.delays_call(path, call) if self.delays_call is not None else None
+        if delay_s is not None:
+            with self.lock:
+                self.dead.add(handler.connection)
+            threading.Timer(delay_s, self.execute_late, (method, path, query, call)).start()
+            self.closing.wait()
+            return
         with self.store.lock:
             status, value = self.store.execute(method, path, query, call)
-        if self.loses_answer is not None and self.loses_answer(path, call):
+        if self.down or (self.loses_answer is not None and self.loses_answer(path, call)):
             with self.lock:
                 self.dead.add(handler.connection)
         # A connection on which a response is lost returns nothing further.
@@ -72,6 +87,12 @@
             return
         handler.reply(status, value)
 
+    def execute_late(self, method, path, query, call):
+        with self.store.lock:
+            status, _ = self.store.execute(method, path, query, call)
+        if self.on_late_execution is not None:
+            self.on_late_execution(call, status)
+
     def silence_open_connections(self):
         """All open connections go silent for good, without a reset; new ones work. Returns their number."""
         with self.lock:
@@ -85,7 +106,7 @@
 class SmallDaemon(Daemon):
     """A daemon with the settings of a small deployment."""
 
-    def __init__(self, site, number, zone="z1", region="r1"):
+    def __init__(self, site, number, zone, regions):
         # pylint: disable=super-init-not-called
         self.program, self.name = PROGRAM, "edge-%s-%d" % (zone, number + 1)
         self.store_endpoint = FaultyStoreEndpoint(site.store)
@@ -93,7 +114,7 @@
         self.front_port, self.directory_port, self.ready_port, peer_port = (free_port(self.address) for _ in range(4))
         settings = {
             "node": self.name, "role": "entry", "machineClass": "edge", "serves": ["edge", "registry"],
-            "ip": self.address, "zone": zone, "region": region, "zones": {"z1": "r1", "z2": "r1", "z3": "r1"},
+            "ip": self.address, "zone": zone, "region": regions[zone], "zones": regions,
             "listen": {"front": "%s:%d" % (self.address, self.front_port), "ready": "%s:%d" % (self.address, self.ready_port),
                        "directory": "%s:%d" % (self.address, self.directory_port)},
             "internalPorts": [peer_port, peer_port], "seeds": [], "bootstrap": True, "faultCounted": False,
@@ -115,22 +136,45 @@
         until(lambda: self.is_ready(), self.name + " is ready", self.process)
 
 
+class TrackedReplica(Replica):
+    """A replica that keeps count of the streams that run."""
+
+    def __init__(self, *args):
+        self.streams = []
+        super().__init__(*args)
+
+    def stream(self, handler, headers):
+        self.streams.append(headers.get("Attempt-Id"))
+        try:
+            super().stream(handler, headers)
+        finally:
+            self.streams.remove(headers.get("Attempt-Id"))
+
+
+MODELS = ("m", "m1", "m2", "m3", "m4", "m5")
+ONE_REGION = {"z1": "r1", "z2": "r1", "z3": "r1"}
+
+
 class SmallSite(Site):
-    """The stand-ins and daemons of one script."""
+    """The stand-ins and daemons of one script, a daemon in each zone; the first one leads."""
 
-    def __init__(self, config, daemons=3, plain=3, engines=3, events=4, pause=0.0, zones=("z1", "z2", "z3")):
+    def __init__(self, config, daemons=3, plain=3, engines=3, events=4, pause=0.0, regions=None):
         # pylint: disable=super-init-not-called
+        regions = regions or ONE_REGION
+        zones = list(regions)
         self.store, self.platform_api = Store(), PlatformApi()
         self.store.put("op/config", config)
         self.plain = [Replica(self.store, "plain-%d" % i, "plain", zones[i % len(zones)]) for i in range(plain)]
-        self.engines = [Replica(self.store, "engine-%d" % i, "engine", zones[i % len(zones)], {"m": 1}, events, pause)
+        self.engines = [TrackedReplica(self.store, "engine-%d" % i, "engine", zones[i % len(zones)], dict.fromkeys(MODELS, 1), events, pause)
                         for i in range(engines)]
         self.daemons = []
         try:
             for i in range(daemons):
-                self.daemons.append(SmallDaemon(self, i, zones[i % len(zones)]))
+                self.daemons.append(SmallDaemon(self, i, zones[i % len(zones)], regions))
+                until(lambda: self.store.keys("agatetide/live/leader"), "a host leads")
             until(lambda: all(self.lookup(d, "warm-%d" % i)[0] == 200 for i, d in enumerate(self.daemons)), "lookups succeed")
-            until(lambda: all(len(self.addresses(d)) == daemons for d in self.daemons), "all hosts are known")
+            until(lambda: all(len(self.store.keys("agatetide/live/host/")) == daemons for d in self.daemons), "all hosts live")
+            time.sleep(0.5)
         except Exception:
             self.close()
             raise
