--- a/review/deployment.py
+++ b/review/deployment.py
@@ -118,7 +118,7 @@
             "listen": {"front": "%s:%d" % (self.address, self.front_port), "ready": "%s:%d" % (self.address, self.ready_port),
                        "directory": "%s:%d" % (self.address, self.directory_port)},
             "internalPorts": [peer_port, peer_port], "seeds": [], "bootstrap": True, "faultCounted": False,
-            "limits": {"cpuShare": 0.25, "cores": 1, "memoryMb": 260, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
+            "limits": {"cpuShare": 0.25, "cores": 1, "memoryMb": 110, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
             "dataDir": None, "discovery": "platform", "entry": "registry", "heartbeatMs": 1200, "bounds": BOUNDS,
             "platform": {"address": self.store_endpoint.address, "form": "kv", "writesPerS": 400, "readsPerS": 2000,
                          "historyS": 20, "valueBytes": 1048576, "ttlMinMs": 1000},
