--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,107 +1,110 @@
-"""A batch job that was accepted is run by nobody, after its first host froze and the second one was killed."""
+"""Results of a batch job that were read disappear, after one answer of the store to their commit was lost."""
 
+import base64
+import json
 import pathlib
-import signal
 import sys
+import threading
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
-from deployment import MODELS, SmallSite, run_case  # noqa: E402
+from deployment import SmallSite, run_case, until  # noqa: E402
 from harness.site import config  # noqa: E402
 
-CONTACT_S, STUCK_S = 4.0, 5.0
-FREEZE_S, CALM_S, RESTART_S, ITEMS = 5.0, 6.0, 1.0, 8
-DEADLINE_S = 40.0
+ITEMS = 6
+CONTACT_S, SETTLE_S = 4.0, 1.0
+# The owner waits this long for a lost answer.
+MARGIN_S = 0.5
+
+
+def submit_background_step(site, number):
+    """A step of long samples, whose checkpoints and results are further writes at the store."""
+    site.submit(site.daemons[number % 3], "background-%d" % number, items=4)
 
 
 def body(record, trouble):
-    # The first daemon is the leader; it is alone in its region, like two others in theirs.
-    site = SmallSite(config(), events=100, pause=0.2, regions={"z3": "r2", "z1": "r1", "z2": "r1"})
+    site = SmallSite(config(), events=12, pause=0.08)
     try:
         return run(site, record, trouble)
     finally:
         site.close()
 
 
-def freeze(owner, record):
-    """Freezes the host that runs the job, until another one has taken the job over."""
-    owner.process.send_signal(signal.SIGSTOP)
-    record.write("%s freezes" % owner.name)
-    time.sleep(FREEZE_S)
-    owner.process.send_signal(signal.SIGCONT)
-    record.write("%s wakes after %.1f s" % (owner.name, FREEZE_S))
-
-
-def kill(daemon, record):
-    daemon.stop(signal.SIGKILL)
-    record.write("%s is killed" % daemon.name)
-    time.sleep(RESTART_S)
-    daemon.start()
-    record.write("%s runs again" % daemon.name)
-
-
-def watch_job(site, record, reader, end):
-    """Returns for how long no item was at a replica before all were listed, and how many are listed at the end."""
-    idle_since, longest, next_read, seen, listed = time.monotonic(), 0.0, 0.0, 0, 0
-    while time.monotonic() < end and listed < ITEMS:
-        running = sum(name.startswith("job-1-item") for engine in site.engines for name in list(engine.streams))
-        begun = sum(request[0].startswith("job-1-item") for engine in site.engines for request in list(engine.requests))
-        if running or begun != seen:
-            idle_since, seen = time.monotonic(), begun
-        longest = max(longest, time.monotonic() - idle_since)
-        if time.monotonic() > next_read:
-            next_read = time.monotonic() + 0.5
-            page = site.read(reader, "job-1")
-            listed = len(page["results"])
-            record.write("%d items run, %d of %d listed%s" % (
-                running, listed, ITEMS, ", status %d" % page["status"] if "status" in page else ""))
-        time.sleep(0.05)
-    return longest, listed
-
-
 def run(site, record, trouble):
+    writes, lost = [], []
+    entries = {}
+
+    def loses_answer(path, call):
+        if path != "/kv-txn":
+            return False
+        writes.append(time.monotonic())
+        keys = [w["key"] for w in call["writes"]]
+        if trouble and not lost and any(k.startswith("agatetide/step-log/job-1/") for k in keys):
+            lost.append(time.monotonic())
+            record.write("store: %s is executed, its answer is lost" % keys)
+            return True
+        return False
+
+    for daemon in site.daemons:
+        daemon.store_endpoint.loses_answer = loses_answer
+    stop = threading.Event()
+
+    def submit_others():
+        number = 0
+        while not stop.is_set():
+            submit_background_step(site, number)
+            number += 1
+            stop.wait(0.7)
+
+    others = threading.Thread(target=submit_others, daemon=True)
+    others.start()
     time.sleep(2)
-    leader, entry = site.daemons[0], site.daemons[1]
-    def owner_of(job):
-        return next(d for d in site.daemons
-                    if any("step=%s " % job in line and "outcome=accepted" in line for line in d.lines("step_submitted")))
-
-    # A host that the others do not watch: its freeze shows as soon as its lease ends.
-    watched = {d.last_event("watch_source", "prefix=agatetide/live/").split("source=")[1].split()[0] for d in site.daemons}
-    model = None
-    for candidate in MODELS:
-        site.submit(entry, "probe-" + candidate, 1, model=candidate)
-        if owner_of("probe-" + candidate).name not in watched:
-            model = candidate
-    if model is None:
-        raise RuntimeError("no model's jobs run at a host that no other one watches")
-    time.sleep(1)
-    submitted_at = time.monotonic()
-    record.write("trainer: submits job-1 with %d items at %s: %d" % (
-        ITEMS, entry.name, site.submit(entry, "job-1", ITEMS, model=model)))
-    owner = owner_of("job-1")
-    other = next(d for d in site.daemons[1:] if d is not owner)
-    record.write("%s runs job-1; %s is the other host of its region; %s is the leader: %s" % (
-        owner.name, other.name, leader.name, leader.last_event("leadership", "held=true")))
-    time.sleep(1)
+    record.write("trainer: submits job-1 with %d items: %d" % (ITEMS, site.submit(site.daemons[0], "job-1", ITEMS)))
+    accepted = [d for d in site.daemons
+                if any("step=job-1 " in line and "outcome=accepted" in line for line in d.lines("step_submitted"))]
+    owner = accepted[0]
+    reader = next(d for d in site.daemons if d is not owner)
+    record.write("owner of job-1: %s; the trainer reads at %s" % (owner.name, reader.name))
+
+    def read(daemon, after):
+        status, data, _ = daemon.call("GET", "/lots/job-1?after=%d" % after,
+                                      headers={"Authorization": "Bearer key-a", "Wait-Ms": "300"})
+        page = json.loads(data) if status == 200 else {"results": []}
+        record.write("read at %s from position %d: status %d, items %s" %
+                     (daemon.name, after, status, [r["id"] for r in page["results"]]))
+        return status, page["results"]
+
+    read_results = []
+    end = time.monotonic() + 15
+    while not read_results and time.monotonic() < end:
+        read_results += read(reader, 0)[1]
+    read_at = time.monotonic()
+    if not read_results:
+        raise RuntimeError("no result was read")
+    status, _, _ = reader.call("DELETE", "/lots/job-1", headers={"Authorization": "Bearer key-a"})
+    record.write("trainer: has enough samples and ends job-1 at %s: %d" % (reader.name, status))
+    time.sleep(2.5)
+    stop.set()
     if trouble:
-        freeze(owner, record)
-        time.sleep(CALM_S)
-        if not any("step=job-1 " in line for line in other.lines("step_taken_over")):
-            raise RuntimeError("%s has not taken job-1 over" % other.name)
-        record.write("%s runs job-1" % other.name)
-        kill(other, record)
-    time.sleep(CONTACT_S)
-    record.write("the machines are in touch, the store is stable")
-    longest, listed = watch_job(site, record, other, submitted_at + DEADLINE_S)
-    record.write("trainer: gives up after %.0f s with %d of %d items; for %.1f s no item was at a replica" % (
-        DEADLINE_S, listed, ITEMS, longest))
-    for daemon in site.daemons:
-        for event in ("step_taken_over", "step_stopped"):
-            for line in daemon.lines(event):
-                record.write("log of %s: %s" % (daemon.name, line))
-    return listed < ITEMS and longest >= STUCK_S
+        window = [t for t in writes if lost[0] - 2.25 <= t <= lost[0] + 2.25]
+        record.write("answers lost: 1 of %d writes in 4.5 s" % len(window))
+        if len(window) < 4:
+            raise RuntimeError("too large a share of the answers was lost")
+    # From here on nothing is disturbed: the machines are in touch contactMs later.
+    calm_at = (lost[0] if lost else read_at) + CONTACT_S + MARGIN_S
+    time.sleep(max(0, calm_at - time.monotonic(), read_at + SETTLE_S + MARGIN_S - time.monotonic()))
+    broken = False
+    for _ in range(5):
+        for daemon in site.daemons:
+            status, results = read(daemon, 0)
+            same = [r["id"] for r in results[:len(read_results)]] == [r["id"] for r in read_results]
+            if status == 200 and not same:
+                record.write("%s has not the %d results that were read %.1f s ago, %.1f s after the lost answer" % (
+                    daemon.name, len(read_results), time.monotonic() - read_at, time.monotonic() - (lost or [read_at])[0]))
+                broken = True
+        time.sleep(1)
+    return broken
 
 
 if __name__ == "__main__":
