--- a/review/deployment.py
+++ b/review/deployment.py
@@ -99,7 +99,10 @@
             connections = [c for c in self.connections if c.fileno() >= 0 and c not in self.dead]
             for connection in connections:
                 self.dead.add(connection)
-                _drop_packets(connection, [connection.getpeername()[0]])
+                try:
+                    _drop_packets(connection, [connection.getpeername()[0]])
+                except PermissionError:
+                    pass  # Then the kernel still acknowledges what arrives, but nothing is answered.
         return len(connections)
 
 
