Refuse text of clients that would be syntax in a request to a replica

Seen: a trainer submitted a batch job with line breaks in a header value of its items.

Cause: the decoder of batch jobs took header names and values, paths and the scorer's host from JSON as they were, and http::Client wrote them as they were.

Fix: one grammar, http/syntax.hpp, at both ends. What leaves is checked once in http::Client before a connection is opened: an invalid argument that has not run. So nothing that another path may bring (a stored record, another host, an odd registration, a configuration) becomes a second message. The forwarder takes such a refusal as final and blames no replica; an item of an older build's record ends as dead, with a reason in the log.

--- a/include/agatetide/http/client.hpp
+++ b/include/agatetide/http/client.hpp
@@ -104,12 +104,13 @@
 /// @brief HTTP/1.1 client with persistent connections. Not thread-safe: all
 /// methods must be called from the executor given to Create().
 ///
-/// Errors of calls: Unavailable with Execution::NotRun if no connection was
-/// established; OutcomeUnknown if the connection failed after that;
-/// DeadlineExceeded with the matching Execution; DataLoss if the response is
-/// incomplete or exceeds a limit; ResourceExhausted if the responses being
-/// read take too much memory; Canceled if mCancel, mOnHeader or the sink
-/// canceled the call.
+/// Errors of calls: InvalidArgument with Execution::NotRun if the request is
+/// not valid HTTP, in which case no connection is opened; Unavailable with
+/// Execution::NotRun if no connection was established; OutcomeUnknown if the
+/// connection failed after that; DeadlineExceeded with the matching Execution;
+/// DataLoss if the response is incomplete or exceeds a limit; ResourceExhausted
+/// if the responses being read take too much memory; Canceled if mCancel,
+/// mOnHeader or the sink canceled the call.
 class Client
 {
 public:
--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -198,6 +198,9 @@
                          size_t aIndex,
                          const fleet::Replica& aReplica,
                          const Error& aError);
+  void AbandonInvalidItem(const OwnedStepPtr& aStep,
+                          size_t aIndex,
+                          const Error& aError);
   void HandleResponse(const OwnedStepPtr& aStep,
                       size_t aIndex,
                       const fleet::Replica& aReplica,
--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -1,5 +1,7 @@
 #include "agatetide/http/client.hpp"
 
+#include "agatetide/http/syntax.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -88,6 +90,14 @@
            Execution::NotRun };
 }
 
+Error InvalidRequest(std::string aReason)
+{
+  return { ErrorKind::InvalidArgument,
+           std::move(aReason),
+           "correct the request",
+           Execution::NotRun };
+}
+
 Error NoOpenConnection(const Endpoint& aEndpoint)
 {
   return { ErrorKind::Unavailable,
@@ -460,6 +470,9 @@
                                         Request& aRequest,
                                         const CallOptions& aOptions)
   {
+    if (auto reason = FindInvalidPart(aRequest)) {
+      co_return InvalidRequest(std::move(*reason));
+    }
     auto connected = co_await Connect(aEndpoint, aOptions);
     if (connected.has_error()) {
       co_return connected.error();
--- a/src/agatetide/http/server.cpp
+++ b/src/agatetide/http/server.cpp
@@ -1,5 +1,8 @@
 #include "agatetide/http/server.hpp"
 
+#include "agatetide/base/event_log.hpp"
+#include "agatetide/http/syntax.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -106,6 +109,12 @@
   aMessage.version(11);
   aMessage.result(aResponse.mStatus);
   for (const Header& header : aResponse.mHeaders) {
+    if (auto reason = FindInvalidPart(header)) {
+      LogEvent("response_header_dropped", LogLevel::Error)
+        .Field("reason", *reason)
+        .Write();
+      continue;
+    }
     aMessage.set(header.mName, header.mValue);
   }
   aMessage.keep_alive(aKeepAlive);
--- a/src/agatetide/request/forwarder.cpp
+++ b/src/agatetide/request/forwarder.cpp
@@ -104,6 +104,8 @@
   /// Whether the connection of an attempt broke.
   bool mBroke = false;
   bool mCallerGone = false;
+  /// The request cannot be sent to any replica.
+  std::optional<Error> mInvalid;
   bool mFailed = false;
   /// The first response with a status below 500.
   std::optional<UpstreamResponse> mResponse;
@@ -276,7 +278,7 @@
   if (FitsBeforeShutdown(*state)) {
     StartAttempt(state);
   }
-  while (!state->mResponse && !state->mCallerGone &&
+  while (!state->mResponse && !state->mCallerGone && !state->mInvalid &&
          mClock() < DeadlineOf(*state)) {
     const bool hasAttempts =
       state->mAttemptCount < request.mRoute.mMaxAttempts &&
@@ -447,6 +449,11 @@
   }
   if (aResult.has_error()) {
     const Error& error = aResult.error();
+    if (notRun && error.mKind == ErrorKind::InvalidArgument) {
+      // It is the same for each replica, and no fault of this one.
+      aState.mInvalid = error;
+      return;
+    }
     if (error.mKind != ErrorKind::Canceled) {
       mPool.RecordAttempt(aReplica, { true, took });
       LogEvent("attempt_failed", LogLevel::Warning)
@@ -512,6 +519,9 @@
     return std::move(*aState.mFailureResponse);
   }
   const bool mayRun = aState.mMayHaveRun || aState.mPendingAttempts > 0;
+  if (!mayRun && aState.mInvalid) {
+    return *aState.mInvalid;
+  }
   if (!mayRun && aState.mVerdict == policy::CrashVerdict::Refuse) {
     return Error{ ErrorKind::Unavailable,
                   "replicas crashed when they ran this request",
--- a/src/agatetide/request/forwarder_test.cpp
+++ b/src/agatetide/request/forwarder_test.cpp
@@ -9,6 +9,7 @@
 #include <criterion/criterion.h>
 
 #include <deque>
+#include <set>
 
 using namespace agatetide;
 using namespace agatetide::request;
@@ -189,6 +190,29 @@
   cr_expect_eq(result.error().mExecution, Execution::Unknown);
 }
 
+// Guards against trying a request that cannot be sent at one replica after the
+// other, and against blaming the replicas for it.
+Test(forwarder, a_request_that_cannot_be_sent_is_tried_once)
+{
+  const Error invalid{ ErrorKind::InvalidArgument,
+                       "the value of a header has a control character",
+                       "correct the request",
+                       Execution::NotRun };
+  Fixture fixture(
+    { invalid, Response(200), Response(200), Response(200), Response(200) });
+  const auto result = fixture.Run(fleet::RouteKind::Idempotent);
+  cr_assert(result.has_error());
+  cr_expect(result.error().mKind == ErrorKind::InvalidArgument);
+  cr_expect(result.error().mExecution == Execution::NotRun);
+  cr_expect_eq(fixture.mSent.size(), 1);
+  std::set<std::string> replicas;
+  for (int i = 0; i < 4; ++i) {
+    cr_expect(fixture.Run(fleet::RouteKind::Idempotent).has_value());
+    replicas.insert(fixture.mSent.back().mReplicaId);
+  }
+  cr_expect(replicas.contains(fixture.mSent.front().mReplicaId));
+}
+
 // Guards against reporting a request as not run because later attempts were
 // refused, although the first attempt may have run.
 Test(forwarder, a_refusal_after_a_lost_answer_promises_nothing)
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -34,6 +34,13 @@
 /// HTTP status of an item that would fail on every replica.
 constexpr unsigned kUnprocessableStatus = 422;
 
+/// Whether a request can be sent to no replica, as it is.
+bool IsInvalidRequest(const Error& aError)
+{
+  return aError.mKind == ErrorKind::InvalidArgument &&
+         aError.mExecution == Execution::NotRun;
+}
+
 } // namespace
 
 void StepRunner::StartWaitingItems()
@@ -304,7 +311,9 @@
   if (run.mStreamEventCount > 0) {
     run.mWaitingSince = mContext.mClock();
   }
-  if (response.has_error()) {
+  if (response.has_error() && IsInvalidRequest(response.error())) {
+    AbandonInvalidItem(aStep, aIndex, response.error());
+  } else if (response.has_error()) {
     HandleStreamError(*aStep, aIndex, replica, response.error());
   } else {
     HandleResponse(aStep, aIndex, replica, aRoute, *response);
@@ -335,6 +344,20 @@
   }
 }
 
+/// Ends an item whose request, or whose scoring call, cannot be sent. Items are
+/// checked when they are submitted, but other builds may have stored this one.
+void StepRunner::AbandonInvalidItem(const OwnedStepPtr& aStep,
+                                    size_t aIndex,
+                                    const Error& aError)
+{
+  LogEvent("item_invalid", LogLevel::Error)
+    .Field("step", aStep->mRecord.mId)
+    .Field("item", aStep->mItems[aIndex].mId)
+    .Field("error", FormatError(aError))
+    .Write();
+  FinishItem(aStep, aIndex, ItemState::Abandoned, {});
+}
+
 /// Handles a response: the text is complete, or the replica refused or failed
 /// the item.
 void StepRunner::HandleResponse(const OwnedStepPtr& aStep,
@@ -402,6 +425,10 @@
         FinishItem(aStep, aIndex, ItemState::Completed, response->mSignature);
         co_return;
       }
+      if (response.has_error() && IsInvalidRequest(response.error())) {
+        AbandonInvalidItem(aStep, aIndex, response.error());
+        co_return;
+      }
       if (*failures >= maxFailures) {
         LogEvent("sample_not_scored", LogLevel::Warning)
           .Field("item", aStep->mItems[aIndex].mId)
--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -135,6 +135,7 @@
     "cut_off_hosts": script("cut_off_hosts"),
     "leaving_replicas": script("leaving_replicas"),
     "odd_registrations": script("odd_registrations"),
+    "hostile_text": script("hostile_text"),
     "crashing_requests": script("crashing_requests"),
     "soak": soak,
     "upgrade": upgrade,
