--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -1,5 +1,6 @@
 #include "agatetide/http/client.hpp"
 
+#include "agatetide/http/connection_pool.hpp"
 #include "agatetide/http/syntax.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -8,13 +9,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <array>
 #include <charconv>
-#include <deque>
-#include <map>
 #include <optional>
 
 namespace agatetide::http {
@@ -27,8 +23,6 @@
 
 namespace {
 
-/// Received bytes that are not parsed yet.
-constexpr size_t kMaxUnparsedBytes = size_t{ 256 } << 10U;
 /// Interim responses (1xx) before the final one.
 constexpr unsigned kMaxInterimResponses = 8;
 constexpr unsigned kFirstFinalStatus = 200;
@@ -36,50 +30,6 @@
 /// collected in memory.
 constexpr unsigned kStreamedStatus = 200;
 
-struct Connection
-{
-  explicit Connection(const asio::any_io_executor& aExecutor)
-    : mStream(aExecutor)
-  {
-  }
-
-  beast::tcp_stream mStream;
-  /// A response header or a chunk header that does not fit ends the call.
-  beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
-  SteadyTime mIdleSince{};
-  /// From the server's "keep-alive: timeout", if it sent one.
-  std::chrono::milliseconds mIdleConnectionTimeout = std::chrono::hours(1);
-  /// As set on the socket; 0 if it is the system's.
-  std::chrono::milliseconds mAcknowledgementTimeout{ 0 };
-};
-
-using ConnectionPtr = std::unique_ptr<Connection>;
-
-void SetTcpOption(Tcp::socket& aSocket, int aOption, int64_t aValue)
-{
-  const int value = static_cast<int>(aValue);
-  ::setsockopt(
-    aSocket.native_handle(), IPPROTO_TCP, aOption, &value, sizeof value);
-}
-
-void SetAcknowledgementTimeout(Connection& aConnection,
-                               std::chrono::milliseconds aTimeout)
-{
-  if (aConnection.mAcknowledgementTimeout != aTimeout) {
-    aConnection.mAcknowledgementTimeout = aTimeout;
-    SetTcpOption(
-      aConnection.mStream.socket(), TCP_USER_TIMEOUT, aTimeout.count());
-  }
-}
-
-void EnableKeepAlive(Tcp::socket& aSocket, std::chrono::seconds aInterval)
-{
-  ErrorCode ignored;
-  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
-  SetTcpOption(aSocket, TCP_KEEPIDLE, aInterval.count());
-  SetTcpOption(aSocket, TCP_KEEPINTVL, aInterval.count());
-}
-
 Error ConnectError(const Endpoint& aEndpoint, const ErrorCode& aError)
 {
   const bool timedOut = aError == beast::error::timeout;
@@ -338,83 +288,21 @@
   bool mLimitExceeded = false;
 };
 
-enum class IdleState
-{
-  /// The server has neither closed it nor sent anything without being asked.
-  Reusable,
-  /// The server closed it, or sent something.
-  Used,
-  /// It was reset, or the server's kernel is not reached any more.
-  Failed,
-};
-
-IdleState IdleStateOf(Connection& aConnection)
-{
-  ErrorCode error;
-  auto& socket = aConnection.mStream.socket();
-  char byte = 0;
-  socket.non_blocking(true, error);
-  socket.receive(
-    asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-  if (error == asio::error::would_block) {
-    return IdleState::Reusable;
-  }
-  return !error || error == asio::error::eof ? IdleState::Used
-                                             : IdleState::Failed;
-}
-
 } // namespace
 
 struct Client::State
 {
   asio::any_io_executor mExecutor;
   ClientOptions mOptions;
-  /// By endpoint; the most recently used connection is last.
-  std::map<std::string, std::deque<ConnectionPtr>> mIdleConnections;
+  ConnectionPool mPool{ mOptions };
   /// Bytes of the bodies that running calls have collected.
   size_t mBufferedBytes = 0;
 
-  static std::string Key(const Endpoint& aEndpoint)
-  {
-    return aEndpoint.mAddress + ":" + std::to_string(aEndpoint.mPort);
-  }
-
-  ConnectionPtr TakeIdle(const Endpoint& aEndpoint)
-  {
-    const auto found = mIdleConnections.find(Key(aEndpoint));
-    if (found == mIdleConnections.end()) {
-      return nullptr;
-    }
-    const SteadyTime now = std::chrono::steady_clock::now();
-    while (!found->second.empty()) {
-      ConnectionPtr connection = std::move(found->second.back());
-      found->second.pop_back();
-      if (now - connection->mIdleSince <
-            std::min(mOptions.mIdleConnectionTimeout,
-                     connection->mIdleConnectionTimeout) &&
-          IdleStateOf(*connection) == IdleState::Reusable) {
-        return connection;
-      }
-    }
-    return nullptr;
-  }
-
-  void ReturnIdle(const Endpoint& aEndpoint, ConnectionPtr aConnection)
-  {
-    auto& idle = mIdleConnections[Key(aEndpoint)];
-    if (idle.size() < mOptions.mMaxIdleConnections &&
-        aConnection->mBuffer.size() == 0) {
-      aConnection->mStream.expires_never();
-      aConnection->mIdleSince = std::chrono::steady_clock::now();
-      idle.push_back(std::move(aConnection));
-    }
-  }
-
   Awaitable<Result<ConnectionPtr>> Connect(const Endpoint& aEndpoint,
                                            const CallOptions& aOptions)
   {
     if (!aOptions.mFreshConnection) {
-      if (ConnectionPtr idle = TakeIdle(aEndpoint)) {
+      if (ConnectionPtr idle = mPool.Take(aEndpoint)) {
         co_return idle;
       }
     }
@@ -461,7 +349,7 @@
     Tcp::socket& socket = connection->mStream.socket();
     socket.set_option(Tcp::no_delay(true), error);
     if (mOptions.mKeepAliveInterval.count() > 0) {
-      EnableKeepAlive(socket, mOptions.mKeepAliveInterval);
+      connection->EnableKeepAlive(mOptions.mKeepAliveInterval);
     }
     co_return connection;
   }
@@ -481,10 +369,10 @@
       co_return CanceledError(Execution::NotRun);
     }
     Connection& connection = **connected;
-    SetAcknowledgementTimeout(connection,
-                              aOptions.mAcknowledgementTimeout.count() > 0
-                                ? aOptions.mAcknowledgementTimeout
-                                : mOptions.mAcknowledgementTimeout);
+    connection.SetAcknowledgementTimeout(
+      aOptions.mAcknowledgementTimeout.count() > 0
+        ? aOptions.mAcknowledgementTimeout
+        : mOptions.mAcknowledgementTimeout);
     const auto message = ToMessage(aEndpoint, aRequest);
     connection.mStream.expires_at(aOptions.mDeadline);
     ErrorCode error;
@@ -517,15 +405,7 @@
 
 size_t Client::DropEndedConnections()
 {
-  size_t failed = 0;
-  for (auto& [key, connections] : mState->mIdleConnections) {
-    std::erase_if(connections, [&](const ConnectionPtr& aConnection) {
-      const IdleState idle = IdleStateOf(*aConnection);
-      failed += idle == IdleState::Failed ? 1 : 0;
-      return idle != IdleState::Reusable;
-    });
-  }
-  return failed;
+  return mState->mPool.DropEnded();
 }
 
 Awaitable<Result<bool>> Client::OpenConnection(
@@ -540,9 +420,9 @@
   if (connected.has_error()) {
     co_return connected.error();
   }
-  SetAcknowledgementTimeout(**connected,
-                            state->mOptions.mAcknowledgementTimeout);
-  state->ReturnIdle(aEndpoint, std::move(*connected));
+  (*connected)
+    ->SetAcknowledgementTimeout(state->mOptions.mAcknowledgementTimeout);
+  state->mPool.Return(aEndpoint, std::move(*connected));
   co_return true;
 }
 
@@ -623,7 +503,7 @@
   }
   if (reader.KeepAlive()) {
     connection->mIdleConnectionTimeout = KeepAliveTimeout(*response);
-    state->ReturnIdle(aEndpoint, std::move(connection));
+    state->mPool.Return(aEndpoint, std::move(connection));
   }
   co_return response;
 }
