Drop the idle connections whose neighbour went silent

Cause: a host keeps up to 32 idle connections to the store. Each call took the next one, as dead as the one before, and learnt that by its timeout, so the watch of the registrations failed several times in a row. Connections to the store and between hosts had no keep-alive probes.

Fix: a call without a response, or whose connection the kernel gave up, drops the idle connections to its endpoint that were not used since it was sent, for all users of http::Client; the next call opens a new one. A deadline says this only where servers answer well before it, so not for replicas and relays. The drop is logged.

--- a/include/agatetide/http/client.hpp
+++ b/include/agatetide/http/client.hpp
@@ -31,6 +31,10 @@
   /// A connection on which nothing arrives is probed at this interval, so that
   /// a broken path is noticed although nothing is sent. 0 disables it.
   std::chrono::seconds mKeepAliveInterval{ 0 };
+  /// Whether a call without a response before its deadline shows that the other
+  /// idle connections to the endpoint may have gone silent, too, so that they
+  /// are not reused. False where the server may take until the deadline.
+  bool mDeadlineShowsSilence = true;
   /// Called with the outcome of each attempt to open a connection. May be
   /// empty.
   std::function<void(const Endpoint&, bool aConnected)> mOnConnect;
@@ -104,6 +108,10 @@
 /// @brief HTTP/1.1 client with persistent connections. Not thread-safe: all
 /// methods must be called from the executor given to Create().
 ///
+/// Connections may go silent without a reset. Once a call shows that one has,
+/// idle connections that were not used since the call was sent are dropped, so
+/// that the next call does not end by its timeout as well.
+///
 /// Errors of calls: InvalidArgument with Execution::NotRun if the request is
 /// not valid HTTP, in which case no connection is opened; Unavailable with
 /// Execution::NotRun if no connection was established; OutcomeUnknown if the
--- a/src/agatetide/daemon/daemon.cpp
+++ b/src/agatetide/daemon/daemon.cpp
@@ -60,6 +60,7 @@
 http::ClientOptions UpstreamClientOptions(const Settings& aSettings)
 {
   http::ClientOptions options;
+  options.mDeadlineShowsSilence = false;
   const std::string& address = aSettings.mCallerListen.mAddress;
   if (address != "0.0.0.0" && address != "::") {
     options.mLocalAddress = address;
--- a/src/agatetide/entry/peer_channel.cpp
+++ b/src/agatetide/entry/peer_channel.cpp
@@ -27,6 +27,10 @@
 constexpr size_t kMaxBodyBytes = size_t{ 64 } << 20U;
 /// Daemons of one availability zone answer within milliseconds.
 constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
+/// A silent connection to another daemon is noticed within about the sum of
+/// these times, also while it waits for an answer.
+constexpr std::chrono::milliseconds kAcknowledgementTimeout{ 800 };
+constexpr std::chrono::seconds kKeepAliveInterval{ 1 };
 
 /// Names the versions of both daemons in an error about a message that one of
 /// them cannot read.
@@ -74,6 +78,8 @@
 {
   http::ClientOptions client;
   client.mConnectTimeout = kConnectTimeout;
+  client.mAcknowledgementTimeout = kAcknowledgementTimeout;
+  client.mKeepAliveInterval = kKeepAliveInterval;
   std::unique_ptr<PeerChannel> channel(new PeerChannel(
     http::Client::Create(aExecutor, client), std::move(aHandlers)));
   if (aListen.mPort == 0) {
--- a/src/agatetide/entry/replica_relay.cpp
+++ b/src/agatetide/entry/replica_relay.cpp
@@ -61,6 +61,8 @@
   options.mConnectTimeout = kConnectTimeout;
   options.mAcknowledgementTimeout = kAcknowledgementTimeout;
   options.mKeepAliveInterval = kKeepAliveInterval;
+  // The other daemon answers when its replica does.
+  options.mDeadlineShowsSilence = false;
   mClient = http::Client::Create(aExecutor, std::move(options));
 }
 
--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -67,6 +67,13 @@
            Execution::Unknown };
 }
 
+/// Whether a connection ended since its server's kernel is not reached.
+bool IsUnacknowledged(const ErrorCode& aError)
+{
+  return aError == asio::error::timed_out ||
+         aError == asio::error::host_unreachable;
+}
+
 Error CanceledError(Execution aExecution = Execution::Unknown)
 {
   return { ErrorKind::Canceled, "the call was canceled", "none", aExecution };
@@ -173,6 +180,7 @@
         *mParser,
         asio::redirect_error(asio::use_awaitable, error));
       if (error) {
+        mError = error;
         co_return UnlessAborted(TransferError(mEndpoint, error));
       }
       if (mParser->get().result_int() < kFirstFinalStatus) {
@@ -216,6 +224,7 @@
         RestartIdleTimeout();
       }
       if (error) {
+        mError = error;
         co_return UnlessAborted(error == beast::error::timeout
                                   ? TransferError(mEndpoint, error)
                                   : IncompleteResponse(mEndpoint));
@@ -225,6 +234,9 @@
   }
 
   bool KeepAlive() const { return mParser->keep_alive(); }
+  /// The error that ended the response early.
+  const ErrorCode& LastError() const { return mError; }
+  bool GotSome() const { return mParser && mParser->got_some(); }
 
 private:
   void RestartIdleTimeout()
@@ -249,6 +261,7 @@
   const CallOptions& mOptions;
   size_t mMaxBodyBytes;
   bool mIsHead;
+  ErrorCode mError;
   std::optional<beast::http::response_parser<beast::http::buffer_body>> mParser;
 };
 
@@ -298,6 +311,20 @@
   /// Bytes of the bodies that running calls have collected.
   size_t mBufferedBytes = 0;
 
+  /// Drops idle connections if the error of a call shows that those to the
+  /// endpoint may have gone silent.
+  void CheckSilence(const Endpoint& aEndpoint,
+                    SteadyTime aSentAt,
+                    const ErrorCode& aError,
+                    bool aGotSome)
+  {
+    const bool deadlineExceeded = aError == beast::error::timeout && !aGotSome;
+    if (IsUnacknowledged(aError) ||
+        (deadlineExceeded && mOptions.mDeadlineShowsSilence)) {
+      mPool.DropUnusedSince(aEndpoint, aSentAt);
+    }
+  }
+
   Awaitable<Result<ConnectionPtr>> Connect(const Endpoint& aEndpoint,
                                            const CallOptions& aOptions)
   {
@@ -374,6 +401,7 @@
         ? aOptions.mAcknowledgementTimeout
         : mOptions.mAcknowledgementTimeout);
     const auto message = ToMessage(aEndpoint, aRequest);
+    const SteadyTime sentAt = std::chrono::steady_clock::now();
     connection.mStream.expires_at(aOptions.mDeadline);
     ErrorCode error;
     co_await beast::http::async_write(
@@ -381,6 +409,7 @@
       message,
       asio::redirect_error(asio::use_awaitable, error));
     if (error) {
+      CheckSilence(aEndpoint, sentAt, error, false);
       co_return TransferError(aEndpoint, error);
     }
     co_return std::move(*connected);
@@ -452,6 +481,7 @@
                                            BodySink aSink)
 {
   const std::shared_ptr<State> state = mState;
+  const SteadyTime startedAt = std::chrono::steady_clock::now();
   auto sent = co_await state->Send(aEndpoint, aRequest, aOptions);
   if (sent.has_error()) {
     co_return sent.error();
@@ -476,6 +506,8 @@
                         aRequest.mMethod == "HEAD");
   auto response = co_await reader.ReadHeader();
   if (response.has_error()) {
+    state->CheckSilence(
+      aEndpoint, startedAt, reader.LastError(), reader.GotSome());
     co_return response;
   }
   if (aOptions.mOnHeader && !aOptions.mOnHeader(*response)) {
@@ -499,6 +531,8 @@
     response->mBody = errorBody.Release();
   }
   if (read.has_error()) {
+    state->CheckSilence(
+      aEndpoint, startedAt, reader.LastError(), reader.GotSome());
     co_return read.error();
   }
   if (reader.KeepAlive()) {
--- a/src/agatetide/http/connection_pool.cpp
+++ b/src/agatetide/http/connection_pool.cpp
@@ -1,5 +1,7 @@
 #include "agatetide/http/connection_pool.hpp"
 
+#include "agatetide/base/event_log.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 
 #include <netinet/tcp.h>
@@ -102,6 +104,26 @@
   }
 }
 
+void ConnectionPool::DropUnusedSince(
+  const Endpoint& aEndpoint,
+  std::chrono::steady_clock::time_point aTime)
+{
+  const auto found = mIdle.find(Key(aEndpoint));
+  const size_t dropped =
+    found == mIdle.end()
+      ? 0
+      : std::erase_if(found->second, [&](const ConnectionPtr& aConnection) {
+          return aConnection->mIdleSince < aTime;
+        });
+  if (dropped > 0) {
+    LogEvent("idle_connections_dropped", LogLevel::Warning)
+      .Field("endpoint", Key(aEndpoint))
+      .Field("count", static_cast<uint64_t>(dropped))
+      .Field("reason", "no response on another connection")
+      .Write();
+  }
+}
+
 size_t ConnectionPool::DropEnded()
 {
   size_t failed = 0;
--- a/src/agatetide/http/connection_pool.hpp
+++ b/src/agatetide/http/connection_pool.hpp
@@ -65,6 +65,13 @@
   /// @brief See Client::DropEndedConnections().
   size_t DropEnded();
 
+  /// @brief Drops the idle connections to an endpoint that were last used
+  /// before aTime. For when a call that was sent then got no response: a cut
+  /// that silenced its connection has silenced theirs as well, and calls on
+  /// them would also end by their timeouts.
+  void DropUnusedSince(const Endpoint& aEndpoint,
+                       std::chrono::steady_clock::time_point aTime);
+
 private:
   const ClientOptions& mOptions;
   /// By endpoint; the most recently used connection is last.
--- a/tests/harness/partition.py
+++ b/tests/harness/partition.py
@@ -67,6 +67,15 @@
                 if sock.fileno() >= 0:
                     _disconnect(sock)
 
+    def silence_established(self):
+        """Drops all that arrives on the open connections from now on, for good; new ones work."""
+        with self.lock:
+            for sock in self.accepted:
+                try:
+                    _drop_packets(sock, [sock.getpeername()[0]])
+                except OSError:
+                    pass  # It was closed meanwhile.
+
     def heal(self, address):
         with self.lock:
             self.silent.discard(address)
--- a/tests/harness/site.py
+++ b/tests/harness/site.py
@@ -32,7 +32,7 @@
 class Daemon:
     """One daemon process on an entry host of its own, with an IP address of its own."""
 
-    def __init__(self, site, number, listens_for_peers=True, program=DAEMON):
+    def __init__(self, site, number, listens_for_peers=True, program=DAEMON, memory_mb=None):
         self.program = program
         self.name, self.store_endpoint = "host-%d" % number, StoreEndpoint(site.store)
         self.address = "127.0.1.%d" % (number + 1)
@@ -42,7 +42,7 @@
             "zone": "z1", "region": "r1", "zones": {"z1": "r1"},
             "listen": {"front": "%s:%d" % (self.address, self.front_port), "ready": "%s:%d" % (self.address, self.ready_port),
                        "directory": "%s:%d" % (self.address, self.directory_port)},
-            "limits": {"maxFds": 1024},
+            "limits": {"maxFds": 1024, **({} if memory_mb is None else {"memoryMb": memory_mb})},
             "bounds": {"revokeMs": 5000, "graceS": 2, "usageWindowS": WINDOW_S, "ttl_max_s": 5},
             "platform": {"address": self.store_endpoint.address}, "cloudApi": {"address": site.platform_api.address}}
         self.folder = tempfile.TemporaryDirectory()
@@ -74,6 +74,11 @@
         log = (pathlib.Path(self.folder.name) / "log").read_text(errors="replace")
         return [line for line in log.splitlines() if "event=%s " % event in line]
 
+    def peak_memory_mb(self):
+        """Returns the largest resident memory of the process so far."""
+        status = pathlib.Path("/proc/%d/status" % self.process.pid).read_text()
+        return int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1]) / 1024
+
     def last_event(self, event, field):
         """Returns the last log line with this event that contains field; empty if there is none."""
         return next((line for line in reversed(self.lines(event)) if field in line), "")
@@ -113,7 +118,7 @@
 class Site:
     """The test doubles of the platform, replicas and daemons of one test."""
 
-    def __init__(self, daemons=1, plain=2, engines=2, events=4, pause=0.0, peers=True, program=DAEMON):
+    def __init__(self, daemons=1, plain=2, engines=2, events=4, pause=0.0, peers=True, program=DAEMON, memory_mb=None):
         self.store, self.platform_api = Store(), PlatformApi()
         self.store.put("op/config", config())
         self.plain = [Replica(self.store, "plain-%d" % i, "plain", "z1") for i in range(plain)]
@@ -122,7 +127,7 @@
         self.daemons = []
         try:
             for i in range(daemons):
-                self.daemons.append(Daemon(self, i, peers, program))
+                self.daemons.append(Daemon(self, i, peers, program, memory_mb))
             until(lambda: self.lookup(self.daemons[0], "warm")[0] == 200, "the first lookup succeeds")
             until(lambda: all(len(self.addresses(d)) == min(daemons, MAX_ADDRESSES) for d in self.daemons), "all hosts are known")
         except Exception:
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -13,6 +13,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
+from harness.flood import send_flood
 from harness.partition import Partition
 
 
@@ -82,6 +83,15 @@
     return server
 
 
+def wait_for_end(connection):
+    """Waits until the other side has closed or reset the connection."""
+    try:
+        while connection.recv(1024):
+            pass
+    except OSError:
+        pass
+
+
 class CutWriter:
     """Passes the first bytes of a response on and then breaks off."""
 
@@ -107,16 +117,50 @@
     def __init__(self, store):
         self.store, self.refuse, self.silent = store, False, False
         self.silent_prefix = None  # prefix whose reads and watches get no answer
+        self.flood = None  # what its connections bring without end in place of answers; see harness/flood.py
+        self.loses_answer = None  # called with path and body of a call that was executed: whether its answer is lost
+        self.lock = threading.Lock()
+        self.connections, self.silent_connections = set(), set()
         self.server = serve(self.handle)
         self.address = "127.0.0.1:%d" % self.server.server_port
 
     def handle(self, handler, method, path, query, body):
+        with self.lock:
+            self.connections.add(handler.connection)
+        if handler.connection in self.silent_connections:
+            wait_for_end(handler.connection)
+            return
+        if self.flood is not None:
+            send_flood(handler, self.flood, "")
+            return
         while self.silent or (self.silent_prefix is not None and query.get("pathPrefix") == self.silent_prefix):
             time.sleep(0.05)
         if self.refuse:
             handler.reply(429)
-        else:
+        elif self.loses_answer is None:
             self.store.handle(handler, method, path, query, body)
+        else:
+            self.handle_with_loss(handler, method, path, query, json.loads(body) if body else {})
+
+    def handle_with_loss(self, handler, method, path, query, body):
+        with self.store.lock:
+            status, value = self.store.execute(method, path, query, body)
+        if self.loses_answer(path, body):
+            # A connection on which an answer is lost brings nothing further.
+            self.silent_connections.add(handler.connection)
+        if handler.connection in self.silent_connections:
+            wait_for_end(handler.connection)
+        else:
+            handler.reply(status, value)
+
+    def silence_open_connections(self, acknowledges):
+        """Open connections bring nothing any more, new ones work; returns their number."""
+        with self.lock:
+            self.connections = {c for c in self.connections if c.fileno() >= 0}
+            self.silent_connections |= self.connections
+            if not acknowledges:
+                self.server.partition.silence_established()
+            return len(self.connections)
 
 
 class Store:
@@ -261,6 +305,7 @@
         self.requests = []
         self.endless_stream = False
         self.statuses = []  # of the next answers; 200 after them
+        self.flood = None  # what its connections bring without end in place of answers; see harness/flood.py
         self.cut_response_at = None  # bytes of its responses after which the connection ends
         self.limit = None  # requests a second that its answers name
         self.says_leaving = set()  # kinds of answers ("call", "stream", "report") that say that it leaves
@@ -329,6 +374,11 @@
 
     def handle(self, handler, method, path, _query, body):
         headers = handler.headers
+        if self.flood is not None:
+            self.record_arrival(handler.client_address[0])
+            self.requests.append((headers.get("Attempt-Id"), path, dict(headers.items()), body))
+            send_flood(handler, self.flood, headers.get("Attempt-Id") or "")
+            return
         if headers.get("Expect-Instance") not in (None, self.name):
             handler.reply(421)
             return
--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -136,6 +136,7 @@
     "leaving_replicas": script("leaving_replicas"),
     "odd_registrations": script("odd_registrations"),
     "hostile_text": script("hostile_text"),
+    "silent_connections": script("silent_connections"),
     "crashing_requests": script("crashing_requests"),
     "soak": soak,
     "upgrade": upgrade,
