Read results from the store while an append has no known outcome

Cause: the store had executed the append of the results, its answer was lost. The host learns that by repeating the append; the end stopped this loop, and the host then answered from its memory, which lacked the entry.

Fix: the runner keeps what it knows of its append (AppendState). A step whose append is unknown or overdue, or that stops while one is sent, answers from the store, also reads that wait. Entries appear there on condition of the step's record, which has changed when a step stops, so the store has the last word. A submission that finds its own record, and has not just created it, loads the log instead of starting with none.

Reads go to the store in these cases only.

--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -87,6 +87,16 @@
   void ClearText();
 };
 
+/// @brief What is known of an append to the log of a step.
+enum class AppendState : uint8_t
+{
+  /// All appends have ended with a known outcome.
+  None,
+  Sent,
+  /// It may have taken effect although it got no answer.
+  Unknown,
+};
+
 /// @brief A step that this process runs.
 struct OwnedStep
 {
@@ -98,17 +108,20 @@
   std::vector<size_t> mStartOrder;
   /// Ids of the replicas that have processed the prompt of a group, by group.
   std::map<std::string, std::set<std::string>> mPromptReplicas;
-  /// Results in the step's log, in its order.
+  /// Results that are known to be in the step's log, in its order.
   std::vector<ItemResult> mCommittedResults;
-  /// Results that are not in the log yet.
+  /// Results that are not known to be in the log yet.
   std::vector<ItemResult> mPendingResults;
+  /// The state of the append of the first pending results.
+  AppendState mAppendState = AppendState::None;
+  /// When an append that was sent should have had its answer.
+  TimePoint mAppendOverdueAt{};
   uint32_t mNextLogEntry = 0;
   /// When this process last appended to the log.
   TimePoint mCommittedAt{};
   /// The step is ended, complete or superseded.
   bool mStopped = false;
-  /// Another process has changed the record and may own the step, so results
-  /// must be read from the store.
+  /// Another process has changed the record and may own the step.
   bool mSuperseded = false;
   /// When this process began to run the step.
   TimePoint mAdoptedAt{};
@@ -123,6 +136,16 @@
   std::list<boost::asio::steady_timer*> mWaiters;
   std::unique_ptr<boost::asio::steady_timer> mCommitTimer;
 
+  /// @brief Whether the log may hold results that mCommittedResults lacks, so
+  /// that results must be read from the store: others may have read them there.
+  /// A stopped step does not learn how its last append ended.
+  bool MayLackResults(TimePoint aNow) const
+  {
+    return mSuperseded || mAppendState == AppendState::Unknown ||
+           (mAppendState == AppendState::Sent &&
+            (mStopped || aNow >= mAppendOverdueAt));
+  }
+
   /// @brief Whether all results are in the log.
   bool IsComplete() const { return mCommittedResults.size() == mItems.size(); }
 
@@ -163,7 +186,7 @@
   void Stop(const OwnedStepPtr& aStep, bool aSuperseded);
 
   /// @brief Waits until more than aKnownCount results are in the log, the step
-  /// has stopped, or aMaxWait has passed.
+  /// has stopped or may lack results, or aMaxWait has passed.
   Awaitable<void> AwaitResults(OwnedStepPtr aStep,
                                size_t aKnownCount,
                                Milliseconds aMaxWait);
@@ -181,6 +204,8 @@
   Awaitable<void> ReviewLoop();
   Awaitable<void> CheckRecord(OwnedStepPtr aStep);
   Awaitable<void> CommitLoop(OwnedStepPtr aStep);
+  Awaitable<AppendOutcome> AppendUntilSettled(OwnedStepPtr aStep,
+                                              std::string aResults);
   Awaitable<void> CheckpointStep(OwnedStepPtr aStep);
   bool StartItemsOfStep(const OwnedStepPtr& aStep);
   bool StartItem(const OwnedStepPtr& aStep,
--- a/include/agatetide/steps/step_store.hpp
+++ b/include/agatetide/steps/step_store.hpp
@@ -34,8 +34,11 @@
   Appended,
   /// The record has changed: the step was ended, or another process owns it.
   Superseded,
-  /// The outcome is unknown; append the same results as the same entry again.
-  Retry,
+  /// Nothing was written; append the same results as the same entry again.
+  NotAppended,
+  /// The entry may be in the log; append the same results as the same entry
+  /// again, which settles it.
+  Unknown,
 };
 
 /// @brief Consecutive entries of a step's log.
@@ -78,8 +81,8 @@
   Awaitable<Result<std::vector<StepItem>>> LoadItems(StepRecord aRecord);
 
   /// @brief Writes entry aEntry of the log. aResults comes from
-  /// EncodeResults(). After Retry, call it again with the same entry and
-  /// results.
+  /// EncodeResults(). After NotAppended or Unknown, call it again with the same
+  /// entry and results.
   Awaitable<AppendOutcome> Append(StepRecord aRecord,
                                   uint32_t aEntry,
                                   std::string aResults);
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -26,6 +26,9 @@
 /// Results of a step are batched into one log entry for up to this long.
 constexpr std::chrono::milliseconds kMaxCommitDelay{ 300 };
 constexpr std::chrono::milliseconds kCommitRetryDelay{ 150 };
+/// The store usually answers an append within this time. After it, results are
+/// read from the store, since other hosts may have read the new entry there.
+constexpr std::chrono::milliseconds kUsualAppendTime{ 500 };
 /// A log entry ends with the result whose text brings it to this size.
 constexpr size_t kEntryThresholdBytes = size_t{ 600 } << 10U;
 /// A stopped step stays in memory for this long, so that its results can
@@ -178,8 +181,11 @@
   asio::steady_timer timer(mContext.mExecutor);
   const auto waiter = aStep->mWaiters.insert(aStep->mWaiters.end(), &timer);
   while (aStep->mCommittedResults.size() <= aKnownCount && !aStep->mStopped &&
+         !aStep->MayLackResults(mContext.mClock()) &&
          mContext.mClock() < deadline) {
-    timer.expires_after(deadline - mContext.mClock());
+    const bool sent = aStep->mAppendState == AppendState::Sent;
+    timer.expires_at(sent ? std::min(deadline, aStep->mAppendOverdueAt)
+                          : deadline);
     boost::system::error_code ignored;
     co_await timer.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
@@ -344,10 +350,47 @@
   aStep->mCommitTimer->cancel();
 }
 
+/// Appends an entry to the log, again until its outcome is known or the step
+/// stops.
+Awaitable<AppendOutcome> StepRunner::AppendUntilSettled(OwnedStepPtr aStep,
+                                                        std::string aResults)
+{
+  asio::steady_timer timer(mContext.mExecutor);
+  while (!aStep->mStopped) {
+    if (aStep->mAppendState == AppendState::None) {
+      aStep->mAppendState = AppendState::Sent;
+      aStep->mAppendOverdueAt = mContext.mClock() + kUsualAppendTime;
+      WakeWaiters(*aStep);
+    }
+    const AppendOutcome outcome = co_await mContext.mStepStore.Append(
+      aStep->mRecord, aStep->mNextLogEntry, aResults);
+    if (outcome == AppendOutcome::Appended ||
+        outcome == AppendOutcome::Superseded) {
+      aStep->mAppendState = AppendState::None;
+      co_return outcome;
+    }
+    if (outcome == AppendOutcome::Unknown &&
+        aStep->mAppendState != AppendState::Unknown) {
+      LogEvent("append_unknown", LogLevel::Warning)
+        .Field("step", aStep->mRecord.mId)
+        .Field("entry", aStep->mNextLogEntry)
+        .Field("listed", static_cast<uint64_t>(aStep->mCommittedResults.size()))
+        .Write();
+      aStep->mAppendState = AppendState::Unknown;
+      WakeWaiters(*aStep);
+    }
+    if (aStep->mAppendState == AppendState::Sent) {
+      aStep->mAppendState = AppendState::None;
+    }
+    timer.expires_after(kCommitRetryDelay);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  co_return AppendOutcome::Unknown;
+}
+
 /// Appends pending results to the log, one entry at a time.
 Awaitable<void> StepRunner::CommitLoop(OwnedStepPtr aStep)
 {
-  asio::steady_timer retryTimer(mContext.mExecutor);
   while (!aStep->mStopped) {
     const TimePoint due = aStep->mCommittedAt + kMaxCommitDelay;
     const bool mustWait =
@@ -368,16 +411,9 @@
       bytes += aStep->mPendingResults[batch.size()].mText.size();
       batch.push_back(aStep->mPendingResults[batch.size()]);
     }
-    const std::string encoded = EncodeResults(batch);
-    AppendOutcome outcome = AppendOutcome::Retry;
-    while (outcome == AppendOutcome::Retry && !aStep->mStopped) {
-      outcome = co_await mContext.mStepStore.Append(
-        aStep->mRecord, aStep->mNextLogEntry, encoded);
-      if (outcome == AppendOutcome::Retry) {
-        retryTimer.expires_after(kCommitRetryDelay);
-        co_await retryTimer.async_wait(asio::use_awaitable);
-      }
-    }
+    std::string encoded = EncodeResults(batch);
+    const AppendOutcome outcome =
+      co_await AppendUntilSettled(aStep, std::move(encoded));
     if (outcome == AppendOutcome::Superseded) {
       Stop(aStep, true);
     }
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -107,7 +107,11 @@
     co_return SubmitOutcome::Refused;
   }
   if (own) {
-    if (!mRunner.Find(record.mId)) {
+    const bool isNew = reply.mOutcome == CreateOutcome::Created || mayBeStored;
+    if (!isNew && !mRunner.Find(record.mId)) {
+      // Its results are in the log, since it was complete or ended long ago.
+      co_await AdoptStored(reply.mRecord);
+    } else if (!mRunner.Find(record.mId)) {
       mRunner.Adopt(reply.mRecord, std::move(aSubmission.mItems), {}, {});
     }
     co_return SubmitOutcome::Accepted;
@@ -168,16 +172,21 @@
                                                 size_t aFrom,
                                                 Milliseconds aMaxWait)
 {
+  const TimePoint deadline = mContext.mClock() + aMaxWait;
   const OwnedStepPtr owned = mRunner.Find(aId);
-  if (!owned || owned->mSuperseded) {
-    co_return co_await ReadFromStore(
-      std::move(aId), std::move(aAccount), aFrom, aMaxWait);
-  }
-  if (owned->mRecord.mAccount != aAccount) {
-    co_return StepNotFound(aId);
+  if (owned && !owned->MayLackResults(mContext.mClock())) {
+    if (owned->mRecord.mAccount != aAccount) {
+      co_return StepNotFound(aId);
+    }
+    co_await mRunner.AwaitResults(owned, aFrom, aMaxWait);
+    if (!owned->MayLackResults(mContext.mClock())) {
+      co_return MakePage(owned->mCommittedResults, owned->mItems.size(), aFrom);
+    }
   }
-  co_await mRunner.AwaitResults(owned, aFrom, aMaxWait);
-  co_return MakePage(owned->mCommittedResults, owned->mItems.size(), aFrom);
+  const auto remaining =
+    std::chrono::duration_cast<Milliseconds>(deadline - mContext.mClock());
+  co_return co_await ReadFromStore(
+    std::move(aId), std::move(aAccount), aFrom, remaining);
 }
 
 Awaitable<Result<StepService::CachedStepPtr>> StepService::Lookup(
--- a/src/agatetide/steps/step_store.cpp
+++ b/src/agatetide/steps/step_store.cpp
@@ -179,7 +179,9 @@
   StoreRequest request = std::move(append);
   const auto appended = co_await mStore(std::move(request));
   if (appended.has_error()) {
-    co_return AppendOutcome::Retry;
+    co_return appended.error().mExecution == Execution::NotRun
+      ? AppendOutcome::NotAppended
+      : AppendOutcome::Unknown;
   }
   if (appended->mSucceeded) {
     co_return AppendOutcome::Appended;
--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -137,6 +137,7 @@
     "odd_registrations": script("odd_registrations"),
     "hostile_text": script("hostile_text"),
     "silent_connections": script("silent_connections"),
+    "unknown_writes": script("unknown_writes"),
     "crashing_requests": script("crashing_requests"),
     "soak": soak,
     "upgrade": upgrade,
