Run a step that comes back to its host, and settle claims without an answer

Cause: the host took a copy that it had stopped for the running step. A claim without an answer was forgotten once the record named a living owner.

Fix: a host that is named as the owner and has no running copy reads the record again and adopts the step. An unknown claim is settled by reads of the record, which a change rules out. So no host is needed that happens to lead. A page of results is made of what was read from the log within 0.5 s: before, readers from the start got no more than the host had happened to read.

--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -168,8 +168,8 @@
   /// @brief Starts the periodic review of running steps. Call once.
   void Start();
 
-  /// @brief Runs a step. Items with a result in the log are done; items with a
-  /// partial sample resume from it.
+  /// @brief Runs a step; replaces a stopped copy. Items with a result in the
+  /// log are done; items with a partial sample resume from it.
   OwnedStepPtr Adopt(StepRecord aRecord,
                      std::vector<StepItem> aItems,
                      LogPart aLog,
@@ -181,6 +181,13 @@
   /// @brief The step if it runs here or stopped recently; null otherwise.
   OwnedStepPtr Find(std::string_view aId) const;
 
+  /// @brief Whether the step runs here.
+  bool IsRunning(std::string_view aId) const
+  {
+    const OwnedStepPtr step = Find(aId);
+    return step && !step->mStopped;
+  }
+
   /// @brief Stops a step that is ended or complete, or whose record another
   /// process has changed (aSuperseded).
   void Stop(const OwnedStepPtr& aStep, bool aSuperseded);
--- a/include/agatetide/steps/step_service.hpp
+++ b/include/agatetide/steps/step_service.hpp
@@ -108,6 +108,8 @@
     std::vector<ItemResult> mResults;
     /// Number of log entries read into mResults.
     uint32_t mLogEntryCount = 0;
+    /// When the log was last read.
+    TimePoint mReadAt{};
     /// Size of the texts of mItems and mResults.
     size_t mBytes = 0;
     TimePoint mLastUsed{};
@@ -123,6 +125,8 @@
                                               size_t aFrom,
                                               Milliseconds aMaxWait);
   Awaitable<void> ResolveUnknownCreate(std::string aId);
+  Awaitable<void> ResolveUnknownClaim(std::string aId, int64_t aRevision);
+  bool IsOrphan(const StepRecord& aRecord) const;
   Awaitable<bool> TakeOver(StepRecord aRecord);
   Awaitable<bool> AdoptStored(StepRecord aRecord);
   void UpdatePeakItems(const std::vector<StepRecord>& aRecords);
@@ -137,6 +141,9 @@
   std::map<std::string, CachedStepPtr, std::less<>> mCache;
   /// Ids of steps that may be stored although creating them failed.
   std::set<std::string> mUnknownCreates;
+  /// Ids of steps of which this process may become the owner although claiming
+  /// them failed.
+  std::set<std::string> mUnknownClaims;
   bool mNeedsRecovery = false;
   std::map<std::string, double, std::less<>> mTokenDemand;
   std::map<std::string, unsigned, std::less<>> mPeakItems;
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -22,6 +22,8 @@
 /// Maximum duration of one watch of the log of another daemon's step.
 constexpr std::chrono::milliseconds kMaxLogWait{ 1000 };
 constexpr unsigned kMaxEndAttempts = 8;
+/// A page of results is made of what was read from the log within this time.
+constexpr std::chrono::milliseconds kMaxCacheAge{ 500 };
 
 Error StepNotFound(const std::string& aId)
 {
@@ -108,7 +110,7 @@
   }
   if (own) {
     const bool isNew = reply.mOutcome == CreateOutcome::Created || mayBeStored;
-    if (!isNew && !mRunner.Find(record.mId)) {
+    if (!isNew && !mRunner.IsRunning(record.mId)) {
       // Its results are in the log, since it was complete or ended long ago.
       co_await AdoptStored(reply.mRecord);
     } else if (!mRunner.Find(record.mId)) {
@@ -142,7 +144,7 @@
     const auto record = co_await mContext.mStepStore.Load(aId);
     if (record.has_value() && record->has_value()) {
       resolved = true;
-      if ((*record)->mOwner == mContext.mOwner && !mRunner.Find(aId)) {
+      if ((*record)->mOwner == mContext.mOwner && !mRunner.IsRunning(aId)) {
         co_await AdoptStored(**record);
       }
     }
@@ -150,6 +152,30 @@
   mUnknownCreates.erase(aId);
 }
 
+/// Runs a step if a claim to it whose outcome is unknown has made this process
+/// its owner. The claim was made on the condition that the record has
+/// aRevision, so it cannot take effect after a change.
+Awaitable<void> StepService::ResolveUnknownClaim(std::string aId,
+                                                 int64_t aRevision)
+{
+  const TimePoint deadline = mContext.mClock() + kResolveTimeout;
+  asio::steady_timer timer(mContext.mExecutor);
+  bool resolved = false;
+  while (!resolved && mContext.mClock() < deadline) {
+    timer.expires_after(kResolveInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+    const auto record = co_await mContext.mStepStore.Load(aId);
+    resolved = record.has_value() &&
+               (!record->has_value() || (*record)->mRevision != aRevision);
+    if (resolved && record->has_value() && !(*record)->mEnded &&
+        (*record)->mOwner == mContext.mOwner && !mRunner.IsRunning(aId)) {
+      LogEvent("claim_found").Field("step", aId).Write();
+      co_await AdoptStored(**record);
+    }
+  }
+  mUnknownClaims.erase(aId);
+}
+
 ResultPage StepService::MakePage(const std::vector<ItemResult>& aResults,
                                  size_t aTotal,
                                  size_t aFrom) const
@@ -242,6 +268,7 @@
     co_return part.error();
   }
   aRevision = part->mRevision;
+  aStep->mReadAt = mContext.mClock();
   if (aStep->mLogEntryCount != from) {
     co_return true; // A concurrent call has added these entries already.
   }
@@ -265,6 +292,13 @@
   }
   const CachedStepPtr& step = *found;
   const size_t total = step->mRecord.mItemCount;
+  const bool isOld = mContext.mClock() - step->mReadAt > kMaxCacheAge &&
+                     step->mResults.size() < total;
+  if (isOld && step->mResults.size() > aFrom) {
+    // After an error, the results that are known are a page, too.
+    int64_t ignored = 0;
+    co_await ReadNewResults(step, ignored);
+  }
   while (step->mResults.size() <= aFrom && step->mResults.size() < total) {
     int64_t revision = 0;
     const auto updated = co_await ReadNewResults(step, revision);
@@ -378,7 +412,8 @@
   // An error is ignored, since without partial samples the items are only
   // generated from the beginning.
   auto partials = co_await mContext.mStepStore.LoadPartials(aRecord.mId);
-  if (!mRunner.Find(aRecord.mId)) {
+  if (!mRunner.IsRunning(aRecord.mId)) {
+    mCache.erase(aRecord.mId);
     mRunner.Adopt(std::move(aRecord),
                   std::move(*items),
                   std::move(*log),
@@ -397,19 +432,35 @@
     aRecord.mOwner = mContext.mOwner;
     const auto claimed = co_await mContext.mStepStore.Replace(aRecord);
     if (claimed.has_error()) {
+      const bool mayBeOwner = claimed.error().mExecution != Execution::NotRun;
+      if (mayBeOwner && mUnknownClaims.insert(aRecord.mId).second) {
+        asio::co_spawn(mContext.mExecutor,
+                       ResolveUnknownClaim(aRecord.mId, aRecord.mRevision),
+                       asio::detached);
+      }
       co_return false;
     }
     if (!claimed->has_value()) {
       co_return true;
     }
     aRecord = **claimed;
+  } else {
+    // The record may be older than the end of the step.
+    const auto current = co_await mContext.mStepStore.Load(aRecord.mId);
+    if (current.has_error()) {
+      co_return false;
+    }
+    if (!current->has_value() || (*current)->mEnded ||
+        (*current)->mOwner != mContext.mOwner) {
+      co_return true;
+    }
+    aRecord = **current;
   }
   LogEvent("step_taken_over")
     .Field("step", aRecord.mId)
     .Field("account", aRecord.mAccount)
     .Field("owner", previousOwner)
     .Write();
-  mCache.erase(aRecord.mId);
   co_return co_await AdoptStored(std::move(aRecord));
 }
 
@@ -466,6 +517,15 @@
   }
 }
 
+/// Whether nobody runs a step although its record names this process as the
+/// owner. A copy in memory may be of the time before another process owned it.
+bool StepService::IsOrphan(const StepRecord& aRecord) const
+{
+  const OwnedStepPtr step = mRunner.Find(aRecord.mId);
+  const bool runsOrComplete = step && (!step->mStopped || step->IsComplete());
+  return !runsOrComplete && !mUnknownCreates.contains(aRecord.mId);
+}
+
 Awaitable<bool> StepService::Recover(
   std::set<std::string> aLiveOwners,
   std::function<bool(const StepRecord&)> aIsResponsible,
@@ -494,7 +554,7 @@
     }
     const bool own = record.mOwner == mContext.mOwner;
     const bool orphan =
-      own ? !mRunner.Find(record.mId) && !mUnknownCreates.contains(record.mId)
+      own ? IsOrphan(record)
           : !aLiveOwners.contains(record.mOwner) && aIsResponsible(record);
     if (record.mEnded || !orphan) {
       continue;
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -119,6 +119,9 @@
         self.silent_prefix = None  # prefix whose reads and watches get no answer
         self.flood = None  # what its connections bring without end in place of answers; see harness/flood.py
         self.loses_answer = None  # called with path and body of a call that was executed: whether its answer is lost
+        self.refuses_call = None  # called with path and body: whether the call is refused
+        # Called with path and body: seconds after which a call is executed without an answer; None for others.
+        self.delays_call = None
         self.lock = threading.Lock()
         self.connections, self.silent_connections = set(), set()
         self.server = serve(self.handle)
@@ -135,16 +138,30 @@
             return
         while self.silent or (self.silent_prefix is not None and query.get("pathPrefix") == self.silent_prefix):
             time.sleep(0.05)
-        if self.refuse:
+        call = json.loads(body) if body else {}
+        if self.refuse or (self.refuses_call is not None and self.refuses_call(path, call)):
             handler.reply(429)
+        elif self.delays_call is not None and self.delay(handler, method, path, query, call):
+            wait_for_end(handler.connection)
         elif self.loses_answer is None:
             self.store.handle(handler, method, path, query, body)
         else:
-            self.handle_with_loss(handler, method, path, query, json.loads(body) if body else {})
+            self.handle_with_loss(handler, method, path, query, call)
 
-    def handle_with_loss(self, handler, method, path, query, body):
+    def delay(self, handler, method, path, query, body):
+        delay_s = self.delays_call(path, body)
+        if delay_s is None:
+            return False
+        self.silent_connections.add(handler.connection)
+        threading.Timer(delay_s, self.execute, (method, path, query, body)).start()
+        return True
+
+    def execute(self, *call):
         with self.store.lock:
-            status, value = self.store.execute(method, path, query, body)
+            return self.store.execute(*call)
+
+    def handle_with_loss(self, handler, method, path, query, body):
+        status, value = self.execute(method, path, query, body)
         if self.loses_answer(path, body):
             # A connection on which an answer is lost brings nothing further.
             self.silent_connections.add(handler.connection)
--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -138,6 +138,7 @@
     "hostile_text": script("hostile_text"),
     "silent_connections": script("silent_connections"),
     "unknown_writes": script("unknown_writes"),
+    "owners_of_steps": script("owners_of_steps"),
     "crashing_requests": script("crashing_requests"),
     "soak": soak,
     "upgrade": upgrade,
--- a/tests/unknown_writes.py
+++ b/tests/unknown_writes.py
@@ -34,11 +34,16 @@
     return lost
 
 
-def submit_and_find_hosts(site, step, items=6):
+def submit_and_find_hosts(site, step, items=6, **fields):
     """Returns the host that runs the step, and one that reads it at the store."""
-    check(site.submit(site.daemons[0], step, items) == 202, "accepted")
-    owner = next(d for d in site.daemons
-                 if any("step=%s " % step in line and "outcome=accepted" in line for line in d.lines("step_submitted")))
+    check(site.submit(site.daemons[0], step, items, **fields) == 202, "accepted")
+
+    def owners():
+        return [d for d in site.daemons
+                if any("step=%s " % step in line and "outcome=accepted" in line for line in d.lines("step_submitted"))]
+
+    until(owners, "a host has accepted the step")
+    owner = owners()[0]
     return owner, next(d for d in site.daemons if d is not owner)
 
 
