Take responses and texts from budgets of the process's memory

Cause: limits counted bytes, not the memory of growing strings, and not unparsed bytes, partial events or texts of empty events; the C library kept freed memory in pieces; the store, the cloud interface and other hosts had limits that ignore what the process may use. Beast's timer ends reads that wait, not reads that always find bytes.

Fix: MemoryBudget; clients, event parsers, frames of other hosts and texts take what they allocate from budgets that come from limits.memoryMb. Replicas and the platform's own servers have separate ones, so that a flood of replicas does not cut a host off from its store. 32 KiB of unparsed bytes for each connection, 131,072 events for a text, four checkpoints at a time. Each piece of a body is checked against the deadline.

--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -83,6 +83,12 @@
   /// refused.
   Milliseconds mMaxKeyWithdrawalDelay{ 5000 };
   duty::UsageOptions mUsage;
+  /// For the answers of other daemons.
+  http::ResponseLimits mPeerResponses;
+  /// For responses of replicas that other daemons pass on.
+  http::ResponseLimits mRelayedResponses;
+  /// For the texts of samples that are not complete; null if unlimited.
+  std::shared_ptr<MemoryBudget> mTextBudget;
 };
 
 /// @brief The daemon of an entry host: creates its components, connects them
--- a/include/agatetide/entry/peer_channel.hpp
+++ b/include/agatetide/entry/peer_channel.hpp
@@ -30,12 +30,14 @@
 class PeerChannel
 {
 public:
-  /// @brief Listens at aListen; port 0 disables the server.
+  /// @brief Listens at aListen; port 0 disables the server. aResponses limits
+  /// the answers of other daemons.
   /// Errors: those of http::Server::Create().
   static Result<std::unique_ptr<PeerChannel>> Create(
     boost::asio::any_io_executor aExecutor,
     const http::Endpoint& aListen,
-    PeerHandlers aHandlers);
+    PeerHandlers aHandlers,
+    http::ResponseLimits aResponses);
 
   /// @brief Asks the daemon at aPeer for changes. Errors: Unavailable if its
   /// data isn't fresh; those of http::Client; InvalidArgument if the reply is
--- a/include/agatetide/entry/relay_messages.hpp
+++ b/include/agatetide/entry/relay_messages.hpp
@@ -47,18 +47,22 @@
 public:
   using Sink = std::function<bool(RelayFrame)>;
 
-  explicit RelayFrameReader(size_t aMaxFrameBytes)
+  /// @brief An incomplete frame takes its memory from aBudget, which must not
+  /// be null.
+  RelayFrameReader(size_t aMaxFrameBytes, std::shared_ptr<MemoryBudget> aBudget)
     : mMaxFrameBytes(aMaxFrameBytes)
+    , mBuffer(std::move(aBudget))
   {
   }
 
   /// @brief Passes each complete frame to aSink. Returns false if a frame is
-  /// malformed or too long, or if aSink returns false.
+  /// malformed, too long or does not fit into the budget, or if aSink returns
+  /// false.
   bool Feed(std::string_view aBytes, const Sink& aSink);
 
 private:
   size_t mMaxFrameBytes;
-  std::string mBuffer;
+  BudgetedBuffer mBuffer;
 };
 
 } // namespace agatetide::entry
--- a/include/agatetide/entry/replica_relay.hpp
+++ b/include/agatetide/entry/replica_relay.hpp
@@ -16,7 +16,8 @@
 class RelayClient
 {
 public:
-  explicit RelayClient(const boost::asio::any_io_executor& aExecutor);
+  RelayClient(const boost::asio::any_io_executor& aExecutor,
+              http::ResponseLimits aResponses);
 
   /// @brief See PeerRelayCall.
   Awaitable<RelayOutcome> Send(http::Endpoint aPeer,
@@ -26,6 +27,7 @@
                                std::shared_ptr<http::CancelHandle> aCancel);
 
 private:
+  http::ResponseLimits mResponses;
   std::unique_ptr<http::Client> mClient;
 };
 
--- a/include/agatetide/http/client.hpp
+++ b/include/agatetide/http/client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatetide/base/awaitable.hpp"
+#include "agatetide/base/memory_budget.hpp"
 #include "agatetide/http/message.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -11,14 +12,21 @@
 
 namespace agatetide::http {
 
-struct ClientOptions
+/// @brief Limits of the memory for responses, whatever servers send.
+struct ResponseLimits
 {
-  std::chrono::milliseconds mConnectTimeout{ 1000 };
   /// A call whose response body is longer fails with DataLoss.
   size_t mMaxBodyBytes = size_t{ 64 } << 20U;
-  /// Limit on the response bodies that all running calls together keep in
-  /// memory; a call that would exceed it fails with ResourceExhausted.
-  size_t mMaxBufferedBytes = size_t{ 256 } << 20U;
+  /// For the response bodies that running calls collect; a call that would
+  /// exceed it fails with ResourceExhausted. Clients may share it. Not null.
+  std::shared_ptr<MemoryBudget> mBudget =
+    std::make_shared<MemoryBudget>(size_t{ 256 } << 20U);
+};
+
+struct ClientOptions
+{
+  std::chrono::milliseconds mConnectTimeout{ 1000 };
+  ResponseLimits mResponses;
   /// Per endpoint.
   size_t mMaxIdleConnections = 32;
   /// Connections that have been idle for longer are not reused.
--- a/include/agatetide/steps/sample_text.hpp
+++ b/include/agatetide/steps/sample_text.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "agatetide/base/memory_budget.hpp"
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,27 +17,38 @@
 public:
   /// A response to a trainer holds at most 1 MB.
   static constexpr size_t kMaxBytes = size_t{ 1000 } * 1000;
+  /// Each event takes memory besides its text.
+  static constexpr size_t kMaxEvents = size_t{ 1 } << 17U;
 
   SampleText() = default;
 
-  /// @brief Restores the text from stored events.
-  explicit SampleText(std::vector<std::string> aEvents);
+  /// @brief An empty text that takes its memory from aBudget, which may be
+  /// null.
+  explicit SampleText(std::shared_ptr<MemoryBudget> aBudget);
+
+  /// @brief Restores the text from stored events. The text is empty if they do
+  /// not fit into the budget.
+  SampleText(std::vector<std::string> aEvents,
+             std::shared_ptr<MemoryBudget> aBudget);
 
   /// @brief Adds an event. Returns false, and leaves the text unchanged, if it
-  /// would exceed kMaxBytes.
+  /// would exceed kMaxBytes, kMaxEvents or the budget.
   bool Append(std::string aEvent);
 
   void Clear();
 
   const std::vector<std::string>& Events() const { return mEvents; }
 
+  /// @brief Size of the text, including a line feed after each event.
+  size_t Bytes() const { return mBytes; }
+
   /// @brief The events joined by line feeds.
   std::string Joined() const;
 
 private:
   std::vector<std::string> mEvents;
-  /// Size of the text, including a line feed after each event.
   size_t mBytes = 0;
+  MemoryReservation mMemory;
 };
 
 } // namespace agatetide::steps
--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agatetide/base/memory_budget.hpp"
 #include "agatetide/policy/item_placement.hpp"
 #include "agatetide/policy/replica_speeds.hpp"
 #include "agatetide/request/forwarder.hpp"
@@ -32,6 +33,8 @@
   WallClock mWallClock;
   /// Name of this process as an owner of steps; see OwnerName().
   std::string mOwner;
+  /// For the texts of samples that are not complete; null if unlimited.
+  std::shared_ptr<MemoryBudget> mTextBudget;
 };
 
 /// @brief The progress of one item: the sample generated so far, and the
@@ -213,6 +216,8 @@
   Awaitable<void> CommitLoop(OwnedStepPtr aStep);
   Awaitable<AppendOutcome> AppendUntilSettled(OwnedStepPtr aStep,
                                               std::string aResults);
+  void StartDueCheckpoints();
+  Awaitable<void> RunCheckpoint(OwnedStepPtr aStep);
   Awaitable<void> CheckpointStep(OwnedStepPtr aStep);
   bool StartItemsOfStep(const OwnedStepPtr& aStep);
   bool StartItem(const OwnedStepPtr& aStep,
@@ -268,6 +273,7 @@
   std::map<std::string, OwnedStepPtr, std::less<>> mSteps;
   policy::ReplicaSpeeds mSpeeds;
   size_t mRunningItemCount = 0;
+  size_t mRunningCheckpoints = 0;
 };
 
 } // namespace agatetide::steps
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -67,7 +67,8 @@
       },
       [relay = &daemon->mRelayServer](const http::Request& aRequest) {
         return relay->Handle(aRequest);
-      } });
+      } },
+    daemon->mOptions.mPeerResponses);
   if (peers.has_error()) {
     return peers.error();
   }
@@ -158,7 +159,7 @@
                                      ObserveReports(std::move(aRequest)),
                                      std::move(aStream));
   })
-  , mRelayClient(mExecutor)
+  , mRelayClient(mExecutor, mOptions.mRelayedResponses)
   , mRelayServer({},
                  mExecutor,
                  mView,
@@ -229,7 +230,8 @@
                   mStepStore,
                   mClock,
                   [this] { return mWallClock.Now(); },
-                  mOwner }
+                  mOwner,
+                  mOptions.mTextBudget }
   , mRunner(mStepContext)
   , mSteps(mStepContext, mRunner)
   , mStepRouter(
--- a/src/agatetide/entry/peer_channel.cpp
+++ b/src/agatetide/entry/peer_channel.cpp
@@ -74,12 +74,14 @@
 Result<std::unique_ptr<PeerChannel>> PeerChannel::Create(
   boost::asio::any_io_executor aExecutor,
   const http::Endpoint& aListen,
-  PeerHandlers aHandlers)
+  PeerHandlers aHandlers,
+  http::ResponseLimits aResponses)
 {
   http::ClientOptions client;
   client.mConnectTimeout = kConnectTimeout;
   client.mAcknowledgementTimeout = kAcknowledgementTimeout;
   client.mKeepAliveInterval = kKeepAliveInterval;
+  client.mResponses = std::move(aResponses);
   std::unique_ptr<PeerChannel> channel(new PeerChannel(
     http::Client::Create(aExecutor, client), std::move(aHandlers)));
   if (aListen.mPort == 0) {
--- a/src/agatetide/entry/relay_messages.cpp
+++ b/src/agatetide/entry/relay_messages.cpp
@@ -327,24 +327,25 @@
 
 bool RelayFrameReader::Feed(std::string_view aBytes, const Sink& aSink)
 {
-  mBuffer.append(aBytes);
-  while (mBuffer.size() >= kLengthBytes) {
+  if (!mBuffer.Append(aBytes)) {
+    return false;
+  }
+  while (mBuffer.View().size() >= kLengthBytes) {
+    const std::string_view bytes = mBuffer.View();
     size_t length = 0;
     for (size_t i = 0; i < kLengthBytes; ++i) {
-      length =
-        (length << kBitsPerByte) | static_cast<unsigned char>(mBuffer[i]);
+      length = (length << kBitsPerByte) | static_cast<unsigned char>(bytes[i]);
     }
     if (length > mMaxFrameBytes) {
       return false;
     }
-    if (mBuffer.size() < kLengthBytes + length) {
+    if (bytes.size() < kLengthBytes + length) {
       return true;
     }
-    auto wire = DecodePortable<WireFrame>(
-      std::string_view(mBuffer).substr(kLengthBytes, length),
-      "a message about a relayed request",
-      ErrorKind::InvalidArgument);
-    mBuffer.erase(0, kLengthBytes + length);
+    auto wire = DecodePortable<WireFrame>(bytes.substr(kLengthBytes, length),
+                                          "a message about a relayed request",
+                                          ErrorKind::InvalidArgument);
+    mBuffer.Consume(kLengthBytes + length);
     if (wire.has_error() || !aSink(FromWire(std::move(*wire)))) {
       return false;
     }
--- a/src/agatetide/entry/relay_messages_test.cpp
+++ b/src/agatetide/entry/relay_messages_test.cpp
@@ -68,3 +68,27 @@
     "00000000006e010000000000000076010000000000000062010101000000"
     "000000007301010000000200000003000000");
 }
+
+// Guards against another daemon that sends a frame without end, or many of
+// them at once, and so exhausts the memory of this one.
+Test(relay_messages, frames_take_limited_memory)
+{
+  constexpr size_t kMaxFrameBytes = 10000;
+  const RelayFrameReader::Sink accept = [](const RelayFrame&) { return true; };
+  const std::string longFrame("\x7f\xff\xff\xff", 4);
+  const std::string piece(1000, 'a');
+  const auto budget = std::make_shared<MemoryBudget>(kMaxFrameBytes);
+  RelayFrameReader tooLong(kMaxFrameBytes, budget);
+  cr_expect(!tooLong.Feed(longFrame, accept));
+  const std::string validLength("\x00\x00\x23\x28", 4);
+  RelayFrameReader first(kMaxFrameBytes, budget);
+  RelayFrameReader second(kMaxFrameBytes, budget);
+  bool fits =
+    first.Feed(validLength, accept) && second.Feed(validLength, accept);
+  int fed = 0;
+  while (fits) {
+    fits = first.Feed(piece, accept) && second.Feed(piece, accept);
+    ++fed;
+  }
+  cr_expect(fed > 1 && fed < 9, "%d pieces each", fed);
+}
--- a/src/agatetide/entry/replica_relay.cpp
+++ b/src/agatetide/entry/replica_relay.cpp
@@ -27,7 +27,8 @@
 constexpr std::chrono::seconds kKeepAliveInterval{ 1 };
 /// Time that the messages of the other daemon may take on their way.
 constexpr std::chrono::milliseconds kIdleMargin{ 500 };
-constexpr size_t kMaxFrameBytes = size_t{ 64 } << 20U;
+/// What a frame holds besides the body of a response.
+constexpr size_t kMaxFrameOverheadBytes = size_t{ 64 } << 10U;
 
 Error Declined(std::string aReason)
 {
@@ -55,7 +56,9 @@
 
 } // namespace
 
-RelayClient::RelayClient(const asio::any_io_executor& aExecutor)
+RelayClient::RelayClient(const asio::any_io_executor& aExecutor,
+                         http::ResponseLimits aResponses)
+  : mResponses(std::move(aResponses))
 {
   http::ClientOptions options;
   options.mConnectTimeout = kConnectTimeout;
@@ -63,6 +66,7 @@
   options.mKeepAliveInterval = kKeepAliveInterval;
   // The other daemon answers when its replica does.
   options.mDeadlineShowsSilence = false;
+  options.mResponses.mBudget = mResponses.mBudget;
   mClient = http::Client::Create(aExecutor, std::move(options));
 }
 
@@ -84,7 +88,8 @@
   std::optional<Error> declined;
   std::optional<Result<UpstreamResponse>> result;
   const auto onReport = aRequest.mOnReport;
-  RelayFrameReader reader(kMaxFrameBytes);
+  RelayFrameReader reader(mResponses.mMaxBodyBytes + kMaxFrameOverheadBytes,
+                          mResponses.mBudget);
   const RelayFrameReader::Sink onFrame = [&](RelayFrame aFrame) {
     if (aFrame.mReport && onReport) {
       aFrame.mReport->mSentAt = sentAt;
--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -162,6 +162,7 @@
     , mOptions(aOptions)
     , mMaxBodyBytes(aMaxBodyBytes)
     , mIsHead(aIsHead)
+    , mExpiry(aOptions.mDeadline)
   {
     RestartIdleTimeout();
   }
@@ -214,6 +215,9 @@
       if (error == beast::http::error::need_buffer) {
         error = {};
       }
+      if (!error && !mParser->is_done() && IsExpired()) {
+        error = beast::error::timeout;
+      }
       const std::string_view piece(bytes.data(), bytes.size() - body.size);
       const BodySinkResult result =
         piece.empty() ? BodySinkResult::NoProgress : aSink(piece);
@@ -242,12 +246,17 @@
   void RestartIdleTimeout()
   {
     if (mOptions.mIdleTimeout.count() > 0) {
-      mConnection.mStream.expires_at(
+      mExpiry =
         std::min(mOptions.mDeadline,
-                 std::chrono::steady_clock::now() + mOptions.mIdleTimeout));
+                 std::chrono::steady_clock::now() + mOptions.mIdleTimeout);
+      mConnection.mStream.expires_at(mExpiry);
     }
   }
 
+  /// Beast ends a read that waits when its time is up, but not reads that
+  /// always find bytes.
+  bool IsExpired() const { return std::chrono::steady_clock::now() >= mExpiry; }
+
   /// Returns aError, or Canceled if the error comes from CancelHandle, which
   /// closes the connection.
   Error UnlessAborted(Error aError) const
@@ -261,45 +270,18 @@
   const CallOptions& mOptions;
   size_t mMaxBodyBytes;
   bool mIsHead;
+  SteadyTime mExpiry;
   ErrorCode mError;
   std::optional<beast::http::response_parser<beast::http::buffer_body>> mParser;
 };
 
-/// Collects a body in memory, up to a limit on the bytes of all such bodies.
-class BodyBuffer
+/// Makes a sink that collects a body, and reports aResult for each piece.
+BodySink CollectIn(BudgetedBuffer& aBuffer, BodySinkResult aResult)
 {
-public:
-  BodyBuffer(size_t& aBufferedBytes, size_t aMaxBufferedBytes)
-    : mBufferedBytes(aBufferedBytes)
-    , mMaxBufferedBytes(aMaxBufferedBytes)
-  {
-  }
-  ~BodyBuffer() { mBufferedBytes -= mOwnBytes; }
-  BodyBuffer(const BodyBuffer&) = delete;
-  BodyBuffer& operator=(const BodyBuffer&) = delete;
-
-  BodySinkResult Append(std::string_view aPiece)
-  {
-    mLimitExceeded = mBufferedBytes + aPiece.size() > mMaxBufferedBytes;
-    if (mLimitExceeded) {
-      return BodySinkResult::Cancel;
-    }
-    mBody.append(aPiece);
-    mOwnBytes += aPiece.size();
-    mBufferedBytes += aPiece.size();
-    return BodySinkResult::Progress;
-  }
-
-  bool LimitExceeded() const { return mLimitExceeded; }
-  std::string Release() { return std::move(mBody); }
-
-private:
-  size_t& mBufferedBytes;
-  size_t mMaxBufferedBytes;
-  std::string mBody;
-  size_t mOwnBytes = 0;
-  bool mLimitExceeded = false;
-};
+  return [&aBuffer, aResult](std::string_view aPiece) {
+    return aBuffer.Append(aPiece) ? aResult : BodySinkResult::Cancel;
+  };
+}
 
 } // namespace
 
@@ -308,8 +290,6 @@
   asio::any_io_executor mExecutor;
   ClientOptions mOptions;
   ConnectionPool mPool{ mOptions };
-  /// Bytes of the bodies that running calls have collected.
-  size_t mBufferedBytes = 0;
 
   /// Drops idle connections if the error of a call shows that those to the
   /// endpoint may have gone silent.
@@ -460,10 +440,8 @@
                                          CallOptions aOptions)
 {
   const std::shared_ptr<State> state = mState;
-  BodyBuffer body(state->mBufferedBytes, state->mOptions.mMaxBufferedBytes);
-  const BodySink collect = [&](std::string_view aPiece) {
-    return body.Append(aPiece);
-  };
+  BudgetedBuffer body(state->mOptions.mResponses.mBudget);
+  const BodySink collect = CollectIn(body, BodySinkResult::Progress);
   auto streamed = co_await Stream(
     std::move(aEndpoint), std::move(aRequest), aOptions, collect);
   if (body.LimitExceeded()) {
@@ -502,7 +480,7 @@
   ResponseReader reader(*connection,
                         aEndpoint,
                         aOptions,
-                        state->mOptions.mMaxBodyBytes,
+                        state->mOptions.mResponses.mMaxBodyBytes,
                         aRequest.mMethod == "HEAD");
   auto response = co_await reader.ReadHeader();
   if (response.has_error()) {
@@ -513,15 +491,10 @@
   if (aOptions.mOnHeader && !aOptions.mOnHeader(*response)) {
     co_return CanceledError();
   }
-  BodyBuffer errorBody(state->mBufferedBytes,
-                       state->mOptions.mMaxBufferedBytes);
+  BudgetedBuffer errorBody(state->mOptions.mResponses.mBudget);
   const bool failed = response->mStatus != kStreamedStatus;
   if (failed) {
-    aSink = [&](std::string_view aPiece) {
-      const BodySinkResult result = errorBody.Append(aPiece);
-      return result == BodySinkResult::Cancel ? result
-                                              : BodySinkResult::NoProgress;
-    };
+    aSink = CollectIn(errorBody, BodySinkResult::NoProgress);
   }
   const auto read = co_await reader.ReadBody(std::move(aSink));
   if (errorBody.LimitExceeded()) {
--- a/src/agatetide/http/connection_pool.hpp
+++ b/src/agatetide/http/connection_pool.hpp
@@ -17,7 +17,7 @@
 {
   /// Limit of the received bytes that are not parsed yet. A response header or
   /// a chunk header that does not fit ends the call.
-  static constexpr size_t kMaxUnparsedBytes = size_t{ 256 } << 10U;
+  static constexpr size_t kMaxUnparsedBytes = size_t{ 32 } << 10U;
 
   explicit Connection(const boost::asio::any_io_executor& aExecutor)
     : mStream(aExecutor)
--- a/src/agatetide/http/faulty_server_test.cpp
+++ b/src/agatetide/http/faulty_server_test.cpp
@@ -227,7 +227,7 @@
         return SendEndless(aConnection, response, bytesWritten);
       });
     http::ClientOptions options;
-    options.mMaxBodyBytes = kMaxBodyBytes;
+    options.mResponses.mMaxBodyBytes = kMaxBodyBytes;
     const auto client = http::Client::Create(context.get_executor(), options);
     CallOutcome outcome;
     asio::co_spawn(context,
@@ -256,8 +256,9 @@
         return SendLargePartialBody(aConnection, status);
       });
     http::ClientOptions options;
-    options.mMaxBodyBytes = kMaxBodyBytes;
-    options.mMaxBufferedBytes = 4 * kMaxBodyBytes;
+    options.mResponses.mMaxBodyBytes = kMaxBodyBytes;
+    options.mResponses.mBudget =
+      std::make_shared<MemoryBudget>(4 * kMaxBodyBytes);
     const auto client = http::Client::Create(context.get_executor(), options);
     std::vector<CallOutcome> outcomes(kCallCount);
     int exhausted = 0;
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -23,6 +23,13 @@
 /// Partial samples are stored this often, which bounds the generation that is
 /// repeated after a takeover.
 constexpr std::chrono::milliseconds kCheckpointInterval{ 1000 };
+/// The partial samples of a step fit into one value of the store, which takes
+/// up to 1 MiB of the text that encodes it. Those that do not fit are left out.
+constexpr size_t kMaxCheckpointBytes = size_t{ 700 } << 10U;
+/// Limits the copies of partial samples that wait for the store.
+constexpr size_t kMaxRunningCheckpoints = 4;
+/// What the encoding of partial samples adds to each event.
+constexpr size_t kEventOverheadBytes = 8;
 /// Results of a step are batched into one log entry for up to this long.
 constexpr std::chrono::milliseconds kMaxCommitDelay{ 300 };
 constexpr std::chrono::milliseconds kCommitRetryDelay{ 150 };
@@ -118,12 +125,14 @@
   }
   for (size_t i = 0; i < step->mItems.size(); ++i) {
     const std::string& id = step->mItems[i].mId;
+    step->mRuns[i].mText = SampleText(mContext.mTextBudget);
     if (committed.contains(id)) {
       step->mRuns[i].mState = ItemRun::State::Done;
     } else if (const auto partial = partials.find(id);
                partial != partials.end()) {
       ItemRun& run = step->mRuns[i];
-      run.mText = SampleText(std::move(partial->second->mEvents));
+      run.mText =
+        SampleText(std::move(partial->second->mEvents), mContext.mTextBudget);
       run.mVersions = std::move(partial->second->mVersions);
       run.mSoftwareVersion = std::move(partial->second->mSoftwareVersion);
       run.mWaitingSince = step->mAdoptedAt;
@@ -210,12 +219,8 @@
         step->mRecordCheckedAt = mContext.mClock();
         asio::co_spawn(mContext.mExecutor, CheckRecord(step), asio::detached);
       }
-      if (mContext.mClock() - step->mCheckpointedAt > kCheckpointInterval) {
-        step->mCheckpointedAt = mContext.mClock();
-        asio::co_spawn(
-          mContext.mExecutor, CheckpointStep(step), asio::detached);
-      }
     }
+    StartDueCheckpoints();
     RemoveStoppedSteps();
     StartWaitingItems();
   }
@@ -230,6 +235,34 @@
   });
 }
 
+/// Checkpoints steps, those first that have waited longest.
+void StepRunner::StartDueCheckpoints()
+{
+  const TimePoint now = mContext.mClock();
+  std::vector<OwnedStepPtr> due;
+  for (const auto& [id, step] : mSteps) {
+    if (!step->mStopped && now - step->mCheckpointedAt > kCheckpointInterval) {
+      due.push_back(step);
+    }
+  }
+  std::sort(due.begin(), due.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft->mCheckpointedAt < aRight->mCheckpointedAt;
+  });
+  due.resize(
+    std::min(due.size(), kMaxRunningCheckpoints - mRunningCheckpoints));
+  for (const OwnedStepPtr& step : due) {
+    step->mCheckpointedAt = now;
+    asio::co_spawn(mContext.mExecutor, RunCheckpoint(step), asio::detached);
+  }
+}
+
+Awaitable<void> StepRunner::RunCheckpoint(OwnedStepPtr aStep)
+{
+  ++mRunningCheckpoints;
+  co_await CheckpointStep(std::move(aStep));
+  --mRunningCheckpoints;
+}
+
 Awaitable<void> StepRunner::Checkpoint()
 {
   const auto steps = mSteps;
@@ -244,9 +277,14 @@
 {
   std::vector<PartialSample> samples;
   size_t events = 0;
+  size_t bytes = 0;
   for (size_t i = 0; i < aStep->mItems.size(); ++i) {
     const ItemRun& run = aStep->mRuns[i];
-    if (run.mState != ItemRun::State::Done && !run.mText.Events().empty()) {
+    const size_t memory =
+      run.mText.Bytes() + run.mText.Events().size() * kEventOverheadBytes;
+    if (run.mState != ItemRun::State::Done && !run.mText.Events().empty() &&
+        bytes + memory <= kMaxCheckpointBytes) {
+      bytes += memory;
       samples.push_back({ aStep->mItems[i].mId,
                           run.mText.Events(),
                           run.mVersions,
