End scoring calls with their step

Cause: a scoring call looked at the end of its step only between calls of the forwarder; its second copy for a slow replica is sent within one.

Evidence: on scoring_calls_end_with_their_step failed: four copies 3.5 to 3.6 s after the end.

Fix: the step is the caller of its scoring calls, and leaves when it stops, as callers do that close their connection: no further attempt is sent, and the running ones end.

--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -68,6 +68,8 @@
   std::string mReplicaId;
   /// Cancels the current stream; null if there is none.
   std::shared_ptr<http::CancelHandle> mCancel;
+  /// Ends the current scoring call when the step stops; null if there is none.
+  std::shared_ptr<http::CallerConnection> mScoringCaller;
   /// Start of the current stream, and from its first event on the time of that
   /// event.
   TimePoint mStreamStart{};
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -415,9 +415,12 @@
       request.mPrototype.mFreshConnection = *failures > 0;
       request.mDeadline = mContext.mClock() + route->mTimeout;
       request.mOnReplicaFailure = [failures] { ++*failures; };
+      request.mCaller = std::make_shared<http::CallerConnection>();
+      aStep->mRuns[aIndex].mScoringCaller = request.mCaller;
       const unsigned maxFailures = route->mMaxAttempts;
       const auto response =
         co_await mContext.mForwarder.Run(std::move(request));
+      aStep->mRuns[aIndex].mScoringCaller.reset();
       if (aStep->mStopped) {
         co_return;
       }
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -170,6 +170,9 @@
     if (run.mCancel) {
       (*run.mCancel)();
     }
+    if (run.mScoringCaller) {
+      run.mScoringCaller->MarkDisconnected();
+    }
   }
   aStep->mCommitTimer->cancel();
   WakeWaiters(*aStep);
--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -139,6 +139,7 @@
     "silent_connections": script("silent_connections"),
     "unknown_writes": script("unknown_writes"),
     "owners_of_steps": script("owners_of_steps"),
+    "ended_steps": script("ended_steps"),
     "bytes_without_end": script("bytes_without_end"),
     "crashing_requests": script("crashing_requests"),
     "soak": soak,
