Pass all lines of a header on

A Host in two lines was routed by the first, but sent as the last.

Cause: http::Client and http::Server set each header in place of adding it.

Fix: both add. One Host is sent, the one that was routed by.

--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -96,10 +96,15 @@
   message.version(11);
   message.method_string(aRequest.mMethod);
   message.target(aRequest.mTarget);
+  const std::string_view host = FindHeader(aRequest.mHeaders, "host");
   message.set(beast::http::field::host,
-              aEndpoint.mAddress + ":" + std::to_string(aEndpoint.mPort));
+              host.empty()
+                ? aEndpoint.mAddress + ":" + std::to_string(aEndpoint.mPort)
+                : std::string(host));
   for (const Header& header : aRequest.mHeaders) {
-    message.set(header.mName, header.mValue);
+    if (!beast::iequals(header.mName, "host")) {
+      message.insert(header.mName, header.mValue);
+    }
   }
   message.body() = std::move(aRequest.mBody);
   message.keep_alive(true);
--- a/src/agatetide/http/server.cpp
+++ b/src/agatetide/http/server.cpp
@@ -115,7 +115,7 @@
         .Write();
       continue;
     }
-    aMessage.set(header.mName, header.mValue);
+    aMessage.insert(header.mName, header.mValue);
   }
   aMessage.keep_alive(aKeepAlive);
 }
