--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -230,7 +230,7 @@
       .Field("item", aStep.mItems[aIndex].mId)
       .Field("replica", aReplica.mId)
       .Field("events", static_cast<uint64_t>(run.mText.Events().size()))
-      .Field("reason", "text too long, or too much memory used by texts")
+      .Field("reason", "text without end, or too much memory used by texts")
       .Write();
     run.ClearText();
     return false;
