Draw ports for listeners that nothing else takes

Cause: each port of a daemon was drawn by binding port 0 and closing the socket, four times in a row, and the kernel gives the same port again at times. A daemon whose four listeners share a port ends at its start. Test runs at the same time drew each other's ports, and so do connections.

Nothing in the product changes: it ended as it should.

--- a/tests/harness/site.py
+++ b/tests/harness/site.py
@@ -7,13 +7,13 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import time
 import traceback
 
+from harness.ports import free_port
 from harness.users_platform import PlatformApi, Replica, Store, StoreEndpoint
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -23,12 +23,6 @@
 MAX_ADDRESSES = 64  # in one answer
 
 
-def free_port(address="127.0.0.1"):
-    with socket.socket() as probe:
-        probe.bind((address, 0))
-        return probe.getsockname()[1]
-
-
 class Daemon:
     """One daemon process on an entry host of its own, with an IP address of its own."""
 
--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -126,6 +126,7 @@
     "lint": lint,
     "unit": unit,
     "model": script("model"),
+    "harness": script("harness_test"),
     "examples": script("examples"),
     "integration": script("integration"),
     "users_platform": script("users_platform"),
