Play floods of a host and silent connections between hosts

Three tests with several daemons play them now: a host that is stopped and whose address answers with floods of six kinds, connections between hosts that go silent twice while one host lives through the others, and while a host without paths to replicas passes requests on.

The sockets of a daemon are silenced by a packet filter on a copy of its descriptor, which a parent may take from its child.

Callers of the floods are spread over all daemons now; before, those of the sound service all asked the first one.

--- a/tests/bytes_without_end.py
+++ b/tests/bytes_without_end.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-from harness.flood import KINDS
+from harness.flood import KINDS, FloodServer
 from harness.site import check, config, run_tests, until
 
 MEMORY_MB = 110
@@ -15,6 +15,8 @@
 MARGIN_MB = 10
 CALLERS = 24
 FLOOD_S = 1.5
+# A host that failed is not asked for this long.
+PEER_BACKOFF_S = 3
 # Lookups of the sound service in a flood that are served, at least.
 MIN_SERVED = 0.98
 
@@ -34,8 +36,9 @@
 class Callers:
     """Callers of the faulty services, and of the sound one, until stop() is called."""
 
-    def __init__(self, site, kind):
+    def __init__(self, site, kind, daemons=None):
         self.site, self.kind, self.ended, self.sound = site, kind, threading.Event(), []
+        self.daemons = daemons or site.daemons
         self.threads = [threading.Thread(target=self.call, args=(i,), daemon=True) for i in range(CALLERS)]
         for thread in self.threads:
             thread.start()
@@ -45,7 +48,7 @@
         while not self.ended.is_set():
             count += 1
             name = "%s-%d-%d" % (self.kind, number, count)
-            daemon = self.site.daemons[number % len(self.site.daemons)]
+            daemon = self.daemons[number // 4 % len(self.daemons)]
             try:
                 if number % 4 == 0:
                     self.sound.append(self.site.lookup(daemon, name, "/sound/1")[0])
@@ -65,8 +68,8 @@
             thread.join()
 
 
-def check_alive(site, kind, sound):
-    for daemon in site.daemons:
+def check_alive(daemons, kind, sound):
+    for daemon in daemons:
         check(daemon.process.poll() is None, "%s: the daemon ended" % kind)
         peak = daemon.peak_memory_mb()
         check(peak < MEMORY_MB - MARGIN_MB, "%s: peak memory of %.0f MB, %d MB are allowed" % (kind, peak, MEMORY_MB))
@@ -87,7 +90,7 @@
         callers = Callers(site, kind)
         time.sleep(FLOOD_S)
         callers.stop()
-        check_alive(site, kind, callers.sound)
+        check_alive(site.daemons, kind, callers.sound)
         print("%s: peak memory so far %s MB, %d sound lookups" % (
             kind, ["%.0f" % d.peak_memory_mb() for d in site.daemons], len(callers.sound)), file=sys.stderr)
     for replica in faulty:
@@ -107,7 +110,7 @@
         callers = Callers(site, kind)
         time.sleep(FLOOD_S)
         callers.stop()
-        check_alive(site, kind, callers.sound)
+        check_alive(site.daemons, kind, callers.sound)
 
 
 def flooding_store_exhausts_no_memory(site):
@@ -127,15 +130,49 @@
             daemon.store_endpoint.flood = None
         for reader in readers:
             reader.join()
-        check_alive(site, kind, callers.sound)
+        check_alive(site.daemons, kind, callers.sound)
         print("store %s: peak memory so far %s MB" % (kind, ["%.0f" % d.peak_memory_mb() for d in site.daemons]), file=sys.stderr)
         until(lambda: all(site.lookup(d, "key", "/keyed/1", Authorization="Bearer key-a")[0] == 200 for d in site.daemons),
               "keys are known again")
 
 
+def flooding_host_exhausts_no_memory(site):
+    """Guards against a daemon that keeps what another host sends in place of an answer."""
+    add_sound_service(site)
+    faulty, others = site.daemons[1], [site.daemons[0], site.daemons[2]]
+    # These daemons ask other hosts for what they cannot get from the store.
+    for daemon in others:
+        daemon.store_endpoint.refuse = True
+    for kind in ("no-protocol", "head-value", "length", "small-chunks", "chunk-extension", "failure"):
+        until(lambda: all(faulty.address + ":%d" % faulty.front_port in site.addresses(d) for d in others), "the host is known")
+        time.sleep(PEER_BACKOFF_S)
+        faulty.stop()
+        flood = FloodServer(faulty.address, faulty.peer_port, kind)
+        callers = Callers(site, kind, others)
+        steps = [threading.Thread(target=site.submit, args=(d, "step-%s-%d" % (kind, i)), daemon=True)
+                 for d in others for i in range(4)]
+        for step in steps:
+            step.start()
+        until(lambda: flood.calls > 0, "%s: the host is asked" % kind)
+        time.sleep(FLOOD_S)
+        callers.stop()
+        flood.close()
+        check_alive(others, kind, callers.sound)
+        print("host %s: %d calls, peak memory so far %s MB, %d sound lookups" % (
+            kind, flood.calls, ["%.0f" % d.peak_memory_mb() for d in others], len(callers.sound)), file=sys.stderr)
+        for step in steps:
+            step.join()
+        faulty.start()
+    for daemon in others:
+        daemon.store_endpoint.refuse = False
+    until(lambda: all(site.lookup(d, "key", "/keyed/1", Authorization="Bearer key-a")[0] == 200 for d in site.daemons),
+          "keys are known again")
+
+
 TESTS = [
     (flooding_replicas_exhaust_no_memory, {"daemons": 2, "plain": 5, "engines": 4, "memory_mb": MEMORY_MB}),
     (flooding_scorers_exhaust_no_memory, {"daemons": 2, "plain": 5, "engines": 2, "memory_mb": MEMORY_MB}),
+    (flooding_host_exhausts_no_memory, {"daemons": 3, "plain": 4, "memory_mb": MEMORY_MB}),
     (flooding_store_exhausts_no_memory, {"daemons": 2, "plain": 4, "memory_mb": MEMORY_MB}),
 ]
 
--- a/tests/harness/flood.py
+++ b/tests/harness/flood.py
@@ -1,5 +1,7 @@
 """Bytes without end that a faulty server sends in place of an answer."""
 
+import socketserver
+import threading
 import time
 
 PIECE = 65536
@@ -47,6 +49,32 @@
 }
 
 
+class FloodServer(socketserver.ThreadingTCPServer):
+    """Answers whatever arrives at an address with a flood, until it is closed."""
+
+    allow_reuse_address = True
+    daemon_threads = True
+    block_on_close = False
+
+    def __init__(self, address, port, kind):
+        class Handler(socketserver.StreamRequestHandler):
+            def handle(self):
+                self.request.recv(PIECE)
+                self.server.calls += 1
+                try:
+                    send_flood(self, kind, "x")
+                except OSError:
+                    pass
+
+        super().__init__((address, port), Handler)
+        self.calls = 0
+        threading.Thread(target=self.serve_forever, args=(0.05,), daemon=True).start()
+
+    def close(self):
+        self.shutdown()
+        self.server_close()
+
+
 def send_flood(handler, kind, attempt_id):
     """Sends bytes of a kind until the caller closes the connection."""
     head, rest = KINDS[kind]
--- a/tests/harness/partition.py
+++ b/tests/harness/partition.py
@@ -2,11 +2,14 @@
 
 import ctypes
 import ipaddress
+import os
 import socket
 import struct
 import threading
 
 SO_ATTACH_FILTER, SO_DETACH_FILTER = 26, 27
+# Number of the system call that copies a descriptor of another process.
+PIDFD_GETFD = 438
 # Opcodes of the classic packet filter, and the offset of a packet's source address.
 LOAD_WORD, JUMP_IF_EQUAL, RETURN = 0x20, 0x15, 0x06
 SOURCE_ADDRESS = 0xFFF00000 + 12
@@ -22,6 +25,51 @@
     sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("HxxxxxxP", len(lines), ctypes.addressof(program)))
 
 
+def _drop_all_packets(sock):
+    """Lets the kernel drop all packets to the socket."""
+    program = ctypes.create_string_buffer(struct.pack("HBBI", RETURN, 0, 0, 0))
+    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("HxxxxxxP", 1, ctypes.addressof(program)))
+
+
+def _open_sockets(process):
+    """Returns copies of the connected sockets of a process that this one has started."""
+    sockets = []
+    pidfd = os.pidfd_open(process.pid)
+    for number in os.listdir("/proc/%d/fd" % process.pid):
+        copy = ctypes.CDLL(None).syscall(PIDFD_GETFD, pidfd, int(number), 0)
+        if copy < 0:
+            continue  # It was closed meanwhile.
+        try:
+            sock = socket.socket(fileno=copy)
+        except OSError:
+            os.close(copy)  # It is a file.
+            continue
+        try:
+            sock.getpeername()
+            sockets.append(sock)
+        except OSError:
+            sock.close()
+    os.close(pidfd)
+    return sockets
+
+
+def silence_connections(processes, ports):
+    """Drops all that arrives on the open connections from and to these ports, for good; new ones work.
+
+    Returns the number of connections' ends at these processes.
+    """
+    count = 0
+    for sock in [s for process in processes for s in _open_sockets(process)]:
+        try:
+            if sock.family == socket.AF_INET and {sock.getpeername()[1], sock.getsockname()[1]} & set(ports):
+                _drop_all_packets(sock)
+                count += 1
+        except OSError:
+            pass  # It was closed meanwhile.
+        sock.close()
+    return count
+
+
 def _disconnect(sock):
     """Resets a connection as the end of its process does: connecting to no address family drops it."""
     address = struct.pack("H14x", socket.AF_UNSPEC)
--- a/tests/harness/site.py
+++ b/tests/harness/site.py
@@ -30,9 +30,9 @@
         self.program = program
         self.name, self.store_endpoint = "host-%d" % number, StoreEndpoint(site.store)
         self.address = "127.0.1.%d" % (number + 1)
-        self.front_port, self.directory_port, self.ready_port, peer_port = (free_port(self.address) for _ in range(4))
+        self.front_port, self.directory_port, self.ready_port, self.peer_port = (free_port(self.address) for _ in range(4))
         settings = {
-            "node": self.name, "ip": self.address, "internalPorts": [peer_port, 0] if listens_for_peers else [],
+            "node": self.name, "ip": self.address, "internalPorts": [self.peer_port, 0] if listens_for_peers else [],
             "zone": "z1", "region": "r1", "zones": {"z1": "r1"},
             "listen": {"front": "%s:%d" % (self.address, self.front_port), "ready": "%s:%d" % (self.address, self.ready_port),
                        "directory": "%s:%d" % (self.address, self.directory_port)},
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -23,6 +23,8 @@
 ACCEPT_POLL_S = 0.05
 # The registration of a replica that ended is removed after this time.
 EXPIRY_S = 3.6
+# Limits of one transaction of the store.
+MAX_ENTRIES, MAX_VALUE_BYTES = 32, 1 << 20
 # Time in which a replica that ended is back.
 RESTART_S = 1.5
 
@@ -294,6 +296,9 @@
             self.waiting_watches[prefix] -= 1
 
     def execute_transaction(self, body):
+        entries = len(body["expected"]) + len(body["writes"]) + len(body["remove"])
+        if entries > MAX_ENTRIES or any(len(row["value"]) > MAX_VALUE_BYTES for row in body["writes"]):
+            return 400, {}
         for row in body["expected"]:
             item = self.items.get(row["key"])
             if (item["revision"] if item else 0) != row["revision"]:
@@ -328,7 +333,7 @@
         self.says_leaving = set()  # kinds of answers ("call", "stream", "report") that say that it leaves
         self.told = {}  # when each sender was first told that it leaves, by IP address
         self.late_arrivals = []  # (sender, when it was told, time) of requests after DRAIN_S
-        self.arrivals = []  # times of its requests
+        self.arrivals, self.senders = [], []  # times and IP addresses of its requests
         self.running = {}  # connections of requests that take time, by id
         self.state = "ready"
         self.crashing_bodies = set()  # the process ends when it begins to run one of these
@@ -435,6 +440,7 @@
     def record_arrival(self, sender):
         now = time.monotonic()
         self.arrivals.append(now)
+        self.senders.append(sender)
         told = self.told.get(sender)
         if told is not None and now > told + DRAIN_S:
             self.late_arrivals.append((sender, told, now))
--- a/tests/silent_connections.py
+++ b/tests/silent_connections.py
@@ -7,6 +7,7 @@
 import threading
 import time
 
+from harness.partition import silence_connections
 from harness.site import check, config, run_tests, until
 
 # Bounds of the users' platform: hosts are in touch again this long after a disruption, and then keep the others.
@@ -139,9 +140,64 @@
     check(len(site.platform_api.reports) > reports, "usage is reported")
 
 
+def hosts_hear_from_each_other(site):
+    """Guards against a host that the store refuses, and that waits for other hosts on connections that went silent."""
+    cut_off, ports = site.daemons[0], [d.peer_port for d in site.daemons]
+    cut_off.store_endpoint.refuse = True
+    headers = {"Authorization": "Bearer key-old"}
+    site.store.put("op/config", config(version=10, keys=("key-old", "key-a")))
+    until(lambda: all(site.lookup(d, "key", "/keyed/1", **headers)[0] == 200 for d in site.daemons), "the key is known")
+    check(site.submit(cut_off, "step-0", items=6) == 202, "a step is accepted before")
+    keyed, lookups = Lookups(site, "/keyed/1", **headers), Lookups(site)
+    time.sleep(0.5)
+    for pause in (1, 0):  # Again while the first recovery runs.
+        count, silent_at = silence_connections([d.process for d in site.daemons], ports), time.monotonic()
+        check(count > 1, "%d ends of connections between hosts were open" % count)
+        time.sleep(pause)
+    changed = config(version=11, keys=("key-a",))
+    changed["routes"].append(dict(changed["routes"][0], name="new", pathPrefix="/new/"))
+    site.store.put("op/config", changed)
+    acknowledged_at = time.monotonic()
+    time.sleep(max(CONTACT_S + APPLY_S, REVOKE_S) + MARGIN_S)
+    added = [site.lookup(d, "new", "/new/1")[0] for d in site.daemons]
+    time.sleep(1)
+    keyed.stop()
+    lookups.stop()
+    check(added == [200] * len(site.daemons), "the new route gets %s" % added)
+    late = keyed.after(acknowledged_at + REVOKE_S)
+    check(late and 200 not in late, "the withdrawn key was accepted")
+    statuses = lookups.after(silent_at)
+    check(set(statuses) == {200}, "lookups: %s" % set(statuses))
+    for number, daemon in enumerate(site.daemons):
+        check(site.submit(daemon, "step-after-%d" % number, items=6) == 202, "%s accepts a step" % daemon.name)
+    for name in ["step-0", *("step-after-%d" % n for n in range(len(site.daemons)))]:
+        check(len(site.read_all(cut_off, 6, name)) == 6, name + " is complete")
+
+
+def relayed_requests_are_answered(site):
+    """Guards against a host cut off from all replicas that passes requests on over connections that went silent."""
+    cut_off = site.daemons[0]
+    for replica in [*site.plain, *site.engines]:
+        replica.server.partition.cut(cut_off.address)
+    until(lambda: site.lookup(cut_off, "relayed")[0] == 200, "requests are passed on")
+    lookups = Lookups(site)
+    time.sleep(1)
+    for pause in (1.5, 0):
+        count = silence_connections([d.process for d in site.daemons], [d.peer_port for d in site.daemons])
+        check(count > 1, "%d ends of connections between hosts were open" % count)
+        silent_at = time.monotonic()
+        time.sleep(pause)
+    time.sleep(CONTACT_S + 2)
+    lookups.stop()
+    statuses = lookups.after(silent_at + CONTACT_S)
+    check(len(statuses) > 20 and set(statuses) == {200}, "lookups in touch: %s" % statuses)
+
+
 TESTS = [
     (draining_replica_is_left, {"daemons": 3, "plain": 3, "events": 20, "pause": 0.2}),
     (configuration_and_keys_are_in_force, {"daemons": 3, "events": 20, "pause": 0.2}),
+    (hosts_hear_from_each_other, {"daemons": 3, "events": 20, "pause": 0.1}),
+    (relayed_requests_are_answered, {"daemons": 3}),
     (all_kinds_of_connections_twice, {"daemons": 3, "events": 20, "pause": 0.1}),
 ]
 
