Bound the memory of large batch jobs and request bodies

A job whose items fill more than 30 values of the store got 503 for ever.

Cause: a job was in memory up to eight times (body, JSON, items, message to the owner, encoding, values, transaction), and requests did not count against limits.memoryMb. One transaction of the store takes 32 entries.

The transaction that creates the record depends on an entry that each part rewrites, so that two submissions cannot mix their items and a late write cannot spoil them; the leader deletes the items of abandoned submissions. Bodies from 64 KiB on and items of running steps take memory from budgets below one total; what does not fit is refused before it is read, with 503 and Retry-After, or with 413.

The unit tests of the parts are new with the code that they test.

--- a/include/agatetide/base/error.hpp
+++ b/include/agatetide/base/error.hpp
@@ -19,6 +19,9 @@
   NotFound,
   Conflict,
   ResourceExhausted,
+  /// The request needs more than this service ever has; a repetition fails,
+  /// too.
+  TooLarge,
   /// The other side cannot be reached or cannot serve now; retry later.
   Unavailable,
   DeadlineExceeded,
--- a/include/agatetide/base/memory_budget.hpp
+++ b/include/agatetide/base/memory_budget.hpp
@@ -11,9 +11,12 @@
 class MemoryBudget
 {
 public:
-  /// @brief aLimit is in bytes.
-  explicit MemoryBudget(size_t aLimit)
+  /// @brief aLimit is in bytes. What is taken from this budget is also taken
+  /// from aTotal, which several budgets share; null if there is no total.
+  explicit MemoryBudget(size_t aLimit,
+                        std::shared_ptr<MemoryBudget> aTotal = nullptr)
     : mLimit(aLimit)
+    , mTotal(std::move(aTotal))
   {
   }
 
@@ -27,8 +30,15 @@
   /// @brief Bytes that are taken.
   size_t Used() const { return mUsed; }
 
+  /// @brief Whether a number of bytes would fit if nothing else were taken.
+  bool CanEverFit(size_t aBytes) const
+  {
+    return aBytes <= mLimit && (!mTotal || mTotal->CanEverFit(aBytes));
+  }
+
 private:
   size_t mLimit;
+  std::shared_ptr<MemoryBudget> mTotal;
   size_t mUsed = 0;
 };
 
@@ -47,6 +57,13 @@
   /// fit.
   bool Grow(size_t aBytes);
 
+  /// @brief Takes more bytes until aBytes are taken; returns false, and takes
+  /// none, if they do not fit.
+  bool GrowTo(size_t aBytes)
+  {
+    return aBytes <= mTaken || Grow(aBytes - mTaken);
+  }
+
   /// @brief Returns all bytes.
   void Reset();
 
--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -89,6 +89,10 @@
   http::ResponseLimits mRelayedResponses;
   /// For the texts of samples that are not complete; null if unlimited.
   std::shared_ptr<MemoryBudget> mTextBudget;
+  /// For the items of the steps that run here; null if unlimited.
+  std::shared_ptr<MemoryBudget> mItemBudget;
+  /// For large bodies of requests; null if unlimited.
+  std::shared_ptr<MemoryBudget> mBodyBudget;
 };
 
 /// @brief The daemon of an entry host: creates its components, connects them
--- a/include/agatetide/entry/peer_channel.hpp
+++ b/include/agatetide/entry/peer_channel.hpp
@@ -31,13 +31,15 @@
 {
 public:
   /// @brief Listens at aListen; port 0 disables the server. aResponses limits
-  /// the answers of other daemons.
+  /// the answers of other daemons, aBodies the large bodies of their requests;
+  /// null if they are unlimited.
   /// Errors: those of http::Server::Create().
   static Result<std::unique_ptr<PeerChannel>> Create(
     boost::asio::any_io_executor aExecutor,
     const http::Endpoint& aListen,
     PeerHandlers aHandlers,
-    http::ResponseLimits aResponses);
+    http::ResponseLimits aResponses,
+    std::shared_ptr<MemoryBudget> aBodies);
 
   /// @brief Asks the daemon at aPeer for changes. Errors: Unavailable if its
   /// data isn't fresh; those of http::Client; InvalidArgument if the reply is
--- a/include/agatetide/entry/step_router.hpp
+++ b/include/agatetide/entry/step_router.hpp
@@ -25,6 +25,9 @@
 
 struct StepRouterOptions
 {
+  /// Steps with more bytes of items are not forwarded: sending them takes
+  /// longer than mPeerTimeout, and memory at both hosts.
+  size_t mMaxForwardedBytes = size_t{ 2 } << 20U;
   /// Hosts of a region for each daemon that runs the steps of a model; at least
   /// one daemon does.
   size_t mHostsPerOwner = 8;
@@ -37,7 +40,7 @@
 };
 
 /// @brief Forwards each step to a daemon of the region that runs the steps of
-/// its model.
+/// its model. Large steps run where they arrive.
 ///
 /// Steps arrive at any daemon. If each daemon ran a few steps of each model, it
 /// would open as many connections to the model's replicas as a step has items,
--- a/include/agatetide/http/message.hpp
+++ b/include/agatetide/http/message.hpp
@@ -2,6 +2,7 @@
 
 #include "agatetide/base/awaitable.hpp"
 #include "agatetide/base/error.hpp"
+#include "agatetide/base/memory_budget.hpp"
 
 #include <functional>
 #include <memory>
@@ -49,6 +50,18 @@
   std::string mRemoteAddress;
   /// Set by the server; null in requests that a client sends.
   std::shared_ptr<CallerConnection> mCaller;
+  /// What the body takes from the server's budget; null if the server has none.
+  /// Returned at the latest when the response is written.
+  std::shared_ptr<MemoryReservation> mBodyMemory;
+
+  /// @brief Frees the body and returns its memory to the budget.
+  void DropBody()
+  {
+    std::string().swap(mBody); // An assignment would keep the memory.
+    if (mBodyMemory) {
+      mBodyMemory->Reset();
+    }
+  }
 };
 
 /// @brief Writes one chunk of a streamed response body.
--- a/include/agatetide/http/server.hpp
+++ b/include/agatetide/http/server.hpp
@@ -6,10 +6,15 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <chrono>
+#include <functional>
 #include <memory>
+#include <vector>
 
 namespace agatetide::http {
 
+/// @brief The response to a request that is refused before it is handled.
+Response MakeRefusal(const Error& aReason, const std::vector<Header>& aHeaders);
+
 struct ServerOptions
 {
   std::string mAddress = "127.0.0.1";
@@ -23,6 +28,13 @@
   std::chrono::milliseconds mTransferTimeout{ 15000 };
   /// Connections that have been idle for longer are closed.
   std::chrono::milliseconds mIdleTimeout{ 120000 };
+  /// Memory that large request bodies may take together, each counted twice: as
+  /// it is received, and as it is decoded or sent on. Null if unlimited.
+  std::shared_ptr<MemoryBudget> mBodyBudget;
+  /// Makes the response to a request whose body does not fit into the budget,
+  /// from the reason and the header of the request.
+  std::function<Response(const Error&, const std::vector<Header>&)>
+    mMakeRefusal = MakeRefusal;
 };
 
 /// @brief The options that may change while the server runs.
@@ -41,6 +53,8 @@
   uint64_t mMalformedRequests = 0;
   /// Requests that did not arrive within the transfer timeout.
   uint64_t mSlowRequests = 0;
+  /// Requests whose body did not fit into the budget.
+  uint64_t mRefusedBodies = 0;
   /// Requests whose handler threw an exception.
   uint64_t mHandlerFailures = 0;
 };
--- a/include/agatetide/steps/step.hpp
+++ b/include/agatetide/steps/step.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,6 +35,9 @@
   std::optional<ScoringCall> mScoring;
 };
 
+/// @brief Size of the bodies of items, including those of their scoring calls.
+size_t SizeInBytes(std::span<const StepItem> aItems);
+
 /// @brief A step as submitted by a trainer.
 struct StepSubmission
 {
--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -35,6 +35,8 @@
   std::string mOwner;
   /// For the texts of samples that are not complete; null if unlimited.
   std::shared_ptr<MemoryBudget> mTextBudget;
+  /// For the items of steps that run; null if unlimited.
+  std::shared_ptr<MemoryBudget> mItemBudget;
 };
 
 /// @brief The progress of one item: the sample generated so far, and the
@@ -107,6 +109,10 @@
 {
   StepRecord mRecord;
   std::vector<StepItem> mItems;
+  /// What mItems take from the budget.
+  MemoryReservation mItemMemory;
+  /// The bodies of mItems are only in the store.
+  bool mBodiesDropped = false;
   /// Same indices as mItems.
   std::vector<ItemRun> mRuns;
   /// Indices of items in the order in which they start.
@@ -151,6 +157,9 @@
             (mStopped || aNow >= mAppendOverdueAt));
   }
 
+  /// @brief Frees the bodies of the items. Precondition: the step is stopped.
+  void DropBodies();
+
   /// @brief Whether all results are in the log.
   bool IsComplete() const { return mCommittedResults.size() == mItems.size(); }
 
@@ -174,9 +183,11 @@
   void Start();
 
   /// @brief Runs a step; replaces a stopped copy. Items with a result in the
-  /// log are done; items with a partial sample resume from it.
+  /// log are done; items with a partial sample resume from it. aItemMemory is
+  /// what the items take from the budget.
   OwnedStepPtr Adopt(StepRecord aRecord,
                      std::vector<StepItem> aItems,
+                     MemoryReservation aItemMemory,
                      LogPart aLog,
                      std::vector<PartialSample> aPartials);
 
--- a/include/agatetide/steps/step_service.hpp
+++ b/include/agatetide/steps/step_service.hpp
@@ -34,6 +34,9 @@
   size_t mMaxCachedBytes = size_t{ 6 } << 20U;
   /// Ended steps are deleted this long after their submission.
   Milliseconds mRetention{ 180000 };
+  /// Items that were stored for a step that was not created are deleted this
+  /// long after its submission.
+  Milliseconds mAbandonedItemsRetention{ 60000 };
   /// Steps count as demand for this long after their submission.
   Milliseconds mDemandWindow{ 20000 };
 };
@@ -134,6 +137,7 @@
                       size_t aTotal,
                       size_t aFrom) const;
   void TrimCache();
+  void LogMemoryShortage(std::string_view aEvent, const std::string& aId) const;
 
   StepContext& mContext;
   StepRunner& mRunner;
--- a/include/agatetide/steps/step_store.hpp
+++ b/include/agatetide/steps/step_store.hpp
@@ -52,7 +52,9 @@
 };
 
 /// @brief Stores steps in the platform store: a record that names the owner,
-/// the items split into values of limited size, and a log of results.
+/// the items split into values of limited size, and a log of results. While the
+/// items of a large step are being stored, an entry names the step, so that
+/// they are deleted if its record is never created.
 ///
 /// Each append to the log is conditional on the record being unchanged, so a
 /// process that no longer owns a step cannot append to its log. An entry is
@@ -64,10 +66,16 @@
   StepStore(coordination::StoreCall aStore, coordination::WatchCall aWatch);
 
   /// @brief Creates a step. Sets mItemCount, mChunkCount and mRevision of the
-  /// returned record.
+  /// returned record. The items of a large step are stored in several
+  /// transactions, the last of which creates the record.
   Awaitable<CreateResult> Create(StepRecord aRecord,
                                  const std::vector<StepItem>& aItems);
 
+  /// @brief Deletes the items of steps that were submitted before a time (in
+  /// milliseconds since the Unix epoch), but not created. Errors: those of the
+  /// store. The value is always true.
+  Awaitable<Result<bool>> DeleteAbandonedItems(int64_t aSubmittedBeforeMs);
+
   /// @brief Loads the record of a step; std::nullopt if there is none. Errors:
   /// those of the store; DataLoss when the record cannot be decoded.
   Awaitable<Result<std::optional<StepRecord>>> Load(std::string aId);
@@ -118,6 +126,15 @@
   Awaitable<Result<bool>> Delete(StepRecord aRecord, uint32_t aLogEntries);
 
 private:
+  Awaitable<std::optional<CreateResult>> StoreItemsAhead(
+    StepRecord aRecord,
+    std::vector<coordination::StorePut> aItems,
+    std::vector<coordination::StoreCompare>& aConditions);
+  Awaitable<Result<bool>> DeleteItemsAhead(StepRecord aRecord);
+  Awaitable<Result<bool>> DeleteKeys(
+    std::vector<std::string> aKeys,
+    std::optional<coordination::StoreCompare> aCondition);
+
   coordination::StoreCall mStore;
   coordination::WatchCall mWatch;
 };
--- a/src/agatetide/base/error.cpp
+++ b/src/agatetide/base/error.cpp
@@ -13,13 +13,14 @@
   std::string_view mName;
 };
 
-constexpr std::array<KindName, 13> kKindNames{ {
+constexpr std::array<KindName, 14> kKindNames{ {
   { ErrorKind::InvalidArgument, "invalid_argument" },
   { ErrorKind::Unauthenticated, "unauthenticated" },
   { ErrorKind::PermissionDenied, "permission_denied" },
   { ErrorKind::NotFound, "not_found" },
   { ErrorKind::Conflict, "aborted" },
   { ErrorKind::ResourceExhausted, "resource_exhausted" },
+  { ErrorKind::TooLarge, "too_large" },
   { ErrorKind::Unavailable, "unavailable" },
   { ErrorKind::DeadlineExceeded, "deadline_exceeded" },
   { ErrorKind::NotConfirmed, "not_confirmed" },
--- a/src/agatetide/base/memory_budget.cpp
+++ b/src/agatetide/base/memory_budget.cpp
@@ -7,7 +7,7 @@
 
 bool MemoryBudget::TryTake(size_t aBytes)
 {
-  if (aBytes > mLimit - mUsed) {
+  if (aBytes > mLimit - mUsed || (mTotal && !mTotal->TryTake(aBytes))) {
     return false;
   }
   mUsed += aBytes;
@@ -17,6 +17,9 @@
 void MemoryBudget::Return(size_t aBytes)
 {
   mUsed -= aBytes;
+  if (mTotal) {
+    mTotal->Return(aBytes);
+  }
 }
 
 MemoryReservation::MemoryReservation(std::shared_ptr<MemoryBudget> aBudget)
--- a/src/agatetide/base/memory_budget_test.cpp
+++ b/src/agatetide/base/memory_budget_test.cpp
@@ -64,3 +64,30 @@
   const std::string left(buffer.View());
   cr_expect_str_eq(left.c_str(), "cd");
 }
+
+// Guards against budgets that together allow more memory than the process has.
+Test(memory_budget, budgets_share_a_total)
+{
+  const auto total = std::make_shared<MemoryBudget>(100);
+  MemoryBudget first(80, total);
+  MemoryBudget second(80, total);
+  cr_expect(first.TryTake(70));
+  cr_expect(!second.TryTake(40));
+  cr_expect_eq(second.Used(), 0, "nothing is taken if the total is exceeded");
+  cr_expect(second.CanEverFit(80) && !second.CanEverFit(81));
+  first.Return(70);
+  cr_expect(second.TryTake(40));
+  cr_expect_eq(total->Used(), 40);
+}
+
+// Guards against counting bytes twice when a reservation follows a buffer.
+Test(memory_budget, reservation_grows_to_a_size)
+{
+  const auto budget = std::make_shared<MemoryBudget>(100);
+  MemoryReservation reservation(budget);
+  cr_expect(reservation.GrowTo(60));
+  cr_expect(reservation.GrowTo(40));
+  cr_expect_eq(budget->Used(), 60);
+  cr_expect(!reservation.GrowTo(101));
+  cr_expect_eq(budget->Used(), 60);
+}
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -68,7 +68,8 @@
       [relay = &daemon->mRelayServer](const http::Request& aRequest) {
         return relay->Handle(aRequest);
       } },
-    daemon->mOptions.mPeerResponses);
+    daemon->mOptions.mPeerResponses,
+    daemon->mOptions.mBodyBudget);
   if (peers.has_error()) {
     return peers.error();
   }
@@ -231,7 +232,8 @@
                   mClock,
                   [this] { return mWallClock.Now(); },
                   mOwner,
-                  mOptions.mTextBudget }
+                  mOptions.mTextBudget,
+                  mOptions.mItemBudget }
   , mRunner(mStepContext)
   , mSteps(mStepContext, mRunner)
   , mStepRouter(
--- a/src/agatetide/entry/peer_channel.cpp
+++ b/src/agatetide/entry/peer_channel.cpp
@@ -75,7 +75,8 @@
   boost::asio::any_io_executor aExecutor,
   const http::Endpoint& aListen,
   PeerHandlers aHandlers,
-  http::ResponseLimits aResponses)
+  http::ResponseLimits aResponses,
+  std::shared_ptr<MemoryBudget> aBodies)
 {
   http::ClientOptions client;
   client.mConnectTimeout = kConnectTimeout;
@@ -92,6 +93,7 @@
   options.mPort = aListen.mPort;
   options.mMaxConnections = kMaxConnections;
   options.mMaxBodyBytes = kMaxBodyBytes;
+  options.mBodyBudget = std::move(aBodies);
   auto server =
     http::Server::Create(std::move(aExecutor),
                          options,
@@ -143,6 +145,7 @@
   if (submission.has_error()) {
     co_return MakePeerError(submission.error(), aRequest);
   }
+  aRequest.DropBody();
   const auto outcome = co_await mHandlers.mSubmit(std::move(*submission));
   if (outcome.has_error()) {
     co_return http::MakeErrorResponse(outcome.error(), {});
--- a/src/agatetide/entry/step_router.cpp
+++ b/src/agatetide/entry/step_router.cpp
@@ -56,7 +56,8 @@
   const steps::StepSubmission& aSubmission) const
 {
   const std::string owner = OwnerOf(aSubmission.mModel, aSubmission.mId);
-  if (owner == mSelf) {
+  if (owner == mSelf ||
+      steps::SizeInBytes(aSubmission.mItems) > mOptions.mMaxForwardedBytes) {
     return std::nullopt;
   }
   const auto endpoint = mView.PeerEndpoint(owner);
--- a/src/agatetide/http/message.cpp
+++ b/src/agatetide/http/message.cpp
@@ -26,6 +26,8 @@
       return 409;
     case ErrorKind::ResourceExhausted:
       return 429;
+    case ErrorKind::TooLarge:
+      return 413;
     case ErrorKind::Canceled:
       return 499;
     case ErrorKind::Unavailable:
--- a/src/agatetide/http/server.cpp
+++ b/src/agatetide/http/server.cpp
@@ -23,6 +23,11 @@
 using Tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
+Response MakeRefusal(const Error& aReason, const std::vector<Header>& aHeaders)
+{
+  return MakeErrorResponse(aReason, FindHeader(aHeaders, "x-request-id"));
+}
+
 struct Server::State : std::enable_shared_from_this<Server::State>
 {
   State(asio::any_io_executor aExecutor,
@@ -46,11 +51,20 @@
   size_t mRunningRequestCount = 0;
   size_t mConnectionCount = 0;
   ServerCounters mCounters;
+  LogLimiter mBodyLog;
 };
 
 namespace {
 
 constexpr std::chrono::milliseconds kLingerTimeout{ 1000 };
+constexpr size_t kMaxLoggedTargetBytes = 80;
+/// Smaller bodies take nothing from the budget, so that they are received while
+/// large ones use it up.
+constexpr size_t kMinBudgetedBodyBytes = size_t{ 64 } << 10U;
+/// A body is in memory as it was received, and as it is decoded or sent on.
+constexpr size_t kBodyCopies = 2;
+/// When the handling of other large bodies may have ended.
+constexpr std::chrono::milliseconds kBodyRetryDelay{ 1000 };
 
 /// Increments a counter and decrements it on destruction.
 class ScopedCount
@@ -84,6 +98,20 @@
   return request;
 }
 
+Error BodyDoesNotFit(bool aEver)
+{
+  if (!aEver) {
+    return { ErrorKind::TooLarge,
+             "the body needs more memory than this host has for bodies",
+             "send it in smaller parts" };
+  }
+  return { ErrorKind::Unavailable,
+           "the bodies of other requests take the memory of this host",
+           "retry later, or at another host",
+           Execution::NotRun,
+           kBodyRetryDelay };
+}
+
 Error MalformedRequest(const ErrorCode& aError)
 {
   if (aError == beast::http::error::body_limit) {
@@ -282,11 +310,64 @@
   co_return MakeErrorResponse(failure, id);
 }
 
+using RequestParser = beast::http::request_parser<beast::http::string_body>;
+
+/// Reads a request. A large body takes memory from the budget as it grows;
+/// returns the reason if it does not fit.
+Awaitable<std::optional<Error>> ReadRequest(beast::tcp_stream& aStream,
+                                            beast::flat_buffer& aBuffer,
+                                            RequestParser& aParser,
+                                            MemoryBudget* aBudget,
+                                            MemoryReservation& aMemory,
+                                            ErrorCode& aError)
+{
+  auto token = asio::redirect_error(asio::use_awaitable, aError);
+  if (aBudget == nullptr) {
+    co_await beast::http::async_read(aStream, aBuffer, aParser, token);
+    co_return std::nullopt;
+  }
+  co_await beast::http::async_read_header(aStream, aBuffer, aParser, token);
+  while (!aError) {
+    const size_t capacity = aParser.get().body().capacity();
+    const size_t needed = kBodyCopies * capacity;
+    if (capacity >= kMinBudgetedBodyBytes && !aMemory.GrowTo(needed)) {
+      co_return BodyDoesNotFit(aBudget->CanEverFit(needed));
+    }
+    if (aParser.is_done()) {
+      break;
+    }
+    co_await beast::http::async_read_some(aStream, aBuffer, aParser, token);
+  }
+  co_return std::nullopt;
+}
+
+/// Refuses a request whose body was not read to its end, and gives the caller
+/// time to read the response.
 template<class ServerState>
-Response MakeRefusal(const ServerState& aState, const Request& aRequest)
+Awaitable<void> RefuseBody(std::shared_ptr<ServerState> aState,
+                           beast::tcp_stream& aStream,
+                           RequestParser& aParser,
+                           std::shared_ptr<MemoryReservation> aMemory,
+                           Error aReason)
 {
-  return MakeErrorResponse(*aState.mRefusal,
-                           FindHeader(aRequest.mHeaders, "x-request-id"));
+  ++aState->mCounters.mRefusedBodies;
+  Request head = ToRequest(aParser.release(), RemoteAddress(aStream));
+  head.mBodyMemory = std::move(aMemory);
+  head.DropBody();
+  if (aState->mBodyLog.Allow(std::chrono::steady_clock::now())) {
+    LogEvent("body_refused", LogLevel::Warning)
+      .Field("target", head.mTarget.substr(0, kMaxLoggedTargetBytes))
+      .Field("length", FindHeader(head.mHeaders, "content-length"))
+      .Field("used",
+             static_cast<uint64_t>(aState->mOptions.mBodyBudget->Used()))
+      .Field("error", FormatError(aReason))
+      .Field("suppressed", aState->mBodyLog.ResetSuppressedCount())
+      .Write();
+  }
+  Response refusal = aState->mOptions.mMakeRefusal(aReason, head.mHeaders);
+  co_await WriteComplete(
+    aStream, refusal, false, aState->mOptions.mTransferTimeout);
+  co_await LingerBeforeClose(aStream);
 }
 
 template<class ServerState>
@@ -324,11 +405,15 @@
     served = true;
     const ScopedCount running(aState->mRunningRequestCount);
     aStream.expires_after(options.mTransferTimeout);
-    co_await beast::http::async_read(
-      aStream,
-      buffer,
-      parser,
-      asio::redirect_error(asio::use_awaitable, error));
+    const auto memory =
+      std::make_shared<MemoryReservation>(options.mBodyBudget);
+    auto tooLarge = co_await ReadRequest(
+      aStream, buffer, parser, options.mBodyBudget.get(), *memory, error);
+    if (tooLarge) {
+      co_await RefuseBody(
+        aState, aStream, parser, memory, std::move(*tooLarge));
+      co_return;
+    }
     if (error == beast::error::timeout) {
       ++aState->mCounters.mSlowRequests;
       co_return;
@@ -348,12 +433,13 @@
     aStream.expires_never();
     Request request = ToRequest(parser.release(), RemoteAddress(aStream));
     request.mCaller = std::make_shared<CallerConnection>();
+    request.mBodyMemory = memory;
     const auto caller = request.mCaller;
     std::optional<DisconnectMonitor> monitor;
     monitor.emplace(aStream, caller);
     Response response;
     if (aState->mRefusal) {
-      response = MakeRefusal(*aState, request);
+      response = MakeRefusal(*aState->mRefusal, request.mHeaders);
     } else {
       response = co_await Handle(aState, std::move(request));
     }
--- a/src/agatetide/steps/step.cpp
+++ b/src/agatetide/steps/step.cpp
@@ -1,46 +1,9 @@
 #include "agatetide/steps/step.hpp"
 
-#include "agatetide/coordination/portable_bytes.hpp"
-
-namespace agatetide::http {
-
-template<class Archive>
-void serialize(Archive& aArchive, Header& aHeader)
-{
-  aArchive(aHeader.mName, aHeader.mValue);
-}
-
-} // namespace agatetide::http
+#include "agatetide/steps/step_archive.hpp"
 
 namespace agatetide::steps {
 
-template<class Archive>
-void serialize(Archive& aArchive, ScoringCall& aCall)
-{
-  aArchive(aCall.mId, aCall.mHttpHost, aCall.mPath, aCall.mBody);
-}
-
-template<class Archive>
-void serialize(Archive& aArchive, StepItem& aItem)
-{
-  // Encoded as a list of zero or one elements, since the bounded input archive
-  // does not support optionals.
-  std::vector<ScoringCall> scoring;
-  if (aItem.mScoring) {
-    scoring.push_back(*aItem.mScoring);
-  }
-  aArchive(aItem.mId,
-           aItem.mPath,
-           aItem.mHeaders,
-           aItem.mBody,
-           aItem.mGroup,
-           aItem.mExpectedTokens,
-           scoring);
-  if (!scoring.empty()) {
-    aItem.mScoring = std::move(scoring.front());
-  }
-}
-
 template<class Archive>
 void serialize(Archive& aArchive, StepSubmission& aSubmission)
 {
@@ -103,6 +66,16 @@
 
 } // namespace
 
+size_t SizeInBytes(std::span<const StepItem> aItems)
+{
+  size_t bytes = 0;
+  for (const StepItem& item : aItems) {
+    bytes += item.mBody.size();
+    bytes += item.mScoring ? item.mScoring->mBody.size() : 0;
+  }
+  return bytes;
+}
+
 std::string OwnerName(std::string_view aHost, std::string_view aIncarnation)
 {
   return std::string(aHost) + "#" + std::string(aIncarnation);
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -41,6 +41,8 @@
 /// A stopped step stays in memory for this long, so that its results can
 /// still be read without the store.
 constexpr std::chrono::seconds kStoppedRetention{ 15 };
+/// Items of stopped steps that are larger do not stay in memory.
+constexpr size_t kMaxRetainedItemBytes = size_t{ 2 } << 20U;
 
 int64_t InMilliseconds(Duration aDuration)
 {
@@ -83,6 +85,18 @@
          std::min<size_t>(mRecord.mDesiredGroups, missing.size());
 }
 
+void OwnedStep::DropBodies()
+{
+  for (StepItem& item : mItems) {
+    std::string().swap(item.mBody); // An assignment would keep the memory.
+    if (item.mScoring) {
+      std::string().swap(item.mScoring->mBody);
+    }
+  }
+  mItemMemory.Reset();
+  mBodiesDropped = true;
+}
+
 StepRunner::StepRunner(StepContext aContext)
   : mContext(std::move(aContext))
   , mSpeeds(mContext.mClock)
@@ -102,12 +116,14 @@
 
 OwnedStepPtr StepRunner::Adopt(StepRecord aRecord,
                                std::vector<StepItem> aItems,
+                               MemoryReservation aItemMemory,
                                LogPart aLog,
                                std::vector<PartialSample> aPartials)
 {
   auto step = std::make_shared<OwnedStep>();
   step->mRecord = std::move(aRecord);
   step->mItems = std::move(aItems);
+  step->mItemMemory = std::move(aItemMemory);
   step->mStartOrder = StartOrder(step->mItems);
   step->mRuns.resize(step->mItems.size());
   step->mCommittedResults = std::move(aLog.mResults);
@@ -174,6 +190,9 @@
       run.mScoringCaller->MarkDisconnected();
     }
   }
+  if (SizeInBytes(aStep->mItems) > kMaxRetainedItemBytes) {
+    aStep->DropBodies();
+  }
   aStep->mCommitTimer->cancel();
   WakeWaiters(*aStep);
 }
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -32,16 +32,6 @@
            "check the step id and the key, or submit the step again" };
 }
 
-size_t SizeInBytes(const std::vector<StepItem>& aItems)
-{
-  size_t bytes = 0;
-  for (const StepItem& item : aItems) {
-    bytes += item.mBody.size();
-    bytes += item.mScoring ? item.mScoring->mBody.size() : 0;
-  }
-  return bytes;
-}
-
 } // namespace
 
 StepService::StepService(StepContext& aContext,
@@ -60,6 +50,11 @@
       owned && owned->mRecord.mAccount == aSubmission.mAccount) {
     co_return SubmitOutcome::Accepted;
   }
+  MemoryReservation memory(mContext.mItemBudget);
+  if (!memory.Grow(SizeInBytes(aSubmission.mItems))) {
+    LogMemoryShortage("step_refused", aSubmission.mId);
+    co_return SubmitOutcome::Refused;
+  }
   StepRecord record;
   record.mId = aSubmission.mId;
   record.mAccount = aSubmission.mAccount;
@@ -114,7 +109,11 @@
       // Its results are in the log, since it was complete or ended long ago.
       co_await AdoptStored(reply.mRecord);
     } else if (!mRunner.Find(record.mId)) {
-      mRunner.Adopt(reply.mRecord, std::move(aSubmission.mItems), {}, {});
+      mRunner.Adopt(reply.mRecord,
+                    std::move(aSubmission.mItems),
+                    std::move(memory),
+                    {},
+                    {});
     }
     co_return SubmitOutcome::Accepted;
   }
@@ -341,7 +340,9 @@
     if (owned->mRecord.mAccount != aAccount) {
       co_return StepNotFound(aId);
     }
-    co_return find(owned->mItems);
+    if (!owned->mBodiesDropped) {
+      co_return find(owned->mItems);
+    }
   }
   const auto found = co_await Lookup(std::move(aId), std::move(aAccount));
   if (found.has_error()) {
@@ -394,6 +395,16 @@
                    "retry" };
 }
 
+void StepService::LogMemoryShortage(std::string_view aEvent,
+                                    const std::string& aId) const
+{
+  LogEvent(aEvent, LogLevel::Warning)
+    .Field("step", aId)
+    .Field("error", "the items of other steps take the memory of this host")
+    .Field("used", static_cast<uint64_t>(mContext.mItemBudget->Used()))
+    .Write();
+}
+
 /// Runs a step from its stored state. The record must name this process as the
 /// owner. Returns whether the state could be loaded.
 Awaitable<bool> StepService::AdoptStored(StepRecord aRecord)
@@ -409,6 +420,12 @@
     mNeedsRecovery = true;
     co_return false;
   }
+  MemoryReservation memory(mContext.mItemBudget);
+  if (!memory.Grow(SizeInBytes(*items))) {
+    LogMemoryShortage("step_not_adopted", aRecord.mId);
+    mNeedsRecovery = true;
+    co_return false;
+  }
   // An error is ignored, since without partial samples the items are only
   // generated from the beginning.
   auto partials = co_await mContext.mStepStore.LoadPartials(aRecord.mId);
@@ -416,6 +433,7 @@
     mCache.erase(aRecord.mId);
     mRunner.Adopt(std::move(aRecord),
                   std::move(*items),
+                  std::move(memory),
                   std::move(*log),
                   partials.has_value() ? std::move(*partials)
                                        : std::vector<PartialSample>());
@@ -535,6 +553,11 @@
   if (records.has_error()) {
     co_return false;
   }
+  if (aDeleteExpired) {
+    // What cannot be deleted now is deleted by a later call.
+    co_await mContext.mStepStore.DeleteAbandonedItems(
+      mContext.mWallClock() - mOptions.mAbandonedItemsRetention.count());
+  }
   bool complete = true;
   mNeedsRecovery = false;
   mTokenDemand.clear();
--- a/src/agatetide/steps/step_store.cpp
+++ b/src/agatetide/steps/step_store.cpp
@@ -1,6 +1,7 @@
 #include "agatetide/steps/step_store.hpp"
 
 #include "agatetide/base/event_log.hpp"
+#include "agatetide/steps/item_encoder.hpp"
 
 #include <cstdio>
 
@@ -13,10 +14,15 @@
 constexpr std::string_view kRecordPrefix = "agatetide/step/";
 constexpr std::string_view kItemsPrefix = "agatetide/step-items/";
 constexpr std::string_view kLogPrefix = "agatetide/step-log/";
+/// Names the steps of which some items, but not the record, are stored.
+constexpr std::string_view kPendingPrefix = "agatetide/step-pending/";
 constexpr std::string_view kPartialsPrefix = "agatetide/step-partials/";
 /// Maximum size of a value of items. The store accepts up to 1 MiB of the text
 /// that encodes a value.
 constexpr size_t kMaxChunkBytes = size_t{ 700 } << 10U;
+/// Values of items in one transaction. They arrive within the timeout of a call
+/// on the links of small hosts.
+constexpr uint32_t kChunksPerTransaction = 4;
 /// Keys deleted in one transaction of the store.
 constexpr size_t kMaxDeletesPerTransaction = 30;
 
@@ -60,6 +66,22 @@
   return nullptr;
 }
 
+/// The result of a creation whose conditions did not hold.
+CreateResult ToCreateResult(const StoreReply& aReply, std::string_view aId)
+{
+  const StoreEntry* entry = FindEntry(aReply.mEntries, RecordKey(aId));
+  if (entry == nullptr) {
+    return { CreateOutcome::NotCreated,
+             {},
+             "another submission stores items of the step" };
+  }
+  auto record = ToRecord(*entry);
+  if (!record) {
+    return { CreateOutcome::Unknown, {}, "the stored record cannot be read" };
+  }
+  return { CreateOutcome::Exists, std::move(*record), {} };
+}
+
 } // namespace
 
 StepStore::StepStore(StoreCall aStore, WatchCall aWatch)
@@ -68,49 +90,173 @@
 {
 }
 
+/// Stores values of items that do not fit into the transaction that creates
+/// the record. aCreation has the conditions of the creation: no record, and no
+/// other submission that stores items of the step at the same time. Returns the
+/// reason if the step cannot be created now, and the record if it exists.
+Awaitable<std::optional<CreateResult>> StepStore::StoreItemsAhead(
+  StepRecord aRecord,
+  std::vector<StorePut> aItems,
+  std::vector<StoreCompare>& aConditions)
+{
+  const std::string pendingKey = std::string(kPendingPrefix) + aRecord.mId;
+  TransactionRequest write;
+  write.mCompares = aConditions;
+  write.mPuts = std::move(aItems);
+  write.mPuts.push_back({ pendingKey, EncodeRecord(aRecord) });
+  write.mReadOnFailure.push_back(RecordKey(aRecord.mId));
+  StoreRequest request = std::move(write);
+  const auto written = co_await mStore(std::move(request));
+  if (written.has_value() && written->mSucceeded) {
+    aConditions.resize(1);
+    aConditions.push_back({ pendingKey, written->mRevision });
+    co_return std::nullopt;
+  }
+  if (written.has_value()) {
+    co_return ToCreateResult(*written, aRecord.mId);
+  }
+  // Without the record, the step does not exist.
+  co_return CreateResult{ CreateOutcome::NotCreated,
+                          {},
+                          FormatError(written.error()) };
+}
+
 Awaitable<CreateResult> StepStore::Create(StepRecord aRecord,
                                           const std::vector<StepItem>& aItems)
 {
-  const std::string items = EncodeItems(aItems);
-  TransactionRequest create;
+  const std::string key = RecordKey(aRecord.mId);
+  ItemEncoder encoder(aItems);
   aRecord.mItemCount = static_cast<uint32_t>(aItems.size());
   aRecord.mChunkCount = 0;
-  for (size_t offset = 0; offset < items.size(); offset += kMaxChunkBytes) {
-    create.mPuts.push_back(
+  std::vector<StoreCompare> conditions{ { key, 0 } };
+  std::vector<StorePut> items;
+  while (!encoder.AtEnd()) {
+    if (items.size() == kChunksPerTransaction) {
+      auto failed =
+        co_await StoreItemsAhead(aRecord, std::move(items), conditions);
+      if (failed) {
+        co_return std::move(*failed);
+      }
+      items.clear();
+    }
+    items.push_back(
       { NumberedKey(kItemsPrefix, aRecord.mId, aRecord.mChunkCount++),
-        items.substr(offset, kMaxChunkBytes) });
+        encoder.Next(kMaxChunkBytes) });
   }
-  const std::string key = RecordKey(aRecord.mId);
-  create.mCompares.push_back({ key, 0 });
+  const std::vector<StoreCompare> pending(conditions.begin() + 1,
+                                          conditions.end());
+  TransactionRequest create;
+  create.mCompares = std::move(conditions);
+  create.mPuts = std::move(items);
+  // The last put, since the revision in the answer is that of the last write.
   create.mPuts.push_back({ key, EncodeRecord(aRecord) });
   create.mReadOnFailure.push_back(key);
   StoreRequest request = std::move(create);
   const auto created = co_await mStore(std::move(request));
-  CreateResult reply;
-  if (created.has_value() && created->mSucceeded) {
-    reply.mOutcome = CreateOutcome::Created;
-    reply.mRecord = std::move(aRecord);
-    reply.mRecord.mRevision = created->mRevision;
-    co_return reply;
-  }
   if (created.has_error()) {
-    reply.mOutcome = created.error().mExecution == Execution::NotRun
-                       ? CreateOutcome::NotCreated
-                       : CreateOutcome::Unknown;
-    reply.mReason = FormatError(created.error());
-    co_return reply;
-  }
-  const StoreEntry* entry = FindEntry(created->mEntries, key);
-  const auto record = entry == nullptr ? std::nullopt : ToRecord(*entry);
-  if (!record) {
-    reply.mReason = "the stored record cannot be read";
-    co_return reply;
+    co_return CreateResult{ created.error().mExecution == Execution::NotRun
+                              ? CreateOutcome::NotCreated
+                              : CreateOutcome::Unknown,
+                            {},
+                            FormatError(created.error()) };
+  }
+  if (!created->mSucceeded) {
+    co_return ToCreateResult(*created, aRecord.mId);
+  }
+  CreateResult reply{ CreateOutcome::Created, std::move(aRecord), {} };
+  reply.mRecord.mRevision = created->mRevision;
+  for (const StoreCompare& entry : pending) {
+    TransactionRequest remove;
+    remove.mCompares.push_back(entry);
+    remove.mDeletes.push_back({ entry.mKey });
+    // If it fails, DeleteAbandonedItems() removes the entry.
+    StoreRequest removal = std::move(remove);
+    co_await mStore(std::move(removal));
   }
-  reply.mOutcome = CreateOutcome::Exists;
-  reply.mRecord = *record;
   co_return reply;
 }
 
+Awaitable<Result<bool>> StepStore::DeleteAbandonedItems(
+  int64_t aSubmittedBeforeMs)
+{
+  std::string prefix(kPendingPrefix);
+  const auto reply = co_await ReadPrefix(mStore, std::move(prefix));
+  if (reply.has_error()) {
+    co_return reply.error();
+  }
+  for (const StoreEntry& entry : reply->mEntries) {
+    const auto record = ToRecord(entry);
+    if (!record || record->mSubmittedMs >= aSubmittedBeforeMs) {
+      continue;
+    }
+    LogEvent("abandoned_items_deleted").Field("step", record->mId).Write();
+    const auto deleted = co_await DeleteItemsAhead(*record);
+    if (deleted.has_error()) {
+      co_return deleted.error();
+    }
+  }
+  co_return true;
+}
+
+/// Deletes the stored items of a step without a record, or only the entry of
+/// the pending step if the record exists. Rewrites the entry first, so that its
+/// submission cannot create the record any more.
+Awaitable<Result<bool>> StepStore::DeleteItemsAhead(StepRecord aRecord)
+{
+  const std::string pendingKey = std::string(kPendingPrefix) + aRecord.mId;
+  const std::string recordKey = RecordKey(aRecord.mId);
+  TransactionRequest rewrite;
+  rewrite.mCompares = { { recordKey, 0 }, { pendingKey, aRecord.mRevision } };
+  rewrite.mPuts.push_back({ pendingKey, EncodeRecord(aRecord) });
+  rewrite.mReadOnFailure.push_back(recordKey);
+  StoreRequest request = std::move(rewrite);
+  const auto rewritten = co_await mStore(std::move(request));
+  if (rewritten.has_error()) {
+    co_return rewritten.error();
+  }
+  const bool exists = FindEntry(rewritten->mEntries, recordKey) != nullptr;
+  if (!rewritten->mSucceeded && !exists) {
+    co_return false; // Another submission has begun.
+  }
+  const StoreCompare unchanged{ pendingKey,
+                                exists ? aRecord.mRevision
+                                       : rewritten->mRevision };
+  std::vector<std::string> keys;
+  for (uint32_t chunk = 0; !exists && chunk < aRecord.mChunkCount; ++chunk) {
+    keys.push_back(NumberedKey(kItemsPrefix, aRecord.mId, chunk));
+  }
+  keys.push_back(pendingKey);
+  co_return co_await DeleteKeys(std::move(keys), unchanged);
+}
+
+/// Deletes keys in their order, as long as a condition holds.
+Awaitable<Result<bool>> StepStore::DeleteKeys(
+  std::vector<std::string> aKeys,
+  std::optional<StoreCompare> aCondition)
+{
+  for (size_t start = 0; start < aKeys.size();
+       start += kMaxDeletesPerTransaction) {
+    TransactionRequest remove;
+    if (aCondition) {
+      remove.mCompares.push_back(*aCondition);
+    }
+    for (size_t i = start;
+         i < std::min(aKeys.size(), start + kMaxDeletesPerTransaction);
+         ++i) {
+      remove.mDeletes.push_back({ aKeys[i] });
+    }
+    StoreRequest request = std::move(remove);
+    const auto removed = co_await mStore(std::move(request));
+    if (removed.has_error()) {
+      co_return removed.error();
+    }
+    if (!removed->mSucceeded) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
 Awaitable<Result<std::optional<StepRecord>>> StepStore::Load(std::string aId)
 {
   std::string key = RecordKey(aId);
@@ -304,21 +450,7 @@
   keys.push_back(std::string(kPartialsPrefix) + aRecord.mId);
   // Delete the record last, so that an interrupted deletion is repeated.
   keys.push_back(RecordKey(aRecord.mId));
-  for (size_t start = 0; start < keys.size();
-       start += kMaxDeletesPerTransaction) {
-    TransactionRequest remove;
-    for (size_t i = start;
-         i < std::min(keys.size(), start + kMaxDeletesPerTransaction);
-         ++i) {
-      remove.mDeletes.push_back({ keys[i] });
-    }
-    StoreRequest request = std::move(remove);
-    const auto removed = co_await mStore(std::move(request));
-    if (removed.has_error()) {
-      co_return removed.error();
-    }
-  }
-  co_return true;
+  co_return co_await DeleteKeys(std::move(keys), std::nullopt);
 }
 
 } // namespace agatetide::steps
--- a/src/agatetide/steps/step_store_test.cpp
+++ b/src/agatetide/steps/step_store_test.cpp
@@ -4,6 +4,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace agatetide;
 using namespace agatetide::coordination;
 using namespace agatetide::steps;
@@ -123,3 +125,149 @@
   }
   cr_expect(DecodeItems("\1\377\377\377\377\377\377\377\377").has_error());
 }
+
+namespace {
+
+/// Items that fill several transactions of the store.
+std::vector<StepItem> LargeItems(char aText = 'x')
+{
+  std::vector<StepItem> items(20);
+  for (size_t i = 0; i < items.size(); ++i) {
+    items[i].mId = "item-" + std::to_string(i);
+    items[i].mBody = std::string(size_t{ 500 } << 10U, aText);
+  }
+  return items;
+}
+
+size_t CountKeys(Fixture& aFixture, const std::string& aPrefix)
+{
+  return RunCoroutine(ReadPrefix(aFixture.mStore.AsCall(), aPrefix))
+    ->mEntries.size();
+}
+
+const std::string kItemKeys = "agatetide/step-items/";
+const std::string kPendingKeys = "agatetide/step-pending/";
+
+} // namespace
+
+// Guards against a large step that the store cannot take in one transaction,
+// and against items that differ from those submitted.
+Test(step_store, a_large_step_is_stored_in_parts)
+{
+  Fixture fixture;
+  size_t largest = 0;
+  fixture.mStore.mBeforeCall = [&](const StoreRequest& aRequest) {
+    size_t bytes = 0;
+    for (const StorePut& put : std::get<TransactionRequest>(aRequest).mPuts) {
+      bytes += put.mValue.size();
+    }
+    largest = std::max(largest, bytes);
+  };
+  const std::vector<StepItem> items = LargeItems();
+  const auto created =
+    RunCoroutine(fixture.mSteps.Create(fixture.Record("first"), items));
+  fixture.mStore.mBeforeCall = {};
+  cr_assert(created.mOutcome == CreateOutcome::Created);
+  cr_expect(largest < size_t{ 3 } << 20U, "%zu bytes", largest);
+  const auto loaded = RunCoroutine(fixture.mSteps.LoadItems(created.mRecord));
+  cr_assert(loaded.has_value());
+  cr_expect(EncodeItems(*loaded) == EncodeItems(items));
+  cr_expect_eq(CountKeys(fixture, kPendingKeys), 0);
+  const auto again =
+    RunCoroutine(fixture.mSteps.Create(fixture.Record("second"), items));
+  cr_expect(again.mOutcome == CreateOutcome::Exists);
+  cr_expect_str_eq(again.mRecord.mOwner.c_str(), "first");
+}
+
+// Guards against a step whose record is created although some of its items are
+// missing, or are those of another submission with its id.
+Test(step_store, a_large_step_has_all_items_whatever_fails)
+{
+  for (const StoreFault fault :
+       { StoreFault::Down, StoreFault::AnswerLost, StoreFault::RequestLost }) {
+    for (size_t call = 0; call < 4; ++call) {
+      Fixture fixture;
+      fixture.mStore.mNextFaults.assign(call, StoreFault::None);
+      fixture.mStore.mNextFaults.push_back(fault);
+      const std::vector<StepItem> items = LargeItems('a');
+      const auto first =
+        RunCoroutine(fixture.mSteps.Create(fixture.Record("first"), items));
+      const bool stored =
+        RunCoroutine(fixture.mSteps.Load("step"))->has_value();
+      cr_expect(first.mOutcome != CreateOutcome::NotCreated || !stored);
+      const std::vector<StepItem> others = LargeItems('b');
+      const auto second =
+        RunCoroutine(fixture.mSteps.Create(fixture.Record("second"), others));
+      cr_assert(second.mOutcome ==
+                (stored ? CreateOutcome::Exists : CreateOutcome::Created));
+      const auto loaded =
+        RunCoroutine(fixture.mSteps.LoadItems(second.mRecord));
+      cr_expect(EncodeItems(*loaded) == EncodeItems(stored ? items : others));
+    }
+  }
+}
+
+// Guards against two submissions of one step at the same time, of which one
+// overwrites items of the other after which the other creates the record.
+Test(step_store, submissions_at_the_same_time_do_not_mix)
+{
+  for (size_t call = 1; call < 4; ++call) {
+    Fixture fixture;
+    size_t count = 0;
+    std::optional<CreateResult> other;
+    fixture.mStore.mBeforeCall = [&](const StoreRequest&) {
+      if (count++ == call) {
+        fixture.mStore.mBeforeCall = {};
+        other = RunCoroutine(
+          fixture.mSteps.Create(fixture.Record("other"), LargeItems('b')));
+      }
+    };
+    const auto first = RunCoroutine(
+      fixture.mSteps.Create(fixture.Record("first"), LargeItems('a')));
+    cr_assert(other && other->mOutcome == CreateOutcome::Created);
+    cr_expect(first.mOutcome == CreateOutcome::Exists);
+    const auto loaded = RunCoroutine(fixture.mSteps.LoadItems(other->mRecord));
+    cr_expect(EncodeItems(*loaded) == EncodeItems(LargeItems('b')));
+  }
+}
+
+// Guards against items that stay in the store for good, since their submission
+// ended before the record was created.
+Test(step_store, items_of_abandoned_submissions_are_deleted)
+{
+  Fixture fixture;
+  fixture.mStore.mNextFaults = { StoreFault::None,
+                                 StoreFault::None,
+                                 StoreFault::Down };
+  StepRecord record = fixture.Record("first");
+  record.mSubmittedMs = 1000;
+  const auto created =
+    RunCoroutine(fixture.mSteps.Create(record, LargeItems()));
+  cr_assert(created.mOutcome == CreateOutcome::NotCreated);
+  cr_expect_eq(CountKeys(fixture, kItemKeys), 8);
+  cr_expect(
+    RunCoroutine(fixture.mSteps.DeleteAbandonedItems(1000)).has_value());
+  cr_expect_eq(CountKeys(fixture, kItemKeys), 8, "it may still be running");
+  cr_expect(
+    RunCoroutine(fixture.mSteps.DeleteAbandonedItems(1001)).has_value());
+  cr_expect_eq(CountKeys(fixture, kItemKeys), 0);
+  cr_expect_eq(CountKeys(fixture, kPendingKeys), 0);
+}
+
+// Guards against a record without items: they were deleted as abandoned while
+// their submission was still being stored.
+Test(step_store, a_submission_whose_items_were_deleted_creates_no_record)
+{
+  Fixture fixture;
+  size_t count = 0;
+  fixture.mStore.mBeforeCall = [&](const StoreRequest&) {
+    if (count++ == 2) {
+      fixture.mStore.mBeforeCall = {};
+      RunCoroutine(fixture.mSteps.DeleteAbandonedItems(1));
+    }
+  };
+  const auto created =
+    RunCoroutine(fixture.mSteps.Create(fixture.Record("first"), LargeItems()));
+  cr_expect(created.mOutcome == CreateOutcome::NotCreated);
+  cr_expect(!RunCoroutine(fixture.mSteps.Load("step"))->has_value());
+}
--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -142,6 +142,7 @@
     "owners_of_steps": script("owners_of_steps"),
     "ended_steps": script("ended_steps"),
     "bytes_without_end": script("bytes_without_end"),
+    "large_jobs": script("large_jobs"),
     "crashing_requests": script("crashing_requests"),
     "soak": soak,
     "upgrade": upgrade,
