Stop old copies of a step when it is claimed

What callers could see: a host froze, was taken over, and woke after the new owner had gone.

Cause: a host that was named as the owner took any running copy for the step of the record, also one from before another owner.

Fix: a running copy counts as the step only if its revision is that of the record or later; an older one is stopped before the step is adopted.

--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -197,13 +197,19 @@
   /// @brief The step if it runs here or stopped recently; null otherwise.
   OwnedStepPtr Find(std::string_view aId) const;
 
-  /// @brief Whether the step runs here.
-  bool IsRunning(std::string_view aId) const
+  /// @brief Whether the step runs here as its owner: not if the copy is of the
+  /// time before the record was last changed.
+  bool IsRunning(const StepRecord& aRecord) const
   {
-    const OwnedStepPtr step = Find(aId);
-    return step && !step->mStopped;
+    const OwnedStepPtr step = Find(aRecord.mId);
+    return step && !step->mStopped &&
+           step->mRecord.mRevision >= aRecord.mRevision;
   }
 
+  /// @brief Stops the copy of the step if it is of the time before the record
+  /// was last changed.
+  void StopOldCopy(const StepRecord& aRecord);
+
   /// @brief Stops a step that is ended or complete, or whose record another
   /// process has changed (aSuperseded).
   void Stop(const OwnedStepPtr& aStep, bool aSuperseded);
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -197,6 +197,14 @@
   WakeWaiters(*aStep);
 }
 
+void StepRunner::StopOldCopy(const StepRecord& aRecord)
+{
+  const OwnedStepPtr step = Find(aRecord.mId);
+  if (step && step->mRecord.mRevision < aRecord.mRevision) {
+    Stop(step, true);
+  }
+}
+
 void StepRunner::WakeWaiters(OwnedStep& aStep)
 {
   for (asio::steady_timer* waiter : aStep.mWaiters) {
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -105,7 +105,7 @@
   }
   if (own) {
     const bool isNew = reply.mOutcome == CreateOutcome::Created || mayBeStored;
-    if (!isNew && !mRunner.IsRunning(record.mId)) {
+    if (!isNew && !mRunner.IsRunning(reply.mRecord)) {
       // Its results are in the log, since it was complete or ended long ago.
       co_await AdoptStored(reply.mRecord);
     } else if (!mRunner.Find(record.mId)) {
@@ -143,7 +143,8 @@
     const auto record = co_await mContext.mStepStore.Load(aId);
     if (record.has_value() && record->has_value()) {
       resolved = true;
-      if ((*record)->mOwner == mContext.mOwner && !mRunner.IsRunning(aId)) {
+      if ((*record)->mOwner == mContext.mOwner &&
+          !mRunner.IsRunning(**record)) {
         co_await AdoptStored(**record);
       }
     }
@@ -167,7 +168,7 @@
     resolved = record.has_value() &&
                (!record->has_value() || (*record)->mRevision != aRevision);
     if (resolved && record->has_value() && !(*record)->mEnded &&
-        (*record)->mOwner == mContext.mOwner && !mRunner.IsRunning(aId)) {
+        (*record)->mOwner == mContext.mOwner && !mRunner.IsRunning(**record)) {
       LogEvent("claim_found").Field("step", aId).Write();
       co_await AdoptStored(**record);
     }
@@ -429,7 +430,8 @@
   // An error is ignored, since without partial samples the items are only
   // generated from the beginning.
   auto partials = co_await mContext.mStepStore.LoadPartials(aRecord.mId);
-  if (!mRunner.IsRunning(aRecord.mId)) {
+  mRunner.StopOldCopy(aRecord);
+  if (!mRunner.IsRunning(aRecord)) {
     mCache.erase(aRecord.mId);
     mRunner.Adopt(std::move(aRecord),
                   std::move(*items),
@@ -474,6 +476,7 @@
     }
     aRecord = **current;
   }
+  mRunner.StopOldCopy(aRecord);
   LogEvent("step_taken_over")
     .Field("step", aRecord.mId)
     .Field("account", aRecord.mAccount)
@@ -540,8 +543,9 @@
 bool StepService::IsOrphan(const StepRecord& aRecord) const
 {
   const OwnedStepPtr step = mRunner.Find(aRecord.mId);
-  const bool runsOrComplete = step && (!step->mStopped || step->IsComplete());
-  return !runsOrComplete && !mUnknownCreates.contains(aRecord.mId);
+  const bool isComplete = step && step->mStopped && step->IsComplete();
+  return !isComplete && !mRunner.IsRunning(aRecord) &&
+         !mUnknownCreates.contains(aRecord.mId);
 }
 
 Awaitable<bool> StepService::Recover(
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -120,8 +120,9 @@
         self.store, self.refuse, self.silent = store, False, False
         self.silent_prefix = None  # prefix whose reads and watches get no answer
         self.flood = None  # what its connections bring without end in place of answers; see harness/flood.py
-        self.loses_answer = None  # called with path and body of a call that was executed: whether its answer is lost
-        self.refuses_call = None  # called with path and body: whether the call is refused
+        # Called with path and body, or with path and query if there is no body.
+        self.loses_answer = None  # whether the answer to a call that was executed is lost
+        self.refuses_call = None  # whether the call is refused
         # Called with path and body: seconds after which a call is executed without an answer; None for others.
         self.delays_call = None
         self.lock = threading.Lock()
@@ -140,7 +141,7 @@
             return
         while self.silent or (self.silent_prefix is not None and query.get("pathPrefix") == self.silent_prefix):
             time.sleep(0.05)
-        call = json.loads(body) if body else {}
+        call = json.loads(body) if body else query
         if self.refuse or (self.refuses_call is not None and self.refuses_call(path, call)):
             handler.reply(429)
         elif self.delays_call is not None and self.delay(handler, method, path, query, call):
--- a/tests/model.py
+++ b/tests/model.py
@@ -71,6 +71,10 @@
     *checks("trust_restart", "config_trust", ["RESTART", "T=0"], ["NO_ESTABLISHED", "PROOF_BEFORE_START"]),
     *checks("trust_host_removed", "config_trust", ["SETS=1"], ["NO_RETIRED"]),
     *checks("trust_hosts_added", "config_trust", ["SETS=2", "T=0"], ["NO_SERIAL", "TRUST_UNNAMED"]),
+    *checks(
+        "steps", "steps", [],
+        ["NO_STORE_READ", "NO_ADOPTION", "KEEP_OLD_COPY", "NO_CLAIM_SETTLED", "NO_COMPARE"],
+    ),
     *checks(
         "usage", "usage", [],
         ["NO_LEASE", "NO_SEAL", "NO_COMPARE", "ASSUME_SEALED", "RECOUNT_ON_RESEND", "NO_CHECK"],
--- a/tests/owners_of_steps.py
+++ b/tests/owners_of_steps.py
@@ -9,7 +9,7 @@
 import time
 
 from harness.site import check, run_tests, until
-from unknown_writes import submit_and_find_hosts
+from unknown_writes import LOG_PREFIX, submit_and_find_hosts
 
 RECORD_PREFIX = "agatetide/step/"
 # A claim whose answer is lost takes effect after this time.
@@ -50,6 +50,44 @@
     check(len(site.read_all(owner, 40, "step-1", timeout=40)) == 40, "the step ends")
 
 
+def other_owner(site, step, owner):
+    """Freezes the owner of a step until another host has taken it over and listed results; returns that host."""
+    owner.process.send_signal(signal.SIGSTOP)
+    others = [d for d in site.daemons if d is not owner]
+
+    def has_taken_over(daemon):
+        return any("step=%s " % step in line for line in daemon.lines("step_taken_over"))
+
+    until(lambda: any(has_taken_over(d) for d in others), "another host takes it over", timeout=20)
+    other = next(d for d in others if has_taken_over(d))
+    until(lambda: site.read(other, step)["results"], "it lists results")
+    return other
+
+
+def host_drops_its_old_copy_when_it_claims_the_step(site):
+    """Guards against a host that claims a step before it has noticed that it lost it, and goes on with its copy of before."""
+    owner, _ = submit_and_find_hosts(site, "step-1", items=60)
+    until(lambda: items_begun(site, "step-1"), "items run")
+    other = other_owner(site, "step-1", owner)
+    claims = []
+
+    def refuses_call(path, call):
+        """Keeps the host from reading its record and from appending, until it claims the step."""
+        keys = [w["key"] for w in call["writes"]] if path == "/kv-txn" else [call.get("key", "")]
+        if path == "/kv-txn" and RECORD_PREFIX + "step-1" in keys:
+            claims.append(time.monotonic())
+        return not claims and any(key == RECORD_PREFIX + "step-1" or key.startswith(LOG_PREFIX) for key in keys)
+
+    owner.store_endpoint.refuses_call = refuses_call
+    other.stop()
+    owner.process.send_signal(signal.SIGCONT)
+    until(lambda: claims, "the first host claims the step", timeout=20)
+    check(len(site.read_all(owner, 60, "step-1", timeout=30)) == 60, "the step ends")
+    claimed = next(line for line in owner.lines("step_taken_over") if "step=step-1 " in line)
+    late = [line for line in owner.lines("step_stopped") if "reason=superseded" in line and line > claimed]
+    check(not late, "the copy from before the claim was stopped after it: %s" % late)
+
+
 def model_of_another_host(site, leader):
     """Returns a model whose steps do not run at the leader."""
     for number in range(MODELS):
@@ -112,6 +150,7 @@
 TESTS = [
     (read_from_the_start_lists_all_there_is, {"daemons": 2, "events": 8, "pause": 0.1}),
     (host_runs_a_step_that_comes_back_to_it, {"daemons": 2, "events": 20, "pause": 0.1}),
+    (host_drops_its_old_copy_when_it_claims_the_step, {"daemons": 2, "events": 20, "pause": 0.1}),
     (claim_without_an_answer_is_settled, {"daemons": 4, "events": 20, "pause": 0.1}),
 ]
 
