--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -142,30 +142,28 @@
         while self.silent or (self.silent_prefix is not None and query.get("pathPrefix") == self.silent_prefix):
             time.sleep(0.05)
         call = json.loads(body) if body else query
-        if self.refuse or (self.refuses_call is not None and self.refuses_call(path, call)):
+        # A test may take the hooks away at any time.
+        refuses_call, delays_call, loses_answer = self.refuses_call, self.delays_call, self.loses_answer
+        if self.refuse or (refuses_call is not None and refuses_call(path, call)):
             handler.reply(429)
-        elif self.delays_call is not None and self.delay(handler, method, path, query, call):
+            return
+        delay_s = delays_call(path, call) if delays_call is not None else None
+        if delay_s is not None:
+            self.silent_connections.add(handler.connection)
+            threading.Timer(delay_s, self.execute, (method, path, query, call)).start()
             wait_for_end(handler.connection)
-        elif self.loses_answer is None:
+        elif loses_answer is None:
             self.store.handle(handler, method, path, query, body)
         else:
-            self.handle_with_loss(handler, method, path, query, call)
-
-    def delay(self, handler, method, path, query, body):
-        delay_s = self.delays_call(path, body)
-        if delay_s is None:
-            return False
-        self.silent_connections.add(handler.connection)
-        threading.Timer(delay_s, self.execute, (method, path, query, body)).start()
-        return True
+            self.handle_with_loss(handler, method, path, query, call, loses_answer)
 
     def execute(self, *call):
         with self.store.lock:
             return self.store.execute(*call)
 
-    def handle_with_loss(self, handler, method, path, query, body):
+    def handle_with_loss(self, handler, method, path, query, body, loses_answer):
         status, value = self.execute(method, path, query, body)
-        if self.loses_answer(path, body):
+        if loses_answer(path, body):
             # A connection on which an answer is lost brings nothing further.
             self.silent_connections.add(handler.connection)
         if handler.connection in self.silent_connections:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,6 +1,7 @@
 """Runs daemons on doubles of the users' platform under random, overlapping faults and changes.
 
-`soak.py SEED...` prints "ok soak.SEED" or "FAIL soak.SEED reason" for each seed.
+`soak.py SEED...` prints "ok soak.SEED" or "FAIL soak.SEED reason" for each seed;
+`--only KIND` draws one kind of disruption alone, `--program PATH` runs other daemons.
 """
 
 import argparse
@@ -13,9 +14,10 @@
 import time
 import traceback
 
-from harness.site import HOST, Site, check, config, until
+from harness.site import DAEMON, HOST, Site, check, config, until
 from harness.users_platform import DRAIN_S
 import crashing_requests
+from soak_disruptions import KEY, LONG_STEP_ITEMS, TENANT_OF_OTHERS, Disruptions
 from software_versions import add_engines, check_unmixed, software_of, stream
 
 EVENTS = 6
@@ -23,14 +25,29 @@
 CALM_S = 25
 # Repetitions of a request that crashes replicas, after the faults have ended.
 LATE_REPETITIONS = 12
+# Memory of a daemon, and what it stays below it.
+MEMORY_MB, MEMORY_MARGIN_MB = 110, 5
+MAX_BODY_BYTES = 33554432
+# A result that was read is listed by all hosts after this time. Hosts are in touch again this long after a disruption.
+SETTLE_S, CONTACT_S = 1.0, 4.0
+MARGIN_S = 0.5
+# Results are still read for this long after the faults.
+WATCH_S = 9
+JOB_ITEMS = 24
 
 
-class Soak:
+def site_config(version):
+    return config(version, limits={"maxHeaderBytes": 4096, "maxBodyBytes": MAX_BODY_BYTES})
+
+
+class Soak(Disruptions):
     """One run: callers, trainers and faults on a site of its own."""
 
-    def __init__(self, seed, daemons, **options):
+    def __init__(self, seed, daemons, only=None, **options):
         self.random = random.Random(seed)
-        self.site = Site(daemons=daemons, plain=3, engines=3, events=EVENTS, pause=0.05, **options)
+        self.only = only
+        self.site = Site(daemons=daemons, plain=3, engines=3, events=EVENTS, pause=0.05, memory_mb=MEMORY_MB, **options)
+        self.site.store.put("op/config", site_config(3))
         add_engines(self.site, "v2", 2)
         self.end = time.monotonic() + FAULTS_S
         self.lock = threading.Lock()
@@ -41,7 +58,13 @@
         self.unanswered, self.wrong = [], []
         self.answers = collections.Counter()  # by status, 0 if there was none
         self.refused, self.steps, self.streams = set(), [], {}
-        self.config_version = 2
+        self.long_steps, self.large_steps = [], []
+        self.listed = {}  # by step: ids of results that were read, and when the last of them was
+        self.missing = []  # results that a host should have listed
+        self.drained = []  # (replica, when it said so to the store, when it started again)
+        self.accepted_hostile = []
+        self.peaks = collections.Counter()  # largest resident memory seen, by daemon name
+        self.config_version = 3
         self.crashing_body = b"crash-%d" % seed
         self.crashing_path = self.random.choice(["/open/2", "/once/2"])
         for replica in self.site.plain:
@@ -146,6 +169,33 @@
         self.disturbed_at[daemon.address].append(time.monotonic())
         self.busy.discard(daemon.name)
 
+    def acquire_this(self, daemon):
+        """Returns whether no other fault acts on this daemon, and claims it then."""
+        with self.lock:
+            if daemon.name in self.busy:
+                return False
+            self.busy.add(daemon.name)
+            self.disturbed_at[daemon.address].append(time.monotonic())
+            return True
+
+    def disturb_all(self):
+        for daemon in self.site.daemons:
+            self.disturbed_at[daemon.address].append(time.monotonic())
+
+    def last_disturbance(self, address, before):
+        return max((t for t in list(self.disturbed_at[address]) if t <= before), default=0)
+
+    def kill_and_start(self, daemon):
+        self.killed_at[daemon.name].append(time.monotonic())
+        daemon.stop()
+        self.sleep(0, 0.5)
+        self.start(daemon)
+
+    def start(self, daemon):
+        self.starting.add(daemon.name)
+        daemon.start()
+        self.starting.discard(daemon.name)
+
     def restart(self, planned):
         daemon = self.acquire()
         if daemon is None:
@@ -155,13 +205,10 @@
                 daemon.process.send_signal(signal.SIGTERM)
                 self.sleep(0, 0.1)
             check(daemon.process.wait(10) == 0, "exit code of a planned stop")
+            self.sleep(0, 0.5)
+            self.start(daemon)
         else:
-            self.killed_at[daemon.name].append(time.monotonic())
-            daemon.stop()
-        self.sleep(0, 0.5)
-        self.starting.add(daemon.name)
-        daemon.start()
-        self.starting.discard(daemon.name)
+            self.kill_and_start(daemon)
         self.release(daemon)
 
     def freeze(self):
@@ -180,15 +227,17 @@
             self.sleep(0, 0.05)
 
     def disturb_store(self):
+        self.disturb_all()
         self.site.store.refuse = True
         self.sleep(0.1, 1.2)
         self.site.store.refuse = False
+        self.disturb_all()
 
     def change_config(self):
         for _ in range(self.random.randrange(1, 4)):
             with self.lock:
                 self.config_version += self.random.randrange(1, 4)
-                self.site.store.put("op/config", config(self.config_version))
+                self.site.store.put("op/config", site_config(self.config_version))
             self.sleep(0, 0.2)
 
     def break_engine(self):
@@ -222,7 +271,7 @@
         """Lets a replica say that it leaves, to the store as well or not, and start again."""
         replica = self.random.choice([self.site.plain[0], self.site.engines[0], self.site.engines[-1]])
         with self.lock:
-            if replica.says_leaving:
+            if replica.says_leaving or replica.state != "ready":
                 return
             replica.says_leaving = {"call", "stream", "report"}
         if self.random.random() < 0.5:
@@ -230,16 +279,95 @@
         self.sleep(DRAIN_S, DRAIN_S + 2)
         replica.start_again()
 
+    def faults(self):
+        """Returns the disruptions by name."""
+        return {
+            "stop": lambda: self.restart(True), "kill": lambda: self.restart(False), "freeze": self.freeze,
+            "reload": self.reload, "disturb_store": self.disturb_store, "change_config": self.change_config,
+            "break_engine": self.break_engine, "limit_replica": self.limit_replica, "cut_off": self.cut_off,
+            "leave": self.leave, "lose_answers": self.lose_answers, "delay_writes": self.delay_writes,
+            "silence": self.silence, "report_draining": self.report_draining, "freeze_and_kill": self.freeze_and_kill,
+            "submit_hostile_text": self.submit_hostile_text, "submit_large_job": self.submit_large_job, "flood": self.flood}
+
     def cause_faults(self):
-        faults = [lambda: self.restart(True), lambda: self.restart(False), self.freeze, self.reload,
-                  self.disturb_store, self.change_config, self.break_engine, self.limit_replica, self.cut_off,
-                  self.leave]
+        faults = self.faults()
+        chosen = [faults[self.only]] if self.only else list(faults.values())
         while self.running():
-            self.random.choice(faults)()
+            self.random.choice(chosen)()
             self.sleep(0.05, 0.6)
 
+    # Trainers that end their jobs, and what hosts list of them
+
+    def train(self):
+        """Submits jobs, reads some of their results, and ends some jobs then."""
+        for number in range(1000):
+            if not self.running():
+                return
+            name = "soak-job-%d" % number
+            try:
+                if self.site.submit(self.pick(), name, items=JOB_ITEMS) != 202:
+                    continue
+                end = time.monotonic() + 2
+                while time.monotonic() < end and name not in self.listed:
+                    self.read_listed(self.pick(), name)
+                if self.random.random() < 0.5:
+                    self.pick().call("DELETE", "/lots/" + name, headers=KEY)
+            except (OSError, http.client.HTTPException):
+                pass
+
+    def read_listed(self, daemon, name):
+        """Reads a job at a host; notes its results, or those that it should have listed."""
+        started = time.monotonic()
+        known, known_at = self.listed.get(name, ([], started))
+        found = []
+        while True:  # A page may have fewer results than are known.
+            page = self.site.read(daemon, name, len(found))
+            if "status" in page:
+                return
+            found += [r["id"] for r in page["results"]]
+            if not page["results"] or len(found) >= len(known):
+                break
+        if found[:len(known)] != known[:len(found)]:
+            self.missing.append((daemon.name, name, "other results", found[:3], known[:3]))
+        quiet_since = max(known_at + SETTLE_S, self.last_disturbance(daemon.address, time.monotonic()) + SETTLE_S)
+        if len(found) < len(known) and started > quiet_since + CONTACT_S + MARGIN_S:
+            self.missing.append((daemon.name, name, "%d of %d results" % (len(found), len(known))))
+        with self.lock:
+            if len(found) > len(self.listed.get(name, ([], 0))[0]):
+                self.listed[name] = (found, time.monotonic())
+
+    def watch_listed(self):
+        """Reads jobs at all hosts until some time after the faults."""
+        while time.monotonic() < self.end + WATCH_S:
+            for name in list(self.listed)[-8:]:
+                try:
+                    self.read_listed(self.pick(), name)
+                except (OSError, http.client.HTTPException):
+                    pass
+            time.sleep(0.05)
+
+    def watch_memory(self):
+        while time.monotonic() < self.end + WATCH_S:
+            for daemon in self.site.daemons:
+                try:
+                    self.peaks[daemon.name] = max(self.peaks[daemon.name], daemon.peak_memory_mb())
+                except (OSError, StopIteration):
+                    pass  # It has ended.
+            time.sleep(0.1)
+
     # Checks
 
+    def check_memory(self):
+        high = {name: round(peak) for name, peak in self.peaks.items() if peak > MEMORY_MB - MEMORY_MARGIN_MB}
+        check(not high, "peak memory in MB, %d are allowed: %s" % (MEMORY_MB, high))
+
+    def check_hostile_text(self):
+        check(not self.accepted_hostile, "items with hostile text were accepted: %s" % self.accepted_hostile[:1])
+        runs = [r for replica in [*self.site.plain, *self.site.engines] for r in list(replica.requests)]
+        smuggled = [r[:2] for r in runs if r[0] is None or r[0].startswith("smuggled") or
+                    TENANT_OF_OTHERS in r[2].get("Tenant", "")]
+        check(not smuggled, "requests that nobody sent: %s" % smuggled[:3])
+
     def check_requests(self):
         check(not self.wrong, "answers of other requests: %s" % self.wrong[:3])
         runs = collections.Counter(r[0] for replica in self.site.plain for r in replica.requests)
@@ -257,6 +385,11 @@
                 for sender, told, now in replica.late_arrivals
                 if not any(told - 0.5 <= t <= now for t in self.disturbed_at[sender])]
         check(not late, "requests to replicas that leave: %s" % late[:3])
+        for replica, acknowledged_at, end in self.drained:
+            for sender, arrival in list(zip(replica.senders, replica.arrivals)):
+                in_touch = max(acknowledged_at, self.last_disturbance(sender, arrival) + CONTACT_S)
+                check(not in_touch + DRAIN_S + MARGIN_S < arrival < end, "a request of %s reached %s %.1f s after its report" % (
+                    sender, replica.name, arrival - acknowledged_at))
 
     def check_crashing_request(self):
         """A request that crashes replicas is refused by all hosts, and sound ones are not."""
@@ -278,12 +411,14 @@
             check(len({r["id"] for r in results}) == 6, "each item once")
             check({r["state"] for r in results} == {"completed"}, "items are completed: %s" % results)
             check_unmixed(results, EVENTS)
+        for name, items in [(n, 24) for n in self.large_steps] + [(n, LONG_STEP_ITEMS) for n in self.long_steps]:
+            self.site.read_all(self.site.daemons[0], items, name, timeout=CALM_S)
 
     def work(self):
         """Returns what the callers and the causes of faults do, each in a thread of its own."""
         callers = [lambda n=n: self.send_requests(n) for n in range(max(6, len(self.site.daemons)))]
         return [*callers, self.crash_replicas, self.submit_steps, self.submit_steps_twice, self.take_streams_up,
-                *[self.cause_faults] * 3]
+                self.train, *[self.cause_faults] * (1 if self.only else 3)]
 
     def run(self):
         failures = []
@@ -295,19 +430,26 @@
                 failures.append(error)
                 traceback.print_exc()
 
+        watchers = [threading.Thread(target=guarded, args=(w,)) for w in (self.watch_listed, self.watch_memory)]
         threads = [threading.Thread(target=guarded, args=(w,)) for w in self.work()]
-        for thread in threads:
+        for thread in threads + watchers:
             thread.start()
         for thread in threads:
             thread.join()
         check(not failures, "a caller or fault failed: %r" % failures[:1])
         until(lambda: all(d.is_ready() for d in self.site.daemons), "all hosts are ready again")
+        self.check_hostile_text()
+        self.check_memory()
         crashing = self.check_crashing_request()
         self.check_requests()
         self.check_drained()
         mixed = {n: s for n, s in self.streams.items() if len(s) > 1}
         check(not mixed, "streams of two software versions: %s" % mixed)
         self.check_steps()
+        for watcher in watchers:
+            watcher.join()
+        check(not failures, "a reader failed: %r" % failures[:1])
+        check(not self.missing, "results that were read are not listed: %s" % self.missing[:3])
         return "%d steps, %d streams, %d requests refused, %d unanswered, %s" % (
             len(self.steps), len(self.streams), len(self.refused), len(self.unanswered), crashing)
 
@@ -326,12 +468,14 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("seeds", nargs="*", type=int, default=[1, 2, 3])
     parser.add_argument("--daemons", type=int, default=3)
+    parser.add_argument("--only")
+    parser.add_argument("--program", default=DAEMON)
     args = parser.parse_args()
     failed = False
     for seed in args.seeds:
         soak = None
         try:
-            soak = Soak(seed, args.daemons)
+            soak = Soak(seed, args.daemons, args.only, program=args.program)
             print("ok soak.%d %s" % (seed, soak.run()), flush=True)
         except Exception as error:  # pylint: disable=broad-except
             failed = True
