Read items of large jobs without loading all of them

What callers would see: a few readers of items of a job of 33 MB at one host take it over its memory, and the platform ends it with all its requests.

Cause: each request for one item of another host's step loaded all values and decoded them together, twice the size of the job for each reader.

Fix: items are decoded as their values arrive. A request for one item of a large job reads up to that item and keeps nothing; small jobs are cached as before. A host that takes a step over no longer holds its items twice.

--- a/include/agatetide/steps/step_service.hpp
+++ b/include/agatetide/steps/step_service.hpp
@@ -136,6 +136,8 @@
   ResultPage MakePage(const std::vector<ItemResult>& aResults,
                       size_t aTotal,
                       size_t aFrom) const;
+  Awaitable<Result<std::string>> LoadItemBody(StepRecord aRecord,
+                                              std::string aItem);
   void TrimCache();
   void LogMemoryShortage(std::string_view aEvent, const std::string& aId) const;
 
--- a/include/agatetide/steps/step_store.hpp
+++ b/include/agatetide/steps/step_store.hpp
@@ -88,6 +88,12 @@
   /// when a value is missing or cannot be decoded.
   Awaitable<Result<std::vector<StepItem>>> LoadItems(StepRecord aRecord);
 
+  /// @brief Loads the items of a step one after the other, and passes each to
+  /// aVisit until that returns false. The value is whether it never did.
+  /// Errors: as LoadItems().
+  Awaitable<Result<bool>> VisitItems(StepRecord aRecord,
+                                     std::function<bool(StepItem)> aVisit);
+
   /// @brief Writes entry aEntry of the log. aResults comes from
   /// EncodeResults(). After NotAppended or Unknown, call it again with the same
   /// entry and results.
--- a/src/agatetide/coordination/input_archive.hpp
+++ b/src/agatetide/coordination/input_archive.hpp
@@ -31,7 +31,15 @@
   {
     uint8_t littleEndian = 0;
     Read(&littleEndian, 1);
-    mSwap = (littleEndian == 1) != (std::endian::native == std::endian::little);
+    SetByteOrder(littleEndian == 1);
+  }
+
+  /// @brief Reads a part of the output, without the byte order at its start.
+  InputArchive(std::string_view aBytes, bool aLittleEndian)
+    : cereal::InputArchive<InputArchive, cereal::AllowEmptyClassElision>(this)
+    , mBytes(aBytes)
+  {
+    SetByteOrder(aLittleEndian);
   }
 
   template<class Number>
@@ -64,8 +72,14 @@
   }
 
   bool AtEnd() const { return mBytes.empty(); }
+  size_t BytesLeft() const { return mBytes.size(); }
 
 private:
+  void SetByteOrder(bool aLittleEndian)
+  {
+    mSwap = aLittleEndian != (std::endian::native == std::endian::little);
+  }
+
   std::string_view mBytes;
   bool mSwap = false;
 };
--- /dev/null
+++ b/src/agatetide/steps/item_decoder.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "agatetide/steps/step.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace agatetide::steps {
+
+/// @brief Decodes items whose encoding arrives in pieces, so that a large step
+/// is never in memory a second time as a whole. Not thread-safe.
+class ItemDecoder
+{
+public:
+  /// @brief Adds the next piece of what EncodeItems() returned.
+  void Add(std::string_view aPiece);
+
+  /// @brief Returns the next item; std::nullopt if its bytes are not complete,
+  /// or if there is none.
+  std::optional<StepItem> Next();
+
+  /// @brief Whether all items were returned, and no bytes follow them.
+  bool AtEnd() const
+  {
+    return mHeaderRead && mItemsLeft == 0 && mOffset == mBytes.size();
+  }
+
+private:
+  bool ReadHeader();
+
+  std::string mBytes;
+  /// Number of bytes at the front that were decoded.
+  size_t mOffset = 0;
+  bool mHeaderRead = false;
+  bool mLittleEndian = false;
+  uint64_t mItemsLeft = 0;
+};
+
+} // namespace agatetide::steps
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -22,6 +22,8 @@
 /// Maximum duration of one watch of the log of another daemon's step.
 constexpr std::chrono::milliseconds kMaxLogWait{ 1000 };
 constexpr unsigned kMaxEndAttempts = 8;
+/// Items of other hosts' steps with more stored values are not cached.
+constexpr uint32_t kMaxCachedChunks = 4;
 /// A page of results is made of what was read from the log within this time.
 constexpr std::chrono::milliseconds kMaxCacheAge{ 500 };
 
@@ -32,6 +34,13 @@
            "check the step id and the key, or submit the step again" };
 }
 
+Error ItemNotFound(const std::string& aItem)
+{
+  return { ErrorKind::NotFound,
+           "the step has no item " + aItem,
+           "check the item id" };
+}
+
 } // namespace
 
 StepService::StepService(StepContext& aContext,
@@ -333,9 +342,7 @@
         return item.mBody;
       }
     }
-    return Error{ ErrorKind::NotFound,
-                  "the step has no item " + aItem,
-                  "check the item id" };
+    return ItemNotFound(aItem);
   };
   if (const OwnedStepPtr owned = mRunner.Find(aId)) {
     if (owned->mRecord.mAccount != aAccount) {
@@ -350,6 +357,9 @@
     co_return found.error();
   }
   const CachedStepPtr& step = *found;
+  if (step->mRecord.mChunkCount > kMaxCachedChunks) {
+    co_return co_await LoadItemBody(step->mRecord, std::move(aItem));
+  }
   if (step->mItems.empty()) {
     auto items = co_await mContext.mStepStore.LoadItems(step->mRecord);
     if (items.has_error()) {
@@ -363,6 +373,28 @@
   co_return find(step->mItems);
 }
 
+/// Reads the values of a large step up to the item; they do not stay in memory.
+Awaitable<Result<std::string>> StepService::LoadItemBody(StepRecord aRecord,
+                                                         std::string aItem)
+{
+  std::string body;
+  const auto missing = co_await mContext.mStepStore.VisitItems(
+    std::move(aRecord), [&body, &aItem](StepItem aCandidate) {
+      if (aCandidate.mId != aItem) {
+        return true;
+      }
+      body = std::move(aCandidate.mBody);
+      return false;
+    });
+  if (missing.has_error()) {
+    co_return missing.error();
+  }
+  if (*missing) {
+    co_return ItemNotFound(aItem);
+  }
+  co_return body;
+}
+
 Awaitable<Result<bool>> StepService::End(std::string aId, std::string aAccount)
 {
   for (unsigned attempt = 0; attempt < kMaxEndAttempts; ++attempt) {
--- a/src/agatetide/steps/step_store.cpp
+++ b/src/agatetide/steps/step_store.cpp
@@ -1,6 +1,7 @@
 #include "agatetide/steps/step_store.hpp"
 
 #include "agatetide/base/event_log.hpp"
+#include "agatetide/steps/item_decoder.hpp"
 #include "agatetide/steps/item_encoder.hpp"
 
 #include <cstdio>
@@ -294,7 +295,23 @@
 Awaitable<Result<std::vector<StepItem>>> StepStore::LoadItems(
   StepRecord aRecord)
 {
-  std::string bytes;
+  std::vector<StepItem> items;
+  const auto visited =
+    co_await VisitItems(std::move(aRecord), [&items](StepItem aItem) {
+      items.push_back(std::move(aItem));
+      return true;
+    });
+  if (visited.has_error()) {
+    co_return visited.error();
+  }
+  co_return items;
+}
+
+Awaitable<Result<bool>> StepStore::VisitItems(
+  StepRecord aRecord,
+  std::function<bool(StepItem)> aVisit)
+{
+  ItemDecoder decoder;
   for (uint32_t chunk = 0; chunk < aRecord.mChunkCount; ++chunk) {
     std::string key = NumberedKey(kItemsPrefix, aRecord.mId, chunk);
     const auto entry = co_await ReadKey(mStore, std::move(key));
@@ -306,9 +323,20 @@
                        "the items of step " + aRecord.mId + " are missing",
                        "submit the step again" };
     }
-    bytes += (*entry)->mValue;
+    decoder.Add((*entry)->mValue);
+    while (auto item = decoder.Next()) {
+      if (!aVisit(std::move(*item))) {
+        co_return false;
+      }
+    }
   }
-  co_return DecodeItems(bytes);
+  if (!decoder.AtEnd()) {
+    co_return Error{ ErrorKind::DataLoss,
+                     "the stored items of step " + aRecord.mId +
+                       " cannot be decoded",
+                     "check that all daemons run the same version" };
+  }
+  co_return true;
 }
 
 Awaitable<AppendOutcome> StepStore::Append(StepRecord aRecord,
--- a/tests/large_jobs.py
+++ b/tests/large_jobs.py
@@ -89,6 +89,30 @@
         print("%d MB: accepted in %.2f s, %s" % (megabytes, seconds, check_memory(site, name)), file=sys.stderr)
 
 
+def items_of_a_large_job_are_read_anywhere(site):
+    """Guards against hosts that load all items of a large job for each reader of one of them."""
+    allow_large_bodies(site)
+    job, prompts = make_job(33), []
+    check(submit(site, "job-1", job)[-1][0] == 202, "accepted")
+    expected = base64.b64decode(json.loads(job)["items"][0]["body"])
+
+    def read(daemon, number):
+        status, body, _ = daemon.call("GET", "/items/job-1?id=item-%d" % number, headers=KEY, timeout=20)
+        prompts.append(status == 200 and body == expected)
+
+    for _ in range(2):  # Also after the job has ended.
+        readers = [threading.Thread(target=read, args=(d, n), daemon=True)
+                   for d in site.daemons for n in (0, 1, ITEMS // 2, ITEMS - 1)]
+        for reader in readers:
+            reader.start()
+        for reader in readers:
+            reader.join()
+        read_and_end(site, "job-1")
+    check(prompts == [True] * 24, "%d of 24 items were read" % prompts.count(True))
+    check(site.daemons[1].call("GET", "/items/job-1?id=item-x", headers=KEY)[0] == 404, "there is no other item")
+    print("items read: %s" % check_memory(site, "readers of items"), file=sys.stderr)
+
+
 def jobs_at_once_wait_for_memory(site):
     """Guards against large batch jobs that fit alone, but end the daemon together, with all its other requests."""
     allow_large_bodies(site)
@@ -147,6 +171,7 @@
 
 TESTS = [
     (jobs_of_all_sizes_fit_into_memory, {"daemons": 3, "events": 2, "memory_mb": MEMORY_MB}),
+    (items_of_a_large_job_are_read_anywhere, {"daemons": 3, "events": 2, "memory_mb": MEMORY_MB}),
     (jobs_at_once_wait_for_memory, {"daemons": 3, "events": 2, "memory_mb": MEMORY_MB}),
     (job_of_an_ended_host_is_taken_over, {"daemons": 3, "events": 2, "memory_mb": MEMORY_MB}),
     (job_that_never_fits_is_refused, {"daemons": 1, "events": 2, "memory_mb": 64}),
