--- a/include/agatetide/fleet/fleet_view.hpp
+++ b/include/agatetide/fleet/fleet_view.hpp
@@ -80,6 +80,12 @@
   /// its registration says before its next start. Returns false if it was known
   /// to be draining.
   bool MarkDraining(std::string_view aId);
+  /// @brief The limits of a replica that is cold; std::nullopt if it is warm,
+  /// or if its service has no cold start. Requests of any host count.
+  std::optional<ColdStart> ColdStartOf(const Replica& aReplica) const;
+  /// @brief What cold replicas of the service stand; null if it has no cold
+  /// start. Valid until the configuration is replaced.
+  const ColdStart* FindColdStart(std::string_view aService) const;
   /// @brief Null if no replica has this id.
   const Replica* FindReplica(std::string_view aId) const;
 
@@ -138,6 +144,7 @@
 
   void NotifyChange() const;
   void ApplyDrainReport(Replica& aReplica);
+  void ApplyColdTime(Replica& aReplica) const;
   void RemoveOldDrainReports();
 
   Clock mClock;
--- a/include/agatetide/fleet/replica.hpp
+++ b/include/agatetide/fleet/replica.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "agatetide/base/clock.hpp"
 #include "agatetide/http/message.hpp"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace agatetide::fleet {
@@ -27,6 +29,12 @@
   bool mPreemptible = false;
   /// Start of the process in Unix milliseconds; 0 if unknown.
   int64_t mStartTimeMs = 0;
+  /// How much longer the replica is cold, by its registration; std::nullopt if
+  /// that says nothing.
+  std::optional<Milliseconds> mColdTimeLeft;
+  /// The replica is cold until then, on the clock of the FleetView that holds
+  /// it.
+  TimePoint mColdUntil{};
   /// Loaded version of the weights by model.
   std::map<std::string, int64_t, std::less<>> mVersions;
 };
--- a/include/agatetide/fleet/service_config.hpp
+++ b/include/agatetide/fleet/service_config.hpp
@@ -84,6 +84,14 @@
   std::map<std::string, double> mZonePrices;
 };
 
+/// @brief What replicas of a service stand after they have started.
+struct ColdStart
+{
+  Milliseconds mDuration{ 0 };
+  /// Requests that a cold replica stands from all hosts together; above 0.
+  double mRequestsPerSecond = 0.0;
+};
+
 struct Service
 {
   std::string mName;
@@ -92,6 +100,8 @@
   unsigned mSlots = 1;
   /// std::nullopt if the number of replicas is fixed by the operator.
   std::optional<ScalingLimits> mScaling;
+  /// std::nullopt if replicas stand their full load from the start.
+  std::optional<ColdStart> mColdStart;
 };
 
 struct ClientAccount
--- a/include/agatetide/request/replica_pool.hpp
+++ b/include/agatetide/request/replica_pool.hpp
@@ -5,6 +5,7 @@
 #include "agatetide/fleet/fleet_view.hpp"
 #include "agatetide/policy/outlier_ejection.hpp"
 #include "agatetide/policy/replica_choice.hpp"
+#include "agatetide/request/cold_replicas.hpp"
 #include "agatetide/request/request_limits.hpp"
 #include "agatetide/request/upstream.hpp"
 
@@ -114,6 +115,14 @@
   /// blocked for longer.
   void BlockFor(std::string_view aReplicaId, Duration aDuration);
 
+  /// @brief Records that no connection to the replica could be opened: it may
+  /// have ended, and may start again before its registration shows it. Where
+  /// replicas have a cold start, it is taken for cold.
+  void RecordUnreachable(const fleet::Replica& aReplica)
+  {
+    mCold.RecordUnreachable(aReplica);
+  }
+
   /// @brief Makes all blocked replicas usable again: they failed because this
   /// host could not reach them.
   void UnblockAll();
@@ -125,8 +134,8 @@
   /// the replica.
   double EstimatedRequests(const fleet::Replica& aReplica) const;
 
-  /// @brief Whether the replica is neither draining nor blocked, and its limit
-  /// leaves a request to this host.
+  /// @brief Whether the replica is neither draining nor blocked, and its limit,
+  /// also the one of a cold replica, leaves a request to this host.
   bool IsUsable(const fleet::Replica& aReplica) const;
 
   const fleet::FleetView& View() const { return mView; }
@@ -148,6 +157,8 @@
   /// Requests of other daemons; 0 if the last report is too old.
   double OtherRequests(const Load& aLoad) const;
   bool IsBlocked(const std::string& aReplicaId) const;
+  /// Time until the replica's limits allow a request of this host.
+  Duration LimitDelay(const fleet::Replica& aReplica) const;
   /// Whether the replica passes the filter, apart from its limit.
   bool Passes(const ReplicaFilter& aFilter,
               const fleet::Replica& aReplica) const;
@@ -162,6 +173,8 @@
   std::map<std::string, Load, std::less<>> mLoads;
   policy::OutlierEjection mEjection{ policy::OutlierEjectionOptions{} };
   RequestLimits mLimits;
+  /// Computes shares when it is asked.
+  mutable ColdReplicas mCold;
   /// For policy::ChooseReplica().
   uint64_t mRoundRobinCounter = 0;
 };
--- a/src/agatetide/fleet/fleet_view.cpp
+++ b/src/agatetide/fleet/fleet_view.cpp
@@ -45,6 +45,7 @@
 {
   std::string id = aReplica.mId;
   ApplyDrainReport(aReplica);
+  ApplyColdTime(aReplica);
   mReplicas.insert_or_assign(std::move(id), std::move(aReplica));
   NotifyChange();
 }
@@ -64,6 +65,44 @@
   }
 }
 
+const ColdStart* FleetView::FindColdStart(std::string_view aService) const
+{
+  if (!mConfig) {
+    return nullptr;
+  }
+  const auto service = mConfig->mServices.find(aService);
+  return service != mConfig->mServices.end() && service->second.mColdStart
+           ? &*service->second.mColdStart
+           : nullptr;
+}
+
+/// A registration is some time old, so its remaining time is an upper bound.
+/// Without one, a new start is cold for the time that its service states.
+void FleetView::ApplyColdTime(Replica& aReplica) const
+{
+  const Replica* known = FindReplica(aReplica.mId);
+  const bool isNewStart =
+    known == nullptr || known->mStartTimeMs != aReplica.mStartTimeMs;
+  const TimePoint before = isNewStart ? TimePoint{} : known->mColdUntil;
+  if (aReplica.mColdTimeLeft) {
+    aReplica.mColdUntil = std::max(before, mClock() + *aReplica.mColdTimeLeft);
+    return;
+  }
+  const ColdStart* cold = FindColdStart(aReplica.mService);
+  aReplica.mColdUntil = isNewStart && cold != nullptr
+                          ? mClock() + Duration(cold->mDuration)
+                          : before;
+}
+
+std::optional<ColdStart> FleetView::ColdStartOf(const Replica& aReplica) const
+{
+  if (mClock() >= aReplica.mColdUntil) {
+    return std::nullopt;
+  }
+  const ColdStart* cold = FindColdStart(aReplica.mService);
+  return cold == nullptr ? std::nullopt : std::optional(*cold);
+}
+
 bool FleetView::MarkDraining(std::string_view aId)
 {
   const auto replica = mReplicas.find(aId);
--- a/src/agatetide/request/forwarder.cpp
+++ b/src/agatetide/request/forwarder.cpp
@@ -465,6 +465,7 @@
     }
     if (notRun) {
       mPool.BlockFor(aReplica.mId, kUnreachableBlockTime);
+      mPool.RecordUnreachable(aReplica);
     }
     if (IsBroken(error)) {
       aState.mBroke = true;
--- a/src/agatetide/request/replica_pool.cpp
+++ b/src/agatetide/request/replica_pool.cpp
@@ -23,7 +23,8 @@
   : mView(aView)
   , mClock(std::move(aClock))
   , mRandom(std::move(aRandom))
-  , mLimits(aView, std::move(aHost), mClock)
+  , mLimits(aView, aHost, mClock)
+  , mCold(aView, std::move(aHost), mClock)
 {
 }
 
@@ -40,6 +41,7 @@
     ++load.mSuspects[mSuspect];
   }
   mPool->mLimits.CountSent(mReplica.mId);
+  mPool->mCold.CountSent(mReplica);
 }
 
 ReplicaPool::Reservation::Reservation(Reservation&& aOther) noexcept
@@ -92,7 +94,12 @@
 bool ReplicaPool::IsUsable(const fleet::Replica& aReplica) const
 {
   return !aReplica.mDraining && !IsBlocked(aReplica.mId) &&
-         mLimits.Delay(aReplica.mId) <= Duration::zero();
+         LimitDelay(aReplica) <= Duration::zero();
+}
+
+Duration ReplicaPool::LimitDelay(const fleet::Replica& aReplica) const
+{
+  return std::max(mLimits.Delay(aReplica.mId), mCold.Delay(aReplica));
 }
 
 bool ReplicaPool::IsBlocked(const std::string& aReplicaId) const
@@ -116,7 +123,7 @@
   double requestsPerSecond = 0.0;
   for (const auto& [id, replica] : mView.Replicas()) {
     if (Passes(aFilter, replica)) {
-      shortest = std::min(shortest, mLimits.Delay(id));
+      shortest = std::min(shortest, LimitDelay(replica));
       requestsPerSecond += mLimits.Rate(id);
     }
   }
@@ -171,7 +178,7 @@
       continue;
     }
     mLimits.RecordDemand(id);
-    if (mLimits.Delay(id) > Duration::zero()) {
+    if (LimitDelay(replica) > Duration::zero()) {
       continue;
     }
     policy::ReplicaCandidate choice;
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -337,6 +337,9 @@
     .Write();
   if (aError.mKind != ErrorKind::Canceled) {
     mContext.mPool.BlockFor(aReplica.mId, kFailedStreamBlockTime);
+    if (aError.mExecution == Execution::NotRun) {
+      mContext.mPool.RecordUnreachable(aReplica);
+    }
   }
   run.mNotBefore = mContext.mClock();
   if (run.mStreamEventCount == 0) {
