--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -43,6 +43,9 @@
   /// A host with a disk that the operator wants to retire; it is reported as
   /// holding no data.
   std::optional<std::string> mDiskHostToRetire;
+  /// An availability zone that gets no new requests while the entry exists.
+  /// Depends on the key alone, so it is also set for a removed entry.
+  std::optional<std::string> mEvacuatedZone;
 };
 
 /// @brief The calls and encodings that connect the daemon to a platform.
@@ -155,7 +158,12 @@
   Awaitable<void> PathLoop();
   template<class T>
   Awaitable<Result<T>> CheckPathsAfter(Awaitable<Result<T>> aCall);
-  void ApplyOperatorEntry(const coordination::StoreEntry& aEntry);
+  std::optional<std::string> ApplyOperatorEntry(
+    const coordination::StoreEntry& aEntry);
+  void ApplyOperatorRemoval(const coordination::StoreEntry& aEntry);
+  void EndEvacuation(const std::string& aZone);
+  /// Ends the evacuations of all zones but aZones.
+  void EndOtherEvacuations(const std::set<std::string, std::less<>>& aZones);
   Awaitable<void> ReportEmptiedHosts();
   void ShareRequestLimits();
   void ApplyReachability(bool aCutOff);
--- a/include/agatetide/entry/replica_relay.hpp
+++ b/include/agatetide/entry/replica_relay.hpp
@@ -66,7 +66,8 @@
   struct Attempt;
 
   std::optional<Error> DeclineReason(const RelayRequest& aRequest) const;
-  bool IsDraining(const RelayRequest& aRequest) const;
+  /// Why the replica takes no new requests; std::nullopt if it does.
+  std::optional<Error> RefusalReason(const RelayRequest& aRequest) const;
   Awaitable<void> Run(std::shared_ptr<Attempt> aAttempt);
   Awaitable<Result<request::UpstreamResponse>> Send(
     std::shared_ptr<Attempt> aAttempt);
--- a/include/agatetide/entry/replica_router.hpp
+++ b/include/agatetide/entry/replica_router.hpp
@@ -80,6 +80,7 @@
                                  request::UpstreamRequest aRequest,
                                  const request::StreamOptions* aStream,
                                  std::shared_ptr<http::CancelHandle> aCancel);
+  bool IsEvacuated(const request::UpstreamRequest& aRequest) const;
   Awaitable<UpstreamResult> SendDirectly(
     http::Endpoint aReplica,
     request::UpstreamRequest aRequest,
--- a/include/agatetide/entry/stream_forwarder.hpp
+++ b/include/agatetide/entry/stream_forwarder.hpp
@@ -33,6 +33,7 @@
 private:
   Awaitable<Result<request::StreamOrigin>> FindOrigin(
     const fleet::Route& aRoute,
+    const std::optional<fleet::RegionSet>& aAllowedRegions,
     std::string aFirstRequestId);
 
   const fleet::FleetView& mView;
--- a/include/agatetide/fleet/fleet_view.hpp
+++ b/include/agatetide/fleet/fleet_view.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -83,6 +84,32 @@
   /// @brief Null if no replica has this id.
   const Replica* FindReplica(std::string_view aId) const;
 
+  /// @brief Whether the operator has evacuated the availability zone, so that
+  /// its replicas get no new requests. Known evacuations are kept while the
+  /// store is unreachable.
+  bool IsEvacuated(std::string_view aAvailabilityZone) const
+  {
+    return mEvacuatedZones.contains(aAvailabilityZone);
+  }
+  /// @brief Starts or ends the evacuation of one zone. Returns whether that
+  /// changed it.
+  bool SetEvacuated(const std::string& aAvailabilityZone, bool aEvacuated);
+  const std::set<std::string, std::less<>>& EvacuatedZones() const
+  {
+    return mEvacuatedZones;
+  }
+
+  /// @brief Whether new requests with these allowed regions may be sent to the
+  /// replica, as far as its location decides. The location of a zone whose
+  /// region is unknown is allowed only without a restriction.
+  bool MayUse(const Replica& aReplica,
+              const std::optional<RegionSet>& aAllowedRegions) const
+  {
+    return !IsEvacuated(aReplica.mAvailabilityZone) &&
+           (!aAllowedRegions ||
+            aAllowedRegions->contains(RegionOf(aReplica.mAvailabilityZone)));
+  }
+
   /// @brief The newest weight version that a trainer has published, by model.
   const std::map<std::string, int64_t, std::less<>>& PublishedVersions() const
   {
@@ -122,8 +149,8 @@
     mMaxStaleness = aMaxStaleness;
   }
 
-  /// @brief Called after each change of the configuration, the replicas or
-  /// the published versions. May be empty.
+  /// @brief Called after each change of the configuration, the replicas, the
+  /// evacuated zones or the published versions. May be empty.
   std::function<void()> mOnChange;
 
 private:
@@ -150,6 +177,7 @@
   /// By replica. Reports outlast an expired registration for a while, since it
   /// may return when the store is back.
   std::map<std::string, DrainReport, std::less<>> mDrainReports;
+  std::set<std::string, std::less<>> mEvacuatedZones;
   std::map<std::string, int64_t, std::less<>> mPublishedVersions;
   std::map<std::string, EntryHost, std::less<>> mHosts;
   std::optional<std::string> mLeader;
--- a/include/agatetide/fleet/service_config.hpp
+++ b/include/agatetide/fleet/service_config.hpp
@@ -26,6 +26,13 @@
 
 using RegionSet = std::set<std::string, std::less<>>;
 
+/// @brief Whether the regions include aRegion; std::nullopt includes all.
+inline bool Includes(const std::optional<RegionSet>& aRegions,
+                     std::string_view aRegion)
+{
+  return !aRegions || aRegions->contains(aRegion);
+}
+
 struct WeightedService
 {
   std::string mService;
@@ -51,8 +58,8 @@
   /// Maximum number of attempts that a replica may have run. Attempts that were
   /// certainly not run have a limit of their own.
   unsigned mMaxAttempts = 1;
-  /// Regions whose hosts may handle the requests; std::nullopt allows all.
-  /// Read for relayed requests only.
+  /// Regions whose hosts and replicas may handle the requests; std::nullopt
+  /// allows all.
   std::optional<RegionSet> mAllowedRegions;
   /// Whether callers need no key.
   bool mAnonymous = false;
@@ -137,6 +144,20 @@
   std::optional<RegionSet> AllowedRegions(const Route& aRoute,
                                           std::string_view aAccount) const;
 
+  /// @brief As above, for the route that FindRoute() returns; the regions of
+  /// the account if there is no such route.
+  std::optional<RegionSet> AllowedRegions(std::string_view aHttpHost,
+                                          std::string_view aPath,
+                                          std::string_view aAccount) const;
+
+  /// @brief Whether any route or account names allowed regions.
+  bool RestrictsRegions() const;
+
+  /// @brief The regions that callers of aHttpHost should prefer: those that all
+  /// its restricted routes allow, or that any of them allows if they have none
+  /// in common; std::nullopt if no route of it is restricted.
+  std::optional<RegionSet> PreferredRegions(std::string_view aHttpHost) const;
+
   /// @brief The account that the key belongs to; null if there is none.
   const ClientAccount* FindAccount(std::string_view aKey) const;
 };
--- a/include/agatetide/request/replica_pool.hpp
+++ b/include/agatetide/request/replica_pool.hpp
@@ -45,6 +45,8 @@
   std::function<bool(const fleet::Replica&)> mIsAllowed;
   /// Suspects share no replica with each other if possible.
   SuspectKind mSuspect = SuspectKind::None;
+  /// Regions whose replicas may be used; std::nullopt allows all.
+  std::optional<fleet::RegionSet> mAllowedRegions;
 };
 
 /// @brief Tracks the load of the replicas and chooses replicas for requests.
@@ -90,10 +92,12 @@
   Duration EstimateLimitDelay(const ReplicaFilter& aFilter,
                               size_t aWaitingCount) const;
 
-  /// @brief Time until a service without replicas usually has one;
-  /// std::nullopt if a replica that is not draining is registered.
+  /// @brief Time until a service without replicas in the allowed regions
+  /// usually has one there; std::nullopt if one is registered that is neither
+  /// draining nor in an evacuated zone.
   std::optional<Milliseconds> TimeUntilReplacement(
-    std::string_view aService) const;
+    std::string_view aService,
+    const std::optional<fleet::RegionSet>& aAllowedRegions) const;
 
   /// @brief Reserves the replica with this id. Returns std::nullopt if it is
   /// not registered or not usable.
@@ -125,8 +129,8 @@
   /// the replica.
   double EstimatedRequests(const fleet::Replica& aReplica) const;
 
-  /// @brief Whether the replica is neither draining nor blocked, and its limit
-  /// leaves a request to this host.
+  /// @brief Whether the replica is neither draining, blocked nor in an
+  /// evacuated zone, and its limit leaves a request to this host.
   bool IsUsable(const fleet::Replica& aReplica) const;
 
   const fleet::FleetView& View() const { return mView; }
--- a/include/agatetide/request/upstream.hpp
+++ b/include/agatetide/request/upstream.hpp
@@ -61,8 +61,8 @@
   /// Number of the last event received for the sample; the stream resumes
   /// after it. std::nullopt starts from the beginning.
   std::optional<uint32_t> mResumeAfter;
-  /// Regions in which other hosts may get the request; std::nullopt allows all.
-  /// Not sent to the replica.
+  /// Regions whose replicas may run the request, and whose hosts may get it;
+  /// std::nullopt allows all. Not sent to the replica.
   std::optional<fleet::RegionSet> mAllowedRegions;
   /// Called when the header of the response has arrived. May be empty.
   ReplicaReportSink mOnReport;
--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -113,6 +113,9 @@
   MemoryReservation mItemMemory;
   /// The bodies of mItems are only in the store.
   bool mBodiesDropped = false;
+  /// Regions whose replicas may run the items; std::nullopt allows all. Set
+  /// before items start and after each change of the configuration.
+  std::optional<fleet::RegionSet> mAllowedRegions;
   /// Same indices as mItems.
   std::vector<ItemRun> mRuns;
   /// Indices of items in the order in which they start.
@@ -279,6 +282,10 @@
   void MoveStragglers(const OwnedStepPtr& aStep);
   const fleet::Route* FindRoute(const OwnedStep& aStep) const;
   bool HasWeights(const OwnedStep& aStep, const fleet::Replica& aReplica) const;
+  /// Whether the location of the replica and its service allow it.
+  bool MayUse(const OwnedStep& aStep,
+              const fleet::Route& aRoute,
+              const fleet::Replica& aReplica) const;
   bool MayRun(const OwnedStep& aStep, const fleet::Replica& aReplica) const;
   bool ShouldRestart(const OwnedStep& aStep,
                      const ItemRun& aRun,
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -349,12 +349,18 @@
   options.mMaxWait = kOperatorWatchTimeout;
   PrefixWatchHooks hooks;
   hooks.mOnReset = [this](const std::vector<StoreEntry>& aEntries) {
+    std::set<std::string, std::less<>> evacuated;
     for (const StoreEntry& entry : aEntries) {
-      ApplyOperatorEntry(entry);
+      if (auto zone = ApplyOperatorEntry(entry)) {
+        evacuated.insert(std::move(*zone));
+      }
     }
+    EndOtherEvacuations(evacuated);
   };
   hooks.mOnChange = [this](const StoreChange& aChange) {
-    if (!aChange.mRemoved) {
+    if (aChange.mRemoved) {
+      ApplyOperatorRemoval(aChange.mEntry);
+    } else {
       ApplyOperatorEntry(aChange.mEntry);
     }
   };
@@ -370,7 +376,9 @@
   co_await WatchKeys(std::move(options), std::move(hooks));
 }
 
-void EntryDaemon::ApplyOperatorEntry(const StoreEntry& aEntry)
+/// Returns the evacuated zone if the entry names one.
+std::optional<std::string> EntryDaemon::ApplyOperatorEntry(
+  const StoreEntry& aEntry)
 {
   const auto decoded = mHooks.mDecodeOperatorEntry(aEntry);
   if (decoded.has_error()) {
@@ -378,7 +386,7 @@
       .Field("key", aEntry.mKey)
       .Field("error", FormatError(decoded.error()))
       .Write();
-    return;
+    return std::nullopt;
   }
   if (decoded->mConfig && mView.UpdateConfig(decoded->mConfig)) {
     LogEvent("config")
@@ -400,6 +408,38 @@
   if (decoded->mDiskHostToRetire) {
     mDiskHostsToRetire.insert(*decoded->mDiskHostToRetire);
   }
+  if (decoded->mEvacuatedZone &&
+      mView.SetEvacuated(*decoded->mEvacuatedZone, true)) {
+    LogEvent("zone_evacuated").Field("zone", *decoded->mEvacuatedZone).Write();
+  }
+  return decoded->mEvacuatedZone;
+}
+
+/// Only the removal of an evacuation has an effect.
+void EntryDaemon::ApplyOperatorRemoval(const StoreEntry& aEntry)
+{
+  const auto decoded = mHooks.mDecodeOperatorEntry(aEntry);
+  if (decoded.has_value() && decoded->mEvacuatedZone) {
+    EndEvacuation(*decoded->mEvacuatedZone);
+  }
+}
+
+void EntryDaemon::EndEvacuation(const std::string& aZone)
+{
+  if (mView.SetEvacuated(aZone, false)) {
+    LogEvent("evacuation_ended").Field("zone", aZone).Write();
+  }
+}
+
+void EntryDaemon::EndOtherEvacuations(
+  const std::set<std::string, std::less<>>& aZones)
+{
+  const auto known = mView.EvacuatedZones();
+  for (const std::string& zone : known) {
+    if (!aZones.contains(zone)) {
+      EndEvacuation(zone);
+    }
+  }
 }
 
 Awaitable<void> EntryDaemon::WatchReplicas()
--- a/src/agatetide/entry/replica_relay.cpp
+++ b/src/agatetide/entry/replica_relay.cpp
@@ -46,6 +46,14 @@
            Execution::NotRun };
 }
 
+Error ReplicaEvacuated()
+{
+  return { ErrorKind::Unavailable,
+           "the availability zone of the replica was evacuated",
+           "use another replica",
+           Execution::NotRun };
+}
+
 Error IncompleteRelay()
 {
   return { ErrorKind::DataLoss,
@@ -196,11 +204,18 @@
   return std::nullopt;
 }
 
-bool RelayServer::IsDraining(const RelayRequest& aRequest) const
+std::optional<Error> RelayServer::RefusalReason(
+  const RelayRequest& aRequest) const
 {
   const fleet::Replica* replica =
     mView.FindReplica(aRequest.mRequest.mReplicaId);
-  return replica != nullptr && replica->mDraining;
+  if (replica != nullptr && replica->mDraining) {
+    return ReplicaDraining();
+  }
+  if (replica != nullptr && mView.IsEvacuated(replica->mAvailabilityZone)) {
+    return ReplicaEvacuated();
+  }
+  return std::nullopt;
 }
 
 http::Response RelayServer::Handle(const http::Request& aRequest)
@@ -213,8 +228,11 @@
     std::make_shared<Attempt>(mExecutor, std::move(*decoded));
   RelayFrame answer;
   answer.mDeclined = DeclineReason(attempt->mRequest);
-  if (!answer.mDeclined && IsDraining(attempt->mRequest)) {
-    answer.mResult = ReplicaDraining();
+  if (!answer.mDeclined) {
+    // The sender would get the same answer from each host, so it asks no other.
+    if (auto refusal = RefusalReason(attempt->mRequest)) {
+      answer.mResult = std::move(*refusal);
+    }
   }
   if (answer.mDeclined || answer.mResult) {
     return http::MakeResponse(
--- a/src/agatetide/entry/replica_router.cpp
+++ b/src/agatetide/entry/replica_router.cpp
@@ -18,6 +18,14 @@
   return aCancel && aCancel->IsCanceled();
 }
 
+Error ReplicaEvacuated()
+{
+  return { ErrorKind::Unavailable,
+           "the availability zone of the replica was evacuated",
+           "use another replica",
+           Execution::NotRun };
+}
+
 } // namespace
 
 ReplicaRouter::ReplicaRouter(ReplicaRouterOptions aOptions,
@@ -60,6 +68,13 @@
     std::move(aReplica), std::move(aRequest), &aOptions, cancel);
 }
 
+/// Whether the zone of the replica was evacuated after it was chosen.
+bool ReplicaRouter::IsEvacuated(const UpstreamRequest& aRequest) const
+{
+  const fleet::Replica* replica = mView.FindReplica(aRequest.mReplicaId);
+  return replica != nullptr && mView.IsEvacuated(replica->mAvailabilityZone);
+}
+
 Awaitable<Result<UpstreamResponse>> ReplicaRouter::SendDirectly(
   http::Endpoint aReplica,
   UpstreamRequest aRequest,
@@ -78,12 +93,18 @@
   const StreamOptions* aStream,
   std::shared_ptr<http::CancelHandle> aCancel)
 {
+  if (IsEvacuated(aRequest)) {
+    co_return ReplicaEvacuated();
+  }
   if (mMonitor.IsCutOff()) {
     auto relayed =
       co_await SendThroughPeers(aReplica, aRequest, aStream, aCancel);
     if (relayed) {
       co_return std::move(*relayed);
     }
+    if (IsEvacuated(aRequest)) {
+      co_return ReplicaEvacuated();
+    }
     // Connections of before may live on. A new one could only fail, later.
     aRequest.mOpenConnectionOnly = true;
     co_return co_await SendDirectly(aReplica, aRequest, aStream, aCancel);
@@ -144,7 +165,7 @@
   for (const std::string& name : Peers(aRequest, isStream)) {
     const fleet::Replica* replica = mView.FindReplica(aRequest.mReplicaId);
     const bool draining = replica != nullptr && replica->mDraining;
-    if (draining || IsCanceled(aCancel) || mClock() >= aRequest.mDeadline) {
+    if (draining || IsEvacuated(aRequest) || IsCanceled(aCancel) || mClock() >= aRequest.mDeadline) {
       break;
     }
     const auto endpoint = mView.PeerEndpoint(name);
--- a/src/agatetide/entry/stream_forwarder.cpp
+++ b/src/agatetide/entry/stream_forwarder.cpp
@@ -32,6 +32,7 @@
 
 Awaitable<Result<StreamOrigin>> StreamForwarder::FindOrigin(
   const fleet::Route& aRoute,
+  const std::optional<fleet::RegionSet>& aAllowedRegions,
   std::string aFirstRequestId)
 {
   const bool named = !aFirstRequestId.empty();
@@ -44,7 +45,8 @@
   bool served = false;
   for (const auto& [replicaId, replica] : mView.Replicas()) {
     const bool fits = origin->IsOf(replica);
-    served = served || (fits && !replica.mDraining);
+    served = served || (fits && !replica.mDraining &&
+                        mView.MayUse(replica, aAllowedRegions));
     if (!named && !fits && replica.mService == origin->mService) {
       co_return CannotContinue("the request does not name the one that started "
                                "the stream");
@@ -66,7 +68,9 @@
   const std::string httpHost = aRequest.mRoute.mHttpHost;
   if (aFirstRequestId) {
     auto origin =
-      co_await FindOrigin(aRequest.mRoute, std::string(*aFirstRequestId));
+      co_await FindOrigin(aRequest.mRoute,
+                          aRequest.mPrototype.mAllowedRegions,
+                          std::string(*aFirstRequestId));
     LogEvent("stream_continued")
       .Field("request_id", id)
       .Field("first_request_id", *aFirstRequestId)
--- a/src/agatetide/fleet/fleet_view.cpp
+++ b/src/agatetide/fleet/fleet_view.cpp
@@ -115,6 +115,18 @@
   return found == mReplicas.end() ? nullptr : &found->second;
 }
 
+bool FleetView::SetEvacuated(const std::string& aAvailabilityZone,
+                             bool aEvacuated)
+{
+  const bool changed = aEvacuated
+                         ? mEvacuatedZones.insert(aAvailabilityZone).second
+                         : mEvacuatedZones.erase(aAvailabilityZone) > 0;
+  if (changed) {
+    NotifyChange();
+  }
+  return changed;
+}
+
 void FleetView::RecordPublishedVersion(const std::string& aModel,
                                        int64_t aVersion)
 {
--- a/src/agatetide/fleet/service_config.cpp
+++ b/src/agatetide/fleet/service_config.cpp
@@ -64,4 +64,45 @@
   return regions;
 }
 
+std::optional<RegionSet> ServiceConfig::AllowedRegions(
+  std::string_view aHttpHost,
+  std::string_view aPath,
+  std::string_view aAccount) const
+{
+  const Route* route = FindRoute(aHttpHost, aPath);
+  return AllowedRegions(route == nullptr ? Route() : *route, aAccount);
+}
+
+bool ServiceConfig::RestrictsRegions() const
+{
+  return std::any_of(mRoutes.begin(),
+                     mRoutes.end(),
+                     [](const Route& aRoute) {
+                       return aRoute.mAllowedRegions.has_value();
+                     }) ||
+         std::any_of(mAccounts.begin(), mAccounts.end(), [](const auto& aItem) {
+           return aItem.second.mAllowedRegions.has_value();
+         });
+}
+
+std::optional<RegionSet> ServiceConfig::PreferredRegions(
+  std::string_view aHttpHost) const
+{
+  std::optional<RegionSet> common;
+  RegionSet any;
+  for (const Route& route : mRoutes) {
+    if (route.mHttpHost != aHttpHost || !route.mAllowedRegions) {
+      continue;
+    }
+    any.insert(route.mAllowedRegions->begin(), route.mAllowedRegions->end());
+    if (!common) {
+      common = route.mAllowedRegions;
+    }
+    std::erase_if(*common, [&](const std::string& aRegion) {
+      return !route.mAllowedRegions->contains(aRegion);
+    });
+  }
+  return common && common->empty() ? std::optional(std::move(any)) : common;
+}
+
 } // namespace agatetide::fleet
--- a/src/agatetide/request/forwarder.cpp
+++ b/src/agatetide/request/forwarder.cpp
@@ -386,7 +386,8 @@
              return (!origin || origin->IsOf(aReplica)) &&
                     (!yields || !mPool.Limits().IsLimited(aReplica.mId));
            },
-           SuspectKindOf(aState.mVerdict) };
+           SuspectKindOf(aState.mVerdict),
+           aState.mRequest.mPrototype.mAllowedRegions };
 }
 
 bool Forwarder::StartAttempt(const std::shared_ptr<RequestState>& aState)
@@ -552,7 +553,9 @@
                 Execution::NotRun,
                 aState.mRetryAfter
                   ? aState.mRetryAfter
-                  : mPool.TimeUntilReplacement(aState.mService) };
+                  : mPool.TimeUntilReplacement(
+                      aState.mService,
+                      aState.mRequest.mPrototype.mAllowedRegions) };
 }
 
 } // namespace agatetide::request
--- a/src/agatetide/request/replica_pool.cpp
+++ b/src/agatetide/request/replica_pool.cpp
@@ -92,6 +92,7 @@
 bool ReplicaPool::IsUsable(const fleet::Replica& aReplica) const
 {
   return !aReplica.mDraining && !IsBlocked(aReplica.mId) &&
+         !mView.IsEvacuated(aReplica.mAvailabilityZone) &&
          mLimits.Delay(aReplica.mId) <= Duration::zero();
 }
 
@@ -105,6 +106,7 @@
                          const fleet::Replica& aReplica) const
 {
   return aReplica.mService == aFilter.mService && !aReplica.mDraining &&
+         mView.MayUse(aReplica, aFilter.mAllowedRegions) &&
          !aFilter.mExcludedIds.contains(aReplica.mId) &&
          (!aFilter.mIsAllowed || aFilter.mIsAllowed(aReplica));
 }
@@ -129,10 +131,12 @@
 }
 
 std::optional<Milliseconds> ReplicaPool::TimeUntilReplacement(
-  std::string_view aService) const
+  std::string_view aService,
+  const std::optional<fleet::RegionSet>& aAllowedRegions) const
 {
   for (const auto& [id, replica] : mView.Replicas()) {
-    if (replica.mService == aService && !replica.mDraining) {
+    if (replica.mService == aService && !replica.mDraining &&
+        mView.MayUse(replica, aAllowedRegions)) {
       return std::nullopt;
     }
   }
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -71,6 +71,8 @@
     return false;
   }
   const fleet::Route route = *found;
+  aStep->mAllowedRegions = mContext.mView.Config()->AllowedRegions(
+    route, aStep->mRecord.mAccount);
   const TimePoint now = mContext.mClock();
   for (const bool started : { true, false }) {
     for (const size_t index : aStep->mStartOrder) {
@@ -95,10 +97,19 @@
          version->second >= aStep.mRecord.mMinVersion;
 }
 
+bool StepRunner::MayUse(const OwnedStep& aStep,
+                        const fleet::Route& aRoute,
+                        const fleet::Replica& aReplica) const
+{
+  return aRoute.Allows(aReplica.mService) &&
+         mContext.mView.MayUse(aReplica, aStep.mAllowedRegions);
+}
+
 bool StepRunner::MayRun(const OwnedStep& aStep,
                         const fleet::Replica& aReplica) const
 {
-  return HasWeights(aStep, aReplica) && mContext.mPool.IsUsable(aReplica);
+  return HasWeights(aStep, aReplica) &&
+         mContext.mView.MayUse(aReplica, aStep.mAllowedRegions) && mContext.mPool.IsUsable(aReplica);
 }
 
 /// Whether an item that no replica can continue now should start again on
@@ -114,7 +125,7 @@
   }
   item.mWaitedSeconds = Seconds(mContext.mClock() - aRun.mWaitingSince);
   for (const auto& [id, replica] : mContext.mView.Replicas()) {
-    if (aRoute.Allows(replica.mService) && !replica.mDraining &&
+    if (MayUse(aStep, aRoute, replica) && !replica.mDraining &&
         HasWeights(aStep, replica)) {
       (aRun.Fits(replica) ? item.mCanContinue : item.mCanRestart) = true;
     }
@@ -132,7 +143,7 @@
   const auto& promptReplicas =
     aStep->mPromptReplicas[aStep->mItems[aIndex].mGroup];
   for (const auto& [id, replica] : mContext.mView.Replicas()) {
-    if (!aRoute.Allows(replica.mService) || !run.Fits(replica)) {
+    if (!MayUse(*aStep, aRoute, replica) || !run.Fits(replica)) {
       continue;
     }
     mContext.mPool.Limits().RecordDemand(id);
