Keep steps in their allowed regions, and prefer those in address answers

A step was forwarded within its region or run where it arrived, and taken over by any host. It now goes to a host of an allowed region, or is refused as not run, and only such hosts take it over; a leader of another region asks one of them. Address answers put allowed regions before others.

--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -168,6 +168,10 @@
   void ShareRequestLimits();
   void ApplyReachability(bool aCutOff);
   request::UpstreamRequest ObserveReports(request::UpstreamRequest aRequest);
+  /// The regions whose hosts may run the step; std::nullopt allows all.
+  std::optional<fleet::RegionSet> RegionsOf(
+    const steps::StepRecord& aRecord) const;
+  Awaitable<void> RequestRecovery(std::set<std::string> aHosts);
   Awaitable<Result<steps::SubmitOutcome>> SubmitForPeer(
     steps::StepSubmission aSubmission);
 
@@ -213,6 +217,8 @@
   std::optional<duty::VersionUpdater> mVersionUpdater;
   std::optional<duty::Autoscaler> mAutoscaler;
   bool mDraining = false;
+  /// Another daemon has asked this one to look for steps without an owner.
+  bool mRecoveryRequested = false;
   std::set<std::string> mDiskHostsToRetire;
   std::set<std::string> mEmptiedHosts;
 };
--- a/include/agatetide/entry/peer_channel.hpp
+++ b/include/agatetide/entry/peer_channel.hpp
@@ -21,10 +21,12 @@
     mSubmit;
   /// Handles the requests of RelayClient.
   std::function<http::Response(const http::Request&)> mRelay;
+  /// Another daemon asks this one to look for steps without an owner.
+  std::function<void()> mRecover;
 };
 
-/// @brief Client and server for requests between daemons: watches, store calls
-/// and step submissions. Sends cereal messages over HTTP, on addresses that
+/// @brief Client and server for requests between daemons: watches, store calls,
+/// step submissions and requests to look for steps without an owner. Sends cereal messages over HTTP, on addresses that
 /// only hosts of the deployment can reach. Not thread-safe: use it only on the
 /// executor of the daemon.
 class PeerChannel
@@ -63,12 +65,19 @@
     steps::StepSubmission aSubmission,
     Milliseconds aTimeout);
 
+  /// @brief Asks the daemon at aPeer to look for steps without an owner. The
+  /// value is always true. Errors: those of http::Client; NotFound if the
+  /// daemon is of a build that does not know the request.
+  Awaitable<Result<bool>> RequestRecovery(http::Endpoint aPeer,
+                                          Milliseconds aTimeout);
+
 private:
   PeerChannel(std::unique_ptr<http::Client> aClient, PeerHandlers aHandlers);
   Awaitable<http::Response> Handle(http::Request aRequest);
   Awaitable<http::Response> HandleWatch(http::Request aRequest);
   Awaitable<http::Response> HandleStore(http::Request aRequest);
   Awaitable<http::Response> HandleSubmit(http::Request aRequest);
+  Awaitable<http::Response> HandleRecover(http::Request aRequest);
   Awaitable<http::Response> HandleRelay(http::Request aRequest);
   Awaitable<http::Response> RefuseUnknown(http::Request aRequest);
   Awaitable<Result<std::string>> Post(http::Endpoint aPeer,
--- a/include/agatetide/entry/step_router.hpp
+++ b/include/agatetide/entry/step_router.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -28,6 +29,11 @@
   /// Steps with more bytes of items are not forwarded: sending them takes
   /// longer than mPeerTimeout, and memory at both hosts.
   size_t mMaxForwardedBytes = size_t{ 2 } << 20U;
+  /// Limit for steps that may not run in this region. Below what PeerChannel
+  /// accepts, with room for what a message holds besides the items.
+  size_t mMaxRelocatedBytes = size_t{ 48 } << 20U;
+  /// Hosts of allowed regions to which such a step is sent one after another.
+  size_t mMaxRelocations = 3;
   /// Hosts of a region for each daemon that runs the steps of a model; at least
   /// one daemon does.
   size_t mHostsPerOwner = 8;
@@ -42,6 +48,9 @@
 /// @brief Forwards each step to a daemon of the region that runs the steps of
 /// its model. Large steps run where they arrive.
 ///
+/// A step that may not run in this region goes to a daemon of an allowed
+/// region instead, whatever its size, and never runs here.
+///
 /// Steps arrive at any daemon. If each daemon ran a few steps of each model, it
 /// would open as many connections to the model's replicas as a step has items,
 /// without knowing their load or speed. The record of a step is created only
@@ -59,15 +68,22 @@
              PeerSubmitCall aSubmitToPeer);
 
   /// @brief Submits the step to the daemon that should run it, and to this one
-  /// if that fails. aDeadline only applies to this daemon.
+  /// if that fails and the step may run in this region. aDeadline only applies
+  /// to this daemon and to steps that may not run here.
   Awaitable<steps::SubmitOutcome> Submit(steps::StepSubmission aSubmission,
                                          TimePoint aDeadline);
 
   /// @brief The daemon that should run the step, one that reaches replicas if
-  /// there is any; empty if none is available.
-  std::string OwnerOf(std::string_view aModel, std::string_view aStep) const;
+  /// there is any; empty if none is available. It is one of this region if
+  /// aAllowedRegions include it, otherwise one of any allowed region.
+  std::string OwnerOf(
+    std::string_view aModel,
+    std::string_view aStep,
+    const std::optional<fleet::RegionSet>& aAllowedRegions = {}) const;
 
 private:
+  using HostSet = std::set<std::string, std::less<>>;
+
   /// A daemon other than this one that should run a step.
   struct Owner
   {
@@ -75,7 +91,20 @@
     http::Endpoint mEndpoint;
   };
 
+  std::string ChooseOwner(
+    std::string_view aModel,
+    std::string_view aStep,
+    const std::optional<fleet::RegionSet>& aAllowedRegions,
+    const HostSet& aExcluded) const;
   std::optional<Owner> PeerFor(const steps::StepSubmission& aSubmission) const;
+  Awaitable<Result<steps::SubmitOutcome>> SubmitTo(
+    Owner aPeer,
+    steps::StepSubmission aSubmission,
+    Milliseconds aTimeout);
+  Awaitable<steps::SubmitOutcome> SubmitElsewhere(
+    steps::StepSubmission aSubmission,
+    fleet::RegionSet aAllowedRegions,
+    TimePoint aDeadline);
 
   StepRouterOptions mOptions;
   Clock mClock;
--- a/include/agatetide/policy/host_ranking.hpp
+++ b/include/agatetide/policy/host_ranking.hpp
@@ -18,6 +18,8 @@
   bool mDraining = false;
   /// Reaches no replica.
   bool mCutOff = false;
+  /// In a region that the routes of the caller allow, while others are not.
+  bool mPreferred = false;
 };
 
 /// @brief Account and location of a caller; empty members are unknown.
@@ -29,7 +31,8 @@
 };
 
 /// @brief Returns the indices of the hosts to use, best first: hosts in the
-/// caller's availability zone, then in its region, then the others. Within
+/// caller's availability zone, then in its region, then preferred ones, then
+/// the others. Within
 /// each group, rendezvous hashing by client account orders the hosts, so that
 /// accounts share few of them. Dead, draining and cut-off hosts are left out
 /// unless there are no others; cut-off ones are used before the other two.
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <utility>
+
 namespace agatetide::entry {
 
 namespace asio = boost::asio;
@@ -32,6 +34,7 @@
 /// Interval at which changes of the hosts are checked, so that changes of
 /// several hosts, which often come together, are handled at once.
 constexpr std::chrono::milliseconds kRecoverInterval{ 400 };
+constexpr std::chrono::milliseconds kRecoveryCallTimeout{ 500 };
 
 } // namespace
 
@@ -67,7 +70,8 @@
       },
       [relay = &daemon->mRelayServer](const http::Request& aRequest) {
         return relay->Handle(aRequest);
-      } },
+      },
+      [self = daemon.get()] { self->mRecoveryRequested = true; } },
     daemon->mOptions.mPeerResponses,
     daemon->mOptions.mBodyBudget);
   if (peers.has_error()) {
@@ -313,7 +317,12 @@
 Awaitable<Result<steps::SubmitOutcome>> EntryDaemon::SubmitForPeer(
   steps::StepSubmission aSubmission)
 {
-  if (!IsReady()) {
+  // The sender may have an older configuration.
+  if (!IsReady() ||
+      !fleet::Includes(
+        mView.Config()->AllowedRegions(
+          aSubmission.mHttpHost, aSubmission.mPath, aSubmission.mAccount),
+        mView.Region())) {
     co_return steps::SubmitOutcome::Refused;
   }
   const StepRouterOptions options;
@@ -567,8 +576,37 @@
   }
 }
 
+std::optional<fleet::RegionSet> EntryDaemon::RegionsOf(
+  const steps::StepRecord& aRecord) const
+{
+  const auto& config = mView.Config();
+  return config ? config->AllowedRegions(
+                    aRecord.mHttpHost, aRecord.mPath, aRecord.mAccount)
+                : std::nullopt;
+}
+
+/// Asks other daemons to look for steps without an owner. One that does not
+/// answer is asked again after the next sweep.
+Awaitable<void> EntryDaemon::RequestRecovery(std::set<std::string> aHosts)
+{
+  for (const std::string& host : aHosts) {
+    const auto endpoint = mView.PeerEndpoint(host);
+    if (endpoint.has_error()) {
+      continue;
+    }
+    const auto asked =
+      co_await mPeerChannel->RequestRecovery(*endpoint, kRecoveryCallTimeout);
+    LogEvent("recovery_requested")
+      .Field("host", host)
+      .Field("result",
+             asked.has_error() ? FormatError(asked.error()) : std::string("ok"))
+      .Write();
+  }
+}
+
 /// Takes over steps whose owner is gone: one daemon of the region does it, and
-/// the leader's sweep takes the remaining ones.
+/// the leader's sweep takes the remaining ones. Steps that may not run in the
+/// leader's region are left to a daemon of an allowed one, which it asks.
 Awaitable<void> EntryDaemon::RecoverLoop()
 {
   asio::steady_timer timer(mExecutor);
@@ -576,26 +614,41 @@
   while (!mDraining) {
     timer.expires_after(kRecoverInterval);
     co_await timer.async_wait(asio::use_awaitable);
-    mTakeoverPlan.Update(mView.Hosts());
+    mTakeoverPlan.Update(mView.Hosts(),
+                         mView.Config() && mView.Config()->RestrictsRegions());
     const bool sweep =
       mLeadership->MayAct() && mClock() - lastSweep >= kSweepInterval;
-    if (!mTakeoverPlan.ScanDue() && !mSteps.NeedsRecovery() && !sweep) {
+    if (!mTakeoverPlan.ScanDue() && !mSteps.NeedsRecovery() && !sweep &&
+        !mRecoveryRequested) {
       continue;
     }
+    const bool takeAll = sweep || std::exchange(mRecoveryRequested, false);
     std::set<std::string> liveOwners;
     for (const auto& [name, host] : mView.Hosts()) {
       liveOwners.insert(steps::OwnerName(name, host.mIncarnation));
     }
+    // Hosts of allowed regions, for steps that may not run in this one.
+    std::set<std::string> helpers;
     std::function<bool(const steps::StepRecord&)> takeOver =
-      [this, sweep](const steps::StepRecord& aRecord) {
-        return sweep || mTakeoverPlan.ShouldTakeOver(
-                          aRecord.mId, aRecord.mOwner, aRecord.mRegion);
+      [this, sweep, takeAll, &helpers](const steps::StepRecord& aRecord) {
+        const auto regions = RegionsOf(aRecord);
+        if (!fleet::Includes(regions, mView.Region())) {
+          if (sweep && !aRecord.mEnded) {
+            helpers.insert(mTakeoverPlan.ResponsibleHost(
+              aRecord.mId, aRecord.mRegion, regions));
+          }
+          return false;
+        }
+        return takeAll ||
+               mTakeoverPlan.ShouldTakeOver(
+                 aRecord.mId, aRecord.mOwner, aRecord.mRegion, regions);
       };
     const bool complete = co_await mSteps.Recover(
       std::move(liveOwners), std::move(takeOver), sweep);
     if (complete) {
       mTakeoverPlan.MarkScanned();
     }
+    co_await RequestRecovery(std::move(helpers));
     if (sweep) {
       lastSweep = mClock();
       mVersionUpdater->SetTokenDemand(mSteps.TokenDemand());
--- a/src/agatetide/entry/peer_channel.cpp
+++ b/src/agatetide/entry/peer_channel.cpp
@@ -14,6 +14,7 @@
 constexpr const char* kWatchTarget = "/watch";
 constexpr const char* kStoreTarget = "/store";
 constexpr const char* kSubmitTarget = "/step";
+constexpr const char* kRecoverTarget = "/recover";
 /// Replies to a submitted step.
 constexpr std::string_view kAccepted = "accepted";
 constexpr std::string_view kRefused = "refused";
@@ -121,6 +122,9 @@
   if (aRequest.mTarget == kWatchTarget) {
     return HandleWatch(std::move(aRequest));
   }
+  if (aRequest.mTarget == kRecoverTarget) {
+    return HandleRecover(std::move(aRequest));
+  }
   return RefuseUnknown(std::move(aRequest));
 }
 
@@ -154,6 +158,12 @@
     kOk, kContentType, std::string(OutcomeText(*outcome)));
 }
 
+Awaitable<http::Response> PeerChannel::HandleRecover(http::Request)
+{
+  mHandlers.mRecover();
+  co_return http::MakeResponse(kOk, kContentType, std::string(kAccepted));
+}
+
 Awaitable<http::Response> PeerChannel::HandleWatch(http::Request aRequest)
 {
   auto request = DecodePeerWatchRequest(aRequest.mBody);
@@ -234,6 +244,17 @@
   co_return reply;
 }
 
+Awaitable<Result<bool>> PeerChannel::RequestRecovery(http::Endpoint aPeer,
+                                                     Milliseconds aTimeout)
+{
+  const auto answer =
+    co_await Post(std::move(aPeer), kRecoverTarget, {}, aTimeout);
+  if (answer.has_error()) {
+    co_return answer.error();
+  }
+  co_return true;
+}
+
 Awaitable<Result<steps::SubmitOutcome>> PeerChannel::Submit(
   http::Endpoint aPeer,
   steps::StepSubmission aSubmission,
--- a/src/agatetide/entry/takeover_plan.cpp
+++ b/src/agatetide/entry/takeover_plan.cpp
@@ -15,14 +15,17 @@
 {
 }
 
-std::string TakeoverPlan::ResponsibleHost(std::string_view aKey,
-                                          std::string_view aRegion) const
+std::string TakeoverPlan::ResponsibleHost(
+  std::string_view aKey,
+  std::string_view aRegion,
+  const std::optional<fleet::RegionSet>& aAllowedRegions) const
 {
   std::string best;
   uint64_t bestHash = 0;
   for (const bool anyRegion : { false, true }) {
     for (const auto& [name, host] : mHosts) {
-      if (host.mDraining || (!anyRegion && host.mRegion != aRegion)) {
+      if (host.mDraining || (!anyRegion && host.mRegion != aRegion) ||
+          !fleet::Includes(aAllowedRegions, host.mRegion)) {
         continue;
       }
       const uint64_t hash = Hash64(name, Hash64(aKey));
@@ -39,10 +42,12 @@
 }
 
 void TakeoverPlan::Update(
-  const std::map<std::string, fleet::EntryHost, std::less<>>& aHosts)
+  const std::map<std::string, fleet::EntryHost, std::less<>>& aHosts,
+  bool aRestricted)
 {
   const auto previous = std::move(mHosts);
   mHosts = aHosts;
+  const std::string ownRegion = OwnRegion();
   bool changed = previous.size() != mHosts.size();
   for (const auto& [name, host] : previous) {
     const auto current = mHosts.find(name);
@@ -52,8 +57,13 @@
     }
     changed = true;
     std::string owner = steps::OwnerName(name, host.mIncarnation);
-    if (ResponsibleHost(owner, host.mRegion) == mSelf) {
-      mDepartedOwners.insert(std::move(owner));
+    // Only the host that is responsible in its own region can be responsible
+    // for a step of the owner that may run in some regions only.
+    const bool takeAll = ResponsibleHost(owner, host.mRegion) == mSelf;
+    if (takeAll ||
+        (aRestricted && ResponsibleHost(owner, ownRegion) == mSelf)) {
+      mDepartedOwners.insert_or_assign(std::move(owner),
+                                       DepartedOwner{ host.mRegion, takeAll });
     }
   }
   const bool inStartup = mClock() - mStartTime < mOptions.mStartupPeriod;
@@ -62,10 +72,28 @@
 
 bool TakeoverPlan::ShouldTakeOver(std::string_view aStep,
                                   std::string_view aOwner,
-                                  std::string_view aRegion) const
+                                  std::string_view aRegion,
+                                  const std::optional<fleet::RegionSet>&
+                                    aAllowedRegions) const
 {
-  return mDepartedOwners.contains(aOwner) ||
-         (mScanAll && ResponsibleHost(aStep, aRegion) == mSelf);
+  if (!fleet::Includes(aAllowedRegions, OwnRegion())) {
+    return false;
+  }
+  const auto departed = mDepartedOwners.find(aOwner);
+  if (departed != mDepartedOwners.end() &&
+      (departed->second.mTakeAll ||
+       ResponsibleHost(aOwner, departed->second.mRegion, aAllowedRegions) ==
+         mSelf)) {
+    return true;
+  }
+  return mScanAll &&
+         ResponsibleHost(aStep, aRegion, aAllowedRegions) == mSelf;
+}
+
+std::string TakeoverPlan::OwnRegion() const
+{
+  const auto self = mHosts.find(mSelf);
+  return self == mHosts.end() ? std::string() : self->second.mRegion;
 }
 
 void TakeoverPlan::MarkScanned()
--- a/src/agatetide/policy/host_ranking.cpp
+++ b/src/agatetide/policy/host_ranking.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-/// Returns 0 in the caller's availability zone, 1 in its region, 2 elsewhere.
+/// Returns 0 in the caller's availability zone, 1 in its region, 2 in a
+/// preferred region, 3 elsewhere.
 unsigned LocationDistance(const HostCandidate& aHost,
                           const CallerLocation& aCaller)
 {
@@ -17,7 +18,10 @@
       aHost.mAvailabilityZone == aCaller.mAvailabilityZone) {
     return 0;
   }
-  return !aCaller.mRegion.empty() && aHost.mRegion == aCaller.mRegion ? 1 : 2;
+  if (!aCaller.mRegion.empty() && aHost.mRegion == aCaller.mRegion) {
+    return 1;
+  }
+  return aHost.mPreferred ? 2 : 3;
 }
 
 enum class Availability
