--- a/src/agatetide/entry/replica_router_test.cpp
+++ b/src/agatetide/entry/replica_router_test.cpp
@@ -228,3 +228,28 @@
   cr_assert_eq(fixture.mDirect.size(), 1);
   cr_expect(fixture.mDirect[0].mOpenConnectionOnly);
 }
+
+// Guards against attempts that still go to a replica whose zone was evacuated
+// after it was chosen, directly or through another host.
+Test(replica_router, attempts_for_an_evacuated_zone_are_not_sent)
+{
+  Fixture fixture;
+  fleet::Replica replica;
+  replica.mId = "replica";
+  replica.mEndpoint = kReplica;
+  replica.mAvailabilityZone = "zone-2";
+  fixture.mView.PutReplica(std::move(replica));
+  fixture.mView.SetEvacuated("zone-2", true);
+  for (const bool cutOff : { false, true }) {
+    if (cutOff) {
+      fixture.CutOff();
+    }
+    const auto result = fixture.Call();
+    cr_assert(result.has_error());
+    cr_expect(result.error().mExecution == Execution::NotRun);
+    cr_expect(fixture.Stream().has_error());
+    cr_expect(fixture.mDirect.empty() && fixture.mAsked.empty());
+  }
+  fixture.mView.SetEvacuated("zone-2", false);
+  cr_expect(fixture.Call().has_value());
+}
--- a/src/agatetide/entry/step_router_test.cpp
+++ b/src/agatetide/entry/step_router_test.cpp
@@ -44,15 +44,30 @@
   }
 
   /// Submits a step of that model.
-  SubmitOutcome Submit()
+  SubmitOutcome Submit(size_t aBytes = 0)
   {
     steps::StepSubmission submission;
     submission.mModel = ModelOwnedByPeer();
+    submission.mAccount = "account";
+    submission.mItems.resize(1);
+    submission.mItems[0].mBody.resize(aBytes);
     return coordination::RunCoroutine(
       mStepRouter.Submit(submission, mClock.Now() + std::chrono::seconds(1)));
   }
 
+  /// Lets the account of the steps use these regions only.
+  void Restrict(fleet::RegionSet aRegions)
+  {
+    auto config = std::make_shared<fleet::ServiceConfig>();
+    config->mVersion = ++mConfigVersion;
+    config->mAccounts["account"].mAllowedRegions = std::move(aRegions);
+    mView.UpdateConfig(std::move(config));
+  }
+
   ManualClock mClock;
+  int64_t mConfigVersion = 0;
+  std::set<uint16_t> mPeerPorts;
+  Milliseconds mPeerTimeout{ 0 };
   fleet::FleetView mView{ mClock.AsClock(), "zone", "region" };
   Result<SubmitOutcome> mPeerOutcome = SubmitOutcome::Accepted;
   SubmitOutcome mLocalOutcome = SubmitOutcome::Accepted;
@@ -67,10 +82,12 @@
       ++mLocalCalls;
       co_return mLocalOutcome;
     },
-    [this](http::Endpoint,
+    [this](http::Endpoint aPeer,
            steps::StepSubmission,
-           Milliseconds) -> Awaitable<Result<SubmitOutcome>> {
+           Milliseconds aTimeout) -> Awaitable<Result<SubmitOutcome>> {
       ++mPeerCalls;
+      mPeerPorts.insert(aPeer.mPort);
+      mPeerTimeout = aTimeout;
       co_return mPeerOutcome;
     }
   };
@@ -142,3 +159,56 @@
   refused.mPeerOutcome = SubmitOutcome::Refused;
   cr_expect(refused.Submit() == SubmitOutcome::Refused);
 }
+
+// Guards against a step that runs, or whose items go, where its regions do not
+// allow it, also if it is large or no other host accepts it.
+Test(step_placer, a_step_for_another_region_goes_only_there)
+{
+  const size_t sizes[] = { 0, size_t{ 5 } << 20U };
+  for (const size_t bytes : sizes) {
+    Fixture fixture;
+    fixture.Restrict({ "elsewhere" });
+    cr_expect(fixture.Submit(bytes) == SubmitOutcome::Accepted);
+    cr_expect(fixture.mPeerPorts == std::set<uint16_t>{ 99 });
+    // A large step takes longer to send.
+    cr_expect(fixture.mPeerTimeout >
+                StepRouterOptions().mPeerTimeout - Milliseconds(1) ||
+              bytes == 0);
+    fixture.mPeerOutcome = SubmitOutcome::Refused;
+    cr_expect(fixture.Submit(bytes) == SubmitOutcome::Refused);
+    cr_expect(fixture.mPeerPorts == std::set<uint16_t>{ 99 });
+    cr_expect_eq(fixture.mLocalCalls, 0);
+  }
+}
+
+// Guards against a refusal of a step that a host of its region may have stored,
+// and against an endless search.
+Test(step_placer, a_step_that_may_exist_in_its_region_is_not_refused)
+{
+  Fixture fixture(0);
+  fixture.Restrict({ "elsewhere" });
+  fixture.mPeerOutcome = Error{
+    ErrorKind::DeadlineExceeded, "no answer", "retry", Execution::Unknown
+  };
+  cr_expect(fixture.Submit() == SubmitOutcome::Unknown);
+  cr_expect_eq(fixture.mPeerCalls, 1);
+  // The host gets no steps for a while.
+  cr_expect(fixture.Submit() == SubmitOutcome::Refused);
+  cr_expect_eq(fixture.mPeerCalls, 1);
+  cr_expect_eq(fixture.mLocalCalls, 0);
+}
+
+// Guards against steps that leave their region although it is allowed, or that
+// run although no region is.
+Test(step_placer, an_allowed_own_region_is_used_first)
+{
+  Fixture fixture;
+  fixture.Restrict({ "region", "elsewhere" });
+  cr_expect(fixture.Submit() == SubmitOutcome::Accepted);
+  cr_expect(!fixture.mPeerPorts.contains(99));
+  fixture.mPeerPorts.clear();
+  fixture.Restrict({});
+  cr_expect(fixture.Submit() == SubmitOutcome::Refused);
+  cr_expect(fixture.mPeerPorts.empty());
+  cr_expect_eq(fixture.mLocalCalls, 0);
+}
--- a/src/agatetide/entry/takeover_plan_test.cpp
+++ b/src/agatetide/entry/takeover_plan_test.cpp
@@ -94,3 +94,71 @@
   }
   cr_expect(takeovers == 1);
 }
+
+// Guards against a step that a host outside its allowed regions takes over, or
+// that none takes over since the hosts of the owner's region are all gone.
+Test(takeover_plan, a_restricted_step_is_taken_over_in_its_regions)
+{
+  using Regions = std::optional<fleet::RegionSet>;
+  const Regions cases[] = { Regions({ "even" }),
+                            Regions({ "odd", "even" }),
+                            Regions({ "odd" }),
+                            Regions(fleet::RegionSet{ "third" }),
+                            std::nullopt };
+  for (const bool young : { false, true }) {
+    ManualClock clock;
+    Hosts hosts = MakeHosts(6);
+    for (const char* name : { "host-6", "host-7" }) {
+      fleet::EntryHost host;
+      host.mName = name;
+      host.mRegion = "third";
+      host.mIncarnation = "1";
+      hosts[name] = host;
+    }
+    auto plans = MakePlans(hosts, clock);
+    for (const char* name : { "host-1", "host-3", "host-5" }) {
+      hosts.erase(name);
+    }
+    std::vector<std::vector<std::string>> takers(std::size(cases));
+    size_t i = 0;
+    for (const auto& [name, host] : MakeHosts(8)) {
+      if (!hosts.contains(name)) {
+        ++i;
+        continue;
+      }
+      TakeoverPlan fresh({}, clock.AsClock(), name);
+      TakeoverPlan& plan = young ? fresh : plans[i];
+      ++i;
+      plan.Update(hosts, true);
+      for (size_t c = 0; c < std::size(cases); ++c) {
+        if (plan.ShouldTakeOver("step", "host-1#1", "odd", cases[c])) {
+          takers[c].push_back(hosts[name].mRegion);
+        }
+      }
+    }
+    using Takers = std::vector<std::string>;
+    cr_expect(takers[0] == Takers{ "even" });
+    cr_expect(takers[1] == Takers{ "even" });
+    cr_expect(takers[2].empty());
+    cr_expect(takers[3] == Takers{ "third" });
+    cr_expect_eq(takers[4].size(), 1);
+  }
+}
+
+// Guards against one scan of each region for each host that ends in
+// deployments without restrictions.
+Test(takeover_plan, other_regions_scan_only_with_restricted_steps)
+{
+  for (const bool restricted : { false, true }) {
+    ManualClock clock;
+    Hosts hosts = MakeHosts(20);
+    auto plans = MakePlans(hosts, clock);
+    hosts.erase("host-7");
+    size_t scanning = 0;
+    for (TakeoverPlan& plan : plans) {
+      plan.Update(hosts, restricted);
+      scanning += plan.ScanDue() ? 1 : 0;
+    }
+    cr_expect_eq(scanning, restricted ? 2 : 1);
+  }
+}
