--- a/include/agatetide/entry/peer_channel.hpp
+++ b/include/agatetide/entry/peer_channel.hpp
@@ -26,9 +26,9 @@
 };
 
 /// @brief Client and server for requests between daemons: watches, store calls,
-/// step submissions and requests to look for steps without an owner. Sends cereal messages over HTTP, on addresses that
-/// only hosts of the deployment can reach. Not thread-safe: use it only on the
-/// executor of the daemon.
+/// step submissions and requests to look for steps without an owner. Sends
+/// cereal messages over HTTP, on addresses that only hosts of the deployment
+/// can reach. Not thread-safe: use it only on the executor of the daemon.
 class PeerChannel
 {
 public:
--- a/include/agatetide/entry/takeover_plan.hpp
+++ b/include/agatetide/entry/takeover_plan.hpp
@@ -33,8 +33,9 @@
 
   /// @brief Updates the plan with the current hosts. aRestricted: whether the
   /// configuration restricts the regions of any step.
-  void Update(const std::map<std::string, fleet::EntryHost, std::less<>>& aHosts,
-              bool aRestricted = false);
+  void Update(
+    const std::map<std::string, fleet::EntryHost, std::less<>>& aHosts,
+    bool aRestricted = false);
 
   /// @brief Whether this daemon has to scan the records of steps.
   bool ScanDue() const { return mScanAll || !mDepartedOwners.empty(); }
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -319,10 +319,10 @@
 {
   // The sender may have an older configuration.
   if (!IsReady() ||
-      !fleet::Includes(
-        mView.Config()->AllowedRegions(
-          aSubmission.mHttpHost, aSubmission.mPath, aSubmission.mAccount),
-        mView.Region())) {
+      !fleet::Includes(mView.Config()->AllowedRegions(aSubmission.mHttpHost,
+                                                      aSubmission.mPath,
+                                                      aSubmission.mAccount),
+                       mView.Region())) {
     co_return steps::SubmitOutcome::Refused;
   }
   const StepRouterOptions options;
--- a/src/agatetide/entry/replica_relay_test.cpp
+++ b/src/agatetide/entry/replica_relay_test.cpp
@@ -23,12 +23,8 @@
   replica.mAvailabilityZone = "zone-2";
   view.PutReplica(std::move(replica));
   view.SetEvacuated("zone-2", true);
-  request::ReachabilityMonitor monitor({},
-                                       context.get_executor(),
-                                       view,
-                                       {},
-                                       clock,
-                                       SeededRandom(1));
+  request::ReachabilityMonitor monitor(
+    {}, context.get_executor(), view, {}, clock, SeededRandom(1));
   RelayServer server({}, context.get_executor(), view, monitor, {}, {});
   RelayRequest relay;
   relay.mRequest.mReplicaId = "replica";
--- a/src/agatetide/entry/replica_router.cpp
+++ b/src/agatetide/entry/replica_router.cpp
@@ -165,7 +165,8 @@
   for (const std::string& name : Peers(aRequest, isStream)) {
     const fleet::Replica* replica = mView.FindReplica(aRequest.mReplicaId);
     const bool draining = replica != nullptr && replica->mDraining;
-    if (draining || IsEvacuated(aRequest) || IsCanceled(aCancel) || mClock() >= aRequest.mDeadline) {
+    if (draining || IsEvacuated(aRequest) || IsCanceled(aCancel) ||
+        mClock() >= aRequest.mDeadline) {
       break;
     }
     const auto endpoint = mView.PeerEndpoint(name);
--- a/src/agatetide/entry/step_router.cpp
+++ b/src/agatetide/entry/step_router.cpp
@@ -101,8 +101,8 @@
   Milliseconds aTimeout)
 {
   const std::string step = aSubmission.mId;
-  auto forwarded = co_await mSubmitToPeer(
-    aPeer.mEndpoint, std::move(aSubmission), aTimeout);
+  auto forwarded =
+    co_await mSubmitToPeer(aPeer.mEndpoint, std::move(aSubmission), aTimeout);
   if (forwarded.has_value() && *forwarded == SubmitOutcome::Accepted) {
     co_return forwarded;
   }
@@ -134,8 +134,8 @@
          tried.size() < mOptions.mMaxRelocations) {
     const auto timeLeft =
       std::chrono::duration_cast<Milliseconds>(aDeadline - mClock());
-    const std::string owner = ChooseOwner(
-      aSubmission.mModel, aSubmission.mId, aAllowedRegions, tried);
+    const std::string owner =
+      ChooseOwner(aSubmission.mModel, aSubmission.mId, aAllowedRegions, tried);
     if (owner.empty() || timeLeft <= Milliseconds(0)) {
       break;
     }
--- a/src/agatetide/entry/stream_forwarder.cpp
+++ b/src/agatetide/entry/stream_forwarder.cpp
@@ -67,10 +67,9 @@
   const std::string id = aRequest.mPrototype.mId;
   const std::string httpHost = aRequest.mRoute.mHttpHost;
   if (aFirstRequestId) {
-    auto origin =
-      co_await FindOrigin(aRequest.mRoute,
-                          aRequest.mPrototype.mAllowedRegions,
-                          std::string(*aFirstRequestId));
+    auto origin = co_await FindOrigin(aRequest.mRoute,
+                                      aRequest.mPrototype.mAllowedRegions,
+                                      std::string(*aFirstRequestId));
     LogEvent("stream_continued")
       .Field("request_id", id)
       .Field("first_request_id", *aFirstRequestId)
--- a/src/agatetide/entry/takeover_plan.cpp
+++ b/src/agatetide/entry/takeover_plan.cpp
@@ -70,11 +70,11 @@
   mScanAll = mScanAll || (changed && inStartup);
 }
 
-bool TakeoverPlan::ShouldTakeOver(std::string_view aStep,
-                                  std::string_view aOwner,
-                                  std::string_view aRegion,
-                                  const std::optional<fleet::RegionSet>&
-                                    aAllowedRegions) const
+bool TakeoverPlan::ShouldTakeOver(
+  std::string_view aStep,
+  std::string_view aOwner,
+  std::string_view aRegion,
+  const std::optional<fleet::RegionSet>& aAllowedRegions) const
 {
   if (!fleet::Includes(aAllowedRegions, OwnRegion())) {
     return false;
@@ -86,8 +86,7 @@
          mSelf)) {
     return true;
   }
-  return mScanAll &&
-         ResponsibleHost(aStep, aRegion, aAllowedRegions) == mSelf;
+  return mScanAll && ResponsibleHost(aStep, aRegion, aAllowedRegions) == mSelf;
 }
 
 std::string TakeoverPlan::OwnRegion() const
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -71,8 +71,8 @@
     return false;
   }
   const fleet::Route route = *found;
-  aStep->mAllowedRegions = mContext.mView.Config()->AllowedRegions(
-    route, aStep->mRecord.mAccount);
+  aStep->mAllowedRegions =
+    mContext.mView.Config()->AllowedRegions(route, aStep->mRecord.mAccount);
   const TimePoint now = mContext.mClock();
   for (const bool started : { true, false }) {
     for (const size_t index : aStep->mStartOrder) {
@@ -109,7 +109,8 @@
                         const fleet::Replica& aReplica) const
 {
   return HasWeights(aStep, aReplica) &&
-         mContext.mView.MayUse(aReplica, aStep.mAllowedRegions) && mContext.mPool.IsUsable(aReplica);
+         mContext.mView.MayUse(aReplica, aStep.mAllowedRegions) &&
+         mContext.mPool.IsUsable(aReplica);
 }
 
 /// Whether an item that no replica can continue now should start again on
