--- a/include/agatetide/policy/item_placement.hpp
+++ b/include/agatetide/policy/item_placement.hpp
@@ -103,8 +103,8 @@
   /// @brief Whether the observations cover the window.
   bool IsFull() const;
 
-  /// @brief Time per event over the window; infinite if there was no event.
-  /// Precondition: IsFull().
+  /// @brief Time per event over the window; all of the window if there was no
+  /// event. Precondition: IsFull().
   double SecondsPerEvent() const;
 
 private:
--- a/include/agatetide/policy/step_schedule.hpp
+++ b/include/agatetide/policy/step_schedule.hpp
@@ -33,6 +33,8 @@
   /// Events generated so far.
   double mEvents = 0.0;
   ItemPhase mPhase = ItemPhase::Waiting;
+  /// Time per event of the current stream relative to the usual one.
+  double mSlowness = 1.0;
 };
 
 /// @brief A group of items that share a prompt.
--- a/src/agatetide/policy/item_placement.cpp
+++ b/src/agatetide/policy/item_placement.cpp
@@ -83,9 +83,8 @@
 double StreamWindow::SecondsPerEvent() const
 {
   const size_t events = mSamples.back().mEvents - mSamples.front().mEvents;
-  return events == 0 ? std::numeric_limits<double>::infinity()
-                     : (mSamples.back().mTime - mSamples.front().mTime) /
-                         static_cast<double>(events);
+  return (mSamples.back().mTime - mSamples.front().mTime) /
+         static_cast<double>(std::max<size_t>(1, events));
 }
 
 MoveBenefit EstimateMove(const PacedItemProgress& aItem,
--- a/src/agatetide/policy/step_schedule.cpp
+++ b/src/agatetide/policy/step_schedule.cpp
@@ -55,7 +55,8 @@
   return count == 0 ? kDefaultTokens : sum / static_cast<double>(count);
 }
 
-/// Expected events left, by item.
+/// Expected events left, by item; more for slow streams, by the usual events in
+/// the time that they need.
 std::vector<double> RemainingEvents(std::span<const ScheduledItem> aItems)
 {
   const double usual = UsualTokens(aItems);
@@ -67,8 +68,9 @@
     remaining.push_back(
       item.mPhase == ItemPhase::Finished
         ? 0.0
-        : std::max(
-            { 1.0, expected - item.mEvents, item.mEvents * kOverrunShare }));
+        : item.mSlowness *
+            std::max(
+              { 1.0, expected - item.mEvents, item.mEvents * kOverrunShare }));
   }
   return remaining;
 }
--- a/src/agatetide/policy/step_schedule_test.cpp
+++ b/src/agatetide/policy/step_schedule_test.cpp
@@ -366,6 +366,17 @@
   cr_expect_not(IsNeeded(PlanItems(items, {}), 4));
 }
 
+// Guards against waiting for a group on a slow replica.
+Test(step_schedule, a_spare_group_replaces_one_on_a_slow_replica)
+{
+  std::vector<ScheduledItem> items{
+    { 30 }, { 30 }, { 30 }, { 40, 10.0, ItemPhase::Running }, { 60 }
+  };
+  cr_expect_not(IsNeeded(PlanItems(items, {}), 4));
+  items[3].mSlowness = 3.5;
+  cr_expect(IsNeeded(PlanItems(items, {}), 4));
+}
+
 // Guards against spare groups that take slots from needed items, or are only
 // canceled when the step ends; and against a step that stays open because the
 // trainer waits for a group that was never started.
--- a/src/agatetide/steps/step_planning.cpp
+++ b/src/agatetide/steps/step_planning.cpp
@@ -24,6 +24,11 @@
 /// Spare groups of a step are logged at most this often.
 constexpr std::chrono::seconds kSpareLogInterval{ 1 };
 
+/// Streams with fewer events are planned at the usual speed.
+constexpr unsigned kMinMeasuredEvents = 10;
+/// Bounds the slowness of a stream that gets no events for a moment.
+constexpr double kMaxSlowness = 10.0;
+
 policy::ItemPhase PhaseOf(ItemRun::State aState)
 {
   switch (aState) {
@@ -38,6 +43,21 @@
   return policy::ItemPhase::Finished;
 }
 
+/// Time per event of the item's stream relative to the usual one, at least 1.
+double SlownessOf(const ItemRun& aRun,
+                  TimePoint aNow,
+                  double aUsualSecondsPerEvent)
+{
+  if (aRun.mState != ItemRun::State::Running ||
+      aRun.mStreamEventCount < kMinMeasuredEvents) {
+    return 1.0;
+  }
+  return std::clamp(Seconds(aNow - aRun.mStreamStart) / aRun.mStreamEventCount /
+                      aUsualSecondsPerEvent,
+                    1.0,
+                    kMaxSlowness);
+}
+
 const std::string& NameOf(const OwnedStep& aStep, size_t aGroup)
 {
   return aStep.mItems[aStep.mGroups[aGroup].mItems.front()].mGroup;
@@ -117,26 +137,28 @@
   if (!aStep.mPlanChanged && now - aStep.mPlannedAt < kPlanLifetime) {
     return;
   }
+  const double measured = mSpeeds.MedianSecondsPerEvent();
+  const double usual = measured > 0.0 ? measured : kUsualSecondsPerEvent;
   std::vector<policy::ScheduledItem> items;
   items.reserve(aStep.mItems.size());
   for (size_t i = 0; i < aStep.mItems.size(); ++i) {
     const ItemRun& run = aStep.mRuns[i];
     items.push_back({ static_cast<double>(aStep.mItems[i].mExpectedTokens),
                       static_cast<double>(run.mText.Events().size()),
-                      PhaseOf(run.mState) });
+                      PhaseOf(run.mState),
+                      SlownessOf(run, now, usual) });
   }
   const Milliseconds timeout = FindRoute(aStep)->mResultTimeout;
   const Milliseconds dueIn =
     Milliseconds(aStep.mRecord.mSubmittedMs - mContext.mWallClock()) +
     (timeout > Milliseconds::zero() ? timeout : Milliseconds(kNoDeadline));
-  const double measured = mSpeeds.MedianSecondsPerEvent();
   policy::ScheduledStep step;
   step.mItems = items;
   step.mGroups = aStep.mGroups;
   step.mDesired = aStep.mRecord.mDesiredGroups;
   step.mNow = Seconds(now.time_since_epoch());
   step.mDue = step.mNow + Seconds(dueIn);
-  step.mSecondsPerEvent = measured > 0.0 ? measured : kUsualSecondsPerEvent;
+  step.mSecondsPerEvent = usual;
   const bool wasFinished = aStep.mPlan.mNeededFinished;
   aStep.mPlan = policy::PlanStep(step, mOrderPolicy);
   aStep.mPlannedAt = now;
@@ -152,6 +174,7 @@
 {
   const TimePoint now = mContext.mClock();
   std::vector<size_t> spare;
+  spare.reserve(aStep.mPlan.mSpare.size());
   for (const policy::SpareGroup& group : aStep.mPlan.mSpare) {
     spare.push_back(group.mGroup);
   }
@@ -180,6 +203,7 @@
 void StepRunner::StartScheduledItems(std::span<const OwnedStepPtr> aSteps)
 {
   std::vector<const policy::StepPlan*> plans;
+  plans.reserve(aSteps.size());
   for (const OwnedStepPtr& step : aSteps) {
     UpdatePlan(*step);
     plans.push_back(&step->mPlan);
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -610,7 +610,7 @@
 
 /// The time for which a step was open. The record does not tell when it was
 /// ended: it was between the last look that found it open and the first one
-/// that found it ended.
+/// that found it ended, and usually before its results were due.
 policy::RecentStep StepService::ObserveStep(const StepRecord& aRecord,
                                             const fleet::Route& aRoute)
 {
@@ -620,7 +620,8 @@
   if (!aRecord.mEnded) {
     time.mOpenMs = age;
   } else if (time.mEndedMs == 0) {
-    time.mEndedMs = age;
+    time.mEndedMs =
+      std::min(age, std::max(time.mOpenMs, aRoute.mResultTimeout.count()));
   }
   constexpr double kMillisecondsPerSecond = 1000.0;
   const double openMs =
