--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -651,7 +651,8 @@
     co_await RequestRecovery(std::move(helpers));
     if (sweep) {
       lastSweep = mClock();
-      mVersionUpdater->SetTokenDemand(mSteps.TokenDemand());
+      mVersionUpdater->SetTokenDemand(mSteps.TokenDemand(),
+                                      mSteps.DemandRule());
       mAutoscaler->SetPeakItems(mSteps.PeakItems());
     }
   }
