--- a/include/agatetide/entry/peer_channel.hpp
+++ b/include/agatetide/entry/peer_channel.hpp
@@ -21,6 +21,12 @@
     mSubmit;
   /// Handles the requests of RelayClient.
   std::function<http::Response(const http::Request&)> mRelay;
+  /// Load reports for a message to another daemon, at most as many bytes; empty
+  /// if there are none. May be an empty function.
+  std::function<std::string(size_t)> mExportLoads;
+  /// Takes the load reports of a message that has arrived, and the address of
+  /// the host that sent it. May be an empty function.
+  std::function<void(std::string_view, std::string_view)> mImportLoads;
 };
 
 /// @brief Client and server for requests between daemons: watches, store calls
@@ -66,6 +72,10 @@
 private:
   PeerChannel(std::unique_ptr<http::Client> aClient, PeerHandlers aHandlers);
   Awaitable<http::Response> Handle(http::Request aRequest);
+  Awaitable<http::Response> Dispatch(http::Request aRequest);
+  void AddLoads(std::vector<http::Header>& aHeaders) const;
+  void ImportLoads(const std::vector<http::Header>& aHeaders,
+                   std::string_view aSender) const;
   Awaitable<http::Response> HandleWatch(http::Request aRequest);
   Awaitable<http::Response> HandleStore(http::Request aRequest);
   Awaitable<http::Response> HandleSubmit(http::Request aRequest);
--- a/include/agatetide/request/replica_pool.hpp
+++ b/include/agatetide/request/replica_pool.hpp
@@ -3,8 +3,10 @@
 #include "agatetide/base/clock.hpp"
 #include "agatetide/base/random.hpp"
 #include "agatetide/fleet/fleet_view.hpp"
+#include "agatetide/policy/load_choice.hpp"
 #include "agatetide/policy/outlier_ejection.hpp"
 #include "agatetide/policy/replica_choice.hpp"
+#include "agatetide/request/load_table.hpp"
 #include "agatetide/request/request_limits.hpp"
 #include "agatetide/request/upstream.hpp"
 
@@ -76,6 +78,7 @@
     ReplicaPool* mPool;
     fleet::Replica mReplica;
     SuspectKind mSuspect;
+    TimePoint mStartedAt;
   };
 
   /// @brief Chooses a replica and logs the choice. Returns std::nullopt if no
@@ -103,9 +106,47 @@
   void RecordAttempt(const fleet::Replica& aReplica,
                      const AttemptResult& aResult);
 
-  /// @brief Records the load that a replica reported with a response.
+  /// @brief Records the load that a replica reported with a response that is
+  /// complete. Does not change the estimate of the replica: the load was
+  /// reported in the header, which may have arrived seconds earlier.
   void RecordLoad(std::string_view aReplicaId, const ReportedLoad& aLoad);
 
+  /// @brief Records the load in the header of a response that arrives now, for
+  /// the estimate of the replica.
+  void RecordHeaderLoad(std::string_view aReplicaId, const ReportedLoad& aLoad)
+  {
+    mTable.Record(aReplicaId, aLoad);
+  }
+
+  /// @brief Selects how replicas are chosen. LeastRequests is the baseline to
+  /// compare with, and serves services without a reported pace in any case.
+  void SetChoicePolicy(policy::ReplicaChoicePolicy aPolicy)
+  {
+    mChoicePolicy = aPolicy;
+  }
+
+  /// @brief Whether requests to the service are placed by expected time.
+  bool UsesEstimates(std::string_view aService) const;
+
+  /// @brief Estimated load of a replica, its pace and the age of the report.
+  policy::EstimatedLoad Estimate(const fleet::Replica& aReplica) const
+  {
+    return mTable.Estimate(aReplica);
+  }
+
+  /// @brief The replica with its estimate, for policy::ChooseByExpectedTime().
+  policy::LoadCandidate MakeLoadCandidate(const fleet::Replica& aReplica) const;
+
+  /// @brief As LoadTable::Export().
+  std::string ExportLoads(size_t aMaxBytes) { return mTable.Export(aMaxBytes); }
+
+  /// @brief Accepts the newer ones of the reports in a message that arrives
+  /// now. A message that is malformed is ignored, and logged once for each
+  /// sender. aSender is the address of the host.
+  void ImportLoads(std::string_view aText, std::string_view aSender);
+
+  const LoadTable::Counters& LoadCounters() const { return mTable.Count(); }
+
   /// @brief The request limits of the replicas. No replica is chosen or
   /// reserved whose limit leaves no request to this host.
   RequestLimits& Limits() { return mLimits; }
@@ -122,7 +163,7 @@
   uint32_t RunningRequests(std::string_view aReplicaId) const;
 
   /// @brief Estimated number of requests of all daemons that run or wait on
-  /// the replica.
+  /// the replica, by the method that is used for its service.
   double EstimatedRequests(const fleet::Replica& aReplica) const;
 
   /// @brief Whether the replica is neither draining nor blocked, and its limit
@@ -154,6 +195,7 @@
   void Release(const std::string& aReplicaId, SuspectKind aSuspect);
   Candidates FindCandidates(const ReplicaFilter& aFilter);
   std::optional<size_t> Choose(Candidates& aCandidates, SuspectKind aSuspect);
+  std::optional<size_t> ChooseIncluded(Candidates& aCandidates);
   std::string EjectionGroup(const fleet::Replica& aReplica) const;
 
   const fleet::FleetView& mView;
@@ -162,6 +204,11 @@
   std::map<std::string, Load, std::less<>> mLoads;
   policy::OutlierEjection mEjection{ policy::OutlierEjectionOptions{} };
   RequestLimits mLimits;
+  LoadTable mTable;
+  policy::ReplicaChoicePolicy mChoicePolicy =
+    policy::ReplicaChoicePolicy::ExpectedTime;
+  /// Addresses of hosts that sent reports which could not be read.
+  std::set<std::string, std::less<>> mUnreadableSenders;
   /// For policy::ChooseReplica().
   uint64_t mRoundRobinCounter = 0;
 };
--- a/include/agatetide/request/upstream.hpp
+++ b/include/agatetide/request/upstream.hpp
@@ -16,6 +16,17 @@
 
 namespace agatetide::request {
 
+/// @brief Load of a replica as reported in a response.
+struct ReportedLoad
+{
+  uint32_t mRunning = 0;
+  uint32_t mQueued = 0;
+  uint32_t mSlots = 0;
+  /// How long work takes there at the moment, relative to the usual time;
+  /// std::nullopt if the replica does not report it.
+  std::optional<double> mPace;
+};
+
 /// @brief What the header of a response says of its replica.
 struct ReplicaReport
 {
@@ -26,6 +37,9 @@
   TimePoint mSentAt{};
   /// The replica is leaving and takes no new requests.
   bool mDraining = false;
+  /// std::nullopt if the header carries no load, or if another host received
+  /// it and passed the report on.
+  std::optional<ReportedLoad> mLoad;
 };
 
 /// @brief Receives the report of each response of the replica that a request
@@ -68,14 +82,6 @@
   ReplicaReportSink mOnReport;
 };
 
-/// @brief Load of a replica as reported in a response.
-struct ReportedLoad
-{
-  uint32_t mRunning = 0;
-  uint32_t mQueued = 0;
-  uint32_t mSlots = 0;
-};
-
 /// @brief Where a stream began. Only replicas of the same service and software
 /// version can continue it.
 struct StreamOrigin
--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatetide/base/memory_budget.hpp"
+#include "agatetide/base/random.hpp"
 #include "agatetide/policy/item_placement.hpp"
 #include "agatetide/policy/replica_speeds.hpp"
 #include "agatetide/request/forwarder.hpp"
@@ -37,6 +38,8 @@
   std::shared_ptr<MemoryBudget> mTextBudget;
   /// For the items of steps that run; null if unlimited.
   std::shared_ptr<MemoryBudget> mItemBudget;
+  /// Must not be empty. For the choice of replicas.
+  Random mRandom = ProcessRandom();
 };
 
 /// @brief The progress of one item: the sample generated so far, and the
@@ -242,6 +245,12 @@
   Awaitable<void> RunCheckpoint(OwnedStepPtr aStep);
   Awaitable<void> CheckpointStep(OwnedStepPtr aStep);
   bool StartItemsOfStep(const OwnedStepPtr& aStep);
+  policy::LoadCandidate MakeItemEstimate(
+    const fleet::Replica& aReplica,
+    const policy::ItemCandidate& aItem) const;
+  std::optional<size_t> ChooseItemReplica(
+    const std::vector<policy::ItemCandidate>& aCandidates,
+    const std::vector<policy::LoadCandidate>& aEstimates) const;
   bool StartItem(const OwnedStepPtr& aStep,
                  size_t aIndex,
                  const fleet::Route& aRoute);
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -67,6 +67,13 @@
       },
       [relay = &daemon->mRelayServer](const http::Request& aRequest) {
         return relay->Handle(aRequest);
+      },
+      [pool = &daemon->mPool](size_t aMaxBytes) {
+        return pool->ExportLoads(aMaxBytes);
+      },
+      [pool = &daemon->mPool](std::string_view aLoads,
+                              std::string_view aSender) {
+        pool->ImportLoads(aLoads, aSender);
       } },
     daemon->mOptions.mPeerResponses,
     daemon->mOptions.mBodyBudget);
@@ -476,6 +483,9 @@
                         next = std::move(aRequest.mOnReport)](
                          const request::ReplicaReport& aReport) {
     mPool.Limits().Record(replica, { aReport.mRequestLimit, aReport.mSentAt });
+    if (aReport.mLoad) {
+      mPool.RecordHeaderLoad(replica, *aReport.mLoad);
+    }
     if (aReport.mDraining) {
       mReplicas.RecordDraining(replica);
     }
--- a/src/agatetide/entry/peer_channel.cpp
+++ b/src/agatetide/entry/peer_channel.cpp
@@ -11,6 +11,11 @@
 /// Version of the messages between daemons. Builds without the header have 1.
 constexpr int kProtocolVersion = 2;
 constexpr const char* kVersionHeader = "agatetide-peer-version";
+/// Load reports of replicas, request::EncodeLoads(). Builds without it ignore
+/// it.
+constexpr const char* kLoadsHeader = "agatetide-loads";
+/// Leaves most of the 16 KiB of a header to others.
+constexpr size_t kMaxLoadsBytes = 2048;
 constexpr const char* kWatchTarget = "/watch";
 constexpr const char* kStoreTarget = "/store";
 constexpr const char* kSubmitTarget = "/step";
@@ -107,7 +112,35 @@
   return channel;
 }
 
+void PeerChannel::AddLoads(std::vector<http::Header>& aHeaders) const
+{
+  if (!mHandlers.mExportLoads) {
+    return;
+  }
+  std::string loads = mHandlers.mExportLoads(kMaxLoadsBytes);
+  if (!loads.empty()) {
+    aHeaders.push_back({ kLoadsHeader, std::move(loads) });
+  }
+}
+
+void PeerChannel::ImportLoads(const std::vector<http::Header>& aHeaders,
+                              std::string_view aSender) const
+{
+  const std::string_view loads = http::FindHeader(aHeaders, kLoadsHeader);
+  if (mHandlers.mImportLoads && !loads.empty()) {
+    mHandlers.mImportLoads(loads, aSender);
+  }
+}
+
 Awaitable<http::Response> PeerChannel::Handle(http::Request aRequest)
+{
+  ImportLoads(aRequest.mHeaders, aRequest.mRemoteAddress);
+  http::Response response = co_await Dispatch(std::move(aRequest));
+  AddLoads(response.mHeaders);
+  co_return response;
+}
+
+Awaitable<http::Response> PeerChannel::Dispatch(http::Request aRequest)
 {
   if (aRequest.mTarget == kStoreTarget) {
     return HandleStore(std::move(aRequest));
@@ -191,6 +224,8 @@
   request.mHeaders.push_back({ "content-type", std::string(kContentType) });
   request.mHeaders.push_back(
     { kVersionHeader, std::to_string(kProtocolVersion) });
+  AddLoads(request.mHeaders);
+  const std::string peerAddress = aPeer.mAddress;
   http::CallOptions options;
   options.mDeadline = std::chrono::steady_clock::now() + aTimeout;
   auto answer = co_await mClient->Call(
@@ -198,6 +233,7 @@
   if (answer.has_error()) {
     co_return answer.error();
   }
+  ImportLoads(answer->mHeaders, peerAddress);
   if (answer->mStatus != kOk) {
     co_return http::ParseErrorResponse(*answer);
   }
--- a/src/agatetide/request/replica_pool.cpp
+++ b/src/agatetide/request/replica_pool.cpp
@@ -13,6 +13,8 @@
 constexpr std::chrono::seconds kReportLifetime{ 2 };
 /// Until another replica serves where the operator replaces them.
 constexpr std::chrono::milliseconds kUsualReplacementTime{ 1000 };
+/// Bounds the memory of the names of hosts whose reports cannot be read.
+constexpr size_t kMaxUnreadableSenders = 1000;
 
 } // namespace
 
@@ -24,6 +26,7 @@
   , mClock(std::move(aClock))
   , mRandom(std::move(aRandom))
   , mLimits(aView, std::move(aHost), mClock)
+  , mTable(aView, mClock)
 {
 }
 
@@ -33,6 +36,7 @@
   : mPool(&aPool)
   , mReplica(std::move(aReplica))
   , mSuspect(aSuspect)
+  , mStartedAt(aPool.mClock())
 {
   Load& load = mPool->mLoads[mReplica.mId];
   ++load.mRunning;
@@ -40,18 +44,21 @@
     ++load.mSuspects[mSuspect];
   }
   mPool->mLimits.CountSent(mReplica.mId);
+  mPool->mTable.CountStart(mReplica.mId);
 }
 
 ReplicaPool::Reservation::Reservation(Reservation&& aOther) noexcept
   : mPool(std::exchange(aOther.mPool, nullptr))
   , mReplica(std::move(aOther.mReplica))
   , mSuspect(aOther.mSuspect)
+  , mStartedAt(aOther.mStartedAt)
 {
 }
 
 ReplicaPool::Reservation::~Reservation()
 {
   if (mPool != nullptr) {
+    mPool->mTable.CountEnd(mReplica, mPool->mClock() - mStartedAt);
     mPool->Release(mReplica.mId, mSuspect);
   }
 }
@@ -83,12 +90,51 @@
 
 double ReplicaPool::EstimatedRequests(const fleet::Replica& aReplica) const
 {
+  if (UsesEstimates(aReplica.mService)) {
+    return Estimate(aReplica).mRequests;
+  }
   const auto found = mLoads.find(aReplica.mId);
   return found == mLoads.end()
            ? 0.0
            : found->second.mRunning + OtherRequests(found->second);
 }
 
+bool ReplicaPool::UsesEstimates(std::string_view aService) const
+{
+  return mChoicePolicy == policy::ReplicaChoicePolicy::ExpectedTime &&
+         mTable.IsActive(aService);
+}
+
+policy::LoadCandidate ReplicaPool::MakeLoadCandidate(
+  const fleet::Replica& aReplica) const
+{
+  const policy::EstimatedLoad estimate = Estimate(aReplica);
+  policy::LoadCandidate candidate;
+  candidate.mRequests = estimate.mRequests;
+  candidate.mPace = estimate.mPace;
+  candidate.mSlots = aReplica.mSlots;
+  candidate.mSameRegion =
+    mView.RegionOf(aReplica.mAvailabilityZone) == mView.Region();
+  candidate.mWorkSeconds = mTable.WorkSeconds(aReplica.mService);
+  return candidate;
+}
+
+void ReplicaPool::ImportLoads(std::string_view aText, std::string_view aSender)
+{
+  if (aText.empty()) {
+    return;
+  }
+  const auto accepted = mTable.Import(aText);
+  if (accepted.has_error() &&
+      mUnreadableSenders.size() < kMaxUnreadableSenders &&
+      mUnreadableSenders.emplace(aSender).second) {
+    LogEvent("loads_ignored", LogLevel::Warning)
+      .Field("host", aSender)
+      .Field("error", FormatError(accepted.error()))
+      .Write();
+  }
+}
+
 bool ReplicaPool::IsUsable(const fleet::Replica& aReplica) const
 {
   return !aReplica.mDraining && !IsBlocked(aReplica.mId) &&
@@ -155,6 +201,8 @@
 {
   std::vector<const fleet::Replica*> mReplicas;
   std::vector<policy::ReplicaCandidate> mChoices;
+  /// Empty if the service's replicas do not report their pace.
+  std::vector<policy::LoadCandidate> mEstimates;
   /// Replicas to choose only if there is no other.
   std::vector<bool> mExcluded;
   /// Replicas that run a suspect which the request should not run beside.
@@ -166,6 +214,7 @@
 {
   Candidates candidates;
   const TimePoint now = mClock();
+  const bool usesEstimates = UsesEstimates(aFilter.mService);
   for (const auto& [id, replica] : mView.Replicas()) {
     if (!Passes(aFilter, replica)) {
       continue;
@@ -195,12 +244,28 @@
     }
     candidates.mReplicas.push_back(&replica);
     candidates.mChoices.push_back(choice);
+    if (usesEstimates) {
+      candidates.mEstimates.push_back(MakeLoadCandidate(replica));
+    }
     candidates.mExcluded.push_back(excluded);
     candidates.mRunSuspects.push_back(runsSuspect);
   }
   return candidates;
 }
 
+/// Chooses among the candidates that are not excluded.
+std::optional<size_t> ReplicaPool::ChooseIncluded(Candidates& aCandidates)
+{
+  if (aCandidates.mEstimates.empty()) {
+    return policy::ChooseReplica(
+      aCandidates.mChoices, {}, mRandom, mRoundRobinCounter);
+  }
+  for (size_t i = 0; i < aCandidates.mEstimates.size(); ++i) {
+    aCandidates.mEstimates[i].mExcluded = aCandidates.mChoices[i].mExcluded;
+  }
+  return policy::ChooseByExpectedTime(aCandidates.mEstimates, {}, mRandom);
+}
+
 /// Relaxes the conditions one by one: any replica is better than failing the
 /// request.
 std::optional<size_t> ReplicaPool::Choose(Candidates& aCandidates,
@@ -213,7 +278,6 @@
     NotExcluded,
     Any,
   };
-  const policy::ReplicaChoiceOptions options;
   std::vector<policy::ReplicaCandidate>& choices = aCandidates.mChoices;
   const bool wantsIdle = aSuspect == SuspectKind::Probable;
   for (int condition = wantsIdle ? Idle : WithoutSuspect; condition <= Any;
@@ -225,8 +289,7 @@
         (condition <= WithoutSuspect && aCandidates.mRunSuspects[i]) ||
         (condition <= NotExcluded && aCandidates.mExcluded[i]);
     }
-    const auto chosen =
-      policy::ChooseReplica(choices, options, mRandom, mRoundRobinCounter);
+    const auto chosen = ChooseIncluded(aCandidates);
     if (chosen) {
       return chosen;
     }
@@ -245,16 +308,19 @@
   }
   const fleet::Replica& replica = *candidates.mReplicas[*chosen];
   const policy::ReplicaCandidate& choice = candidates.mChoices[*chosen];
-  LogEvent("route", LogLevel::Debug)
-    .Field("request_id", aRequestId)
+  LogEvent event("route", LogLevel::Debug);
+  event.Field("request_id", aRequestId)
     .Field("upstream", aFilter.mService)
     .Field("replica", replica.mId)
     .Field("candidates", static_cast<uint64_t>(candidates.mReplicas.size()))
     .Field("own_running", choice.mOwnRunning)
     .Field("others", choice.mReportedRunning)
     .Field("reason",
-           aFilter.mExcludedIds.empty() ? "lowest load" : "another attempt")
-    .Write();
+           aFilter.mExcludedIds.empty() ? "lowest load" : "another attempt");
+  if (!candidates.mEstimates.empty()) {
+    AddEstimate(event, Estimate(replica));
+  }
+  event.Write();
   return Reservation(*this, replica, aFilter.mSuspect);
 }
 
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -25,6 +25,9 @@
 /// events.
 constexpr std::chrono::milliseconds kRetryDelay{ 100 };
 constexpr std::chrono::milliseconds kScoringRetryDelay{ 60 };
+/// Time that reading a group's prompt takes: most of the 0.15 s that a move
+/// costs (policy::ItemMoveOptions).
+constexpr double kPromptSeconds = 0.1;
 /// A replica whose stream failed gets no new item for this long.
 constexpr std::chrono::milliseconds kFailedStreamBlockTime{ 1000 };
 /// Deadline of one stream; the item is resumed after it.
@@ -122,11 +125,35 @@
   return policy::ShouldRestartItem(item);
 }
 
+/// The estimate of a replica that may generate an item.
+policy::LoadCandidate StepRunner::MakeItemEstimate(
+  const fleet::Replica& aReplica,
+  const policy::ItemCandidate& aItem) const
+{
+  policy::LoadCandidate estimate = mContext.mPool.MakeLoadCandidate(aReplica);
+  estimate.mSavedSeconds = aItem.mPromptCached ? kPromptSeconds : 0.0;
+  return estimate;
+}
+
+/// Compares expected times if all candidates are of services with estimates.
+std::optional<size_t> StepRunner::ChooseItemReplica(
+  const std::vector<policy::ItemCandidate>& aCandidates,
+  const std::vector<policy::LoadCandidate>& aEstimates) const
+{
+  if (aEstimates.size() != aCandidates.size()) {
+    return policy::ChooseItemReplica(aCandidates, mChoiceOptions);
+  }
+  policy::LoadChoiceOptions options;
+  options.mFreeSlotsOnly = true;
+  return policy::ChooseByExpectedTime(aEstimates, options, mContext.mRandom);
+}
+
 bool StepRunner::StartItem(const OwnedStepPtr& aStep,
                            size_t aIndex,
                            const fleet::Route& aRoute)
 {
   std::vector<policy::ItemCandidate> candidates;
+  std::vector<policy::LoadCandidate> estimates;
   std::vector<const fleet::Replica*> replicas;
   ItemRun& run = aStep->mRuns[aIndex];
   const auto& promptReplicas =
@@ -148,9 +175,12 @@
     candidate.mPromptCached = promptReplicas.contains(id);
     candidate.mSlowness = mSpeeds.Slowness(id);
     candidates.push_back(candidate);
+    if (mContext.mPool.UsesEstimates(replica.mService)) {
+      estimates.push_back(MakeItemEstimate(replica, candidate));
+    }
     replicas.push_back(&replica);
   }
-  const auto chosen = policy::ChooseItemReplica(candidates, mChoiceOptions);
+  const auto chosen = ChooseItemReplica(candidates, estimates);
   if (!chosen && !run.mText.Events().empty() &&
       ShouldRestart(*aStep, run, aRoute)) {
     LogEvent("sample_restarted", LogLevel::Warning)
@@ -170,15 +200,18 @@
   if (!reservation) {
     return false;
   }
-  LogEvent("item_placed", LogLevel::Debug)
-    .Field("step", aStep->mRecord.mId)
+  LogEvent event("item_placed", LogLevel::Debug);
+  event.Field("step", aStep->mRecord.mId)
     .Field("item", aStep->mItems[aIndex].mId)
     .Field("replica", replica.mId)
     .Field("running", candidates[*chosen].mRunning)
     .Field("slowness", candidates[*chosen].mSlowness)
     .Field("events",
-           static_cast<uint64_t>(aStep->mRuns[aIndex].mText.Events().size()))
-    .Write();
+           static_cast<uint64_t>(aStep->mRuns[aIndex].mText.Events().size()));
+  if (!estimates.empty()) {
+    request::AddEstimate(event, mContext.mPool.Estimate(replica));
+  }
+  event.Write();
   aStep->mPromptReplicas[aStep->mItems[aIndex].mGroup].insert(replica.mId);
   run.mState = ItemRun::State::Running;
   run.mReplicaId = replica.mId;
