--- a/src/agatetide/entry/peer_channel.cpp
+++ b/src/agatetide/entry/peer_channel.cpp
@@ -135,6 +135,10 @@
 Awaitable<http::Response> PeerChannel::Handle(http::Request aRequest)
 {
   ImportLoads(aRequest.mHeaders, aRequest.mRemoteAddress);
+  if (aRequest.mTarget == kRelayTarget) {
+    // RelayClient does not read load reports.
+    co_return co_await Dispatch(std::move(aRequest));
+  }
   http::Response response = co_await Dispatch(std::move(aRequest));
   AddLoads(response.mHeaders);
   co_return response;
