--- a/src/agatetide/request/load_table.cpp
+++ b/src/agatetide/request/load_table.cpp
@@ -57,7 +57,11 @@
 
 void LoadTable::CountEnd(const fleet::Replica& aReplica, Duration aTook)
 {
-  mEntries[aReplica.mId].mOwn.Add(-1, mClock());
+  Entry& entry = mEntries[aReplica.mId];
+  entry.mOwn.Add(-1, mClock());
+  if (entry.mOwn.Running() == 0 && mView.FindReplica(aReplica.mId) == nullptr) {
+    mEntries.erase(aReplica.mId);
+  }
   double& mean = mServices[aReplica.mService].mWorkSeconds;
   mean += kWorkWeight * (Seconds(aTook) - mean);
 }
@@ -289,7 +293,20 @@
       !mCounterLog.Allow(mClock())) {
     return;
   }
+  int64_t known = 0;
+  Duration ages{};
+  for (const auto& [id, entry] : mEntries) {
+    const fleet::Replica* replica = mView.FindReplica(id);
+    if (const auto* report =
+          replica != nullptr ? FindReport(*replica, entry) : nullptr) {
+      ++known;
+      ages += mClock() - report->mMeasuredAt;
+    }
+  }
+  const Duration meanAge = ages / std::max<int64_t>(1, known);
   LogEvent("loads_shared")
+    .Field("known", known)
+    .Field("mean_report_ms", std::chrono::ceil<Milliseconds>(meanAge).count())
     .Field("sent", mCounters.mSentReports)
     .Field("sent_bytes", mCounters.mSentBytes)
     .Field("accepted", mCounters.mAccepted)
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -328,6 +328,7 @@
         self.statuses = []  # of the next answers; 200 after them
         self.flood = None  # what its connections bring without end in place of answers; see harness/flood.py
         self.cut_response_at = None  # bytes of its responses after which the connection ends
+        self.load = None  # text of the load that its answers report
         self.limit = None  # requests a second that its answers name
         self.says_leaving = set()  # kinds of answers ("call", "stream", "report") that say that it leaves
         self.told = {}  # when each sender was first told that it leaves, by IP address
@@ -457,7 +458,8 @@
         return [("Server-Leaving", "1")]
 
     def limit_header(self):
-        return [] if self.limit is None else [("Server-Limit", "%.3f" % self.limit)]
+        limit = [] if self.limit is None else [("Server-Limit", "%.3f" % self.limit)]
+        return limit if self.load is None else [*limit, ("Server-Load", self.load)]
 
     def max_requests_in(self, seconds, start):
         """Returns the largest number of requests in a window that begins after start."""
--- a/tests/users_platform.py
+++ b/tests/users_platform.py
@@ -366,7 +366,23 @@
     check(time.monotonic() - calm < 4, "the items waited for too long")
 
 
+def loads_reach_other_hosts(site):
+    """Guards against load reports that only the host knows which sent the request, and against a header that breaks messages."""
+    for replica in site.plain:
+        replica.load = "3,1,8,150"
+
+    def accepted():
+        check(site.lookup(site.daemons[0], "load")[0] == 200, "lookups are served")
+        time.sleep(0.05)
+        return any(" accepted=0 " not in line for line in site.daemons[1].lines("loads_shared"))
+
+    until(accepted, "the other host has accepted reports", timeout=25)
+    check(not site.daemons[0].lines("loads_ignored") + site.daemons[1].lines("loads_ignored"), "all reports are read")
+    check(site.lookup(site.daemons[1], "other")[0] == 200, "the other host serves lookups")
+
+
 TESTS = [
+    (loads_reach_other_hosts, {"daemons": 2}),
     (item_under_which_replicas_crashed_is_placed_again, {}),
     (replica_in_need_gets_no_more_than_its_limit, {"daemons": 3}),
     (requests_beyond_all_limits_are_refused_with_a_time, {"daemons": 2}),
