--- a/src/agatetide/steps/step_runner_test.cpp
+++ b/src/agatetide/steps/step_runner_test.cpp
@@ -35,7 +35,7 @@
     replica.mVersions["model"] = 1;
     mView.PutReplica(std::move(replica));
     if (aReportsPace) {
-      mPool.SetReportsPace("engine");
+      mPool.RecordHeaderLoad("replica", { 0, 0, 4, 1.0 });
     }
   }
 
