Add admission while the capacity of a service is short

Cause: requests beyond a service's capacity are sent at once and refused by full replicas with a constant retry time, so one account or class delays all others. Change: policy/admission decides run, wait or refuse; request/service_admission holds the waiting requests; the forwarder asks it for services whose replicas report a pace.

--- a/include/agatetide/fleet/service_config.hpp
+++ b/include/agatetide/fleet/service_config.hpp
@@ -45,7 +45,8 @@
   /// Determines the delay of hedged requests while no latencies are known, and
   /// its lower bound.
   Milliseconds mTargetLatency{ 1000 };
-  /// 0 is the most urgent. Stored by the operator, but not read by requests.
+  /// 0 is the most urgent. Determines the fair share of a request while
+  /// capacity is short; see policy::WeightOfPriority().
   int mPriority = 5;
   std::vector<WeightedService> mServices;
   /// Maximum number of attempts that a replica may have run. Attempts that were
@@ -100,7 +101,8 @@
   std::vector<std::string> mKeys;
   /// As Route::mAllowedRegions.
   std::optional<RegionSet> mAllowedRegions;
-  /// As Route::mPriority; std::nullopt if the account has none.
+  /// As Route::mPriority, and goes before it; std::nullopt if the account has
+  /// none.
   std::optional<int> mPriority;
 };
 
--- a/include/agatetide/policy/fair_queue.hpp
+++ b/include/agatetide/policy/fair_queue.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "agatetide/base/clock.hpp"
+
 #include <array>
 #include <cstdint>
 #include <deque>
@@ -47,6 +49,12 @@
   double mWeight = 1.0;
   /// Estimated tokens, or another measure of work.
   double mCost = 1.0;
+  /// Whether the caller was told to come back now. Such requests go before the
+  /// others of their client account and class.
+  bool mReturning = false;
+  /// Requests of a client account run in this order; those with equal times in
+  /// the order of their arrival.
+  TimePoint mDueAt{};
 };
 
 /// @brief Queue that orders waiting requests by class, and within a class by
--- a/include/agatetide/request/forwarder.hpp
+++ b/include/agatetide/request/forwarder.hpp
@@ -3,6 +3,7 @@
 #include "agatetide/policy/retry_budget.hpp"
 #include "agatetide/request/crash_suspects.hpp"
 #include "agatetide/request/replica_pool.hpp"
+#include "agatetide/request/service_admission.hpp"
 #include "agatetide/request/upstream.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -25,6 +26,10 @@
   /// Set if the request continues a stream: it goes to replicas that can
   /// continue it, and mRoute only limits the attempts.
   std::optional<StreamOrigin> mOrigin;
+  /// Order among the requests to a service while its capacity is short: Urgent
+  /// for lookups of callers, Trainer for scoring calls. Lookups are of use
+  /// until the target latency of the route, others until mDeadline.
+  policy::RequestClass mClass = policy::RequestClass::Urgent;
   /// Whether the request is refused when it has crashed several replicas. Only
   /// for requests that their callers repeat.
   bool mCountCrashes = false;
@@ -73,6 +78,8 @@
   /// policy::FitsBeforeStop().
   void SetShutdownDeadline(TimePoint aDeadline);
 
+  const ServiceAdmission& Admission() const { return *mAdmission; }
+
 private:
   struct RequestState;
   /// Hedging state shared by all requests to one service.
@@ -87,6 +94,8 @@
   Awaitable<Result<UpstreamResponse>> RunAttempts(
     std::shared_ptr<RequestState> aState);
   Awaitable<bool> Admit(std::shared_ptr<RequestState> aState);
+  Awaitable<Result<ServiceAdmission::Permit>> AcquireCapacity(
+    std::shared_ptr<RequestState> aState);
   bool MayRetrySuspect(RequestState& aState);
   Awaitable<bool> AwaitSettled(std::shared_ptr<RequestState> aState);
   Awaitable<void> Sleep(std::shared_ptr<RequestState> aState, Duration aTime);
@@ -100,6 +109,7 @@
                      Result<UpstreamResponse> aResult,
                      TimePoint aSent);
   Result<UpstreamResponse> MakeResult(RequestState& aState);
+  std::optional<Milliseconds> RetryTimeOf(const RequestState& aState);
   ReplicaFilter MakeFilter(const RequestState& aState);
   TimePoint DeadlineOf(const RequestState& aState) const;
   bool FitsBeforeShutdown(const RequestState& aState);
@@ -112,6 +122,7 @@
   UpstreamCall mCall;
   Clock mClock;
   Random mRandom;
+  std::shared_ptr<ServiceAdmission> mAdmission;
   std::map<std::string, ServiceState, std::less<>> mServices;
   std::set<RequestState*> mRequests;
   TimePoint mShutdownDeadline = TimePoint::max();
--- a/include/agatetide/request/replica_pool.hpp
+++ b/include/agatetide/request/replica_pool.hpp
@@ -109,6 +109,7 @@
   /// @brief The request limits of the replicas. No replica is chosen or
   /// reserved whose limit leaves no request to this host.
   RequestLimits& Limits() { return mLimits; }
+  const RequestLimits& Limits() const { return mLimits; }
 
   /// @brief Makes a replica unusable for aDuration, or longer if it is already
   /// blocked for longer.
@@ -131,6 +132,18 @@
 
   const fleet::FleetView& View() const { return mView; }
 
+  // Stands for the load reports with a pace, until they are decoded.
+  /// @brief Whether the replicas of the service report how fast they work.
+  bool ReportsPace(std::string_view aService) const
+  {
+    return mPaceServices.contains(aService);
+  }
+  /// @brief For tests.
+  void SetReportsPace(std::string aService)
+  {
+    mPaceServices.insert(std::move(aService));
+  }
+
 private:
   struct Candidates;
   struct Load
@@ -162,6 +175,7 @@
   std::map<std::string, Load, std::less<>> mLoads;
   policy::OutlierEjection mEjection{ policy::OutlierEjectionOptions{} };
   RequestLimits mLimits;
+  std::set<std::string, std::less<>> mPaceServices;
   /// For policy::ChooseReplica().
   uint64_t mRoundRobinCounter = 0;
 };
--- a/include/agatetide/request/request_limits.hpp
+++ b/include/agatetide/request/request_limits.hpp
@@ -33,6 +33,9 @@
   /// Precondition: aView outlives the object. aHost is the name of this host.
   RequestLimits(const fleet::FleetView& aView, std::string aHost, Clock aClock);
 
+  /// @brief The name of this host; may be empty.
+  const std::string& Host() const { return mHost; }
+
   /// @brief Records what a response says. A response without a limit ends the
   /// limit only if its request was sent after the limit was last named, since
   /// responses may overtake each other.
--- a/src/agatetide/policy/fair_queue.cpp
+++ b/src/agatetide/policy/fair_queue.cpp
@@ -4,6 +4,17 @@
 
 namespace agatetide::policy {
 
+namespace {
+
+/// Order of the requests of one client account.
+bool GoesBefore(const QueuedRequest& aLeft, const QueuedRequest& aRight)
+{
+  return aLeft.mReturning != aRight.mReturning ? aLeft.mReturning
+                                               : aLeft.mDueAt < aRight.mDueAt;
+}
+
+} // namespace
+
 bool FairQueue::Push(QueuedRequest aRequest)
 {
   // First-in-first-out order uses one class with one account.
@@ -19,7 +30,10 @@
     queue.mRoundRobin.push_back(account);
   }
   accountQueue.mWeight = aRequest.mWeight;
-  accountQueue.mRequests.push_back(std::move(aRequest));
+  auto& requests = accountQueue.mRequests;
+  const auto position =
+    std::upper_bound(requests.begin(), requests.end(), aRequest, GoesBefore);
+  requests.insert(position, std::move(aRequest));
   ++queue.mSize;
   ++mSize;
   return true;
@@ -52,7 +66,11 @@
   double otherWeightSum = 0.0;
   for (const auto& [account, accountQueue] : queue.mAccounts) {
     if (account == aRequest.mAccount) {
-      own += static_cast<double>(accountQueue.mRequests.size());
+      const auto& requests = accountQueue.mRequests;
+      own += static_cast<double>(
+        std::upper_bound(
+          requests.begin(), requests.end(), aRequest, GoesBefore) -
+        requests.begin());
     } else {
       others += static_cast<double>(accountQueue.mRequests.size());
       otherWeightSum += accountQueue.mWeight;
--- a/src/agatetide/request/forwarder.cpp
+++ b/src/agatetide/request/forwarder.cpp
@@ -116,6 +116,8 @@
   TimePoint mLimitWaitEnd{};
   /// When the limits of the replicas may allow another request.
   std::optional<Milliseconds> mRetryAfter;
+  /// std::nullopt if the request needs no admission.
+  std::optional<AdmissionCall> mAdmissionCall;
 };
 
 Forwarder::Forwarder(asio::any_io_executor aExecutor,
@@ -130,6 +132,8 @@
   , mCall(std::move(aCall))
   , mClock(std::move(aClock))
   , mRandom(std::move(aRandom))
+  , mAdmission(
+      std::make_shared<ServiceAdmission>(mExecutor, mPool, mClock, mRandom))
 {
 }
 
@@ -174,7 +178,15 @@
   }
   Result<UpstreamResponse> result = Error{};
   if (co_await Admit(state)) {
-    result = co_await RunAttempts(state);
+    auto permit = co_await AcquireCapacity(state);
+    if (permit.has_value() && !state->mCallerGone) {
+      result = co_await RunAttempts(state);
+      permit->SetServed(state->mStarted);
+    } else if (state->mCallerGone) {
+      result = MakeResult(*state);
+    } else {
+      result = permit.error();
+    }
   } else {
     result = MakeResult(*state);
   }
@@ -223,6 +235,30 @@
   co_return !aState->mCallerGone;
 }
 
+/// Waits until the request may use capacity of its service.
+Awaitable<Result<ServiceAdmission::Permit>> Forwarder::AcquireCapacity(
+  std::shared_ptr<RequestState> aState)
+{
+  const ForwardRequest& request = aState->mRequest;
+  if (!mAdmission->IsActive(aState->mService)) {
+    co_return ServiceAdmission::Permit();
+  }
+  const TimePoint targetEnd =
+    mClock() + Duration(request.mRoute.mTargetLatency);
+  AdmissionCall call{ aState->mService,
+                      request.mClass,
+                      request.mPrototype.mAccount,
+                      mAdmission->WeightOf(request.mRoute,
+                                           request.mPrototype.mAccount),
+                      ContentFingerprint(request.mPrototype),
+                      request.mClass == policy::RequestClass::Urgent
+                        ? std::min(targetEnd, request.mDeadline)
+                        : request.mDeadline };
+  aState->mAdmissionCall = call;
+  co_return co_await mAdmission->Acquire(
+    std::move(call), aState->mTimer, [aState] { return aState->mCallerGone; });
+}
+
 Awaitable<void> Forwarder::Sleep(std::shared_ptr<RequestState> aState,
                                  Duration aTime)
 {
@@ -299,7 +335,8 @@
       idempotent && mayRetry && state->mVerdict == policy::CrashVerdict::Run;
     if (state->mPendingAttempts == 1 && mayHedge && mClock() >= hedgeAt) {
       hedgeAt = request.mDeadline;
-      if (service.mHedgeBudget.TryTake()) {
+      if (!mAdmission->IsShort(state->mService) &&
+          service.mHedgeBudget.TryTake()) {
         StartAttempt(state);
       }
     }
@@ -350,6 +387,7 @@
 void Forwarder::SetShutdownDeadline(TimePoint aDeadline)
 {
   mShutdownDeadline = aDeadline;
+  mAdmission->Stop();
   for (RequestState* state : mRequests) {
     state->mTimer.cancel();
   }
@@ -479,6 +517,9 @@
     mPool.RecordLoad(aReplica.mId, *aResult->mLoad);
   }
   if (notRun) {
+    if (!aResult->mMisdirected) {
+      mAdmission->RecordFull(aState.mService);
+    }
     mPool.BlockFor(aReplica.mId,
                    aResult->mMisdirected ? Duration(kUnreachableBlockTime)
                                          : Duration(kBusyBlockTime));
@@ -550,9 +591,21 @@
                 "no replica of " + aState.mService + " could run the request",
                 "retry after a short delay",
                 Execution::NotRun,
-                aState.mRetryAfter
-                  ? aState.mRetryAfter
-                  : mPool.TimeUntilReplacement(aState.mService) };
+                RetryTimeOf(aState) };
+}
+
+/// When a request that no replica could run should come back.
+std::optional<Milliseconds> Forwarder::RetryTimeOf(const RequestState& aState)
+{
+  if (aState.mRetryAfter) {
+    return aState.mRetryAfter;
+  }
+  if (const auto time = mPool.TimeUntilReplacement(aState.mService)) {
+    return time;
+  }
+  return aState.mAdmissionCall
+           ? mAdmission->RetryTimeIfShort(*aState.mAdmissionCall)
+           : std::nullopt;
 }
 
 } // namespace agatetide::request
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -25,6 +25,9 @@
 /// events.
 constexpr std::chrono::milliseconds kRetryDelay{ 100 };
 constexpr std::chrono::milliseconds kScoringRetryDelay{ 60 };
+/// Longest wait for a scoring service whose capacity is short, so that a step
+/// that has ended is not kept for long.
+constexpr std::chrono::milliseconds kMaxScoringRetryDelay{ 5000 };
 /// A replica whose stream failed gets no new item for this long.
 constexpr std::chrono::milliseconds kFailedStreamBlockTime{ 1000 };
 /// Deadline of one stream; the item is resumed after it.
@@ -41,6 +44,20 @@
          aError.mExecution == Execution::NotRun;
 }
 
+/// Time until a scoring call that failed is repeated. While capacity is short,
+/// it comes back when it was told.
+Milliseconds ScoringRetryDelay(const Result<request::UpstreamResponse>& aResult,
+                               bool aReportsPace)
+{
+  if (!aReportsPace || aResult.has_value() ||
+      aResult.error().mExecution != Execution::NotRun) {
+    return kScoringRetryDelay;
+  }
+  return std::clamp(aResult.error().mRetryAfter.value_or(kScoringRetryDelay),
+                    kScoringRetryDelay,
+                    kMaxScoringRetryDelay);
+}
+
 } // namespace
 
 void StepRunner::StartWaitingItems()
@@ -401,12 +418,14 @@
   const auto failures = std::make_shared<unsigned>(0);
   asio::steady_timer timer(mContext.mExecutor);
   while (!aStep->mStopped) {
+    Milliseconds delay = kScoringRetryDelay;
     const auto& config = mContext.mView.Config();
     const fleet::Route* route =
       config ? config->FindRoute(scoring->mHttpHost, scoring->mPath) : nullptr;
     if (route != nullptr) {
       request::ForwardRequest request;
       request.mRoute = *route;
+      request.mClass = policy::RequestClass::Trainer;
       request.mPrototype.mAllowedRegions = route->mAllowedRegions;
       request.mPrototype.mId = scoring->mId;
       request.mPrototype.mTarget = scoring->mPath;
@@ -418,6 +437,12 @@
       request.mCaller = std::make_shared<http::CallerConnection>();
       aStep->mRuns[aIndex].mScoringCaller = request.mCaller;
       const unsigned maxFailures = route->mMaxAttempts;
+      const bool reportsPace =
+        std::any_of(route->mServices.begin(),
+                    route->mServices.end(),
+                    [this](const fleet::WeightedService& aService) {
+                      return mContext.mPool.ReportsPace(aService.mService);
+                    });
       const auto response =
         co_await mContext.mForwarder.Run(std::move(request));
       aStep->mRuns[aIndex].mScoringCaller.reset();
@@ -440,8 +465,9 @@
         FinishItem(aStep, aIndex, ItemState::Abandoned, {});
         co_return;
       }
+      delay = ScoringRetryDelay(response, reportsPace);
     }
-    timer.expires_after(kScoringRetryDelay);
+    timer.expires_after(delay);
     co_await timer.async_wait(asio::use_awaitable);
   }
 }
