Count started requests against the spare capacity

Cause: requests admitted together each saw the same spare slots. Change: each admitted request counts as used; the model counts only requests that are due within the played time.

--- a/src/agatetide/policy/admission.cpp
+++ b/src/agatetide/policy/admission.cpp
@@ -131,14 +131,16 @@
 {
   UpdateRates(aNow);
   std::vector<uint64_t> admitted;
+  AdmissionCapacity capacity = aCapacity;
   while (mQueue.size() > 0) {
     const auto next = mQueue.Pop([&](const QueuedRequest& aRequest) {
-      return MayRun(aRequest.mClass, aCapacity, aNow);
+      return MayRun(aRequest.mClass, capacity, aNow);
     });
     if (!next) {
       break;
     }
     Start(next->mClass, next->mAccount, aCapacity, aNow);
+    capacity.mUsed += 1.0;
     admitted.push_back(next->mId);
   }
   return admitted;
--- a/src/agatetide/policy/admission_test.cpp
+++ b/src/agatetide/policy/admission_test.cpp
@@ -20,6 +20,7 @@
 constexpr std::chrono::milliseconds kTick{ 1 };
 constexpr std::chrono::seconds kWarmUp{ 2 };
 constexpr std::chrono::seconds kEnd{ 14 };
+constexpr Duration kCounted = kEnd - kWarmUp - kTarget;
 /// Retry time that is told without admission.
 constexpr std::chrono::milliseconds kConstantRetryTime{ 100 };
 
@@ -57,7 +58,8 @@
   {
     const TimePoint start = mClock.Now();
     mCountFrom = start + kWarmUp;
-    while (mClock.Now() < start + kEnd) {
+    mEnd = start + kEnd;
+    while (mClock.Now() < mEnd) {
       mClock.Advance(kTick);
       EndRequests();
       while (!mReturns.empty() && mReturns.begin()->first <= mClock.Now()) {
@@ -84,7 +86,7 @@
     for (const Source& source : mSources) {
       served += source.mServed;
     }
-    return served / Seconds(kEnd - kWarmUp);
+    return served / Seconds(kCounted);
   }
 
 private:
@@ -118,7 +120,7 @@
     const TimePoint now = mClock.Now();
     const uint64_t id = mNextId++;
     const Request request{ aSource, aContent, aReturn, now, now + kTarget };
-    if (now >= mCountFrom) {
+    if (IsCounted(request)) {
       ++(aReturn ? mSources[aSource].mReturned : mSources[aSource].mNew);
     }
     mRequests[id] = request;
@@ -142,6 +144,12 @@
     }
   }
 
+  /// Whether it arrived after the warm-up and is due before the end.
+  bool IsCounted(const Request& aRequest) const
+  {
+    return aRequest.mArrivedAt >= mCountFrom && aRequest.mDueAt < mEnd;
+  }
+
   void Start(uint64_t aId)
   {
     const double factor = 0.7 + 0.6 * UniformUnit(mRandom);
@@ -198,7 +206,7 @@
 
   void Count(const Request& aRequest)
   {
-    if (aRequest.mArrivedAt < mCountFrom || mClock.Now() > aRequest.mDueAt) {
+    if (!IsCounted(aRequest) || mClock.Now() > aRequest.mDueAt) {
       return;
     }
     Source& source = mSources[aRequest.mSource];
@@ -224,6 +232,7 @@
   Random mRandom = SeededRandom(7);
   Admission mAdmission{ {}, SeededRandom(8) };
   TimePoint mCountFrom{};
+  TimePoint mEnd{};
   uint64_t mNextId = 1;
   std::map<uint64_t, Request> mRequests;
   std::multimap<TimePoint, std::pair<uint64_t, TimePoint>> mRunning;
@@ -287,7 +296,7 @@
   const auto sources =
     Model({ { "a", 3.0 * kRate }, { "b", kRate }, { "c", kRate, 2.0 } }, true)
       .Run();
-  const double capacity = kRate * Seconds(kEnd - kWarmUp);
+  const double capacity = kRate * Seconds(kCounted);
   for (const Source& source : sources) {
     const double fair = capacity * source.mWeight / 4.0;
     cr_expect_geq(source.mServed,
@@ -341,7 +350,7 @@
   const auto shares =
     Model({ { "a", 3.0 * kRate }, { "b", kRate }, { "c", kRate, 2.0 } }, false)
       .Run();
-  const double capacity = kRate * Seconds(kEnd - kWarmUp);
+  const double capacity = kRate * Seconds(kCounted);
   cr_expect_lt(shares[2].mServed, 0.9 * capacity / 2.0);
 }
 
