--- a/src/agatetide/request/forwarder.cpp
+++ b/src/agatetide/request/forwarder.cpp
@@ -255,8 +255,10 @@
                         ? std::min(targetEnd, request.mDeadline)
                         : request.mDeadline };
   aState->mAdmissionCall = call;
+  // As a temporary of the co_await expression it corrupted the heap (GCC 12).
+  std::function<bool()> isCanceled = [aState] { return aState->mCallerGone; };
   co_return co_await mAdmission->Acquire(
-    std::move(call), aState->mTimer, [aState] { return aState->mCallerGone; });
+    std::move(call), aState->mTimer, std::move(isCanceled));
 }
 
 Awaitable<void> Forwarder::Sleep(std::shared_ptr<RequestState> aState,
