Change the slots beyond a host's share step by step

Cause: hosts saw the same free slots, took them at once, were refused as full and fell back to their shares for 0.5 s. Change: slots beyond the share grow by at most one each 50 ms and are halved when a replica refuses as full. An account without waiting requests gets its turn at once. Rates need ten finished requests.

--- a/include/agatetide/policy/admission.hpp
+++ b/include/agatetide/policy/admission.hpp
@@ -29,7 +29,7 @@
 struct AdmissionOptions
 {
   /// One request costs one turn.
-  FairQueueOptions mQueue{ QueuePolicy::FairByAccount, 512, 1.0 };
+  FairQueueOptions mQueue{ QueuePolicy::FairByAccount, 512, 1.0, true };
   /// A single client account may use all slots, since others wait for one
   /// finished request at most.
   HeadroomOptions mHeadroom{ true, 0.9, 0.7, 1.0 };
@@ -42,11 +42,19 @@
   /// Capacity stays short for this long after a replica refused a request as
   /// full.
   Duration mFullTime = std::chrono::milliseconds(500);
+  /// Slots beyond the share change at most this often: one more while requests
+  /// wait and others leave slots free, but not during mFullTime, and a part of
+  /// them when a replica refuses a request as full. What is known of other
+  /// hosts' requests is old, so that all hosts see the same free slots.
+  Duration mExtraInterval = std::chrono::milliseconds(50);
+  double mExtraDecrease = 0.5;
   /// Times the usual service time that a request needs in reserve before it is
   /// due.
   double mServiceTimeMargin = 1.25;
   /// Interval over which the rate of finished requests is measured.
   Duration mRateInterval = std::chrono::milliseconds(500);
+  /// Fewer finished requests in an interval do not tell the rate.
+  size_t mMinFinished = 10;
   /// A client account without requests for this long has no share.
   Duration mAccountLifetime = std::chrono::seconds(2);
   size_t mMaxAccounts = 1024;
@@ -130,7 +138,7 @@
               TimePoint aNow);
 
   /// @brief Records that a replica refused a request as full.
-  void RecordFull(TimePoint aNow) { mFullUntil = aNow + mOptions.mFullTime; }
+  void RecordFull(TimePoint aNow);
 
   /// @brief Whether requests are admitted by their shares now.
   bool IsShort(const AdmissionCapacity& aCapacity, TimePoint aNow) const;
@@ -169,6 +177,7 @@
   using Accounts = std::map<std::string, Account, std::less<>>;
 
   size_t SlotLimit(const AdmissionCapacity& aCapacity, TimePoint aNow) const;
+  void GrowExtra(const AdmissionCapacity& aCapacity, TimePoint aNow);
   bool MayRun(RequestClass aClass,
               const AdmissionCapacity& aCapacity,
               TimePoint aNow) const;
@@ -203,6 +212,9 @@
   /// Moving average in seconds; 0 if unknown.
   double mServiceSeconds = 0.0;
   TimePoint mFullUntil{};
+  /// Slots that this host may use beyond its share.
+  double mExtra = 0.0;
+  TimePoint mExtraChangedAt{};
   /// A share of less than one slot is used for a part of the time.
   TimePoint mNextStart{};
   /// Whether retry times were given since capacity last was not short.
--- a/include/agatetide/policy/fair_queue.hpp
+++ b/include/agatetide/policy/fair_queue.hpp
@@ -37,6 +37,9 @@
   size_t mMaxPerAccount = 512;
   /// Cost that a client account of weight 1 may use per round-robin turn.
   double mQuantum = 256.0;
+  /// Whether a client account that had no waiting requests has a turn's cost
+  /// at once. Otherwise its first request waits for two turns.
+  bool mStartsWithTurn = false;
 };
 
 /// @brief A waiting request.
--- a/src/agatetide/policy/admission.cpp
+++ b/src/agatetide/policy/admission.cpp
@@ -64,22 +64,39 @@
          aCapacity.mUsed >= mOptions.mShortUse * aCapacity.mSlots;
 }
 
-/// Requests that this host may run at the same time: its share, or more while
+/// Requests that this host may run at the same time: its share, and more while
 /// other slots are free.
 size_t Admission::SlotLimit(const AdmissionCapacity& aCapacity,
                             TimePoint aNow) const
 {
   const double share = aCapacity.mSlots * aCapacity.mShare;
-  const double spare =
-    aNow < mFullUntil
-      ? 0.0
-      : std::max(0.0, mOptions.mSpareUse * aCapacity.mSlots - aCapacity.mUsed);
-  const size_t more = mRunning + static_cast<size_t>(spare);
   if (share < 1.0) {
     const size_t own = aNow >= mNextStart && aCapacity.mSlots > 0.0 ? 1 : 0;
-    return std::max(own, more);
+    return own + static_cast<size_t>(mExtra);
+  }
+  return static_cast<size_t>(share + mExtra);
+}
+
+void Admission::GrowExtra(const AdmissionCapacity& aCapacity, TimePoint aNow)
+{
+  const double spare = mOptions.mSpareUse * aCapacity.mSlots - aCapacity.mUsed;
+  if (spare < 1.0 || aNow < mFullUntil ||
+      aNow < mExtraChangedAt + mOptions.mExtraInterval) {
+    return;
+  }
+  // Other hosts see the same slots: each takes about its part of them.
+  const double step = std::min(1.0, 2.0 * spare * aCapacity.mShare);
+  mExtra = std::min(mExtra + step, aCapacity.mSlots * (1.0 - aCapacity.mShare));
+  mExtraChangedAt = aNow;
+}
+
+void Admission::RecordFull(TimePoint aNow)
+{
+  mFullUntil = aNow + mOptions.mFullTime;
+  if (aNow >= mExtraChangedAt + mOptions.mExtraInterval) {
+    mExtra *= mOptions.mExtraDecrease;
+    mExtraChangedAt = aNow;
   }
-  return std::max(static_cast<size_t>(share), more);
 }
 
 bool Admission::MayRun(RequestClass aClass,
@@ -111,6 +128,8 @@
     }
     mReturns.Use(CreditAccount(aRequest), aRequest.mContent, aNow);
     Start(aRequest.mClass, aRequest.mAccount, aCapacity, aNow);
+    mExtra = std::max(
+      0.0, static_cast<double>(mRunning) - aCapacity.mSlots * aCapacity.mShare);
     return {};
   }
   QueuedRequest queued{
@@ -142,16 +161,15 @@
 {
   UpdateRates(aNow);
   std::vector<uint64_t> admitted;
-  AdmissionCapacity capacity = aCapacity;
   while (mQueue.size() > 0) {
     const auto next = mQueue.Pop([&](const QueuedRequest& aRequest) {
-      return MayRun(aRequest.mClass, capacity, aNow);
+      return MayRun(aRequest.mClass, aCapacity, aNow);
     });
     if (!next) {
+      GrowExtra(aCapacity, aNow);
       break;
     }
     Start(next->mClass, next->mAccount, aCapacity, aNow);
-    capacity.mUsed += 1.0;
     admitted.push_back(next->mId);
   }
   return admitted;
--- a/src/agatetide/policy/fair_queue.cpp
+++ b/src/agatetide/policy/fair_queue.cpp
@@ -28,6 +28,8 @@
   }
   if (added) {
     queue.mRoundRobin.push_back(account);
+    accountQueue.mDeficit =
+      mOptions.mStartsWithTurn ? mOptions.mQuantum * aRequest.mWeight : 0.0;
   }
   accountQueue.mWeight = aRequest.mWeight;
   auto& requests = accountQueue.mRequests;
