--- a/src/agatetide/policy/admission_test.cpp
+++ b/src/agatetide/policy/admission_test.cpp
@@ -4,8 +4,8 @@
 
 #include <algorithm>
 #include <deque>
-#include <optional>
-#include <queue>
+#include <map>
+#include <vector>
 
 using namespace agatetide;
 using namespace agatetide::policy;
--- a/src/agatetide/policy/fair_queue_test.cpp
+++ b/src/agatetide/policy/fair_queue_test.cpp
@@ -74,3 +74,25 @@
   const QueuedRequest large{ 1001, RequestClass::Urgent, "large", 1.0, 1.0 };
   cr_assert(queue.EstimatedPosition(large) == 401.0);
 }
+
+// Guards against new requests that overtake one of their account that was told
+// to come back now, and against an order that lets the most pressing ones miss
+// their time.
+Test(fair_queue, returning_requests_go_first_then_those_that_are_due)
+{
+  FairQueue queue(FairQueueOptions{});
+  const auto due = [](int aSeconds) {
+    return agatetide::TimePoint(std::chrono::seconds(aSeconds));
+  };
+  queue.Push({ 1, RequestClass::Urgent, "a", 1.0, 1.0, false, due(9) });
+  queue.Push({ 2, RequestClass::Urgent, "a", 1.0, 1.0, false, due(5) });
+  const QueuedRequest returning{
+    3, RequestClass::Urgent, "a", 1.0, 1.0, true, due(20)
+  };
+  cr_assert(queue.EstimatedPosition(returning) == 1.0);
+  queue.Push(returning);
+  queue.Push({ 4, RequestClass::Urgent, "a", 1.0, 1.0, false, due(5) });
+  for (const uint64_t id : { 3U, 2U, 4U, 1U }) {
+    cr_assert(queue.Pop()->mId == id);
+  }
+}
