Bound retry times of an account by the rate of its class

Cause: an account's measured rate includes intervals in which the classes before it asked for little.

--- a/src/agatetide/policy/admission.cpp
+++ b/src/agatetide/policy/admission.cpp
@@ -271,6 +271,9 @@
   for (size_t i = 0; i < static_cast<size_t>(aClass); ++i) {
     left -= mStartRates[i] * kHigherClassMargin;
   }
+  if (aClass != RequestClass::Urgent) {
+    left = std::min(left, all * mOptions.mHeadroom.mTrainerShare);
+  }
   return std::max(left, all * kMinClassPart);
 }
 
@@ -282,11 +285,12 @@
   for (const auto& [name, account] : accounts) {
     weights += account.mWeight;
   }
-  const double fair = RateOfClass(aRequest.mClass, aCapacity) *
-                      aRequest.mWeight / std::max(weights, aRequest.mWeight);
+  const double ofClass = RateOfClass(aRequest.mClass, aCapacity);
+  const double fair =
+    ofClass * aRequest.mWeight / std::max(weights, aRequest.mWeight);
   const auto found = accounts.find(aRequest.mAccount);
   const double measured = found == accounts.end() ? 0.0 : found->second.mRate;
-  const double rate = std::max(fair, measured);
+  const double rate = std::min(std::max(fair, measured), ofClass);
   return rate > 0.0 ? rate : kUnknownRate;
 }
 
