--- a/include/agatetide/request/replica_pool.hpp
+++ b/include/agatetide/request/replica_pool.hpp
@@ -155,6 +155,7 @@
   /// @brief The request limits of the replicas. No replica is chosen or
   /// reserved whose limit leaves no request to this host.
   RequestLimits& Limits() { return mLimits; }
+  const RequestLimits& Limits() const { return mLimits; }
 
   /// @brief Makes a replica unusable for aDuration, or longer if it is already
   /// blocked for longer.
