Limit what connections hold by one budget a process

The heads, small bodies and receive buffers of connections, large bodies and complete responses take memory from budgets; when one is short, the connection that holds the most for the longest time without a complete request is closed. The receive buffer has a maximum, so that trailers and chunk extensions end.

--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -91,8 +91,8 @@
   std::shared_ptr<MemoryBudget> mTextBudget;
   /// For the items of the steps that run here; null if unlimited.
   std::shared_ptr<MemoryBudget> mItemBudget;
-  /// For large bodies of requests; null if unlimited.
-  std::shared_ptr<MemoryBudget> mBodyBudget;
+  /// For the connections of other hosts; null if unlimited.
+  std::shared_ptr<http::ConnectionMemory> mConnectionMemory;
 };
 
 /// @brief The daemon of an entry host: creates its components, connects them
--- a/include/agatetide/entry/peer_channel.hpp
+++ b/include/agatetide/entry/peer_channel.hpp
@@ -31,15 +31,15 @@
 {
 public:
   /// @brief Listens at aListen; port 0 disables the server. aResponses limits
-  /// the answers of other daemons, aBodies the large bodies of their requests;
-  /// null if they are unlimited.
+  /// the answers of other daemons, aConnections what their connections hold;
+  /// null if it is unlimited.
   /// Errors: those of http::Server::Create().
   static Result<std::unique_ptr<PeerChannel>> Create(
     boost::asio::any_io_executor aExecutor,
     const http::Endpoint& aListen,
     PeerHandlers aHandlers,
     http::ResponseLimits aResponses,
-    std::shared_ptr<MemoryBudget> aBodies);
+    std::shared_ptr<http::ConnectionMemory> aConnections);
 
   /// @brief Asks the daemon at aPeer for changes. Errors: Unavailable if its
   /// data isn't fresh; those of http::Client; InvalidArgument if the reply is
--- a/include/agatetide/http/server.hpp
+++ b/include/agatetide/http/server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatetide/base/awaitable.hpp"
+#include "agatetide/http/connection_memory.hpp"
 #include "agatetide/http/message.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -22,6 +23,9 @@
   uint16_t mPort = 0;
   size_t mMaxHeaderBytes = size_t{ 16 } << 10U;
   size_t mMaxBodyBytes = size_t{ 8 } << 20U;
+  /// Lines of a head, and of trailers. The shortest line has four bytes, so
+  /// that a head of 16 KiB never has more.
+  size_t mMaxHeaderLines = 4096;
   size_t mMaxConnections = 4096;
   /// Maximum time to receive a request once its first byte has arrived, and
   /// to write one chunk of a response.
@@ -31,6 +35,12 @@
   /// Memory that large request bodies may take together, each counted twice: as
   /// it is received, and as it is decoded or sent on. Null if unlimited.
   std::shared_ptr<MemoryBudget> mBodyBudget;
+  /// Limits what connections hold, for all servers of a process; null if
+  /// unlimited. Its mLargeBodies should be mBodyBudget.
+  std::shared_ptr<ConnectionMemory> mMemory;
+  /// Whether the callers are other hosts, whose connections are not closed when
+  /// memory is short.
+  bool mFromHosts = false;
   /// Makes the response to a request whose body does not fit into the budget,
   /// from the reason and the header of the request.
   std::function<Response(const Error&, const std::vector<Header>&)>
@@ -53,8 +63,10 @@
   uint64_t mMalformedRequests = 0;
   /// Requests that did not arrive within the transfer timeout.
   uint64_t mSlowRequests = 0;
-  /// Requests whose body did not fit into the budget.
+  /// Requests whose head or body did not fit into the memory.
   uint64_t mRefusedBodies = 0;
+  /// Responses that were replaced by an error for lack of memory.
+  uint64_t mDroppedResponses = 0;
   /// Requests whose handler threw an exception.
   uint64_t mHandlerFailures = 0;
 };
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -69,7 +69,7 @@
         return relay->Handle(aRequest);
       } },
     daemon->mOptions.mPeerResponses,
-    daemon->mOptions.mBodyBudget);
+    daemon->mOptions.mConnectionMemory);
   if (peers.has_error()) {
     return peers.error();
   }
--- a/src/agatetide/entry/peer_channel.cpp
+++ b/src/agatetide/entry/peer_channel.cpp
@@ -76,7 +76,7 @@
   const http::Endpoint& aListen,
   PeerHandlers aHandlers,
   http::ResponseLimits aResponses,
-  std::shared_ptr<MemoryBudget> aBodies)
+  std::shared_ptr<http::ConnectionMemory> aConnections)
 {
   http::ClientOptions client;
   client.mConnectTimeout = kConnectTimeout;
@@ -93,7 +93,11 @@
   options.mPort = aListen.mPort;
   options.mMaxConnections = kMaxConnections;
   options.mMaxBodyBytes = kMaxBodyBytes;
-  options.mBodyBudget = std::move(aBodies);
+  options.mFromHosts = true;
+  if (aConnections) {
+    options.mBodyBudget = aConnections->Parts().mLargeBodies;
+    options.mMemory = std::move(aConnections);
+  }
   auto server =
     http::Server::Create(std::move(aExecutor),
                          options,
--- a/src/agatetide/http/server.cpp
+++ b/src/agatetide/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include "agatetide/base/event_log.hpp"
 #include "agatetide/http/syntax.hpp"
+#include "request_reader.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -58,14 +59,8 @@
 
 constexpr std::chrono::milliseconds kLingerTimeout{ 1000 };
 constexpr size_t kMaxLoggedTargetBytes = 80;
-/// Smaller bodies take nothing from the budget, so that they are received while
-/// large ones use it up.
-constexpr size_t kMinBudgetedBodyBytes = size_t{ 64 } << 10U;
-/// A body is in memory as it was received, and as it is decoded or sent on.
-constexpr size_t kBodyCopies = 2;
-/// When the handling of other large bodies may have ended.
-constexpr std::chrono::milliseconds kBodyRetryDelay{ 1000 };
-
+/// A receive buffer that became larger is freed after its request.
+constexpr size_t kKeptBufferBytes = size_t{ 8 } << 10U;
 /// Increments a counter and decrements it on destruction.
 class ScopedCount
 {
@@ -89,6 +84,8 @@
   Request request;
   request.mMethod = std::string(aMessage.method_string());
   request.mTarget = std::string(aMessage.target());
+  request.mHeaders.reserve(
+    static_cast<size_t>(std::distance(aMessage.begin(), aMessage.end())));
   for (const auto& field : aMessage) {
     request.mHeaders.push_back(
       { std::string(field.name_string()), std::string(field.value()) });
@@ -98,20 +95,6 @@
   return request;
 }
 
-Error BodyDoesNotFit(bool aEver)
-{
-  if (!aEver) {
-    return { ErrorKind::TooLarge,
-             "the body needs more memory than this host has for bodies",
-             "send it in smaller parts" };
-  }
-  return { ErrorKind::Unavailable,
-           "the bodies of other requests take the memory of this host",
-           "retry later, or at another host",
-           Execution::NotRun,
-           kBodyRetryDelay };
-}
-
 Error MalformedRequest(const ErrorCode& aError)
 {
   if (aError == beast::http::error::body_limit) {
@@ -124,6 +107,11 @@
              "the header is too large",
              "send fewer or shorter header fields" };
   }
+  if (aError == beast::http::error::buffer_overflow) {
+    return { ErrorKind::ResourceExhausted,
+             "the trailers or a chunk extension are too large",
+             "send fewer or shorter trailer fields and chunk extensions" };
+  }
   return { ErrorKind::InvalidArgument,
            "the request is not valid HTTP",
            "send HTTP/1.1" };
@@ -310,35 +298,22 @@
   co_return MakeErrorResponse(failure, id);
 }
 
-using RequestParser = beast::http::request_parser<beast::http::string_body>;
-
-/// Reads a request. A large body takes memory from the budget as it grows;
-/// returns the reason if it does not fit.
-Awaitable<std::optional<Error>> ReadRequest(beast::tcp_stream& aStream,
-                                            beast::flat_buffer& aBuffer,
-                                            RequestParser& aParser,
-                                            MemoryBudget* aBudget,
-                                            MemoryReservation& aMemory,
-                                            ErrorCode& aError)
+uint64_t UsedMemory(const ServerOptions& aOptions)
 {
-  auto token = asio::redirect_error(asio::use_awaitable, aError);
-  if (aBudget == nullptr) {
-    co_await beast::http::async_read(aStream, aBuffer, aParser, token);
-    co_return std::nullopt;
+  if (aOptions.mMemory) {
+    return aOptions.mMemory->Used();
   }
-  co_await beast::http::async_read_header(aStream, aBuffer, aParser, token);
-  while (!aError) {
-    const size_t capacity = aParser.get().body().capacity();
-    const size_t needed = kBodyCopies * capacity;
-    if (capacity >= kMinBudgetedBodyBytes && !aMemory.GrowTo(needed)) {
-      co_return BodyDoesNotFit(aBudget->CanEverFit(needed));
-    }
-    if (aParser.is_done()) {
-      break;
-    }
-    co_await beast::http::async_read_some(aStream, aBuffer, aParser, token);
-  }
-  co_return std::nullopt;
+  return aOptions.mBodyBudget ? aOptions.mBodyBudget->Used() : 0;
+}
+
+/// The caller gets this in place of a response that does not fit. Its request
+/// may have run.
+Error ResponseDoesNotFit()
+{
+  return { ErrorKind::OutcomeUnknown,
+           "responses that are not read take the memory of this host",
+           "retry later, or at another host",
+           Execution::Unknown };
 }
 
 /// Refuses a request whose body was not read to its end, and gives the caller
@@ -348,6 +323,7 @@
                            beast::tcp_stream& aStream,
                            RequestParser& aParser,
                            std::shared_ptr<MemoryReservation> aMemory,
+                           ConnectionHold& aHold,
                            Error aReason)
 {
   ++aState->mCounters.mRefusedBodies;
@@ -358,13 +334,14 @@
     LogEvent("body_refused", LogLevel::Warning)
       .Field("target", head.mTarget.substr(0, kMaxLoggedTargetBytes))
       .Field("length", FindHeader(head.mHeaders, "content-length"))
-      .Field("used",
-             static_cast<uint64_t>(aState->mOptions.mBodyBudget->Used()))
+      .Field("used", UsedMemory(aState->mOptions))
       .Field("error", FormatError(aReason))
       .Field("suppressed", aState->mBodyLog.ResetSuppressedCount())
       .Write();
   }
   Response refusal = aState->mOptions.mMakeRefusal(aReason, head.mHeaders);
+  head = Request(); // It is not needed while the response is written.
+  aHold.Reset();
   co_await WriteComplete(
     aStream, refusal, false, aState->mOptions.mTransferTimeout);
   co_await LingerBeforeClose(aStream);
@@ -378,7 +355,11 @@
   const ServerOptions& options = aState->mOptions;
   ErrorCode optionError;
   aStream.socket().set_option(Tcp::no_delay(true), optionError);
-  beast::flat_buffer buffer;
+  const auto close = [&aStream] { aStream.close(); };
+  ConnectionHold hold(options.mMemory,
+                      options.mFromHosts ? std::function<void()>()
+                                         : std::function<void()>(close));
+  beast::flat_buffer buffer(MaxUnparsedBytes(options.mMaxHeaderBytes));
   bool keepAlive = true;
   bool served = false;
   while (keepAlive) {
@@ -386,7 +367,13 @@
     parser.header_limit(static_cast<uint32_t>(options.mMaxHeaderBytes));
     parser.body_limit(options.mMaxBodyBytes);
     ErrorCode error;
+    hold.Reset();
+    hold.SetPhase(ConnectionPhase::Ordinary);
+    buffer.max_size(MaxUnparsedBytes(options.mMaxHeaderBytes));
     if (buffer.size() == 0) {
+      if (buffer.capacity() > kKeptBufferBytes) {
+        buffer.shrink_to_fit();
+      }
       if (served && aState->mRefusal) {
         co_return;
       }
@@ -407,11 +394,20 @@
     aStream.expires_after(options.mTransferTimeout);
     const auto memory =
       std::make_shared<MemoryReservation>(options.mBodyBudget);
-    auto tooLarge = co_await ReadRequest(
-      aStream, buffer, parser, options.mBodyBudget.get(), *memory, error);
-    if (tooLarge) {
+    hold.SetPhase(ConnectionPhase::Receiving);
+    const RequestTarget target{
+      buffer,  parser, options.mMaxHeaderLines, options.mBodyBudget.get(),
+      *memory, hold
+    };
+    auto refused = co_await ReadRequest(aStream, target, error);
+    if (hold.IsClosed()) {
+      co_return;
+    }
+    hold.SetPhase(ConnectionPhase::Ordinary);
+    if (refused) {
+      buffer = beast::flat_buffer();
       co_await RefuseBody(
-        aState, aStream, parser, memory, std::move(*tooLarge));
+        aState, aStream, parser, memory, hold, std::move(*refused));
       co_return;
     }
     if (error == beast::error::timeout) {
@@ -425,6 +421,9 @@
     if (error) {
       ++aState->mCounters.mMalformedRequests;
       Response refusal = MakeErrorResponse(MalformedRequest(error), "");
+      buffer = beast::flat_buffer();
+      memory->Reset();
+      hold.Reset();
       co_await WriteComplete(aStream, refusal, false, options.mTransferTimeout);
       co_await LingerBeforeClose(aStream);
       co_return;
@@ -449,6 +448,22 @@
     if (caller->IsDisconnected()) {
       co_return;
     }
+    if (!response.mStream) {
+      // The request has ended; what is left is the response.
+      memory->Reset();
+      hold.Reset();
+      hold.SetPhase(ConnectionPhase::Writing);
+      const size_t responseBytes =
+        options.mFromHosts ? 0 : response.mBody.capacity();
+      const bool fits = co_await TakeResponseMemory(hold, responseBytes);
+      if (hold.IsClosed()) {
+        co_return;
+      }
+      if (!fits) {
+        ++aState->mCounters.mDroppedResponses;
+        response = options.mMakeRefusal(ResponseDoesNotFit(), {});
+      }
+    }
     keepAlive = keepAlive && !aState->mStopping &&
                 !aState->mKeepAliveDisabled && !aState->mRefusal;
     const bool written =
