--- a/src/agatetide/http/request_reader.cpp
+++ b/src/agatetide/http/request_reader.cpp
@@ -30,7 +30,9 @@
 /// prototype of the attempts, and in up to three attempts with their messages;
 /// each takes 64 to 100 bytes in addition to a short text. With 384 bytes, 160
 /// callers of heads of 4,000 lines exceeded the memory by 3 MB of 40.
-constexpr size_t kHeaderLineBytes = 768;
+constexpr size_t kHeaderLineBytes = 1024;
+/// Ordinary requests have no more lines; these are not counted.
+constexpr size_t kFreeLines = 16;
 /// When the handling of other large bodies may have ended.
 constexpr std::chrono::milliseconds kRetryDelay{ 1000 };
 /// Connections that are closed for one that needs memory.
@@ -104,8 +106,9 @@
   const bool isLarge = capacity >= kMinLargeBodyBytes;
   const size_t body =
     isLarge ? CountedBodyBytes(capacity, aTarget.mBodyBudget) : capacity;
+  const size_t countedLines = std::max(aLineCount, kFreeLines) - kFreeLines;
   const size_t small = aTarget.mBuffer.capacity() +
-                       kHeaderLineBytes * aLineCount + (isLarge ? 0 : body);
+                       kHeaderLineBytes * countedLines + (isLarge ? 0 : body);
   const std::function<bool()> takeSmall = [&] { return hold.GrowSmall(small); };
   if (!co_await TakeOrClose(hold, takeSmall)) {
     co_return DoesNotFit(true);
