--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -80,7 +80,7 @@
         pool->ImportLoads(aLoads, aSender);
       } },
     daemon->mOptions.mPeerResponses,
-    daemon->mOptions.mBodyBudget);
+    daemon->mOptions.mConnectionMemory);
   if (peers.has_error()) {
     return peers.error();
   }
