Convert expected tokens to events in step plans

Cause: step plans and moves compared expected lengths in tokens with counts of events; engines send dozens of tokens in an event, so each step seemed to miss its deadline. Change: policy/event_length learns the tokens per event from complete texts; plans and moves count in events.

--- a/include/agatetide/policy/item_placement.hpp
+++ b/include/agatetide/policy/item_placement.hpp
@@ -143,7 +143,7 @@
   /// Events of all streams so far.
   size_t mEvents = 0;
   /// 0 if there is no estimate.
-  double mExpectedTokens = 0.0;
+  double mExpectedEvents = 0.0;
   /// Earlier moves of the item.
   unsigned mMoveCount = 0;
   /// Time from the start of a stream to its first event.
--- a/include/agatetide/policy/step_schedule.hpp
+++ b/include/agatetide/policy/step_schedule.hpp
@@ -28,8 +28,8 @@
 /// @brief An item of a step that is planned.
 struct ScheduledItem
 {
-  /// 0 if there is no estimate.
-  double mExpectedTokens = 0.0;
+  /// Events of the whole text; 0 if there is no estimate.
+  double mExpectedEvents = 0.0;
   /// Events generated so far.
   double mEvents = 0.0;
   ItemPhase mPhase = ItemPhase::Waiting;
--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -2,6 +2,7 @@
 
 #include "agatetide/base/memory_budget.hpp"
 #include "agatetide/base/random.hpp"
+#include "agatetide/policy/event_length.hpp"
 #include "agatetide/policy/item_placement.hpp"
 #include "agatetide/policy/replica_speeds.hpp"
 #include "agatetide/policy/step_schedule.hpp"
@@ -363,6 +364,7 @@
   std::map<std::string, SeenGroup, std::less<>> mSeenGroups;
   std::map<std::string, OwnedStepPtr, std::less<>> mSteps;
   policy::ReplicaSpeeds mSpeeds;
+  policy::EventLength mEventLength;
   size_t mRunningItemCount = 0;
   size_t mRunningCheckpoints = 0;
 };
--- a/src/agatetide/policy/item_placement.cpp
+++ b/src/agatetide/policy/item_placement.cpp
@@ -93,7 +93,7 @@
 {
   const auto events = static_cast<double>(aItem.mEvents);
   const double remaining =
-    std::max({ 1.0, aItem.mExpectedTokens - events, events * kOverrunShare });
+    std::max({ 1.0, aItem.mExpectedEvents - events, events * kOverrunShare });
   // While the replica stays slow, the other one generates the same events in a
   // part of the time.
   const double whileSlow =
--- a/src/agatetide/policy/item_placement_test.cpp
+++ b/src/agatetide/policy/item_placement_test.cpp
@@ -118,7 +118,7 @@
       PacedItemProgress progress;
       progress.mSecondsPerEvent = window.SecondsPerEvent();
       progress.mEvents = static_cast<size_t>(events);
-      progress.mExpectedTokens = static_cast<double>(aEvents);
+      progress.mExpectedEvents = static_cast<double>(aEvents);
       progress.mPromptSeconds = 0.15;
       if (ShouldMovePacedItem(progress, kUsualSecondsPerEvent, options)) {
         return time;
@@ -181,7 +181,7 @@
   cr_expect_not(ShouldMovePacedItem(item, kUsualSecondsPerEvent, {}));
   item.mMoveCount = 0;
   item.mEvents = 98;
-  item.mExpectedTokens = 0.0;
+  item.mExpectedEvents = 0.0;
   item.mPromptSeconds = 2.0;
   cr_expect_not(ShouldMovePacedItem(item, kUsualSecondsPerEvent, {}));
 }
--- a/src/agatetide/policy/step_schedule.cpp
+++ b/src/agatetide/policy/step_schedule.cpp
@@ -13,7 +13,7 @@
 /// length: lengths have a heavy tail.
 constexpr double kOverrunShare = 0.25;
 /// Estimate for items without one in steps where no item has one.
-constexpr double kDefaultTokens = 100.0;
+constexpr double kDefaultEvents = 20.0;
 /// A group misses the deadline for certain if this share of its expected time
 /// exceeds the time left, since estimates are inexact.
 constexpr double kCertainShare = 0.8;
@@ -43,28 +43,28 @@
   bool mMissesDeadline = false;
 };
 
-/// Expected tokens of items without an estimate.
-double UsualTokens(std::span<const ScheduledItem> aItems)
+/// Expected events of items without an estimate.
+double UsualEvents(std::span<const ScheduledItem> aItems)
 {
   double sum = 0.0;
   size_t count = 0;
   for (const ScheduledItem& item : aItems) {
-    sum += item.mExpectedTokens;
-    count += item.mExpectedTokens > 0.0 ? 1 : 0;
+    sum += item.mExpectedEvents;
+    count += item.mExpectedEvents > 0.0 ? 1 : 0;
   }
-  return count == 0 ? kDefaultTokens : sum / static_cast<double>(count);
+  return count == 0 ? kDefaultEvents : sum / static_cast<double>(count);
 }
 
 /// Expected events left, by item; more for slow streams, by the usual events in
 /// the time that they need.
 std::vector<double> RemainingEvents(std::span<const ScheduledItem> aItems)
 {
-  const double usual = UsualTokens(aItems);
+  const double usual = UsualEvents(aItems);
   std::vector<double> remaining;
   remaining.reserve(aItems.size());
   for (const ScheduledItem& item : aItems) {
     const double expected =
-      item.mExpectedTokens > 0.0 ? item.mExpectedTokens : usual;
+      item.mExpectedEvents > 0.0 ? item.mExpectedEvents : usual;
     remaining.push_back(
       item.mPhase == ItemPhase::Finished
         ? 0.0
@@ -190,8 +190,8 @@
   std::stable_sort(plan.mNeeded.begin(),
                    plan.mNeeded.end(),
                    [&](const NeededItem& aLeft, const NeededItem& aRight) {
-                     return aStep.mItems[aLeft.mItem].mExpectedTokens >
-                            aStep.mItems[aRight.mItem].mExpectedTokens;
+                     return aStep.mItems[aLeft.mItem].mExpectedEvents >
+                            aStep.mItems[aRight.mItem].mExpectedEvents;
                    });
   return plan;
 }
--- a/src/agatetide/policy/step_schedule_test.cpp
+++ b/src/agatetide/policy/step_schedule_test.cpp
@@ -172,7 +172,7 @@
         group.mSeen = true;
         for (const size_t item : aStep.mGroups[i].mItems) {
           group.mItems.push_back(next.mItems.size());
-          next.mItems.push_back({ aStep.mItems[item].mExpectedTokens });
+          next.mItems.push_back({ aStep.mItems[item].mExpectedEvents });
           next.mLengths.push_back(aStep.mLengths[item]);
         }
         next.mGroups.push_back(std::move(group));
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -543,7 +543,8 @@
   policy::PacedItemProgress progress;
   progress.mSecondsPerEvent = run.mWindow.SecondsPerEvent();
   progress.mEvents = run.mText.Events().size();
-  progress.mExpectedTokens = aStep.mItems[aIndex].mExpectedTokens;
+  progress.mExpectedEvents =
+    mEventLength.ExpectedEvents(aStep.mItems[aIndex].mExpectedTokens);
   progress.mMoveCount = run.mMoveCount;
   progress.mPromptSeconds = run.mPromptSeconds;
   if (!policy::ShouldMovePacedItem(
--- a/src/agatetide/steps/step_planning.cpp
+++ b/src/agatetide/steps/step_planning.cpp
@@ -143,10 +143,11 @@
   items.reserve(aStep.mItems.size());
   for (size_t i = 0; i < aStep.mItems.size(); ++i) {
     const ItemRun& run = aStep.mRuns[i];
-    items.push_back({ static_cast<double>(aStep.mItems[i].mExpectedTokens),
-                      static_cast<double>(run.mText.Events().size()),
-                      PhaseOf(run.mState),
-                      SlownessOf(run, now, usual) });
+    items.push_back(
+      { mEventLength.ExpectedEvents(aStep.mItems[i].mExpectedTokens),
+        static_cast<double>(run.mText.Events().size()),
+        PhaseOf(run.mState),
+        SlownessOf(run, now, usual) });
   }
   const Milliseconds timeout = FindRoute(aStep)->mResultTimeout;
   const Milliseconds dueIn =
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -422,6 +422,8 @@
   result.mId = aStep->mItems[aIndex].mId;
   result.mState = aState;
   if (aState == ItemState::Completed) {
+    mEventLength.Observe(aStep->mItems[aIndex].mExpectedTokens,
+                         run.mText.Events().size());
     result.mText = run.mText.Joined();
     result.mVersions = run.mVersions;
     result.mScore = std::move(aScore);
