End the requests of the admission tests before their pool

Cause: the address sanitizer found that attempts which were still running referred to a destroyed pool in four of the nine tests; it reports the same for forwarder.ends_running_requests_of_a_host_that_stops, which is older and unchanged. Change: the fixture runs them to their end.

--- a/src/agatetide/request/service_admission_test.cpp
+++ b/src/agatetide/request/service_admission_test.cpp
@@ -31,6 +31,9 @@
     mPool.SetReportsPace(kService);
   }
 
+  /// Ends all requests, whose attempts refer to the pool.
+  ~Fixture() { RunFor(std::chrono::seconds(5)); }
+
   ForwardRequest MakeRequest(Milliseconds aTarget)
   {
     ForwardRequest request;
