Let estimated loads last as long as the requests of their service

Cause: the load of other hosts returned to the mean with 0.15 s for all services; streams of items run for seconds, so their load was forgotten. Change: the time constant is 1.5 times the mean request of the service, at least 0.15 s and at most the lifetime of a report. Result: for requests of 0.1 s, as in load_replay_test, nothing changes.

--- a/include/agatetide/policy/load_estimate.hpp
+++ b/include/agatetide/policy/load_estimate.hpp
@@ -27,9 +27,8 @@
 {
   /// Older reports are ignored.
   Duration mLifetime = std::chrono::seconds(2);
-  /// Time constant with which the load of other hosts returns to the mean.
-  /// About the time of a request to a plain service; a replay with 0.3 s had
-  /// more waits.
+  /// Time constant with which the load of other hosts returns to the mean. A
+  /// replay of requests of 0.1 s had more waits with 0.3 s.
   double mLoadDecaySeconds = 0.15;
   /// Time constant with which the pace returns to 1. Phases of slowness last
   /// about 0.6 s, and a report meets one in its middle on average.
--- a/src/agatetide/request/load_table.cpp
+++ b/src/agatetide/request/load_table.cpp
@@ -12,6 +12,9 @@
 /// the time that the message took, so that an own report that comes back would
 /// look newer than it is.
 constexpr std::chrono::milliseconds kMinNewer{ 100 };
+/// Load lasts about as long as the requests that cause it: streams of items run
+/// for seconds, requests to plain services for a tenth of one.
+constexpr double kDecayPerWorkSecond = 1.5;
 /// Older reports are not sent, since the load has changed by then.
 constexpr std::chrono::milliseconds kMaxSentAge{ 1000 };
 /// In any second at most the sum of both is sent, which stays below 5 KB.
@@ -139,12 +142,17 @@
   static const Entry kUnknown;
   const auto found = mEntries.find(aReplica.mId);
   const Entry& entry = found == mEntries.end() ? kUnknown : found->second;
+  policy::LoadEstimateOptions options = mOptions;
+  options.mLoadDecaySeconds =
+    std::clamp(kDecayPerWorkSecond * WorkSeconds(aReplica.mService),
+               mOptions.mLoadDecaySeconds,
+               Seconds(mOptions.mLifetime));
   return policy::EstimateLoad(FindReport(aReplica, entry),
                               entry.mOwn,
                               OthersPerSlot(aReplica.mService) *
                                 aReplica.mSlots,
                               mClock(),
-                              mOptions);
+                              options);
 }
 
 double LoadTable::WorkSeconds(std::string_view aService) const
