Move and place the last items of a step for speed alone

Cause: a step is whole when its longest item is, and the careful rule for moves left those on slow replicas; replicas followed trainers one every 4 s. Change: items that need most of the time that their step still needs are moved by the rule of services without a pace and placed on the best replica; the leader reassigns up to a tenth of the replicas at each review.

--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -279,6 +279,10 @@
   Awaitable<void> CheckpointStep(OwnedStepPtr aStep);
   bool StartItemsOfStep(const OwnedStepPtr& aStep);
   bool UsesSchedule(const OwnedStep& aStep) const;
+  bool IsCritical(const OwnedStep& aStep, size_t aIndex) const;
+  void MoveCriticalItem(OwnedStep& aStep,
+                        size_t aIndex,
+                        double aOtherSecondsPerEvent);
   void RecordGroups(OwnedStep& aStep);
   void UpdatePlan(OwnedStep& aStep);
   void LogSpareGroups(OwnedStep& aStep);
--- a/src/agatetide/duty/version_updater.cpp
+++ b/src/agatetide/duty/version_updater.cpp
@@ -13,6 +13,11 @@
 
 namespace {
 
+/// A review reassigns at most one in so many replicas: each of them loads
+/// weights meanwhile. With one at a time an even start took longer than half a
+/// minute to follow trainers of unequal size.
+constexpr size_t kReplicasPerReassignment = 10;
+
 std::string_view OutcomeName(VersionOrderOutcome aOutcome)
 {
   switch (aOutcome) {
@@ -75,13 +80,20 @@
   }
   const auto replicas = AssignableReplicas();
   mAssignments.Update(replicas, mView.PublishedVersions());
-  const auto moved = mAssignments.Rebalance(replicas, aDemand, aRule);
-  if (moved) {
+  const bool byLateness = aRule == policy::RebalanceRule::Gain;
+  const size_t most =
+    byLateness ? std::max<size_t>(1, replicas.size() / kReplicasPerReassignment)
+               : 1;
+  for (size_t i = 0; i < most; ++i) {
+    const auto moved = mAssignments.Rebalance(replicas, aDemand, aRule);
+    if (!moved) {
+      break;
+    }
     LogEvent("replica_reassigned")
       .Field("replica", moved->mReplicaId)
       .Field("from", moved->mFrom)
       .Field("to", moved->mTo)
-      .Field("by_lateness", aRule == policy::RebalanceRule::Gain)
+      .Field("by_lateness", byLateness)
       .Write();
   }
 }
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -33,6 +33,9 @@
 constexpr std::chrono::milliseconds kMaxScoringRetryDelay{ 5000 };
 /// A replica whose stream failed gets no new item for this long.
 constexpr std::chrono::milliseconds kFailedStreamBlockTime{ 1000 };
+/// An item that needs at least this share of the time that its step still needs
+/// is one of those that the trainer waits for last.
+constexpr double kCriticalShare = 0.6;
 /// Deadline of one stream; the item is resumed after it.
 constexpr std::chrono::seconds kStreamTimeout{ 30 };
 /// HTTP status of an item that a replica ran but failed.
@@ -143,6 +146,8 @@
   const policy::ItemCandidate& aItem) const
 {
   policy::LoadCandidate estimate = mContext.mPool.MakeLoadCandidate(aReplica);
+  // A replica may be slow for seconds although its machine is not.
+  estimate.mWorkSeconds *= std::max(1.0, aItem.mSlowness);
   estimate.mSavedSeconds = aItem.mPromptCached ? kPromptSeconds : 0.0;
   return estimate;
 }
@@ -192,6 +197,10 @@
     }
     replicas.push_back(&replica);
   }
+  if (!estimates.empty() && IsCritical(*aStep, aIndex)) {
+    // Few items are critical, so hosts rarely choose the same replica at once.
+    estimates.clear();
+  }
   const auto chosen = ChooseItemReplica(candidates, estimates);
   if (!chosen && !run.mText.Events().empty() &&
       ShouldRestart(*aStep, run, aRoute)) {
@@ -528,6 +537,50 @@
   return medians;
 }
 
+/// Whether the item is one of the last that its step waits for.
+bool StepRunner::IsCritical(const OwnedStep& aStep, size_t aIndex) const
+{
+  const ItemRun& run = aStep.mRuns[aIndex];
+  const double events = static_cast<double>(run.mText.Events().size());
+  const double expected =
+    mEventLength.ExpectedEvents(aStep.mItems[aIndex].mExpectedTokens);
+  const double remainingSeconds =
+    mSpeeds.MedianSecondsPerEvent() * std::max(expected - events, 0.0);
+  return aStep.mPlan.mNeededSeconds > 0.0 &&
+         remainingSeconds >= kCriticalShare * aStep.mPlan.mNeededSeconds;
+}
+
+/// Moves an item that its step waits for as soon as that saves time. Only few
+/// items are so long, and each second of them is one of the trainer.
+void StepRunner::MoveCriticalItem(OwnedStep& aStep,
+                                  size_t aIndex,
+                                  double aOtherSecondsPerEvent)
+{
+  ItemRun& run = aStep.mRuns[aIndex];
+  policy::ItemProgress progress;
+  progress.mSecondsPerEvent =
+    Seconds(mContext.mClock() - run.mStreamStart) / (run.mStreamEventCount - 1);
+  progress.mEvents = run.mText.Events().size();
+  progress.mMoveCount = run.mMoveCount;
+  if (!policy::ShouldMoveItem(progress, aOtherSecondsPerEvent, mMoveOptions)) {
+    return;
+  }
+  ObserveSpeed(run.mReplicaId, run);
+  LogEvent("item_moved")
+    .Field("step", aStep.mRecord.mId)
+    .Field("item", aStep.mItems[aIndex].mId)
+    .Field("replica", run.mReplicaId)
+    .Field("seconds_per_event", progress.mSecondsPerEvent)
+    .Field("other_seconds_per_event", aOtherSecondsPerEvent)
+    .Field("events", static_cast<uint64_t>(progress.mEvents))
+    .Field("moves", progress.mMoveCount)
+    .Field("critical", true)
+    .Write();
+  ++run.mMoveCount;
+  run.mWindow.Clear();
+  (*run.mCancel)();
+}
+
 /// Cancels the stream of an item of a service that reports a pace if a move
 /// saves more than it costs; see policy::ShouldMovePacedItem().
 void StepRunner::MovePacedItem(OwnedStep& aStep,
@@ -535,6 +588,10 @@
                                double aOtherSecondsPerEvent)
 {
   ItemRun& run = aStep.mRuns[aIndex];
+  if (IsCritical(aStep, aIndex)) {
+    MoveCriticalItem(aStep, aIndex, aOtherSecondsPerEvent);
+    return;
+  }
   run.mWindow.Observe(Seconds(mContext.mClock() - run.mStreamStart),
                       run.mStreamEventCount);
   if (!run.mWindow.IsFull()) {
