Count no heads and small bodies of other hosts

In a flood of callers a message of another host over 8 KiB could be refused for lack of memory. Only large bodies of hosts are counted now.

--- a/include/agatetide/http/connection_memory.hpp
+++ b/include/agatetide/http/connection_memory.hpp
@@ -87,8 +87,8 @@
 class ConnectionHold
 {
 public:
-  /// @brief aClose closes the connection; an empty function protects it from
-  /// CloseMostSuspicious().
+  /// @brief aClose closes the connection; an empty function marks that of
+  /// another host, which is never closed by CloseMostSuspicious().
   ConnectionHold(std::shared_ptr<ConnectionMemory> aMemory,
                  std::function<void()> aClose);
   ~ConnectionHold();
@@ -100,7 +100,8 @@
 
   /// @brief Counts the head and small body of a request, and the receive
   /// buffer; returns false if they do not fit. The first kFreeBytes are not
-  /// counted, so that ordinary requests are served in a flood.
+  /// counted, so that ordinary requests are served in a flood. Nothing is
+  /// counted of connections of other hosts.
   bool GrowSmall(size_t aBytes);
 
   /// @brief Counts a response that is to be written; returns false if it does
--- a/src/agatetide/http/connection_memory.cpp
+++ b/src/agatetide/http/connection_memory.cpp
@@ -85,7 +85,7 @@
 bool ConnectionHold::GrowSmall(size_t aBytes)
 {
   const size_t counted = aBytes > kFreeBytes ? aBytes - kFreeBytes : 0;
-  if (counted <= mSmallBytes) {
+  if (!mClose || counted <= mSmallBytes) {
     return true;
   }
   const size_t more = counted - mSmallBytes;
--- a/src/agatetide/http/request_reader.cpp
+++ b/src/agatetide/http/request_reader.cpp
@@ -109,9 +109,13 @@
   const size_t countedLines = std::max(aLineCount, kFreeLines) - kFreeLines;
   const size_t small = aTarget.mBuffer.capacity() +
                        kHeaderLineBytes * countedLines + (isLarge ? 0 : body);
-  const std::function<bool()> takeSmall = [&] { return hold.GrowSmall(small); };
-  if (!co_await TakeOrClose(hold, takeSmall)) {
-    co_return DoesNotFit(true);
+  if (!hold.GrowSmall(small)) {
+    const std::function<bool()> takeSmall = [&] {
+      return hold.GrowSmall(small);
+    };
+    if (!co_await TakeOrClose(hold, takeSmall)) {
+      co_return DoesNotFit(true);
+    }
   }
   if (isLarge && aTarget.mBodyBudget != nullptr) {
     if (!aTarget.mBodyBudget->CanEverFit(body)) {
