Treat all groups as needed where incomplete ones come again

Change: once a group of an account and model has come again, all groups of its steps are planned, by their latest start.

--- a/include/agatetide/policy/step_schedule.hpp
+++ b/include/agatetide/policy/step_schedule.hpp
@@ -59,6 +59,10 @@
   double mDue = 0.0;
   /// Usual time per event. Precondition: positive.
   double mSecondsPerEvent = 0.1;
+  /// Whether groups that are not complete come again in a later step, where the
+  /// trainer waits for them. Leaving the longest ones out only delays them
+  /// then, so all groups are needed.
+  bool mGroupsReturn = false;
 };
 
 /// @brief A waiting item of a needed group.
--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -367,6 +367,8 @@
   /// By client account, model and group.
   std::map<std::string, SeenGroup, std::less<>> mSeenGroups;
   std::map<std::string, OwnedStepPtr, std::less<>> mSteps;
+  /// Accounts and models whose incomplete groups have come again.
+  std::set<std::pair<std::string, std::string>> mReturningModels;
   policy::ReplicaSpeeds mSpeeds;
   policy::EventLength mEventLength;
   size_t mRunningItemCount = 0;
--- a/src/agatetide/policy/step_schedule.cpp
+++ b/src/agatetide/policy/step_schedule.cpp
@@ -84,7 +84,8 @@
     const ScheduledGroup& group = aStep.mGroups[i];
     GroupState state;
     state.mIndex = i;
-    state.mRequired = group.mSeen || i < aStep.mDesired / 2;
+    state.mRequired =
+      aStep.mGroupsReturn || group.mSeen || i < aStep.mDesired / 2;
     size_t finished = 0;
     for (const size_t item : group.mItems) {
       state.mWork += aRemaining[item];
--- a/src/agatetide/steps/step_planning.cpp
+++ b/src/agatetide/steps/step_planning.cpp
@@ -21,6 +21,7 @@
 constexpr std::chrono::seconds kSeenGroupLifetime{ 120 };
 /// Bounds the memory for seen groups to a few megabytes.
 constexpr size_t kMaxSeenGroups = size_t{ 1 } << 15U;
+constexpr size_t kMaxReturningModels = 1000;
 /// Spare groups of a step are logged at most this often.
 constexpr std::chrono::seconds kSpareLogInterval{ 1 };
 
@@ -85,6 +86,10 @@
       const auto seen = mSeenGroups.find(key);
       if (seen != mSeenGroups.end()) {
         aStep.mGroups.back().mSeen = seen->second.mFirstStep != record.mId;
+        if (aStep.mGroups.back().mSeen &&
+            mReturningModels.size() < kMaxReturningModels) {
+          mReturningModels.emplace(record.mAccount, record.mModel);
+        }
         seen->second.mLastSeen = now;
       } else if (mSeenGroups.size() < kMaxSeenGroups) {
         mSeenGroups.emplace(std::move(key), SeenGroup{ record.mId, now });
@@ -160,6 +165,8 @@
   step.mNow = Seconds(now.time_since_epoch());
   step.mDue = step.mNow + Seconds(dueIn);
   step.mSecondsPerEvent = usual;
+  step.mGroupsReturn = mReturningModels.contains(
+    std::pair(aStep.mRecord.mAccount, aStep.mRecord.mModel));
   const bool wasFinished = aStep.mPlan.mNeededFinished;
   aStep.mPlan = policy::PlanStep(step, mOrderPolicy);
   aStep.mPlannedAt = now;
