--- a/src/agatetide/request/service_admission_test.cpp
+++ b/src/agatetide/request/service_admission_test.cpp
@@ -82,7 +82,7 @@
   {
     mReplica.mSlots = aSlots;
     mView.PutReplica(mReplica);
-    mPool.RecordLoad(mReplica.mId, { aSlots, 0, aSlots });
+    mPool.RecordHeaderLoad(mReplica.mId, { aSlots, 0, aSlots, 1.0 });
   }
 
   void RunFor(Duration aTime)
