--- a/include/agatetide/fleet/fleet_view.hpp
+++ b/include/agatetide/fleet/fleet_view.hpp
@@ -84,7 +84,7 @@
   /// @brief The limits of a replica that is cold; std::nullopt if it is warm,
   /// or if its service has no cold start. Requests of any host count.
   std::optional<ColdStart> ColdStartOf(const Replica& aReplica) const;
-  /// @brief What cold replicas of the service stand; null if it has no cold
+  /// @brief The limits of cold replicas of the service; null if it has no cold
   /// start. Valid until the configuration is replaced.
   const ColdStart* FindColdStart(std::string_view aService) const;
   /// @brief Null if no replica has this id.
--- a/include/agatetide/fleet/service_config.hpp
+++ b/include/agatetide/fleet/service_config.hpp
@@ -92,11 +92,11 @@
   std::map<std::string, double> mZonePrices;
 };
 
-/// @brief What replicas of a service stand after they have started.
+/// @brief Limits of the replicas of a service that have just started.
 struct ColdStart
 {
   Milliseconds mDuration{ 0 };
-  /// Requests that a cold replica stands from all hosts together; above 0.
+  /// Requests that a cold replica can take from all hosts together; above 0.
   double mRequestsPerSecond = 0.0;
 };
 
@@ -108,7 +108,7 @@
   unsigned mSlots = 1;
   /// std::nullopt if the number of replicas is fixed by the operator.
   std::optional<ScalingLimits> mScaling;
-  /// std::nullopt if replicas stand their full load from the start.
+  /// std::nullopt if replicas can take their full load from the start.
   std::optional<ColdStart> mColdStart;
 };
 
--- a/include/agatetide/policy/cold_start.hpp
+++ b/include/agatetide/policy/cold_start.hpp
@@ -7,11 +7,9 @@
 
 struct ColdShareOptions
 {
-  /// Hosts that may use a cold replica, per request per second that it stands.
-  /// A host sends at most one request more than its rate within a second, so
-  /// with half as many hosts as requests all of them together stay below 1.5
-  /// times the rate, and a few more with an old list of hosts stay below the
-  /// slack that replicas have beside it.
+  /// Hosts that may use a cold replica, per request per second that it can
+  /// take. A host sends at most one request more than its rate within a second,
+  /// so that all of them together stay below 1.5 times the replica's rate.
   double mHostsPerRequestRate = 0.5;
 };
 
@@ -25,7 +23,7 @@
 
 struct ColdShareInput
 {
-  /// Requests that the replica stands from all hosts together.
+  /// Requests that the replica can take from all hosts together.
   double mRequestsPerSecond = 0.0;
   std::string_view mReplicaId;
   /// The host whose share is wanted.
--- a/include/agatetide/request/cold_replicas.hpp
+++ b/include/agatetide/request/cold_replicas.hpp
@@ -49,7 +49,7 @@
   /// Null if the replica is warm.
   Pace* FindPace(const fleet::Replica& aReplica);
   Pace& FindOrCreate(const fleet::Replica& aReplica);
-  /// Requests per second that the replica stands from all hosts; std::nullopt
+  /// Requests per second that the replica can take from all hosts; std::nullopt
   /// if it is warm.
   std::optional<double> ColdRate(const fleet::Replica& aReplica) const;
   double ShareOf(const fleet::Replica& aReplica, double aRate) const;
--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -280,6 +280,16 @@
   bool StartItemsOfStep(const OwnedStepPtr& aStep);
   bool UsesSchedule(const OwnedStep& aStep) const;
   bool IsCritical(const OwnedStep& aStep, size_t aIndex) const;
+  /// Why a stream is moved, for the log.
+  struct MoveReason
+  {
+    double mSecondsPerEvent = 0.0;
+    double mOtherSecondsPerEvent = 0.0;
+    /// Not estimated for critical items.
+    policy::MoveBenefit mBenefit;
+    bool mCritical = false;
+  };
+  void CancelToMove(OwnedStep& aStep, size_t aIndex, const MoveReason& aReason);
   void MoveCriticalItem(OwnedStep& aStep,
                         size_t aIndex,
                         double aOtherSecondsPerEvent);
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -638,13 +638,13 @@
       liveOwners.insert(steps::OwnerName(name, host.mIncarnation));
     }
     // Hosts of allowed regions, for steps that may not run in this one.
-    std::set<std::string> helpers;
+    std::set<std::string> hostsToAsk;
     std::function<bool(const steps::StepRecord&)> takeOver =
-      [this, sweep, takeAll, &helpers](const steps::StepRecord& aRecord) {
+      [this, sweep, takeAll, &hostsToAsk](const steps::StepRecord& aRecord) {
         const auto regions = RegionsOf(aRecord);
         if (!fleet::Includes(regions, mView.Region())) {
           if (sweep && !aRecord.mEnded) {
-            helpers.insert(mTakeoverPlan.ResponsibleHost(
+            hostsToAsk.insert(mTakeoverPlan.ResponsibleHost(
               aRecord.mId, aRecord.mRegion, regions));
           }
           return false;
@@ -658,7 +658,7 @@
     if (complete) {
       mTakeoverPlan.MarkScanned();
     }
-    co_await RequestRecovery(std::move(helpers));
+    co_await RequestRecovery(std::move(hostsToAsk));
     if (sweep) {
       lastSweep = mClock();
       mVersionUpdater->SetTokenDemand(mSteps.TokenDemand(),
--- a/src/agatetide/request/cold_replicas_test.cpp
+++ b/src/agatetide/request/cold_replicas_test.cpp
@@ -14,7 +14,7 @@
 
 constexpr const char* kService = "engine";
 constexpr double kColdRate = 8.7;
-/// What the replica stands in any second: 1.5 times its rate and 5 more.
+/// What the replica can take in any second: 1.5 times its rate and 5 more.
 constexpr size_t kMaxPerSecond = 18;
 constexpr std::chrono::milliseconds kTick{ 10 };
 constexpr size_t kTicksPerSecond = std::chrono::seconds(1) / kTick;
--- a/src/agatetide/request/service_admission.cpp
+++ b/src/agatetide/request/service_admission.cpp
@@ -1,6 +1,7 @@
 #include "agatetide/request/service_admission.hpp"
 
 #include "agatetide/base/encoding.hpp"
+#include "agatetide/request/forwarder.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -35,15 +36,6 @@
   return std::chrono::duration_cast<Milliseconds>(aDuration).count();
 }
 
-Error StoppingError()
-{
-  return { ErrorKind::Unavailable,
-           "this host is about to stop",
-           "send it to another host",
-           Execution::NotRun,
-           Milliseconds(0) };
-}
-
 policy::AdmissionRequest MakeRequest(const AdmissionCall& aCall, uint64_t aId)
 {
   return { aId,           aCall.mClass,   aCall.mAccount,
@@ -183,7 +175,7 @@
   }
   if (mStopping) {
     ++mCounts.mRemoved;
-    co_return StoppingError();
+    co_return HostStoppingError();
   }
   ++mCounts.mRefusedLate;
   const Milliseconds retryAfter = service.mPolicy.RetryTime(
@@ -295,7 +287,7 @@
                                Milliseconds aRetryAfter)
 {
   if (mStopping) {
-    return StoppingError();
+    return HostStoppingError();
   }
   if (aService.mLogLimiter.Allow(mClock())) {
     const policy::AdmissionCapacity capacity = CapacityOf(aCall.mService);
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -550,6 +550,30 @@
          remainingSeconds >= kCriticalShare * aStep.mPlan.mNeededSeconds;
 }
 
+/// Cancels the stream of an item, so that it resumes on another replica.
+void StepRunner::CancelToMove(OwnedStep& aStep,
+                              size_t aIndex,
+                              const MoveReason& aReason)
+{
+  ItemRun& run = aStep.mRuns[aIndex];
+  ObserveSpeed(run.mReplicaId, run);
+  LogEvent("item_moved")
+    .Field("step", aStep.mRecord.mId)
+    .Field("item", aStep.mItems[aIndex].mId)
+    .Field("replica", run.mReplicaId)
+    .Field("seconds_per_event", aReason.mSecondsPerEvent)
+    .Field("other_seconds_per_event", aReason.mOtherSecondsPerEvent)
+    .Field("events", static_cast<uint64_t>(run.mText.Events().size()))
+    .Field("saved_s", aReason.mBenefit.mSavedSeconds)
+    .Field("cost_s", aReason.mBenefit.mCostSeconds)
+    .Field("moves", run.mMoveCount)
+    .Field("critical", aReason.mCritical)
+    .Write();
+  ++run.mMoveCount;
+  run.mWindow.Clear();
+  (*run.mCancel)();
+}
+
 /// Moves an item that its step waits for as soon as that saves time. Only few
 /// items are so long, and each second of them is one of the trainer.
 void StepRunner::MoveCriticalItem(OwnedStep& aStep,
@@ -565,20 +589,9 @@
   if (!policy::ShouldMoveItem(progress, aOtherSecondsPerEvent, mMoveOptions)) {
     return;
   }
-  ObserveSpeed(run.mReplicaId, run);
-  LogEvent("item_moved")
-    .Field("step", aStep.mRecord.mId)
-    .Field("item", aStep.mItems[aIndex].mId)
-    .Field("replica", run.mReplicaId)
-    .Field("seconds_per_event", progress.mSecondsPerEvent)
-    .Field("other_seconds_per_event", aOtherSecondsPerEvent)
-    .Field("events", static_cast<uint64_t>(progress.mEvents))
-    .Field("moves", progress.mMoveCount)
-    .Field("critical", true)
-    .Write();
-  ++run.mMoveCount;
-  run.mWindow.Clear();
-  (*run.mCancel)();
+  CancelToMove(aStep,
+               aIndex,
+               { progress.mSecondsPerEvent, aOtherSecondsPerEvent, {}, true });
 }
 
 /// Cancels the stream of an item of a service that reports a pace if a move
@@ -608,23 +621,13 @@
         progress, aOtherSecondsPerEvent, mPacedMoveOptions)) {
     return;
   }
-  const policy::MoveBenefit benefit =
-    policy::EstimateMove(progress, aOtherSecondsPerEvent, mPacedMoveOptions);
-  ObserveSpeed(run.mReplicaId, run);
-  LogEvent("item_moved")
-    .Field("step", aStep.mRecord.mId)
-    .Field("item", aStep.mItems[aIndex].mId)
-    .Field("replica", run.mReplicaId)
-    .Field("seconds_per_event", progress.mSecondsPerEvent)
-    .Field("other_seconds_per_event", aOtherSecondsPerEvent)
-    .Field("events", static_cast<uint64_t>(progress.mEvents))
-    .Field("saved_s", benefit.mSavedSeconds)
-    .Field("cost_s", benefit.mCostSeconds)
-    .Field("moves", progress.mMoveCount)
-    .Write();
-  ++run.mMoveCount;
-  run.mWindow.Clear();
-  (*run.mCancel)();
+  CancelToMove(
+    aStep,
+    aIndex,
+    { progress.mSecondsPerEvent,
+      aOtherSecondsPerEvent,
+      policy::EstimateMove(progress, aOtherSecondsPerEvent, mPacedMoveOptions),
+      false });
 }
 
 /// Cancels streams on slow replicas if faster ones have free slots, so that
