--- a/src/agatetide/base/event_log.cpp
+++ b/src/agatetide/base/event_log.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-/// The queue is allocated at the start and takes about 400 bytes a line. When it
-/// is full, the oldest lines are dropped.
+/// The queue is allocated at the start and takes about 400 bytes a line. When
+/// it is full, the oldest lines are dropped.
 constexpr size_t kMaxQueuedLines = 4096;
 
 bool NeedsQuotes(std::string_view aValue)
