Keep store calls of steps in their region where regions are restricted

Cause: a host that the store refuses sent its store calls, with items of steps, through hosts of any region, also of steps that may only be stored in some. Change: where the configuration restricts regions, calls for step records go through hosts of the own region only.

--- a/src/agatetide/entry/store_router.cpp
+++ b/src/agatetide/entry/store_router.cpp
@@ -20,6 +20,25 @@
   return std::holds_alternative<LeaseKeepAliveRequest>(aRequest);
 }
 
+/// Prefix of all keys of steps.
+constexpr std::string_view kStepPrefix = "agatetide/step";
+
+/// Whether the call or its reply may hold the items of steps, which may not be
+/// sent to regions that their route and account do not allow.
+bool IsOfSteps(const StoreRequest& aRequest)
+{
+  if (const auto* range = std::get_if<RangeRequest>(&aRequest)) {
+    return range->mKey.starts_with(kStepPrefix);
+  }
+  const auto* transaction = std::get_if<TransactionRequest>(&aRequest);
+  return transaction != nullptr &&
+         std::any_of(transaction->mPuts.begin(),
+                     transaction->mPuts.end(),
+                     [](const StorePut& aPut) {
+                       return aPut.mKey.starts_with(kStepPrefix);
+                     });
+}
+
 } // namespace
 
 StoreRouter::StoreRouter(StoreRouterOptions aOptions,
@@ -88,10 +107,16 @@
 Awaitable<std::optional<Result<StoreReply>>> StoreRouter::CallPeers(
   StoreRequest aRequest)
 {
+  const bool ownRegionOnly =
+    mView.Config() && mView.Config()->RestrictsRegions() && IsOfSteps(aRequest);
   const std::vector<std::string> peers = Peers();
   for (const std::string& name : peers) {
+    const auto host = mView.Hosts().find(name);
+    const bool allowed =
+      !ownRegionOnly ||
+      (host != mView.Hosts().end() && host->second.mRegion == mView.Region());
     const auto endpoint = mView.PeerEndpoint(name);
-    if (endpoint.has_error()) {
+    if (!allowed || endpoint.has_error()) {
       continue;
     }
     auto reply =
--- a/src/agatetide/entry/store_router_test.cpp
+++ b/src/agatetide/entry/store_router_test.cpp
@@ -182,3 +182,26 @@
   cr_expect_eq(renewing.mDirectCalls, 1);
   cr_expect(renewing.mAskedPorts == std::vector<uint16_t>({ 1 }));
 }
+
+// Guards against items of a step that leave their region because the store
+// refuses their host.
+Test(store_path, calls_of_steps_stay_in_the_region_where_regions_are_restricted)
+{
+  Fixture fixture;
+  fixture.mDirectReply = Refused();
+  auto hosts = fixture.mView.Hosts();
+  hosts.at("near").mRegion = "other";
+  hosts.at("far").mRegion = "region";
+  fixture.mView.SetHosts(hosts);
+  auto config = std::make_shared<fleet::ServiceConfig>();
+  config->mVersion = 1;
+  config->mRoutes.emplace_back();
+  config->mRoutes[0].mAllowedRegions = fleet::RegionSet{ "region" };
+  fixture.mView.UpdateConfig(std::move(config));
+  TransactionRequest write;
+  write.mPuts.push_back({ "agatetide/step-items/s/0", "value" });
+  cr_expect(RunCoroutine(fixture.mRouter.Call(write)).has_value());
+  cr_expect(fixture.mAskedPorts == std::vector<uint16_t>({ 2 }));
+  cr_expect(fixture.Put().has_value());
+  cr_expect(fixture.mAskedPorts == std::vector<uint16_t>({ 2, 1 }));
+}
