--- a/src/agatetide/request/cold_replicas.cpp
+++ b/src/agatetide/request/cold_replicas.cpp
@@ -14,8 +14,6 @@
 /// A restarted replica is registered again within two heartbeats of 1.2 s and
 /// the lag of the store.
 constexpr std::chrono::milliseconds kRegistrationDelay{ 3500 };
-/// A host that has saved up more than one request would send them at once.
-constexpr policy::RequestPacerOptions kNoBurst{ 0.0 };
 
 } // namespace
 
