Look at all load entries at most once a second for messages

Change: nothing is exported without an active service, and old entries are removed at most each second.

--- a/include/agatetide/request/load_table.hpp
+++ b/include/agatetide/request/load_table.hpp
@@ -109,6 +109,7 @@
   const fleet::FleetView& mView;
   Clock mClock;
   policy::LoadEstimateOptions mOptions;
+  TimePoint mCleanedAt{};
   /// By replica id.
   std::map<std::string, Entry, std::less<>> mEntries;
   /// The means are a cache, so that Estimate() is const.
--- a/src/agatetide/request/load_table.cpp
+++ b/src/agatetide/request/load_table.cpp
@@ -17,6 +17,8 @@
 /// a third of its requests; larger services are placed by counts.
 constexpr size_t kMaxReplicas = 256;
 constexpr std::chrono::seconds kCountLifetime{ 1 };
+/// Each message between hosts would otherwise look at all entries.
+constexpr std::chrono::seconds kCleaningInterval{ 1 };
 /// Load lasts about as long as the requests that cause it: streams of items run
 /// for seconds, requests to plain services for a tenth of one.
 constexpr double kDecayPerWorkSecond = 1.5;
@@ -221,7 +223,17 @@
 
 std::string LoadTable::Export(size_t aMaxBytes)
 {
-  RemoveOldEntries();
+  if (mClock() - mCleanedAt >= kCleaningInterval) {
+    RemoveOldEntries();
+    mCleanedAt = mClock();
+  }
+  const bool isAnyActive =
+    std::any_of(mServices.begin(), mServices.end(), [&](const auto& aItem) {
+      return IsActive(aItem.first);
+    });
+  if (!isAnyActive) {
+    return {};
+  }
   RefillBudget();
   const size_t bytes =
     std::min(aMaxBytes, static_cast<size_t>(kMessageShare * mBudget));
