--- a/src/agatetide/http/connection_memory.cpp
+++ b/src/agatetide/http/connection_memory.cpp
@@ -101,7 +101,7 @@
 
 bool ConnectionHold::TakeResponse(size_t aBytes)
 {
-  if (!mMemory || aBytes <= kFreeBytes) {
+  if (!mMemory || !mClose || aBytes <= kFreeBytes) {
     return true;
   }
   if (!mResponse.GrowTo(aBytes)) {
