--- a/include/agatetide/steps/step_service.hpp
+++ b/include/agatetide/steps/step_service.hpp
@@ -124,14 +124,33 @@
   };
   using CachedStepPtr = std::shared_ptr<CachedStep>;
 
+  /// What a read of results did, for the log.
+  struct ReadTrace
+  {
+    /// Where the step was found: in the memory of its owner, in the cache of
+    /// other hosts' steps, or in the store.
+    const char* mSource = "owner";
+    unsigned mLogReads = 0;
+    uint32_t mLogEntries = 0;
+    /// Size of the texts in these entries.
+    size_t mLogBytes = 0;
+  };
+
   Awaitable<Result<CachedStepPtr>> Lookup(std::string aId,
                                           std::string aAccount);
   Awaitable<Result<bool>> ReadNewResults(CachedStepPtr aStep,
-                                         int64_t& aRevision);
+                                         int64_t& aRevision,
+                                         ReadTrace& aTrace);
+  Awaitable<Result<ResultPage>> ReadPage(std::string aId,
+                                         std::string aAccount,
+                                         size_t aFrom,
+                                         Milliseconds aMaxWait,
+                                         ReadTrace& aTrace);
   Awaitable<Result<ResultPage>> ReadFromStore(std::string aId,
                                               std::string aAccount,
                                               size_t aFrom,
-                                              Milliseconds aMaxWait);
+                                              Milliseconds aMaxWait,
+                                              ReadTrace& aTrace);
   Awaitable<void> ResolveUnknownCreate(std::string aId);
   Awaitable<void> ResolveUnknownClaim(std::string aId, int64_t aRevision);
   bool IsOrphan(const StepRecord& aRecord) const;
--- a/src/agatetide/http/connection_memory.cpp
+++ b/src/agatetide/http/connection_memory.cpp
@@ -1,5 +1,7 @@
 #include "agatetide/http/connection_memory.hpp"
 
+#include "agatetide/base/event_log.hpp"
+
 #include <utility>
 
 namespace agatetide::http {
@@ -48,6 +50,15 @@
   }
   ++(worst->mPhase == ConnectionPhase::Writing ? mClosedWriting
                                                : mClosedReceiving);
+  const auto age =
+    std::chrono::duration_cast<Milliseconds>(now - worst->mPhaseStart);
+  LogEvent("connection_closed_for_memory", LogLevel::Warning)
+    .Field("phase",
+           worst->mPhase == ConnectionPhase::Writing ? "writing" : "receiving")
+    .Field("held", static_cast<uint64_t>(worst->HeldBytes()))
+    .Field("phase_ms", static_cast<int64_t>(age.count()))
+    .Field("used", static_cast<uint64_t>(Used()))
+    .Write();
   worst->mClosed = true;
   worst->mClose();
   return true;
--- a/src/agatetide/http/server.cpp
+++ b/src/agatetide/http/server.cpp
@@ -461,6 +461,10 @@
       }
       if (!fits) {
         ++aState->mCounters.mDroppedResponses;
+        LogEvent("response_dropped", LogLevel::Warning)
+          .Field("bytes", static_cast<uint64_t>(responseBytes))
+          .Field("used", UsedMemory(options))
+          .Write();
         response = options.mMakeRefusal(ResponseDoesNotFit(), {});
       }
     }
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -206,6 +206,39 @@
                                                 std::string aAccount,
                                                 size_t aFrom,
                                                 Milliseconds aMaxWait)
+{
+  const TimePoint start = mContext.mClock();
+  const std::string id = aId;
+  ReadTrace trace;
+  auto page = co_await ReadPage(
+    std::move(aId), std::move(aAccount), aFrom, aMaxWait, trace);
+  const auto duration =
+    std::chrono::duration_cast<Milliseconds>(mContext.mClock() - start);
+  LogEvent event("step_read",
+                 page.has_error() ? LogLevel::Warning : LogLevel::Info);
+  event.Field("step", id)
+    .Field("from", static_cast<uint64_t>(aFrom))
+    .Field("wait_ms", static_cast<int64_t>(aMaxWait.count()))
+    .Field("ms", static_cast<int64_t>(duration.count()))
+    .Field("source", trace.mSource)
+    .Field("log_reads", trace.mLogReads)
+    .Field("log_entries", trace.mLogEntries)
+    .Field("log_bytes", static_cast<uint64_t>(trace.mLogBytes));
+  if (page.has_error()) {
+    event.Field("result", FormatError(page.error()));
+  } else {
+    event.Field("listed", static_cast<uint64_t>(page->mResults.size()))
+      .Field("total", static_cast<uint64_t>(page->mTotalItems));
+  }
+  event.Write();
+  co_return page;
+}
+
+Awaitable<Result<ResultPage>> StepService::ReadPage(std::string aId,
+                                                    std::string aAccount,
+                                                    size_t aFrom,
+                                                    Milliseconds aMaxWait,
+                                                    ReadTrace& aTrace)
 {
   const TimePoint deadline = mContext.mClock() + aMaxWait;
   const OwnedStepPtr owned = mRunner.Find(aId);
@@ -221,7 +254,7 @@
   const auto remaining =
     std::chrono::duration_cast<Milliseconds>(deadline - mContext.mClock());
   co_return co_await ReadFromStore(
-    std::move(aId), std::move(aAccount), aFrom, remaining);
+    std::move(aId), std::move(aAccount), aFrom, remaining, aTrace);
 }
 
 Awaitable<Result<StepService::CachedStepPtr>> StepService::Lookup(
@@ -269,9 +302,11 @@
 /// Reads the log entries that follow the cached results. Sets aRevision to the
 /// revision of the read.
 Awaitable<Result<bool>> StepService::ReadNewResults(CachedStepPtr aStep,
-                                                    int64_t& aRevision)
+                                                    int64_t& aRevision,
+                                                    ReadTrace& aTrace)
 {
   const uint32_t from = aStep->mLogEntryCount;
+  ++aTrace.mLogReads;
   auto part = co_await mContext.mStepStore.ReadLog(aStep->mRecord.mId, from);
   if (part.has_error()) {
     co_return part.error();
@@ -282,7 +317,9 @@
     co_return true; // A concurrent call has added these entries already.
   }
   aStep->mLogEntryCount += part->mEntryCount;
+  aTrace.mLogEntries += part->mEntryCount;
   for (ItemResult& result : part->mResults) {
+    aTrace.mLogBytes += result.mText.size();
     aStep->mBytes += result.mText.size();
     aStep->mResults.push_back(std::move(result));
   }
@@ -292,9 +329,11 @@
 Awaitable<Result<ResultPage>> StepService::ReadFromStore(std::string aId,
                                                          std::string aAccount,
                                                          size_t aFrom,
-                                                         Milliseconds aMaxWait)
+                                                         Milliseconds aMaxWait,
+                                                         ReadTrace& aTrace)
 {
   const TimePoint deadline = mContext.mClock() + aMaxWait;
+  aTrace.mSource = mCache.contains(aId) ? "cache" : "store";
   const auto found = co_await Lookup(std::move(aId), std::move(aAccount));
   if (found.has_error()) {
     co_return found.error();
@@ -306,11 +345,11 @@
   if (isOld && step->mResults.size() > aFrom) {
     // After an error, the results that are known are a page, too.
     int64_t ignored = 0;
-    co_await ReadNewResults(step, ignored);
+    co_await ReadNewResults(step, ignored, aTrace);
   }
   while (step->mResults.size() <= aFrom && step->mResults.size() < total) {
     int64_t revision = 0;
-    const auto updated = co_await ReadNewResults(step, revision);
+    const auto updated = co_await ReadNewResults(step, revision, aTrace);
     if (updated.has_error()) {
       co_return updated.error();
     }
@@ -686,7 +725,8 @@
       // retention has passed; the log shows whether it is.
       auto cached = std::make_shared<CachedStep>();
       cached->mRecord = record;
-      const auto updated = co_await ReadNewResults(cached, revision);
+      ReadTrace ignored;
+      const auto updated = co_await ReadNewResults(cached, revision, ignored);
       if (updated.has_error() || cached->mResults.size() >= record.mItemCount) {
         complete = complete && updated.has_value();
         continue;
