Show reads of long logs that no host answers in time

What callers see: a batch job with many results can't be read from the start. Each host that is asked reads the whole log, 3 MB in these tests, before it answers; the reader has left after 1.5 s, and asks another host that has not seen the job either. Nobody can read it then, though nothing is lost.

The stand-in of the store gains the limit of 1 MB for a page of a range, and paths on which answers take time.

--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -25,6 +25,8 @@
 EXPIRY_S = 3.6
 # Limits of one transaction of the store.
 MAX_ENTRIES, MAX_VALUE_BYTES = 32, 1 << 20
+# Limits of one page of a range; a page has one item at least.
+MAX_PAGE_ITEMS, MAX_PAGE_BYTES = 500, 1000000
 # Time in which a replica that ended is back.
 RESTART_S = 1.5
 
@@ -125,6 +127,7 @@
         self.refuses_call = None  # whether the call is refused
         # Called with path and body: seconds after which a call is executed without an answer; None for others.
         self.delays_call = None
+        self.seconds_per_mb = 0  # what answers take besides, as on a long path
         self.lock = threading.Lock()
         self.connections, self.silent_connections = set(), set()
         self.server = serve(self.handle)
@@ -152,6 +155,11 @@
             self.silent_connections.add(handler.connection)
             threading.Timer(delay_s, self.execute, (method, path, query, call)).start()
             wait_for_end(handler.connection)
+        elif self.seconds_per_mb:
+            status, value = self.execute(method, path, query, call)
+            data = json.dumps(value).encode()
+            time.sleep(self.seconds_per_mb * len(data) / 1e6)
+            handler.reply(status, data)
         elif loses_answer is None:
             self.store.handle(handler, method, path, query, body)
         else:
@@ -263,7 +271,13 @@
         if path == "/kv-range":
             found = [self.items[k] for k in sorted(self.items)
                      if k.startswith(query["pathPrefix"]) and k > query.get("after", "")]
-            return 200, {"items": found[:500], "truncated": len(found) > 500, "storeRevision": self.revision}
+            page, size = [], 0
+            for item in found[:MAX_PAGE_ITEMS]:
+                size += len(item["value"])
+                if page and size > MAX_PAGE_BYTES:
+                    break
+                page.append(item)
+            return 200, {"items": page, "truncated": len(found) > len(page), "storeRevision": self.revision}
         if path == "/kv-watch":
             return self.watch(query)
         if path == "/kv-txn":
@@ -325,6 +339,7 @@
         self.born = int(time.time() * 1000)
         self.requests = []
         self.endless_stream = False
+        self.event_bytes = 0  # events are filled up to this size
         self.statuses = []  # of the next answers; 200 after them
         self.flood = None  # what its connections bring without end in place of answers; see harness/flood.py
         self.cut_response_at = None  # bytes of its responses after which the connection ends
@@ -485,6 +500,7 @@
             time.sleep(self.pause)
             data = "x" * 20000 if self.endless_stream else "%s-%d" % (headers["Attempt-Id"], number)
             data += "@" + self.software if self.software != "v1" else ""
+            data = data.ljust(self.event_bytes, ".")
             text = ("id: %d\ndata: %s\n\n" % (number, data)).encode()
             handler.wfile.write(b"%x\r\n%s\r\n" % (len(text), text))
             if self.breaks_after is not None and number >= self.breaks_after:
--- /dev/null
+++ b/tests/long_logs.py
@@ -0,0 +1,116 @@
+"""Reads steps with long logs of results over long paths to the store.
+
+Prints "ok NAME" or "FAIL NAME reason" for each test.
+"""
+
+import json
+import sys
+
+from harness.site import check, run_tests, until
+
+KEY = {"Authorization": "Bearer key-a"}
+ITEMS, EVENTS, EVENT_BYTES = 60, 4, 15000
+# A path between regions: a window of 64 KiB in a round trip of 60 ms takes 0.9 s for 1 MB.
+SECONDS_PER_MB = 0.6
+# Readers that allow no wait get their answer within this time, or go away.
+PATIENCE_S = 1.5
+STEP = "long"
+INDEX_PREFIX = "agatetide/step-index/"
+
+
+def run_step(site):
+    """Runs a step with a log of 3.6 MB; returns the hosts that have not seen it, and its results in their order."""
+    for engine in site.engines:
+        engine.event_bytes = EVENT_BYTES
+    check(site.submit(site.daemons[0], STEP, ITEMS) == 202, "accepted")
+    results = site.read_all(site.daemons[0], ITEMS, STEP, timeout=20)
+    owner = next(d for d in site.daemons if any("outcome=accepted" in line for line in d.lines("step_submitted")))
+    return [d for d in site.daemons[1:] if d is not owner], results
+
+
+def slow_down(site):
+    for daemon in site.daemons:
+        daemon.store_endpoint.seconds_per_mb = SECONDS_PER_MB
+
+
+def read_page(daemon, after):
+    """Returns the page that a reader gets who does not wait; None if it does not come in time."""
+    try:
+        status, body, _ = daemon.call("GET", "/lots/%s?after=%d" % (STEP, after), headers=KEY, timeout=PATIENCE_S)
+    except OSError:
+        return None
+    return json.loads(body) if status == 200 else None
+
+
+def restart(site, daemons):
+    """Starts the daemons again, so that they have read nothing of the step."""
+    for daemon in daemons:
+        daemon.stop()
+        daemon.start()
+    until(lambda: all(len(site.addresses(d)) == len(site.daemons) for d in daemons), "all hosts are known")
+
+
+def each_host_reads_from_the_start_in_time(site):
+    """Guards against a host that reads the whole log before it answers, so that each host that is asked is too late."""
+    others, results = run_step(site)
+    slow_down(site)
+    for daemon in others:
+        page = read_page(daemon, 0)
+        check(page is not None, "%s answers in time" % daemon.name)
+        check(page["total"] == ITEMS and page["results"], "the page has results")
+        check(page["results"] == results[:len(page["results"])], "they are those that were read before")
+
+
+def each_page_is_read_in_time_at_another_host(site):
+    """Guards against a host that reads all entries before the ones that are asked for."""
+    _, results = run_step(site)
+    check(site.daemons[0].call("DELETE", "/lots/" + STEP, headers=KEY)[0] == 200, "ended")
+    restart(site, site.daemons)
+    slow_down(site)
+    read, turn = [], 0
+    while len(read) < ITEMS:
+        daemon = site.daemons[turn % len(site.daemons)]
+        page = read_page(daemon, len(read))
+        check(page is not None and page["results"], "%s answers in time from position %d" % (daemon.name, len(read)))
+        read += page["results"]
+        turn += 1
+    check(read == results, "all results come again, in their order")
+
+
+def positions_inside_of_entries_and_earlier_ones_are_read(site):
+    """Guards against a host that keeps a part of a log, and takes it for the beginning or the end of it."""
+    (reader, *_), results = run_step(site)
+    slow_down(site)
+    for after in (ITEMS - 1, 0, 31, 30, 1, ITEMS, ITEMS - 7, 12):
+        page = read_page(reader, after)
+        check(page is not None, "the page from %d comes in time" % after)
+        expected = results[after:after + len(page["results"])]
+        check(page["results"] == expected and bool(expected) == (after < ITEMS), "the page from %d is right" % after)
+        check(page["nextToken"] == after + len(expected), "the next position after %d is right" % after)
+
+
+def refused_host_reads_through_others_in_time(site):
+    """Guards against a host that asks another one for a whole log, which takes longer than it waits for it."""
+    (reader, *_), results = run_step(site)
+    slow_down(site)
+    reader.store_endpoint.refuse = True
+    page = read_page(reader, 0)
+    check(page is not None and page["results"], "the refused host answers in time")
+    check(page["results"] == results[:len(page["results"])], "with the results that were read before")
+
+
+def log_without_an_index_is_read(site):
+    """Guards against a log of an older build, whose results are not found without an index."""
+    (reader, *_), results = run_step(site)
+    for key in site.store.keys(INDEX_PREFIX):
+        site.store.remove(key)
+    check(site.read(reader, STEP, ITEMS - 3)["results"] == results[-3:], "the last results are found")
+    check(site.read_all(reader, ITEMS, STEP) == results, "all results come again")
+
+
+if __name__ == "__main__":
+    options = {"daemons": 4, "engines": 2, "events": EVENTS}
+    sys.exit(run_tests("long_logs", [(test, options) for test in (
+        each_host_reads_from_the_start_in_time, each_page_is_read_in_time_at_another_host,
+        positions_inside_of_entries_and_earlier_ones_are_read, refused_host_reads_through_others_in_time,
+        log_without_an_index_is_read)]))
--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -144,6 +144,7 @@
     "ended_steps": script("ended_steps"),
     "bytes_without_end": script("bytes_without_end"),
     "large_jobs": script("large_jobs"),
+    "long_logs": script("long_logs"),
     "untrusted_clients": script("untrusted_clients"),
     "crashing_requests": script("crashing_requests"),
     "soak": soak,
