Read pages of results without the log before them

What callers saw: a batch job could not be read from the start, at any host, although nothing of it was lost.

Cause: a host that had not seen a job read its whole log before it answered, at least 190 ms and 0.65 s for each MB where the store is in another region. A reader leaves after 1.5 s and asks another host, which begins again. So the time of a read grew with the job, while that of its reader does not.

Change: the log has an index (agatetide/step-index/ID, written in the same transaction as each entry) that says which results an entry holds. A host reads the record, the index unless it is asked for the start, and one page of the store from the right entry on. What it keeps of a step is a window of the log instead of its beginning. A range with a limit ends with the page that reaches it, also for a host that calls the store through another one, where a whole log took longer than the 1.7 s that it waits. Logs without an index, of older builds, are read from their start as before.

--- a/include/agatetide/coordination/store.hpp
+++ b/include/agatetide/coordination/store.hpp
@@ -27,7 +27,8 @@
 };
 
 /// @brief Reads the keys in [mKey, mRangeEnd), or only mKey if mRangeEnd is
-/// empty. A limit of 0 means no limit.
+/// empty. With a limit, the first keys are read until there are that many; the
+/// reply may have more that the store returned with them. 0 means no limit.
 struct RangeRequest
 {
   std::string mKey;
--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -155,7 +155,8 @@
   AppendState mAppendState = AppendState::None;
   /// When an append that was sent should have had its answer.
   TimePoint mAppendOverdueAt{};
-  uint32_t mNextLogEntry = 0;
+  /// The entries that hold mCommittedResults.
+  LogIndex mLogIndex;
   /// When this process last appended to the log.
   TimePoint mCommittedAt{};
   /// The step is ended, complete or superseded.
@@ -273,6 +274,7 @@
   Awaitable<void> CheckRecord(OwnedStepPtr aStep);
   Awaitable<void> CommitLoop(OwnedStepPtr aStep);
   Awaitable<AppendOutcome> AppendUntilSettled(OwnedStepPtr aStep,
+                                              LogIndex aIndex,
                                               std::string aResults);
   void StartDueCheckpoints();
   Awaitable<void> RunCheckpoint(OwnedStepPtr aStep);
--- a/include/agatetide/steps/step_service.hpp
+++ b/include/agatetide/steps/step_service.hpp
@@ -4,7 +4,9 @@
 #include "agatetide/steps/step_runner.hpp"
 
 #include <map>
+#include <memory>
 #include <set>
+#include <span>
 
 namespace agatetide::steps {
 
@@ -108,19 +110,35 @@
   }
 
 private:
-  /// A step of another daemon, as far as it was read from the store.
-  struct CachedStep
+  /// Consecutive results of a step, as far as they were read from its log.
+  struct LogWindow
   {
-    StepRecord mRecord;
-    std::vector<StepItem> mItems;
+    /// Position of the first result.
+    size_t mFirst = 0;
     std::vector<ItemResult> mResults;
-    /// Number of log entries read into mResults.
-    uint32_t mLogEntryCount = 0;
+    /// The log entry that follows them.
+    uint32_t mNextEntry = 0;
     /// When the log was last read.
     TimePoint mReadAt{};
-    /// Size of the texts of mItems and mResults.
+    /// Size of the texts.
     size_t mBytes = 0;
+
+    /// Position that follows the last result.
+    size_t End() const { return mFirst + mResults.size(); }
+  };
+  using LogWindowPtr = std::shared_ptr<LogWindow>;
+
+  /// A step of another daemon, as far as it was read from the store.
+  struct CachedStep
+  {
+    StepRecord mRecord;
+    std::vector<StepItem> mItems;
+    size_t mItemBytes = 0;
+    /// The results that were asked for last; never null.
+    LogWindowPtr mLog = std::make_shared<LogWindow>();
     TimePoint mLastUsed{};
+
+    size_t Bytes() const { return mItemBytes + mLog->mBytes; }
   };
   using CachedStepPtr = std::shared_ptr<CachedStep>;
 
@@ -136,11 +154,21 @@
     size_t mLogBytes = 0;
   };
 
+  /// What a read of the log brought.
+  struct LogRead
+  {
+    /// Whether there were new entries.
+    bool mHadEntries = false;
+    /// Revision of the store at the time of the read.
+    int64_t mRevision = 0;
+  };
+
   Awaitable<Result<CachedStepPtr>> Lookup(std::string aId,
                                           std::string aAccount);
-  Awaitable<Result<bool>> ReadNewResults(CachedStepPtr aStep,
-                                         int64_t& aRevision,
-                                         ReadTrace& aTrace);
+  Awaitable<Result<LogWindowPtr>> OpenLog(CachedStepPtr aStep, size_t aFrom);
+  Awaitable<Result<LogRead>> ReadNewResults(std::string aId,
+                                            LogWindowPtr aLog,
+                                            ReadTrace& aTrace);
   Awaitable<Result<ResultPage>> ReadPage(std::string aId,
                                          std::string aAccount,
                                          size_t aFrom,
@@ -167,7 +195,7 @@
   policy::RecentStep ObserveStep(const StepRecord& aRecord,
                                  const fleet::Route& aRoute);
   void UpdatePeakItems(const std::vector<StepRecord>& aRecords);
-  ResultPage MakePage(const std::vector<ItemResult>& aResults,
+  ResultPage MakePage(std::span<const ItemResult> aResults,
                       size_t aTotal,
                       size_t aFrom) const;
   Awaitable<Result<std::string>> LoadItemBody(StepRecord aRecord,
--- a/include/agatetide/steps/step_store.hpp
+++ b/include/agatetide/steps/step_store.hpp
@@ -2,6 +2,7 @@
 
 #include "agatetide/base/awaitable.hpp"
 #include "agatetide/coordination/store.hpp"
+#include "agatetide/steps/log_index.hpp"
 #include "agatetide/steps/step.hpp"
 
 #include <optional>
@@ -45,21 +46,28 @@
 struct LogPart
 {
   std::vector<ItemResult> mResults;
-  /// Number of entries read.
-  uint32_t mEntryCount = 0;
-  /// Revision of the store at the time of the read.
+  /// Number of results of each entry.
+  std::vector<uint32_t> mResultCounts;
+  /// Revision of the store at the time of the read; if it took several calls,
+  /// of the first one.
   int64_t mRevision = 0;
+
+  uint32_t EntryCount() const
+  {
+    return static_cast<uint32_t>(mResultCounts.size());
+  }
 };
 
 /// @brief Stores steps in the platform store: a record that names the owner,
-/// the items split into values of limited size, and a log of results. While the
-/// items of a large step are being stored, an entry names the step, so that
-/// they are deleted if its record is never created.
+/// the items split into values of limited size, and a log of results with an
+/// index. While the items of a large step are being stored, an entry names the
+/// step, so that they are deleted if its record is never created.
 ///
 /// Each append to the log is conditional on the record being unchanged, so a
 /// process that no longer owns a step cannot append to its log. An entry is
-/// never overwritten, so the positions of results never change. Thread-safe
-/// if the functions passed to the constructor are.
+/// never overwritten, so the positions of results never change. The index is
+/// written together with each entry; it lacks the entries of builds that know
+/// no index. Thread-safe if the functions passed to the constructor are.
 class StepStore
 {
 public:
@@ -94,17 +102,28 @@
   Awaitable<Result<bool>> VisitItems(StepRecord aRecord,
                                      std::function<bool(StepItem)> aVisit);
 
-  /// @brief Writes entry aEntry of the log. aResults comes from
-  /// EncodeResults(). After NotAppended or Unknown, call it again with the same
-  /// entry and results.
+  /// @brief Writes the last entry of aIndex, which describes the whole log with
+  /// it. aResults comes from EncodeResults(). After NotAppended or Unknown,
+  /// call it again with the same index and results. Precondition: aIndex has an
+  /// entry.
   Awaitable<AppendOutcome> Append(StepRecord aRecord,
-                                  uint32_t aEntry,
+                                  LogIndex aIndex,
                                   std::string aResults);
 
-  /// @brief Reads the log from entry aFrom on. Errors: those of the store;
-  /// DataLoss when an entry cannot be decoded.
+  /// @brief Reads entries of the log from entry aFrom on: as many as the store
+  /// returns at once, so that the time that it takes has a bound. No entry
+  /// means that there is none yet. Errors: those of the store; DataLoss when an
+  /// entry cannot be decoded.
   Awaitable<Result<LogPart>> ReadLog(std::string aId, uint32_t aFrom);
 
+  /// @brief Reads all entries of the log; may take several calls. Errors: as
+  /// ReadLog().
+  Awaitable<Result<LogPart>> ReadWholeLog(std::string aId);
+
+  /// @brief Loads the index of the log; it is empty if there is none. Errors:
+  /// those of the store; DataLoss when it cannot be decoded.
+  Awaitable<Result<LogIndex>> LoadLogIndex(std::string aId);
+
   /// @brief Waits up to aMaxWait for a change of the log after a revision.
   /// Returns whether it may have changed. Errors: those of the store.
   Awaitable<Result<bool>> AwaitLog(std::string aId,
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -128,7 +128,7 @@
   step->mRuns.resize(step->mItems.size());
   RecordGroups(*step);
   step->mCommittedResults = std::move(aLog.mResults);
-  step->mNextLogEntry = aLog.mEntryCount;
+  step->mLogIndex.Add(aLog.mResultCounts);
   step->mAdoptedAt = mContext.mClock();
   step->mRecordCheckedAt = step->mAdoptedAt;
   step->mCommitTimer = std::make_unique<asio::steady_timer>(mContext.mExecutor);
@@ -359,9 +359,9 @@
   } else if ((*record)->mEnded) {
     // The owner's name does not tell whether another process owned the step
     // for a time, and appended results.
-    const auto log = co_await mContext.mStepStore.ReadLog(aStep->mRecord.mId,
-                                                          aStep->mNextLogEntry);
-    aStep->mLogIsAhead = log.has_error() || log->mEntryCount > 0;
+    const auto log = co_await mContext.mStepStore.ReadLog(
+      aStep->mRecord.mId, aStep->mLogIndex.EntryCount());
+    aStep->mLogIsAhead = log.has_error() || log->EntryCount() > 0;
     Stop(aStep, false);
   }
 }
@@ -433,9 +433,10 @@
   aStep->mCommitTimer->cancel();
 }
 
-/// Appends an entry to the log, again until its outcome is known or the step
-/// stops.
+/// Appends the last entry of aIndex to the log, again until its outcome is
+/// known or the step stops.
 Awaitable<AppendOutcome> StepRunner::AppendUntilSettled(OwnedStepPtr aStep,
+                                                        LogIndex aIndex,
                                                         std::string aResults)
 {
   asio::steady_timer timer(mContext.mExecutor);
@@ -445,8 +446,8 @@
       aStep->mAppendOverdueAt = mContext.mClock() + kUsualAppendTime;
       WakeWaiters(*aStep);
     }
-    const AppendOutcome outcome = co_await mContext.mStepStore.Append(
-      aStep->mRecord, aStep->mNextLogEntry, aResults);
+    const AppendOutcome outcome =
+      co_await mContext.mStepStore.Append(aStep->mRecord, aIndex, aResults);
     if (outcome == AppendOutcome::Appended ||
         outcome == AppendOutcome::Superseded) {
       aStep->mAppendState = AppendState::None;
@@ -456,7 +457,7 @@
         aStep->mAppendState != AppendState::Unknown) {
       LogEvent("append_unknown", LogLevel::Warning)
         .Field("step", aStep->mRecord.mId)
-        .Field("entry", aStep->mNextLogEntry)
+        .Field("entry", aStep->mLogIndex.EntryCount())
         .Field("listed", static_cast<uint64_t>(aStep->mCommittedResults.size()))
         .Write();
       aStep->mAppendState = AppendState::Unknown;
@@ -495,8 +496,10 @@
       batch.push_back(aStep->mPendingResults[batch.size()]);
     }
     std::string encoded = EncodeResults(batch);
+    LogIndex index = aStep->mLogIndex;
+    index.Add(batch.size());
     const AppendOutcome outcome =
-      co_await AppendUntilSettled(aStep, std::move(encoded));
+      co_await AppendUntilSettled(aStep, index, std::move(encoded));
     if (outcome == AppendOutcome::Superseded) {
       Stop(aStep, true);
     }
@@ -504,7 +507,7 @@
       co_return;
     }
     aStep->mRecordCheckedAt = mContext.mClock();
-    ++aStep->mNextLogEntry;
+    aStep->mLogIndex = std::move(index);
     aStep->mPendingResults.erase(aStep->mPendingResults.begin(),
                                  aStep->mPendingResults.begin() +
                                    static_cast<std::ptrdiff_t>(batch.size()));
--- a/src/agatetide/steps/step_runner_test.cpp
+++ b/src/agatetide/steps/step_runner_test.cpp
@@ -156,7 +156,7 @@
   ItemResult result;
   result.mId = "0";
   log.mResults.push_back(std::move(result));
-  log.mEntryCount = 1;
+  log.mResultCounts = { 1 };
   PartialSample partial;
   partial.mId = "1";
   partial.mEvents.assign(150, "event");
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds kCreateRetryDelay{ 100 };
 /// Maximum duration of one watch of the log of another daemon's step.
 constexpr std::chrono::milliseconds kMaxLogWait{ 1000 };
+/// A watch is not worth its call for less.
+constexpr std::chrono::milliseconds kMinLogWait{ 20 };
 constexpr unsigned kMaxEndAttempts = 8;
 /// Items of other hosts' steps with more stored values are not cached.
 constexpr uint32_t kMaxCachedChunks = 4;
@@ -34,6 +36,13 @@
            "check the step id and the key, or submit the step again" };
 }
 
+/// The results that follow the first aCount.
+std::span<const ItemResult> Behind(const std::vector<ItemResult>& aResults,
+                                   size_t aCount)
+{
+  return std::span(aResults).subspan(std::min(aCount, aResults.size()));
+}
+
 Error ItemNotFound(const std::string& aItem)
 {
   return { ErrorKind::NotFound,
@@ -185,20 +194,22 @@
   mUnknownClaims.erase(aId);
 }
 
-ResultPage StepService::MakePage(const std::vector<ItemResult>& aResults,
+/// Makes a page of results; the first of aResults has the position aFrom.
+ResultPage StepService::MakePage(std::span<const ItemResult> aResults,
                                  size_t aTotal,
                                  size_t aFrom) const
 {
   ResultPage page;
   page.mTotalItems = aTotal;
   size_t bytes = 0;
-  size_t position = aFrom;
-  while (position < aResults.size() && bytes < mOptions.mPageThresholdBytes) {
-    bytes += aResults[position].mText.size();
-    page.mResults.push_back(aResults[position]);
-    ++position;
+  for (const ItemResult& result : aResults) {
+    if (bytes >= mOptions.mPageThresholdBytes) {
+      break;
+    }
+    bytes += result.mText.size();
+    page.mResults.push_back(result);
   }
-  page.mNextPosition = position;
+  page.mNextPosition = aFrom + page.mResults.size();
   return page;
 }
 
@@ -248,7 +259,8 @@
     }
     co_await mRunner.AwaitResults(owned, aFrom, aMaxWait);
     if (!owned->MayLackResults(mContext.mClock())) {
-      co_return MakePage(owned->mCommittedResults, owned->mItems.size(), aFrom);
+      co_return MakePage(
+        Behind(owned->mCommittedResults, aFrom), owned->mItems.size(), aFrom);
     }
   }
   const auto remaining =
@@ -287,43 +299,78 @@
 {
   size_t bytes = 0;
   for (const auto& [id, step] : mCache) {
-    bytes += step->mBytes;
+    bytes += step->Bytes();
   }
   while (bytes > mOptions.mMaxCachedBytes && mCache.size() > 1) {
     const auto oldest = std::min_element(
       mCache.begin(), mCache.end(), [](const auto& aLeft, const auto& aRight) {
         return aLeft.second->mLastUsed < aRight.second->mLastUsed;
       });
-    bytes -= oldest->second->mBytes;
+    bytes -= oldest->second->Bytes();
     mCache.erase(oldest);
   }
 }
 
-/// Reads the log entries that follow the cached results. Sets aRevision to the
-/// revision of the read.
-Awaitable<Result<bool>> StepService::ReadNewResults(CachedStepPtr aStep,
-                                                    int64_t& aRevision,
-                                                    ReadTrace& aTrace)
+/// Returns the results that are known if they reach a position, otherwise new
+/// ones that begin at the entry with that position.
+Awaitable<Result<StepService::LogWindowPtr>> StepService::OpenLog(
+  CachedStepPtr aStep,
+  size_t aFrom)
+{
+  const LogWindowPtr known = aStep->mLog;
+  if (known->mFirst <= aFrom && aFrom <= known->End()) {
+    co_return known;
+  }
+  LogPosition start;
+  if (aFrom > 0) {
+    const auto index =
+      co_await mContext.mStepStore.LoadLogIndex(aStep->mRecord.mId);
+    if (index.has_value()) {
+      start = index->Find(aFrom);
+    } else if (index.error().mKind != ErrorKind::DataLoss) {
+      co_return index.error();
+    } else {
+      LogEvent("log_index_ignored", LogLevel::Error)
+        .Field("step", aStep->mRecord.mId)
+        .Field("error", FormatError(index.error()))
+        .Write();
+    }
+  }
+  if (known->mFirst <= aFrom && known->mNextEntry >= start.mEntry) {
+    co_return known;
+  }
+  auto opened = std::make_shared<LogWindow>();
+  opened->mFirst = start.mResult;
+  opened->mNextEntry = start.mEntry;
+  aStep->mLog = opened;
+  co_return opened;
+}
+
+/// Reads some of the log entries that follow the known results.
+Awaitable<Result<StepService::LogRead>> StepService::ReadNewResults(
+  std::string aId,
+  LogWindowPtr aLog,
+  ReadTrace& aTrace)
 {
-  const uint32_t from = aStep->mLogEntryCount;
+  const uint32_t from = aLog->mNextEntry;
   ++aTrace.mLogReads;
-  auto part = co_await mContext.mStepStore.ReadLog(aStep->mRecord.mId, from);
+  auto part = co_await mContext.mStepStore.ReadLog(std::move(aId), from);
   if (part.has_error()) {
     co_return part.error();
   }
-  aRevision = part->mRevision;
-  aStep->mReadAt = mContext.mClock();
-  if (aStep->mLogEntryCount != from) {
-    co_return true; // A concurrent call has added these entries already.
+  aLog->mReadAt = mContext.mClock();
+  const LogRead read{ part->EntryCount() > 0, part->mRevision };
+  if (aLog->mNextEntry != from) {
+    co_return read; // A concurrent call has added these entries already.
   }
-  aStep->mLogEntryCount += part->mEntryCount;
-  aTrace.mLogEntries += part->mEntryCount;
+  aLog->mNextEntry += part->EntryCount();
+  aTrace.mLogEntries += part->EntryCount();
   for (ItemResult& result : part->mResults) {
     aTrace.mLogBytes += result.mText.size();
-    aStep->mBytes += result.mText.size();
-    aStep->mResults.push_back(std::move(result));
+    aLog->mBytes += result.mText.size();
+    aLog->mResults.push_back(std::move(result));
   }
-  co_return true;
+  co_return read;
 }
 
 Awaitable<Result<ResultPage>> StepService::ReadFromStore(std::string aId,
@@ -334,40 +381,45 @@
 {
   const TimePoint deadline = mContext.mClock() + aMaxWait;
   aTrace.mSource = mCache.contains(aId) ? "cache" : "store";
-  const auto found = co_await Lookup(std::move(aId), std::move(aAccount));
+  const auto found = co_await Lookup(aId, std::move(aAccount));
   if (found.has_error()) {
     co_return found.error();
   }
-  const CachedStepPtr& step = *found;
-  const size_t total = step->mRecord.mItemCount;
-  const bool isOld = mContext.mClock() - step->mReadAt > kMaxCacheAge &&
-                     step->mResults.size() < total;
-  if (isOld && step->mResults.size() > aFrom) {
+  const size_t total = (*found)->mRecord.mItemCount;
+  if (aFrom >= total) {
+    co_return MakePage({}, total, aFrom);
+  }
+  const auto opened = co_await OpenLog(*found, aFrom);
+  if (opened.has_error()) {
+    co_return opened.error();
+  }
+  const LogWindowPtr& log = *opened;
+  const bool isOld =
+    mContext.mClock() - log->mReadAt > kMaxCacheAge && log->End() < total;
+  if (isOld && log->End() > aFrom) {
     // After an error, the results that are known are a page, too.
-    int64_t ignored = 0;
-    co_await ReadNewResults(step, ignored, aTrace);
+    co_await ReadNewResults(aId, log, aTrace);
   }
-  while (step->mResults.size() <= aFrom && step->mResults.size() < total) {
-    int64_t revision = 0;
-    const auto updated = co_await ReadNewResults(step, revision, aTrace);
-    if (updated.has_error()) {
-      co_return updated.error();
+  while (log->End() <= aFrom) {
+    const auto read = co_await ReadNewResults(aId, log, aTrace);
+    if (read.has_error()) {
+      co_return read.error();
+    }
+    if (log->End() > aFrom || read->mHadEntries) {
+      continue;
     }
     const auto remaining =
       std::chrono::duration_cast<Milliseconds>(deadline - mContext.mClock());
-    // Stop if there are results, or too little time is left for a watch.
-    if (step->mResults.size() > aFrom || remaining < Milliseconds(20)) {
+    if (remaining < kMinLogWait) {
       break;
     }
     const auto changed = co_await mContext.mStepStore.AwaitLog(
-      step->mRecord.mId,
-      revision,
-      std::min(remaining, Milliseconds(kMaxLogWait)));
+      aId, read->mRevision, std::min(remaining, Milliseconds(kMaxLogWait)));
     if (changed.has_error() || !*changed) {
       break;
     }
   }
-  co_return MakePage(step->mResults, total, aFrom);
+  co_return MakePage(Behind(log->mResults, aFrom - log->mFirst), total, aFrom);
 }
 
 Awaitable<Result<std::string>> StepService::ItemBody(std::string aId,
@@ -404,10 +456,8 @@
     if (items.has_error()) {
       co_return items.error();
     }
-    if (step->mItems.empty()) {
-      step->mItems = std::move(*items);
-      step->mBytes += SizeInBytes(step->mItems);
-    }
+    step->mItems = std::move(*items);
+    step->mItemBytes = SizeInBytes(step->mItems);
   }
   co_return find(step->mItems);
 }
@@ -485,7 +535,7 @@
 Awaitable<bool> StepService::AdoptStored(StepRecord aRecord)
 {
   auto items = co_await mContext.mStepStore.LoadItems(aRecord);
-  auto log = co_await mContext.mStepStore.ReadLog(aRecord.mId, 0);
+  auto log = co_await mContext.mStepStore.ReadWholeLog(aRecord.mId);
   if (items.has_error() || log.has_error()) {
     LogEvent("step_not_adopted", LogLevel::Warning)
       .Field("step", aRecord.mId)
@@ -706,9 +756,9 @@
   for (const StepRecord& record : *records) {
     const int64_t age = mContext.mWallClock() - record.mSubmittedMs;
     if (aDeleteExpired && record.mEnded && age > mOptions.mRetention.count()) {
-      const auto log = co_await mContext.mStepStore.ReadLog(record.mId, 0);
+      const auto log = co_await mContext.mStepStore.ReadWholeLog(record.mId);
       if (log.has_value()) {
-        co_await mContext.mStepStore.Delete(record, log->mEntryCount);
+        co_await mContext.mStepStore.Delete(record, log->EntryCount());
       }
       continue;
     }
@@ -719,16 +769,12 @@
     if (record.mEnded || !orphan) {
       continue;
     }
-    int64_t revision = 0;
     if (own) {
       // The step may only be gone from memory because it was complete and its
       // retention has passed; the log shows whether it is.
-      auto cached = std::make_shared<CachedStep>();
-      cached->mRecord = record;
-      ReadTrace ignored;
-      const auto updated = co_await ReadNewResults(cached, revision, ignored);
-      if (updated.has_error() || cached->mResults.size() >= record.mItemCount) {
-        complete = complete && updated.has_value();
+      const auto log = co_await mContext.mStepStore.ReadWholeLog(record.mId);
+      if (log.has_error() || log->mResults.size() >= record.mItemCount) {
+        complete = complete && log.has_value();
         continue;
       }
     }
--- a/src/agatetide/steps/step_store.cpp
+++ b/src/agatetide/steps/step_store.cpp
@@ -15,6 +15,7 @@
 constexpr std::string_view kRecordPrefix = "agatetide/step/";
 constexpr std::string_view kItemsPrefix = "agatetide/step-items/";
 constexpr std::string_view kLogPrefix = "agatetide/step-log/";
+constexpr std::string_view kIndexPrefix = "agatetide/step-index/";
 /// Names the steps of which some items, but not the record, are stored.
 constexpr std::string_view kPendingPrefix = "agatetide/step-pending/";
 constexpr std::string_view kPartialsPrefix = "agatetide/step-partials/";
@@ -32,6 +33,11 @@
   return std::string(kRecordPrefix) + std::string(aId);
 }
 
+std::string IndexKey(std::string_view aId)
+{
+  return std::string(kIndexPrefix) + std::string(aId);
+}
+
 std::string NumberedKey(std::string_view aPrefix,
                         std::string_view aId,
                         uint32_t aNumber)
@@ -340,15 +346,17 @@
 }
 
 Awaitable<AppendOutcome> StepStore::Append(StepRecord aRecord,
-                                           uint32_t aEntry,
+                                           LogIndex aIndex,
                                            std::string aResults)
 {
   const std::string recordKey = RecordKey(aRecord.mId);
-  const std::string key = NumberedKey(kLogPrefix, aRecord.mId, aEntry);
+  const std::string key =
+    NumberedKey(kLogPrefix, aRecord.mId, aIndex.EntryCount() - 1);
   TransactionRequest append;
   append.mCompares.push_back({ recordKey, aRecord.mRevision });
   append.mCompares.push_back({ key, 0 });
   append.mPuts.push_back({ key, aResults });
+  append.mPuts.push_back({ IndexKey(aRecord.mId), aIndex.Encode() });
   append.mReadOnFailure = { recordKey, key };
   StoreRequest request = std::move(append);
   const auto appended = co_await mStore(std::move(request));
@@ -372,7 +380,7 @@
 {
   const std::string prefix = std::string(kLogPrefix) + aId + "/";
   StoreRequest request =
-    RangeRequest{ NumberedKey(kLogPrefix, aId, aFrom), PrefixEnd(prefix), 0 };
+    RangeRequest{ NumberedKey(kLogPrefix, aId, aFrom), PrefixEnd(prefix), 1 };
   const auto reply = co_await mStore(std::move(request));
   if (reply.has_error()) {
     co_return reply.error();
@@ -380,14 +388,14 @@
   LogPart part;
   part.mRevision = reply->mRevision;
   for (const StoreEntry& entry : reply->mEntries) {
-    if (entry.mKey != NumberedKey(kLogPrefix, aId, aFrom + part.mEntryCount)) {
+    if (entry.mKey != NumberedKey(kLogPrefix, aId, aFrom + part.EntryCount())) {
       break;
     }
     auto results = DecodeResults(entry.mValue);
     if (results.has_error()) {
       co_return results.error();
     }
-    ++part.mEntryCount;
+    part.mResultCounts.push_back(static_cast<uint32_t>(results->size()));
     for (ItemResult& result : *results) {
       part.mResults.push_back(std::move(result));
     }
@@ -395,6 +403,42 @@
   co_return part;
 }
 
+Awaitable<Result<LogPart>> StepStore::ReadWholeLog(std::string aId)
+{
+  LogPart log;
+  for (;;) {
+    auto part = co_await ReadLog(aId, log.EntryCount());
+    if (part.has_error()) {
+      co_return part.error();
+    }
+    if (log.mRevision == 0) {
+      log.mRevision = part->mRevision;
+    }
+    if (part->mResultCounts.empty()) {
+      co_return log;
+    }
+    log.mResultCounts.insert(log.mResultCounts.end(),
+                             part->mResultCounts.begin(),
+                             part->mResultCounts.end());
+    for (ItemResult& result : part->mResults) {
+      log.mResults.push_back(std::move(result));
+    }
+  }
+}
+
+Awaitable<Result<LogIndex>> StepStore::LoadLogIndex(std::string aId)
+{
+  std::string key = IndexKey(aId);
+  const auto entry = co_await ReadKey(mStore, std::move(key));
+  if (entry.has_error()) {
+    co_return entry.error();
+  }
+  if (!entry->has_value()) {
+    co_return LogIndex();
+  }
+  co_return LogIndex::Decode((*entry)->mValue);
+}
+
 Awaitable<Result<bool>> StepStore::AwaitLog(std::string aId,
                                             int64_t aAfterRevision,
                                             std::chrono::milliseconds aMaxWait)
@@ -475,6 +519,7 @@
   for (uint32_t entry = 0; entry < aLogEntries; ++entry) {
     keys.push_back(NumberedKey(kLogPrefix, aRecord.mId, entry));
   }
+  keys.push_back(IndexKey(aRecord.mId));
   keys.push_back(std::string(kPartialsPrefix) + aRecord.mId);
   // Delete the record last, so that an interrupted deletion is repeated.
   keys.push_back(RecordKey(aRecord.mId));
--- a/src/agatetide/steps/step_store_test.cpp
+++ b/src/agatetide/steps/step_store_test.cpp
@@ -35,8 +35,12 @@
   {
     ItemResult result;
     result.mId = aItem;
+    LogIndex index;
+    for (uint32_t entry = 0; entry <= aEntry; ++entry) {
+      index.Add(1);
+    }
     return RunCoroutine(
-      mSteps.Append(aRecord, aEntry, EncodeResults({ result })));
+      mSteps.Append(aRecord, index, EncodeResults({ result })));
   }
 
   FaultyStore mStore;
@@ -84,7 +88,7 @@
   cr_assert(claimed.has_value() && claimed->has_value());
   cr_expect(fixture.Append(previous, 1, "b") == AppendOutcome::Superseded);
   cr_expect(fixture.Append(**claimed, 1, "c") == AppendOutcome::Appended);
-  const auto log = RunCoroutine(fixture.mSteps.ReadLog("step", 0));
+  const auto log = RunCoroutine(fixture.mSteps.ReadWholeLog("step"));
   cr_assert_eq(log->mResults.size(), 2);
   cr_expect_str_eq(log->mResults[1].mId.c_str(), "c");
 }
@@ -98,7 +102,7 @@
   fixture.mStore.mNextFaults = { StoreFault::AnswerLost };
   cr_assert(fixture.Append(record, 0, "a") == AppendOutcome::Unknown);
   cr_expect(fixture.Append(record, 0, "a") == AppendOutcome::Appended);
-  const auto log = RunCoroutine(fixture.mSteps.ReadLog("step", 0));
+  const auto log = RunCoroutine(fixture.mSteps.ReadWholeLog("step"));
   cr_expect_eq(log->mResults.size(), 1);
 }
 
@@ -271,3 +275,50 @@
   cr_expect(created.mOutcome == CreateOutcome::NotCreated);
   cr_expect(!RunCoroutine(fixture.mSteps.Load("step"))->has_value());
 }
+
+// Guards against a page of results whose time grows with the log: only the
+// entries that it needs are read, in calls of one key or one page each.
+Test(step_store, results_are_read_from_their_entry_on)
+{
+  Fixture fixture;
+  const StepRecord record = fixture.Create("first").mRecord;
+  const std::vector<std::string> items{ "a", "b", "c", "d" };
+  for (uint32_t entry = 0; entry < items.size(); ++entry) {
+    fixture.Append(record, entry, items[entry]);
+  }
+  size_t calls = 0;
+  fixture.mStore.mBeforeCall = [&](const StoreRequest& aRequest) {
+    const auto& range = std::get<RangeRequest>(aRequest);
+    cr_expect(range.mRangeEnd.empty() || range.mLimit > 0);
+    ++calls;
+  };
+  const auto index = RunCoroutine(fixture.mSteps.LoadLogIndex("step"));
+  cr_assert(index.has_value());
+  cr_expect_eq(index->EntryCount(), 4);
+  const LogPosition third = index->Find(2);
+  const auto part = RunCoroutine(fixture.mSteps.ReadLog("step", third.mEntry));
+  cr_expect_eq(calls, 2);
+  cr_assert(!part->mResults.empty());
+  cr_expect_str_eq(part->mResults[0].mId.c_str(), "c");
+  const auto none = RunCoroutine(fixture.mSteps.ReadLog("step", 4));
+  cr_expect_eq(none->EntryCount(), 0);
+  const auto log = RunCoroutine(fixture.mSteps.ReadWholeLog("step"));
+  cr_expect_eq(log->mResults.size(), 4);
+}
+
+// Guards against an index that names an entry which was not appended, or stays
+// in the store when its step is deleted.
+Test(step_store, the_index_goes_with_its_log)
+{
+  Fixture fixture;
+  const StepRecord record = fixture.Create("first").mRecord;
+  fixture.Append(record, 0, "a");
+  StepRecord claim = record;
+  claim.mOwner = "second";
+  RunCoroutine(fixture.mSteps.Replace(claim));
+  cr_expect(fixture.Append(record, 1, "b") == AppendOutcome::Superseded);
+  cr_expect_eq(RunCoroutine(fixture.mSteps.LoadLogIndex("step"))->EntryCount(),
+               1);
+  RunCoroutine(fixture.mSteps.Delete(record, 1));
+  cr_expect_eq(CountKeys(fixture, "agatetide/"), 0);
+}
