Keep entries of logs within the values of the store

What callers saw: after an outage of the store, a job with long results listed no more of them, for good.

Cause: results that wait for the store were put into one entry until their texts had 600 KB, the last one included, however long it was. The store takes values of 786 KB and refuses larger ones each time. A single text of 717 KB to 1 MB, which was allowed, could not be stored either, nor the partial sample of it; a page of results could have 1.7 MB.

Change: an entry takes results as long as they fit, and a text may have 684 KiB, so that it fits alone. A page ends before the result that takes it over its size.

Evidence: results_that_waited_for_the_store_are_all_listed failed in 2 of 2 runs before ("timed out: 6 results") and passes now, with the other tests of long_logs and the 31 unit tests of steps.

--- a/include/agatetide/steps/sample_text.hpp
+++ b/include/agatetide/steps/sample_text.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatetide/base/memory_budget.hpp"
+#include "agatetide/steps/step.hpp"
 
 #include <string>
 #include <string_view>
@@ -15,8 +16,9 @@
 class SampleText
 {
 public:
-  /// A response to a trainer holds at most 1 MB.
-  static constexpr size_t kMaxBytes = size_t{ 1000 } * 1000;
+  /// A text fits into an entry of the log with what is stored beside it, and
+  /// into a response to a trainer.
+  static constexpr size_t kMaxBytes = kMaxEntryBytes - (size_t{ 16 } << 10U);
   /// Each event takes memory besides its text.
   static constexpr size_t kMaxEvents = size_t{ 1 } << 17U;
 
--- a/include/agatetide/steps/step.hpp
+++ b/include/agatetide/steps/step.hpp
@@ -12,6 +12,10 @@
 
 namespace agatetide::steps {
 
+/// @brief Maximum size of an entry of a step's log. The store takes values of
+/// up to 1 MiB of the text that encodes them.
+constexpr size_t kMaxEntryBytes = size_t{ 700 } << 10U;
+
 /// @brief The request that scores the complete text of a sample.
 struct ScoringCall
 {
--- a/include/agatetide/steps/step_service.hpp
+++ b/include/agatetide/steps/step_service.hpp
@@ -31,8 +31,8 @@
 
 struct StepServiceOptions
 {
-  /// A page ends with the result whose text brings it to this size.
-  size_t mPageThresholdBytes = size_t{ 700 } << 10U;
+  /// Maximum size of the texts of a page with several results.
+  size_t mMaxPageBytes = size_t{ 700 } << 10U;
   /// Limit of the memory for cached steps of other daemons.
   size_t mMaxCachedBytes = size_t{ 6 } << 20U;
   /// Ended steps are deleted this long after their submission.
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -36,8 +36,8 @@
 /// The store usually answers an append within this time. After it, results are
 /// read from the store, since other hosts may have read the new entry there.
 constexpr std::chrono::milliseconds kUsualAppendTime{ 500 };
-/// A log entry ends with the result whose text brings it to this size.
-constexpr size_t kEntryThresholdBytes = size_t{ 600 } << 10U;
+/// What the encoding of a result adds to its texts, at most.
+constexpr size_t kResultOverheadBytes = 64;
 /// A stopped step stays in memory for this long, so that its results can
 /// still be read without the store.
 constexpr std::chrono::seconds kStoppedRetention{ 15 };
@@ -61,6 +61,28 @@
   return order;
 }
 
+size_t EncodedBytes(const ItemResult& aResult)
+{
+  return aResult.mId.size() + aResult.mText.size() + aResult.mScore.size() +
+         aResult.mVersions.size() * sizeof(int64_t) + kResultOverheadBytes;
+}
+
+/// The number of results that the next log entry holds: as many as fit, and one
+/// at least, which does (SampleText::kMaxBytes).
+size_t EntryLength(std::span<const ItemResult> aPending)
+{
+  size_t bytes = 0;
+  size_t count = 0;
+  while (count < aPending.size()) {
+    bytes += EncodedBytes(aPending[count]);
+    if (count > 0 && bytes > kMaxEntryBytes) {
+      break;
+    }
+    ++count;
+  }
+  return count;
+}
+
 } // namespace
 
 void ItemRun::ClearText()
@@ -488,13 +510,10 @@
         asio::redirect_error(asio::use_awaitable, ignored));
       continue;
     }
-    std::vector<ItemResult> batch;
-    size_t bytes = 0;
-    while (batch.size() < aStep->mPendingResults.size() &&
-           bytes < kEntryThresholdBytes) {
-      bytes += aStep->mPendingResults[batch.size()].mText.size();
-      batch.push_back(aStep->mPendingResults[batch.size()]);
-    }
+    const auto batchEnd =
+      aStep->mPendingResults.begin() +
+      static_cast<std::ptrdiff_t>(EntryLength(aStep->mPendingResults));
+    std::vector<ItemResult> batch(aStep->mPendingResults.begin(), batchEnd);
     std::string encoded = EncodeResults(batch);
     LogIndex index = aStep->mLogIndex;
     index.Add(batch.size());
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -203,10 +203,10 @@
   page.mTotalItems = aTotal;
   size_t bytes = 0;
   for (const ItemResult& result : aResults) {
-    if (bytes >= mOptions.mPageThresholdBytes) {
+    bytes += result.mText.size();
+    if (!page.mResults.empty() && bytes > mOptions.mMaxPageBytes) {
       break;
     }
-    bytes += result.mText.size();
     page.mResults.push_back(result);
   }
   page.mNextPosition = aFrom + page.mResults.size();
--- a/tests/long_logs.py
+++ b/tests/long_logs.py
@@ -15,7 +15,7 @@
 # Readers that allow no wait get their answer within this time, or go away.
 PATIENCE_S = 1.5
 STEP = "long"
-INDEX_PREFIX = "agatetide/step-index/"
+INDEX_PREFIX, LOG_PREFIX = "agatetide/step-index/", "agatetide/step-log/"
 
 
 def run_step(site):
@@ -108,9 +108,25 @@
     check(site.read_all(reader, ITEMS, STEP) == results, "all results come again")
 
 
+def results_that_waited_for_the_store_are_all_listed(site):
+    """Guards against an entry of several long results that no value of the store holds, so that it is refused for good."""
+    for engine in site.engines:
+        engine.event_bytes = 100000
+    for daemon in site.daemons:
+        daemon.store_endpoint.refuses_call = lambda path, call: path == "/kv-txn" and any(
+            w["key"].startswith(LOG_PREFIX) for w in call["writes"])
+    check(site.submit(site.daemons[0], STEP, 6) == 202, "accepted")
+    until(lambda: sum(len(e.requests) for e in site.engines) >= 6, "all items run")
+    until(lambda: sum(len(d.lines("sample")) for d in site.daemons) == 6, "all items are done")
+    for daemon in site.daemons:
+        daemon.store_endpoint.refuses_call = None
+    results = site.read_all(site.daemons[0], 6, STEP)
+    check(all(len(r["text"]) >= EVENTS * 100000 for r in results), "with their whole text")
+
+
 if __name__ == "__main__":
     options = {"daemons": 4, "engines": 2, "events": EVENTS}
     sys.exit(run_tests("long_logs", [(test, options) for test in (
         each_host_reads_from_the_start_in_time, each_page_is_read_in_time_at_another_host,
         positions_inside_of_entries_and_earlier_ones_are_read, refused_host_reads_through_others_in_time,
-        log_without_an_index_is_read)]))
+        log_without_an_index_is_read, results_that_waited_for_the_store_are_all_listed)]))
