Read the body of an item without the items before it

What callers would see: the body of an item of a job of over 1 MB can't be read at a host in another region than the store, although it is there. Same cause as with results: a host read all items of the job before it answered, for jobs of up to four values, and up to the item for larger ones.

Change: the transaction that creates a job of several values of items also stores where each item begins (agatetide/step-item-index/ID, ids as hashes), and a host reads that and the values that hold the item. Jobs of one value are read as before; those of older builds, without an index, from their start.

--- a/include/agatetide/steps/step_service.hpp
+++ b/include/agatetide/steps/step_service.hpp
@@ -198,8 +198,6 @@
   ResultPage MakePage(std::span<const ItemResult> aResults,
                       size_t aTotal,
                       size_t aFrom) const;
-  Awaitable<Result<std::string>> LoadItemBody(StepRecord aRecord,
-                                              std::string aItem);
   void TrimCache();
   void LogMemoryShortage(std::string_view aEvent, const std::string& aId) const;
 
--- a/include/agatetide/steps/step_store.hpp
+++ b/include/agatetide/steps/step_store.hpp
@@ -2,6 +2,7 @@
 
 #include "agatetide/base/awaitable.hpp"
 #include "agatetide/coordination/store.hpp"
+#include "agatetide/steps/item_index.hpp"
 #include "agatetide/steps/log_index.hpp"
 #include "agatetide/steps/step.hpp"
 
@@ -59,9 +60,10 @@
 };
 
 /// @brief Stores steps in the platform store: a record that names the owner,
-/// the items split into values of limited size, and a log of results with an
-/// index. While the items of a large step are being stored, an entry names the
-/// step, so that they are deleted if its record is never created.
+/// the items split into values of limited size (with an index if there are
+/// several), and a log of results with an index. While the items of a large
+/// step are being stored, an entry names the step, so that they are deleted if
+/// its record is never created.
 ///
 /// Each append to the log is conditional on the record being unchanged, so a
 /// process that no longer owns a step cannot append to its log. An entry is
@@ -96,11 +98,11 @@
   /// when a value is missing or cannot be decoded.
   Awaitable<Result<std::vector<StepItem>>> LoadItems(StepRecord aRecord);
 
-  /// @brief Loads the items of a step one after the other, and passes each to
-  /// aVisit until that returns false. The value is whether it never did.
-  /// Errors: as LoadItems().
-  Awaitable<Result<bool>> VisitItems(StepRecord aRecord,
-                                     std::function<bool(StepItem)> aVisit);
+  /// @brief Loads one item of a step, without the values before it if the step
+  /// has an index of its items; std::nullopt if there is no such item. Errors:
+  /// as LoadItems().
+  Awaitable<Result<std::optional<StepItem>>> LoadItem(StepRecord aRecord,
+                                                      std::string aItem);
 
   /// @brief Writes the last entry of aIndex, which describes the whole log with
   /// it. aResults comes from EncodeResults(). After NotAppended or Unknown,
@@ -151,6 +153,13 @@
   Awaitable<Result<bool>> Delete(StepRecord aRecord, uint32_t aLogEntries);
 
 private:
+  using ItemVisitor = std::function<bool(StepItem)>;
+
+  Awaitable<Result<bool>> VisitItems(StepRecord aRecord,
+                                     ItemPosition aFrom,
+                                     ItemVisitor aVisit);
+  Awaitable<Result<std::optional<ItemPosition>>> FindItem(std::string aId,
+                                                          std::string aItem);
   Awaitable<std::optional<CreateResult>> StoreItemsAhead(
     StepRecord aRecord,
     std::vector<coordination::StorePut> aItems,
--- a/src/agatetide/steps/item_decoder.cpp
+++ b/src/agatetide/steps/item_decoder.cpp
@@ -2,15 +2,28 @@
 
 #include "agatetide/steps/step_archive.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace agatetide::steps {
 
 using coordination::InputArchive;
 
+ItemDecoder::ItemDecoder(const ItemPosition& aPosition)
+  : mSkippedBytes(aPosition.mOffset)
+  , mHeaderRead(true)
+  , mLittleEndian(aPosition.mLittleEndian)
+  , mItemsLeft(aPosition.mItemsLeft)
+{
+}
+
 void ItemDecoder::Add(std::string_view aPiece)
 {
   mBytes.erase(0, mOffset);
   mOffset = 0;
-  mBytes += aPiece;
+  const size_t skipped =
+    std::min(std::exchange(mSkippedBytes, 0), aPiece.size());
+  mBytes += aPiece.substr(skipped);
 }
 
 bool ItemDecoder::ReadHeader()
--- a/src/agatetide/steps/item_decoder.hpp
+++ b/src/agatetide/steps/item_decoder.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agatetide/steps/item_index.hpp"
 #include "agatetide/steps/step.hpp"
 
 #include <optional>
@@ -13,6 +14,12 @@
 class ItemDecoder
 {
 public:
+  ItemDecoder() = default;
+
+  /// @brief Begins at a position. The first piece to add is that of the chunk
+  /// which it names.
+  explicit ItemDecoder(const ItemPosition& aPosition);
+
   /// @brief Adds the next piece of what EncodeItems() returned.
   void Add(std::string_view aPiece);
 
@@ -32,6 +39,8 @@
   std::string mBytes;
   /// Number of bytes at the front that were decoded.
   size_t mOffset = 0;
+  /// Number of bytes at the front of the next piece that are left out.
+  size_t mSkippedBytes = 0;
   bool mHeaderRead = false;
   bool mLittleEndian = false;
   uint64_t mItemsLeft = 0;
--- a/src/agatetide/steps/item_decoder_test.cpp
+++ b/src/agatetide/steps/item_decoder_test.cpp
@@ -1,5 +1,8 @@
 #include "agatetide/steps/item_decoder.hpp"
 
+#include "agatetide/coordination/recorded_bytes.hpp"
+#include "agatetide/steps/item_encoder.hpp"
+
 #include <criterion/criterion.h>
 
 #include <vector>
@@ -64,3 +67,48 @@
   cr_expect(!Decode(whole + "x", 64).has_value());
   cr_expect(!Decode("\1\377\377\377\377\377\377\377\377", 64).has_value());
 }
+
+// Guards against the body of another item, since an item begins within a piece
+// or spans several.
+Test(item_decoder, each_item_is_decoded_from_its_position)
+{
+  const std::vector<StepItem> items = MakeItems(12);
+  for (const uint32_t size : { 1U, 50U, 700U }) {
+    ItemEncoder encoder(items, size);
+    std::vector<std::string> pieces;
+    while (!encoder.AtEnd()) {
+      pieces.push_back(encoder.Next());
+    }
+    const auto index = ItemIndex::Decode(encoder.Index().Encode());
+    cr_assert(index.has_value());
+    for (const StepItem& item : items) {
+      const auto position = index->Find(item.mId);
+      cr_assert(position.has_value());
+      ItemDecoder decoder(*position);
+      std::optional<StepItem> decoded;
+      for (size_t at = position->mChunk; !decoded; ++at) {
+        cr_assert(at < pieces.size());
+        decoder.Add(pieces[at]);
+        decoded = decoder.Next();
+      }
+      cr_expect(EncodeItems({ *decoded }) == EncodeItems({ item }));
+    }
+    cr_expect(!index->Find("other").has_value());
+  }
+}
+
+// Guards against a change of the stored form, which later builds must read, and
+// against reading a damaged one.
+Test(item_decoder, the_stored_index_keeps_its_form)
+{
+  ItemIndex index(700);
+  index.Add("a", 9);
+  const std::string bytes = index.Encode();
+  coordination::ExpectRecordedBytes(
+    bytes,
+    "01bc0200000101000000000000005b6e8ca9f1c44ed2010000000000000009000000"
+    "00000000");
+  for (size_t size = 0; size < bytes.size(); ++size) {
+    cr_expect(ItemIndex::Decode(bytes.substr(0, size)).has_error());
+  }
+}
--- a/src/agatetide/steps/item_encoder_test.cpp
+++ b/src/agatetide/steps/item_encoder_test.cpp
@@ -32,10 +32,10 @@
     const std::string whole = EncodeItems(items);
     for (const size_t size :
          { size_t{ 1 }, size_t{ 64 }, size_t{ 1000 }, whole.size() }) {
-      ItemEncoder encoder(items);
+      ItemEncoder encoder(items, static_cast<uint32_t>(size));
       std::string joined;
       while (!encoder.AtEnd()) {
-        const std::string piece = encoder.Next(size);
+        const std::string piece = encoder.Next();
         joined += piece;
         cr_assert(piece.size() == size || encoder.AtEnd());
       }
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -25,7 +25,7 @@
 constexpr std::chrono::milliseconds kMinLogWait{ 20 };
 constexpr unsigned kMaxEndAttempts = 8;
 /// Items of other hosts' steps with more stored values are not cached.
-constexpr uint32_t kMaxCachedChunks = 4;
+constexpr uint32_t kMaxCachedChunks = 1;
 /// A page of results is made of what was read from the log within this time.
 constexpr std::chrono::milliseconds kMaxCacheAge{ 500 };
 
@@ -449,7 +449,14 @@
   }
   const CachedStepPtr& step = *found;
   if (step->mRecord.mChunkCount > kMaxCachedChunks) {
-    co_return co_await LoadItemBody(step->mRecord, std::move(aItem));
+    auto item = co_await mContext.mStepStore.LoadItem(step->mRecord, aItem);
+    if (item.has_error()) {
+      co_return item.error();
+    }
+    if (!item->has_value()) {
+      co_return ItemNotFound(aItem);
+    }
+    co_return std::move((*item)->mBody);
   }
   if (step->mItems.empty()) {
     auto items = co_await mContext.mStepStore.LoadItems(step->mRecord);
@@ -462,28 +469,6 @@
   co_return find(step->mItems);
 }
 
-/// Reads the values of a large step up to the item; they do not stay in memory.
-Awaitable<Result<std::string>> StepService::LoadItemBody(StepRecord aRecord,
-                                                         std::string aItem)
-{
-  std::string body;
-  const auto missing = co_await mContext.mStepStore.VisitItems(
-    std::move(aRecord), [&body, &aItem](StepItem aCandidate) {
-      if (aCandidate.mId != aItem) {
-        return true;
-      }
-      body = std::move(aCandidate.mBody);
-      return false;
-    });
-  if (missing.has_error()) {
-    co_return missing.error();
-  }
-  if (*missing) {
-    co_return ItemNotFound(aItem);
-  }
-  co_return body;
-}
-
 Awaitable<Result<bool>> StepService::End(std::string aId, std::string aAccount)
 {
   for (unsigned attempt = 0; attempt < kMaxEndAttempts; ++attempt) {
--- a/src/agatetide/steps/step_store.cpp
+++ b/src/agatetide/steps/step_store.cpp
@@ -16,12 +16,13 @@
 constexpr std::string_view kItemsPrefix = "agatetide/step-items/";
 constexpr std::string_view kLogPrefix = "agatetide/step-log/";
 constexpr std::string_view kIndexPrefix = "agatetide/step-index/";
+constexpr std::string_view kItemIndexPrefix = "agatetide/step-item-index/";
 /// Names the steps of which some items, but not the record, are stored.
 constexpr std::string_view kPendingPrefix = "agatetide/step-pending/";
 constexpr std::string_view kPartialsPrefix = "agatetide/step-partials/";
 /// Maximum size of a value of items. The store accepts up to 1 MiB of the text
 /// that encodes a value.
-constexpr size_t kMaxChunkBytes = size_t{ 700 } << 10U;
+constexpr uint32_t kMaxChunkBytes = 700U << 10U;
 /// Values of items in one transaction. They arrive within the timeout of a call
 /// on the links of small hosts.
 constexpr uint32_t kChunksPerTransaction = 4;
@@ -38,6 +39,11 @@
   return std::string(kIndexPrefix) + std::string(aId);
 }
 
+std::string ItemIndexKey(std::string_view aId)
+{
+  return std::string(kItemIndexPrefix) + std::string(aId);
+}
+
 std::string NumberedKey(std::string_view aPrefix,
                         std::string_view aId,
                         uint32_t aNumber)
@@ -132,7 +138,7 @@
                                           const std::vector<StepItem>& aItems)
 {
   const std::string key = RecordKey(aRecord.mId);
-  ItemEncoder encoder(aItems);
+  ItemEncoder encoder(aItems, kMaxChunkBytes);
   aRecord.mItemCount = static_cast<uint32_t>(aItems.size());
   aRecord.mChunkCount = 0;
   std::vector<StoreCompare> conditions{ { key, 0 } };
@@ -148,13 +154,17 @@
     }
     items.push_back(
       { NumberedKey(kItemsPrefix, aRecord.mId, aRecord.mChunkCount++),
-        encoder.Next(kMaxChunkBytes) });
+        encoder.Next() });
   }
   const std::vector<StoreCompare> pending(conditions.begin() + 1,
                                           conditions.end());
   TransactionRequest create;
   create.mCompares = std::move(conditions);
   create.mPuts = std::move(items);
+  if (aRecord.mChunkCount > 1) {
+    create.mPuts.push_back(
+      { ItemIndexKey(aRecord.mId), encoder.Index().Encode() });
+  }
   // The last put, since the revision in the answer is that of the last write.
   create.mPuts.push_back({ key, EncodeRecord(aRecord) });
   create.mReadOnFailure.push_back(key);
@@ -303,7 +313,7 @@
 {
   std::vector<StepItem> items;
   const auto visited =
-    co_await VisitItems(std::move(aRecord), [&items](StepItem aItem) {
+    co_await VisitItems(std::move(aRecord), {}, [&items](StepItem aItem) {
       items.push_back(std::move(aItem));
       return true;
     });
@@ -313,12 +323,69 @@
   co_return items;
 }
 
-Awaitable<Result<bool>> StepStore::VisitItems(
+/// The position of an item, or the first one if the step has no index of its
+/// items; std::nullopt if the index does not have the item.
+Awaitable<Result<std::optional<ItemPosition>>> StepStore::FindItem(
+  std::string aId,
+  std::string aItem)
+{
+  std::string key = ItemIndexKey(aId);
+  const auto entry = co_await ReadKey(mStore, std::move(key));
+  if (entry.has_error()) {
+    co_return entry.error();
+  }
+  if (!entry->has_value()) {
+    co_return std::optional(ItemPosition());
+  }
+  const auto index = ItemIndex::Decode((*entry)->mValue);
+  if (index.has_error()) {
+    LogEvent("item_index_ignored", LogLevel::Error)
+      .Field("step", aId)
+      .Field("error", FormatError(index.error()))
+      .Write();
+    co_return std::optional(ItemPosition());
+  }
+  co_return index->Find(aItem);
+}
+
+Awaitable<Result<std::optional<StepItem>>> StepStore::LoadItem(
   StepRecord aRecord,
-  std::function<bool(StepItem)> aVisit)
+  std::string aItem)
 {
-  ItemDecoder decoder;
-  for (uint32_t chunk = 0; chunk < aRecord.mChunkCount; ++chunk) {
+  ItemPosition from;
+  if (aRecord.mChunkCount > 1) {
+    const auto found = co_await FindItem(aRecord.mId, aItem);
+    if (found.has_error()) {
+      co_return found.error();
+    }
+    if (!found->has_value()) {
+      co_return std::optional<StepItem>();
+    }
+    from = **found;
+  }
+  std::optional<StepItem> item;
+  const ItemVisitor take = [&item, &aItem](StepItem aCandidate) {
+    if (aCandidate.mId == aItem) {
+      item = std::move(aCandidate);
+    }
+    return !item;
+  };
+  const auto visited = co_await VisitItems(std::move(aRecord), from, take);
+  if (visited.has_error()) {
+    co_return visited.error();
+  }
+  co_return item;
+}
+
+/// Loads the items from a position on one after the other, and passes each to
+/// aVisit until that returns false. The value is whether it never did.
+Awaitable<Result<bool>> StepStore::VisitItems(StepRecord aRecord,
+                                              ItemPosition aFrom,
+                                              ItemVisitor aVisit)
+{
+  ItemDecoder decoder =
+    aFrom.mItemsLeft > 0 ? ItemDecoder(aFrom) : ItemDecoder();
+  for (uint32_t chunk = aFrom.mChunk; chunk < aRecord.mChunkCount; ++chunk) {
     std::string key = NumberedKey(kItemsPrefix, aRecord.mId, chunk);
     const auto entry = co_await ReadKey(mStore, std::move(key));
     if (entry.has_error()) {
@@ -519,6 +586,7 @@
   for (uint32_t entry = 0; entry < aLogEntries; ++entry) {
     keys.push_back(NumberedKey(kLogPrefix, aRecord.mId, entry));
   }
+  keys.push_back(ItemIndexKey(aRecord.mId));
   keys.push_back(IndexKey(aRecord.mId));
   keys.push_back(std::string(kPartialsPrefix) + aRecord.mId);
   // Delete the record last, so that an interrupted deletion is repeated.
