--- a/include/agatetide/steps/step_store.hpp
+++ b/include/agatetide/steps/step_store.hpp
@@ -120,7 +120,7 @@
 
   /// @brief Reads all entries of the log; may take several calls. Errors: as
   /// ReadLog().
-  Awaitable<Result<LogPart>> ReadWholeLog(std::string aId);
+  Awaitable<Result<LogPart>> ReadWholeLog(StepRecord aRecord);
 
   /// @brief Loads the index of the log; it is empty if there is none. Errors:
   /// those of the store; DataLoss when it cannot be decoded.
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -520,7 +520,7 @@
 Awaitable<bool> StepService::AdoptStored(StepRecord aRecord)
 {
   auto items = co_await mContext.mStepStore.LoadItems(aRecord);
-  auto log = co_await mContext.mStepStore.ReadWholeLog(aRecord.mId);
+  auto log = co_await mContext.mStepStore.ReadWholeLog(aRecord);
   if (items.has_error() || log.has_error()) {
     LogEvent("step_not_adopted", LogLevel::Warning)
       .Field("step", aRecord.mId)
@@ -741,7 +741,7 @@
   for (const StepRecord& record : *records) {
     const int64_t age = mContext.mWallClock() - record.mSubmittedMs;
     if (aDeleteExpired && record.mEnded && age > mOptions.mRetention.count()) {
-      const auto log = co_await mContext.mStepStore.ReadWholeLog(record.mId);
+      const auto log = co_await mContext.mStepStore.ReadWholeLog(record);
       if (log.has_value()) {
         co_await mContext.mStepStore.Delete(record, log->EntryCount());
       }
@@ -757,7 +757,7 @@
     if (own) {
       // The step may only be gone from memory because it was complete and its
       // retention has passed; the log shows whether it is.
-      const auto log = co_await mContext.mStepStore.ReadWholeLog(record.mId);
+      const auto log = co_await mContext.mStepStore.ReadWholeLog(record);
       if (log.has_error() || log->mResults.size() >= record.mItemCount) {
         complete = complete && log.has_value();
         continue;
--- a/src/agatetide/steps/step_store.cpp
+++ b/src/agatetide/steps/step_store.cpp
@@ -470,20 +470,18 @@
   co_return part;
 }
 
-Awaitable<Result<LogPart>> StepStore::ReadWholeLog(std::string aId)
+Awaitable<Result<LogPart>> StepStore::ReadWholeLog(StepRecord aRecord)
 {
   LogPart log;
-  for (;;) {
-    auto part = co_await ReadLog(aId, log.EntryCount());
+  bool atEnd = false;
+  // Nothing follows the results of all items.
+  while (!atEnd && log.mResults.size() < aRecord.mItemCount) {
+    auto part = co_await ReadLog(aRecord.mId, log.EntryCount());
     if (part.has_error()) {
       co_return part.error();
     }
-    if (log.mRevision == 0) {
-      log.mRevision = part->mRevision;
-    }
-    if (part->mResultCounts.empty()) {
-      co_return log;
-    }
+    atEnd = part->mResultCounts.empty();
+    log.mRevision = log.mRevision == 0 ? part->mRevision : log.mRevision;
     log.mResultCounts.insert(log.mResultCounts.end(),
                              part->mResultCounts.begin(),
                              part->mResultCounts.end());
@@ -491,6 +489,7 @@
       log.mResults.push_back(std::move(result));
     }
   }
+  co_return log;
 }
 
 Awaitable<Result<LogIndex>> StepStore::LoadLogIndex(std::string aId)
