--- a/include/agatetide/steps/step_service.hpp
+++ b/include/agatetide/steps/step_service.hpp
@@ -195,6 +195,7 @@
   policy::RecentStep ObserveStep(const StepRecord& aRecord,
                                  const fleet::Route& aRoute);
   void UpdatePeakItems(const std::vector<StepRecord>& aRecords);
+  size_t PageLength(std::span<const ItemResult> aResults) const;
   ResultPage MakePage(std::span<const ItemResult> aResults,
                       size_t aTotal,
                       size_t aFrom) const;
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -36,9 +36,9 @@
            "check the step id and the key, or submit the step again" };
 }
 
-/// The results that follow the first aCount.
-std::span<const ItemResult> Behind(const std::vector<ItemResult>& aResults,
-                                   size_t aCount)
+/// The results behind the first aCount.
+std::span<const ItemResult> ResultsFrom(const std::vector<ItemResult>& aResults,
+                                        size_t aCount)
 {
   return std::span(aResults).subspan(std::min(aCount, aResults.size()));
 }
@@ -194,22 +194,31 @@
   mUnknownClaims.erase(aId);
 }
 
-/// Makes a page of results; the first of aResults has the position aFrom.
-ResultPage StepService::MakePage(std::span<const ItemResult> aResults,
-                                 size_t aTotal,
-                                 size_t aFrom) const
+/// The number of results that a page holds which begins with the first one.
+size_t StepService::PageLength(std::span<const ItemResult> aResults) const
 {
-  ResultPage page;
-  page.mTotalItems = aTotal;
   size_t bytes = 0;
+  size_t length = 0;
   for (const ItemResult& result : aResults) {
     bytes += result.mText.size();
-    if (!page.mResults.empty() && bytes > mOptions.mMaxPageBytes) {
+    if (length > 0 && bytes > mOptions.mMaxPageBytes) {
       break;
     }
-    page.mResults.push_back(result);
+    ++length;
   }
-  page.mNextPosition = aFrom + page.mResults.size();
+  return length;
+}
+
+/// Makes a page of results; the first of aResults has the position aFrom.
+ResultPage StepService::MakePage(std::span<const ItemResult> aResults,
+                                 size_t aTotal,
+                                 size_t aFrom) const
+{
+  const auto listed = aResults.first(PageLength(aResults));
+  ResultPage page;
+  page.mTotalItems = aTotal;
+  page.mResults.assign(listed.begin(), listed.end());
+  page.mNextPosition = aFrom + listed.size();
   return page;
 }
 
@@ -260,7 +269,7 @@
     co_await mRunner.AwaitResults(owned, aFrom, aMaxWait);
     if (!owned->MayLackResults(mContext.mClock())) {
       co_return MakePage(
-        Behind(owned->mCommittedResults, aFrom), owned->mItems.size(), aFrom);
+        ResultsFrom(owned->mCommittedResults, aFrom), owned->mItems.size(), aFrom);
     }
   }
   const auto remaining =
@@ -419,7 +428,7 @@
       break;
     }
   }
-  co_return MakePage(Behind(log->mResults, aFrom - log->mFirst), total, aFrom);
+  co_return MakePage(ResultsFrom(log->mResults, aFrom - log->mFirst), total, aFrom);
 }
 
 Awaitable<Result<std::string>> StepService::ItemBody(std::string aId,
