Begin a step without the indexes of an earlier one

A build without indexes leaves them when it deletes a step. If its id is used again, and a build without indexes runs it, positions of the earlier step would be taken for those of the new one. The transaction that creates a step now removes what is left. a_new_step_has_no_index_of_an_earlier_one passes; it was not run on the code before, where nothing removed the keys.

--- a/src/agatetide/steps/step_store.cpp
+++ b/src/agatetide/steps/step_store.cpp
@@ -161,9 +161,13 @@
   TransactionRequest create;
   create.mCompares = std::move(conditions);
   create.mPuts = std::move(items);
+  // Builds that know no indexes leave those of a step that they delete.
+  create.mDeletes.push_back({ IndexKey(aRecord.mId) });
   if (aRecord.mChunkCount > 1) {
     create.mPuts.push_back(
       { ItemIndexKey(aRecord.mId), encoder.Index().Encode() });
+  } else {
+    create.mDeletes.push_back({ ItemIndexKey(aRecord.mId) });
   }
   // The last put, since the revision in the answer is that of the last write.
   create.mPuts.push_back({ key, EncodeRecord(aRecord) });
--- a/src/agatetide/steps/step_store_test.cpp
+++ b/src/agatetide/steps/step_store_test.cpp
@@ -322,3 +322,32 @@
   RunCoroutine(fixture.mSteps.Delete(record, 1));
   cr_expect_eq(CountKeys(fixture, "agatetide/"), 0);
 }
+
+namespace {
+
+void Write(Fixture& aFixture, TransactionRequest aWrite)
+{
+  const StoreRequest request = std::move(aWrite);
+  cr_assert(aFixture.mStore.Apply(request)->mSucceeded);
+}
+
+} // namespace
+
+// Guards against positions and items of an earlier step with the same id, whose
+// indexes an older build left when it deleted the step.
+Test(step_store, a_new_step_has_no_index_of_an_earlier_one)
+{
+  Fixture fixture;
+  LogIndex log;
+  log.Add(95);
+  ItemIndex items(100);
+  items.Add("item", 7);
+  TransactionRequest earlier;
+  earlier.mPuts.push_back({ "agatetide/step-index/step", log.Encode() });
+  earlier.mPuts.push_back({ "agatetide/step-item-index/step", items.Encode() });
+  Write(fixture, std::move(earlier));
+  fixture.Create("first");
+  const auto index = RunCoroutine(fixture.mSteps.LoadLogIndex("step"));
+  cr_expect_eq(index->EntryCount(), 0);
+  cr_expect_eq(CountKeys(fixture, "agatetide/step-item-index/"), 0);
+}
