--- a/include/agatetide/coordination/store.hpp
+++ b/include/agatetide/coordination/store.hpp
@@ -27,7 +27,9 @@
 };
 
 /// @brief Reads the keys in [mKey, mRangeEnd), or only mKey if mRangeEnd is
-/// empty. A limit of 0 means no limit.
+/// empty. With a limit, the first keys are read until there are that many; the
+/// reply may have more that the store returned with them, so it is no limit of
+/// its size. 0 means no limit.
 struct RangeRequest
 {
   std::string mKey;
--- a/include/agatetide/steps/step_store.hpp
+++ b/include/agatetide/steps/step_store.hpp
@@ -2,6 +2,8 @@
 
 #include "agatetide/base/awaitable.hpp"
 #include "agatetide/coordination/store.hpp"
+#include "agatetide/steps/item_index.hpp"
+#include "agatetide/steps/log_index.hpp"
 #include "agatetide/steps/step.hpp"
 
 #include <optional>
@@ -45,21 +47,29 @@
 struct LogPart
 {
   std::vector<ItemResult> mResults;
-  /// Number of entries read.
-  uint32_t mEntryCount = 0;
-  /// Revision of the store at the time of the read.
+  /// Number of results of each entry.
+  std::vector<uint32_t> mResultCounts;
+  /// Revision of the store at the time of the read; if it took several calls,
+  /// of the first one.
   int64_t mRevision = 0;
+
+  uint32_t EntryCount() const
+  {
+    return static_cast<uint32_t>(mResultCounts.size());
+  }
 };
 
 /// @brief Stores steps in the platform store: a record that names the owner,
-/// the items split into values of limited size, and a log of results. While the
-/// items of a large step are being stored, an entry names the step, so that
-/// they are deleted if its record is never created.
+/// the items split into values of limited size (with an index if there are
+/// several), and a log of results with an index. While the items of a large
+/// step are being stored, an entry names the step, so that they are deleted if
+/// its record is never created.
 ///
 /// Each append to the log is conditional on the record being unchanged, so a
 /// process that no longer owns a step cannot append to its log. An entry is
-/// never overwritten, so the positions of results never change. Thread-safe
-/// if the functions passed to the constructor are.
+/// never overwritten, so the positions of results never change. The index is
+/// written together with each entry; it lacks the entries of builds that know
+/// no index. Thread-safe if the functions passed to the constructor are.
 class StepStore
 {
 public:
@@ -88,23 +98,39 @@
   /// when a value is missing or cannot be decoded.
   Awaitable<Result<std::vector<StepItem>>> LoadItems(StepRecord aRecord);
 
-  /// @brief Loads the items of a step one after the other, and passes each to
-  /// aVisit until that returns false. The value is whether it never did.
-  /// Errors: as LoadItems().
-  Awaitable<Result<bool>> VisitItems(StepRecord aRecord,
-                                     std::function<bool(StepItem)> aVisit);
+  /// @brief Loads one item of a step, without the values before it if the step
+  /// has an index of its items; std::nullopt if there is no such item. Errors:
+  /// as LoadItems().
+  Awaitable<Result<std::optional<StepItem>>> LoadItem(StepRecord aRecord,
+                                                      std::string aItem);
 
-  /// @brief Writes entry aEntry of the log. aResults comes from
-  /// EncodeResults(). After NotAppended or Unknown, call it again with the same
-  /// entry and results.
+  /// @brief Writes the last entry of aIndex, which describes the whole log with
+  /// it. aResults comes from EncodeResults(). After NotAppended or Unknown,
+  /// call it again with the same index and results. Precondition: aIndex has an
+  /// entry.
   Awaitable<AppendOutcome> Append(StepRecord aRecord,
-                                  uint32_t aEntry,
+                                  LogIndex aIndex,
                                   std::string aResults);
 
-  /// @brief Reads the log from entry aFrom on. Errors: those of the store;
-  /// DataLoss when an entry cannot be decoded.
+  /// @brief Reads entries of the log from entry aFrom on: as many as the store
+  /// returns in one reply, which bounds the time of a call; a daemon without
+  /// limits of ranges, through which the call may go, returns all. No entry
+  /// means that there is none yet. Errors: those of the store; DataLoss when an
+  /// entry cannot be decoded.
   Awaitable<Result<LogPart>> ReadLog(std::string aId, uint32_t aFrom);
 
+  /// @brief Reads all entries of the log; may take several calls. Errors: as
+  /// ReadLog().
+  Awaitable<Result<LogPart>> ReadWholeLog(StepRecord aRecord);
+
+  /// @brief Loads the index of the log; it is empty if there is none, or none
+  /// that can be decoded. Errors: those of the store.
+  Awaitable<Result<LogIndex>> LoadLogIndex(std::string aId);
+
+  /// @brief Loads the index of the log, and reads the entries that it lacks.
+  /// Errors: as ReadLog().
+  Awaitable<Result<LogIndex>> LoadWholeIndex(StepRecord aRecord);
+
   /// @brief Waits up to aMaxWait for a change of the log after a revision.
   /// Returns whether it may have changed. Errors: those of the store.
   Awaitable<Result<bool>> AwaitLog(std::string aId,
@@ -127,11 +153,19 @@
   /// those of the store; DataLoss when they cannot be decoded.
   Awaitable<Result<std::vector<PartialSample>>> LoadPartials(std::string aId);
 
-  /// @brief Deletes a step and all that is stored for it. If it fails, call it
+  /// @brief Deletes a step and all that is stored for it. aLogEntries is the
+  /// number of entries of its log, from LoadWholeIndex(). If it fails, call it
   /// again. Errors: those of the store. The value is always true.
   Awaitable<Result<bool>> Delete(StepRecord aRecord, uint32_t aLogEntries);
 
 private:
+  using ItemVisitor = std::function<bool(StepItem)>;
+
+  Awaitable<Result<bool>> VisitItems(StepRecord aRecord,
+                                     ItemPosition aFrom,
+                                     ItemVisitor aVisit);
+  Awaitable<Result<std::optional<ItemPosition>>> FindItem(std::string aId,
+                                                          std::string aItem);
   Awaitable<std::optional<CreateResult>> StoreItemsAhead(
     StepRecord aRecord,
     std::vector<coordination::StorePut> aItems,
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -36,8 +36,8 @@
 /// The store usually answers an append within this time. After it, results are
 /// read from the store, since other hosts may have read the new entry there.
 constexpr std::chrono::milliseconds kUsualAppendTime{ 500 };
-/// A log entry ends with the result whose text brings it to this size.
-constexpr size_t kEntryThresholdBytes = size_t{ 600 } << 10U;
+/// What the encoding of a result adds to its texts, at most.
+constexpr size_t kResultOverheadBytes = 64;
 /// A stopped step stays in memory for this long, so that its results can
 /// still be read without the store.
 constexpr std::chrono::seconds kStoppedRetention{ 15 };
@@ -61,6 +61,28 @@
   return order;
 }
 
+size_t EncodedBytes(const ItemResult& aResult)
+{
+  return aResult.mId.size() + aResult.mText.size() + aResult.mScore.size() +
+         aResult.mVersions.size() * sizeof(int64_t) + kResultOverheadBytes;
+}
+
+/// The number of results that the next log entry holds: as many as fit, and one
+/// at least, which does (SampleText::kMaxBytes).
+size_t EntryLength(std::span<const ItemResult> aPending)
+{
+  size_t bytes = 0;
+  size_t count = 0;
+  while (count < aPending.size()) {
+    bytes += EncodedBytes(aPending[count]);
+    if (count > 0 && bytes > kMaxEntryBytes) {
+      break;
+    }
+    ++count;
+  }
+  return count;
+}
+
 } // namespace
 
 void ItemRun::ClearText()
@@ -128,7 +150,7 @@
   step->mRuns.resize(step->mItems.size());
   RecordGroups(*step);
   step->mCommittedResults = std::move(aLog.mResults);
-  step->mNextLogEntry = aLog.mEntryCount;
+  step->mLogIndex.Add(aLog.mResultCounts);
   step->mAdoptedAt = mContext.mClock();
   step->mRecordCheckedAt = step->mAdoptedAt;
   step->mCommitTimer = std::make_unique<asio::steady_timer>(mContext.mExecutor);
@@ -359,9 +381,9 @@
   } else if ((*record)->mEnded) {
     // The owner's name does not tell whether another process owned the step
     // for a time, and appended results.
-    const auto log = co_await mContext.mStepStore.ReadLog(aStep->mRecord.mId,
-                                                          aStep->mNextLogEntry);
-    aStep->mLogIsAhead = log.has_error() || log->mEntryCount > 0;
+    const auto log = co_await mContext.mStepStore.ReadLog(
+      aStep->mRecord.mId, aStep->mLogIndex.EntryCount());
+    aStep->mLogIsAhead = log.has_error() || log->EntryCount() > 0;
     Stop(aStep, false);
   }
 }
@@ -433,9 +455,10 @@
   aStep->mCommitTimer->cancel();
 }
 
-/// Appends an entry to the log, again until its outcome is known or the step
-/// stops.
+/// Appends the last entry of aIndex to the log, again until its outcome is
+/// known or the step stops.
 Awaitable<AppendOutcome> StepRunner::AppendUntilSettled(OwnedStepPtr aStep,
+                                                        LogIndex aIndex,
                                                         std::string aResults)
 {
   asio::steady_timer timer(mContext.mExecutor);
@@ -445,8 +468,8 @@
       aStep->mAppendOverdueAt = mContext.mClock() + kUsualAppendTime;
       WakeWaiters(*aStep);
     }
-    const AppendOutcome outcome = co_await mContext.mStepStore.Append(
-      aStep->mRecord, aStep->mNextLogEntry, aResults);
+    const AppendOutcome outcome =
+      co_await mContext.mStepStore.Append(aStep->mRecord, aIndex, aResults);
     if (outcome == AppendOutcome::Appended ||
         outcome == AppendOutcome::Superseded) {
       aStep->mAppendState = AppendState::None;
@@ -456,7 +479,7 @@
         aStep->mAppendState != AppendState::Unknown) {
       LogEvent("append_unknown", LogLevel::Warning)
         .Field("step", aStep->mRecord.mId)
-        .Field("entry", aStep->mNextLogEntry)
+        .Field("entry", aStep->mLogIndex.EntryCount())
         .Field("listed", static_cast<uint64_t>(aStep->mCommittedResults.size()))
         .Write();
       aStep->mAppendState = AppendState::Unknown;
@@ -487,16 +510,15 @@
         asio::redirect_error(asio::use_awaitable, ignored));
       continue;
     }
-    std::vector<ItemResult> batch;
-    size_t bytes = 0;
-    while (batch.size() < aStep->mPendingResults.size() &&
-           bytes < kEntryThresholdBytes) {
-      bytes += aStep->mPendingResults[batch.size()].mText.size();
-      batch.push_back(aStep->mPendingResults[batch.size()]);
-    }
+    const auto batchEnd =
+      aStep->mPendingResults.begin() +
+      static_cast<std::ptrdiff_t>(EntryLength(aStep->mPendingResults));
+    std::vector<ItemResult> batch(aStep->mPendingResults.begin(), batchEnd);
     std::string encoded = EncodeResults(batch);
+    LogIndex index = aStep->mLogIndex;
+    index.Add(batch.size());
     const AppendOutcome outcome =
-      co_await AppendUntilSettled(aStep, std::move(encoded));
+      co_await AppendUntilSettled(aStep, index, std::move(encoded));
     if (outcome == AppendOutcome::Superseded) {
       Stop(aStep, true);
     }
@@ -504,7 +526,7 @@
       co_return;
     }
     aStep->mRecordCheckedAt = mContext.mClock();
-    ++aStep->mNextLogEntry;
+    aStep->mLogIndex = std::move(index);
     aStep->mPendingResults.erase(aStep->mPendingResults.begin(),
                                  aStep->mPendingResults.begin() +
                                    static_cast<std::ptrdiff_t>(batch.size()));
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -21,9 +21,11 @@
 constexpr std::chrono::milliseconds kCreateRetryDelay{ 100 };
 /// Maximum duration of one watch of the log of another daemon's step.
 constexpr std::chrono::milliseconds kMaxLogWait{ 1000 };
+/// A watch is not worth its call for less.
+constexpr std::chrono::milliseconds kMinLogWait{ 20 };
 constexpr unsigned kMaxEndAttempts = 8;
 /// Items of other hosts' steps with more stored values are not cached.
-constexpr uint32_t kMaxCachedChunks = 4;
+constexpr uint32_t kMaxCachedChunks = 2;
 /// A page of results is made of what was read from the log within this time.
 constexpr std::chrono::milliseconds kMaxCacheAge{ 500 };
 
@@ -34,6 +36,13 @@
            "check the step id and the key, or submit the step again" };
 }
 
+/// The results behind the first aCount.
+std::span<const ItemResult> ResultsFrom(const std::vector<ItemResult>& aResults,
+                                        size_t aCount)
+{
+  return std::span(aResults).subspan(std::min(aCount, aResults.size()));
+}
+
 Error ItemNotFound(const std::string& aItem)
 {
   return { ErrorKind::NotFound,
@@ -185,20 +194,31 @@
   mUnknownClaims.erase(aId);
 }
 
-ResultPage StepService::MakePage(const std::vector<ItemResult>& aResults,
+/// The number of results that a page holds which begins with the first one.
+size_t StepService::PageLength(std::span<const ItemResult> aResults) const
+{
+  size_t bytes = 0;
+  size_t length = 0;
+  for (const ItemResult& result : aResults) {
+    bytes += result.mText.size();
+    if (length > 0 && bytes > mOptions.mMaxPageBytes) {
+      break;
+    }
+    ++length;
+  }
+  return length;
+}
+
+/// Makes a page of results; the first of aResults has the position aFrom.
+ResultPage StepService::MakePage(std::span<const ItemResult> aResults,
                                  size_t aTotal,
                                  size_t aFrom) const
 {
+  const auto listed = aResults.first(PageLength(aResults));
   ResultPage page;
   page.mTotalItems = aTotal;
-  size_t bytes = 0;
-  size_t position = aFrom;
-  while (position < aResults.size() && bytes < mOptions.mPageThresholdBytes) {
-    bytes += aResults[position].mText.size();
-    page.mResults.push_back(aResults[position]);
-    ++position;
-  }
-  page.mNextPosition = position;
+  page.mResults.assign(listed.begin(), listed.end());
+  page.mNextPosition = aFrom + listed.size();
   return page;
 }
 
@@ -206,6 +226,39 @@
                                                 std::string aAccount,
                                                 size_t aFrom,
                                                 Milliseconds aMaxWait)
+{
+  const TimePoint start = mContext.mClock();
+  const std::string id = aId;
+  ReadTrace trace;
+  auto page = co_await ReadPage(
+    std::move(aId), std::move(aAccount), aFrom, aMaxWait, trace);
+  const auto duration =
+    std::chrono::duration_cast<Milliseconds>(mContext.mClock() - start);
+  LogEvent event("step_read",
+                 page.has_error() ? LogLevel::Warning : LogLevel::Info);
+  event.Field("step", id)
+    .Field("from", static_cast<uint64_t>(aFrom))
+    .Field("wait_ms", static_cast<int64_t>(aMaxWait.count()))
+    .Field("ms", static_cast<int64_t>(duration.count()))
+    .Field("source", trace.mSource)
+    .Field("log_reads", trace.mLogReads)
+    .Field("log_entries", trace.mLogEntries)
+    .Field("log_bytes", static_cast<uint64_t>(trace.mLogBytes));
+  if (page.has_error()) {
+    event.Field("result", FormatError(page.error()));
+  } else {
+    event.Field("listed", static_cast<uint64_t>(page->mResults.size()))
+      .Field("total", static_cast<uint64_t>(page->mTotalItems));
+  }
+  event.Write();
+  co_return page;
+}
+
+Awaitable<Result<ResultPage>> StepService::ReadPage(std::string aId,
+                                                    std::string aAccount,
+                                                    size_t aFrom,
+                                                    Milliseconds aMaxWait,
+                                                    ReadTrace& aTrace)
 {
   const TimePoint deadline = mContext.mClock() + aMaxWait;
   const OwnedStepPtr owned = mRunner.Find(aId);
@@ -215,13 +268,15 @@
     }
     co_await mRunner.AwaitResults(owned, aFrom, aMaxWait);
     if (!owned->MayLackResults(mContext.mClock())) {
-      co_return MakePage(owned->mCommittedResults, owned->mItems.size(), aFrom);
+      co_return MakePage(ResultsFrom(owned->mCommittedResults, aFrom),
+                         owned->mItems.size(),
+                         aFrom);
     }
   }
   const auto remaining =
     std::chrono::duration_cast<Milliseconds>(deadline - mContext.mClock());
   co_return co_await ReadFromStore(
-    std::move(aId), std::move(aAccount), aFrom, remaining);
+    std::move(aId), std::move(aAccount), aFrom, remaining, aTrace);
 }
 
 Awaitable<Result<StepService::CachedStepPtr>> StepService::Lookup(
@@ -254,81 +309,122 @@
 {
   size_t bytes = 0;
   for (const auto& [id, step] : mCache) {
-    bytes += step->mBytes;
+    bytes += step->Bytes();
   }
   while (bytes > mOptions.mMaxCachedBytes && mCache.size() > 1) {
     const auto oldest = std::min_element(
       mCache.begin(), mCache.end(), [](const auto& aLeft, const auto& aRight) {
         return aLeft.second->mLastUsed < aRight.second->mLastUsed;
       });
-    bytes -= oldest->second->mBytes;
+    bytes -= oldest->second->Bytes();
     mCache.erase(oldest);
   }
 }
 
-/// Reads the log entries that follow the cached results. Sets aRevision to the
-/// revision of the read.
-Awaitable<Result<bool>> StepService::ReadNewResults(CachedStepPtr aStep,
-                                                    int64_t& aRevision)
+/// Returns the results that are known if they reach a position, otherwise new
+/// ones that begin at the entry with that position.
+Awaitable<Result<StepService::LogWindowPtr>> StepService::OpenLog(
+  CachedStepPtr aStep,
+  size_t aFrom)
 {
-  const uint32_t from = aStep->mLogEntryCount;
-  auto part = co_await mContext.mStepStore.ReadLog(aStep->mRecord.mId, from);
+  const LogWindowPtr known = aStep->mLog;
+  if (known->mFirst <= aFrom && aFrom <= known->End()) {
+    co_return known;
+  }
+  LogPosition start;
+  if (aFrom > 0) {
+    const auto index =
+      co_await mContext.mStepStore.LoadLogIndex(aStep->mRecord.mId);
+    if (index.has_error()) {
+      co_return index.error();
+    }
+    start = index->Find(aFrom);
+  }
+  if (known->mFirst <= aFrom && known->mNextEntry >= start.mEntry) {
+    co_return known;
+  }
+  auto opened = std::make_shared<LogWindow>();
+  opened->mFirst = start.mResult;
+  opened->mNextEntry = start.mEntry;
+  aStep->mLog = opened;
+  co_return opened;
+}
+
+/// Reads some of the log entries that follow the known results.
+Awaitable<Result<StepService::LogRead>> StepService::ReadNewResults(
+  std::string aId,
+  LogWindowPtr aLog,
+  ReadTrace& aTrace)
+{
+  const uint32_t from = aLog->mNextEntry;
+  ++aTrace.mLogReads;
+  auto part = co_await mContext.mStepStore.ReadLog(std::move(aId), from);
   if (part.has_error()) {
     co_return part.error();
   }
-  aRevision = part->mRevision;
-  aStep->mReadAt = mContext.mClock();
-  if (aStep->mLogEntryCount != from) {
-    co_return true; // A concurrent call has added these entries already.
+  aLog->mReadAt = mContext.mClock();
+  const LogRead read{ part->EntryCount() > 0, part->mRevision };
+  if (aLog->mNextEntry != from) {
+    co_return read; // A concurrent call has added these entries already.
   }
-  aStep->mLogEntryCount += part->mEntryCount;
+  aLog->mNextEntry += part->EntryCount();
+  aTrace.mLogEntries += part->EntryCount();
   for (ItemResult& result : part->mResults) {
-    aStep->mBytes += result.mText.size();
-    aStep->mResults.push_back(std::move(result));
+    aTrace.mLogBytes += result.mText.size();
+    aLog->mBytes += result.mText.size();
+    aLog->mResults.push_back(std::move(result));
   }
-  co_return true;
+  co_return read;
 }
 
 Awaitable<Result<ResultPage>> StepService::ReadFromStore(std::string aId,
                                                          std::string aAccount,
                                                          size_t aFrom,
-                                                         Milliseconds aMaxWait)
+                                                         Milliseconds aMaxWait,
+                                                         ReadTrace& aTrace)
 {
   const TimePoint deadline = mContext.mClock() + aMaxWait;
-  const auto found = co_await Lookup(std::move(aId), std::move(aAccount));
+  aTrace.mSource = mCache.contains(aId) ? "cache" : "store";
+  const auto found = co_await Lookup(aId, std::move(aAccount));
   if (found.has_error()) {
     co_return found.error();
   }
-  const CachedStepPtr& step = *found;
-  const size_t total = step->mRecord.mItemCount;
-  const bool isOld = mContext.mClock() - step->mReadAt > kMaxCacheAge &&
-                     step->mResults.size() < total;
-  if (isOld && step->mResults.size() > aFrom) {
+  const size_t total = (*found)->mRecord.mItemCount;
+  if (aFrom >= total) {
+    co_return MakePage({}, total, aFrom);
+  }
+  const auto opened = co_await OpenLog(*found, aFrom);
+  if (opened.has_error()) {
+    co_return opened.error();
+  }
+  const LogWindowPtr& log = *opened;
+  const bool isOld =
+    mContext.mClock() - log->mReadAt > kMaxCacheAge && log->End() < total;
+  if (isOld && log->End() > aFrom) {
     // After an error, the results that are known are a page, too.
-    int64_t ignored = 0;
-    co_await ReadNewResults(step, ignored);
+    co_await ReadNewResults(aId, log, aTrace);
   }
-  while (step->mResults.size() <= aFrom && step->mResults.size() < total) {
-    int64_t revision = 0;
-    const auto updated = co_await ReadNewResults(step, revision);
-    if (updated.has_error()) {
-      co_return updated.error();
+  while (log->End() <= aFrom) {
+    const auto read = co_await ReadNewResults(aId, log, aTrace);
+    if (read.has_error()) {
+      co_return read.error();
+    }
+    if (log->End() > aFrom || read->mHadEntries) {
+      continue;
     }
     const auto remaining =
       std::chrono::duration_cast<Milliseconds>(deadline - mContext.mClock());
-    // Stop if there are results, or too little time is left for a watch.
-    if (step->mResults.size() > aFrom || remaining < Milliseconds(20)) {
+    if (remaining < kMinLogWait) {
       break;
     }
     const auto changed = co_await mContext.mStepStore.AwaitLog(
-      step->mRecord.mId,
-      revision,
-      std::min(remaining, Milliseconds(kMaxLogWait)));
+      aId, read->mRevision, std::min(remaining, Milliseconds(kMaxLogWait)));
     if (changed.has_error() || !*changed) {
       break;
     }
   }
-  co_return MakePage(step->mResults, total, aFrom);
+  co_return MakePage(
+    ResultsFrom(log->mResults, aFrom - log->mFirst), total, aFrom);
 }
 
 Awaitable<Result<std::string>> StepService::ItemBody(std::string aId,
@@ -358,43 +454,26 @@
   }
   const CachedStepPtr& step = *found;
   if (step->mRecord.mChunkCount > kMaxCachedChunks) {
-    co_return co_await LoadItemBody(step->mRecord, std::move(aItem));
+    auto item = co_await mContext.mStepStore.LoadItem(step->mRecord, aItem);
+    if (item.has_error()) {
+      co_return item.error();
+    }
+    if (!item->has_value()) {
+      co_return ItemNotFound(aItem);
+    }
+    co_return std::move((*item)->mBody);
   }
   if (step->mItems.empty()) {
     auto items = co_await mContext.mStepStore.LoadItems(step->mRecord);
     if (items.has_error()) {
       co_return items.error();
     }
-    if (step->mItems.empty()) {
-      step->mItems = std::move(*items);
-      step->mBytes += SizeInBytes(step->mItems);
-    }
+    step->mItems = std::move(*items);
+    step->mItemBytes = SizeInBytes(step->mItems);
   }
   co_return find(step->mItems);
 }
 
-/// Reads the values of a large step up to the item; they do not stay in memory.
-Awaitable<Result<std::string>> StepService::LoadItemBody(StepRecord aRecord,
-                                                         std::string aItem)
-{
-  std::string body;
-  const auto missing = co_await mContext.mStepStore.VisitItems(
-    std::move(aRecord), [&body, &aItem](StepItem aCandidate) {
-      if (aCandidate.mId != aItem) {
-        return true;
-      }
-      body = std::move(aCandidate.mBody);
-      return false;
-    });
-  if (missing.has_error()) {
-    co_return missing.error();
-  }
-  if (*missing) {
-    co_return ItemNotFound(aItem);
-  }
-  co_return body;
-}
-
 Awaitable<Result<bool>> StepService::End(std::string aId, std::string aAccount)
 {
   for (unsigned attempt = 0; attempt < kMaxEndAttempts; ++attempt) {
@@ -446,7 +525,7 @@
 Awaitable<bool> StepService::AdoptStored(StepRecord aRecord)
 {
   auto items = co_await mContext.mStepStore.LoadItems(aRecord);
-  auto log = co_await mContext.mStepStore.ReadLog(aRecord.mId, 0);
+  auto log = co_await mContext.mStepStore.ReadWholeLog(aRecord);
   if (items.has_error() || log.has_error()) {
     LogEvent("step_not_adopted", LogLevel::Warning)
       .Field("step", aRecord.mId)
@@ -667,9 +746,9 @@
   for (const StepRecord& record : *records) {
     const int64_t age = mContext.mWallClock() - record.mSubmittedMs;
     if (aDeleteExpired && record.mEnded && age > mOptions.mRetention.count()) {
-      const auto log = co_await mContext.mStepStore.ReadLog(record.mId, 0);
-      if (log.has_value()) {
-        co_await mContext.mStepStore.Delete(record, log->mEntryCount);
+      const auto index = co_await mContext.mStepStore.LoadWholeIndex(record);
+      if (index.has_value()) {
+        co_await mContext.mStepStore.Delete(record, index->EntryCount());
       }
       continue;
     }
@@ -680,15 +759,12 @@
     if (record.mEnded || !orphan) {
       continue;
     }
-    int64_t revision = 0;
     if (own) {
       // The step may only be gone from memory because it was complete and its
-      // retention has passed; the log shows whether it is.
-      auto cached = std::make_shared<CachedStep>();
-      cached->mRecord = record;
-      const auto updated = co_await ReadNewResults(cached, revision);
-      if (updated.has_error() || cached->mResults.size() >= record.mItemCount) {
-        complete = complete && updated.has_value();
+      // retention has passed; its results tell whether it is.
+      const auto index = co_await mContext.mStepStore.LoadWholeIndex(record);
+      if (index.has_error() || index->ResultCount() >= record.mItemCount) {
+        complete = complete && index.has_value();
         continue;
       }
     }
--- a/src/agatetide/steps/step_store.cpp
+++ b/src/agatetide/steps/step_store.cpp
@@ -15,14 +15,16 @@
 constexpr std::string_view kRecordPrefix = "agatetide/step/";
 constexpr std::string_view kItemsPrefix = "agatetide/step-items/";
 constexpr std::string_view kLogPrefix = "agatetide/step-log/";
+constexpr std::string_view kIndexPrefix = "agatetide/step-index/";
+constexpr std::string_view kItemIndexPrefix = "agatetide/step-item-index/";
 /// Names the steps of which some items, but not the record, are stored.
 constexpr std::string_view kPendingPrefix = "agatetide/step-pending/";
 constexpr std::string_view kPartialsPrefix = "agatetide/step-partials/";
-/// Maximum size of a value of items. The store accepts up to 1 MiB of the text
-/// that encodes a value.
-constexpr size_t kMaxChunkBytes = size_t{ 700 } << 10U;
+/// Maximum size of a value of items. Two of them, which hold an item that
+/// begins in one of them, are read in a part of the time that readers wait.
+constexpr uint32_t kMaxChunkBytes = 384U << 10U;
 /// Values of items in one transaction. They arrive within the timeout of a call
-/// on the links of small hosts.
+/// on the links of small hosts, and between regions.
 constexpr uint32_t kChunksPerTransaction = 4;
 /// Keys deleted in one transaction of the store.
 constexpr size_t kMaxDeletesPerTransaction = 30;
@@ -32,6 +34,16 @@
   return std::string(kRecordPrefix) + std::string(aId);
 }
 
+std::string IndexKey(std::string_view aId)
+{
+  return std::string(kIndexPrefix) + std::string(aId);
+}
+
+std::string ItemIndexKey(std::string_view aId)
+{
+  return std::string(kItemIndexPrefix) + std::string(aId);
+}
+
 std::string NumberedKey(std::string_view aPrefix,
                         std::string_view aId,
                         uint32_t aNumber)
@@ -126,7 +138,7 @@
                                           const std::vector<StepItem>& aItems)
 {
   const std::string key = RecordKey(aRecord.mId);
-  ItemEncoder encoder(aItems);
+  ItemEncoder encoder(aItems, kMaxChunkBytes);
   aRecord.mItemCount = static_cast<uint32_t>(aItems.size());
   aRecord.mChunkCount = 0;
   std::vector<StoreCompare> conditions{ { key, 0 } };
@@ -142,13 +154,21 @@
     }
     items.push_back(
       { NumberedKey(kItemsPrefix, aRecord.mId, aRecord.mChunkCount++),
-        encoder.Next(kMaxChunkBytes) });
+        encoder.Next() });
   }
   const std::vector<StoreCompare> pending(conditions.begin() + 1,
                                           conditions.end());
   TransactionRequest create;
   create.mCompares = std::move(conditions);
   create.mPuts = std::move(items);
+  // Builds that know no indexes leave those of a step that they delete.
+  create.mDeletes.push_back({ IndexKey(aRecord.mId) });
+  if (aRecord.mChunkCount > 1) {
+    create.mPuts.push_back(
+      { ItemIndexKey(aRecord.mId), encoder.Index().Encode() });
+  } else {
+    create.mDeletes.push_back({ ItemIndexKey(aRecord.mId) });
+  }
   // The last put, since the revision in the answer is that of the last write.
   create.mPuts.push_back({ key, EncodeRecord(aRecord) });
   create.mReadOnFailure.push_back(key);
@@ -297,7 +317,7 @@
 {
   std::vector<StepItem> items;
   const auto visited =
-    co_await VisitItems(std::move(aRecord), [&items](StepItem aItem) {
+    co_await VisitItems(std::move(aRecord), {}, [&items](StepItem aItem) {
       items.push_back(std::move(aItem));
       return true;
     });
@@ -307,12 +327,69 @@
   co_return items;
 }
 
-Awaitable<Result<bool>> StepStore::VisitItems(
+/// The position of an item, or the first one if the step has no index of its
+/// items; std::nullopt if the index does not have the item.
+Awaitable<Result<std::optional<ItemPosition>>> StepStore::FindItem(
+  std::string aId,
+  std::string aItem)
+{
+  std::string key = ItemIndexKey(aId);
+  const auto entry = co_await ReadKey(mStore, std::move(key));
+  if (entry.has_error()) {
+    co_return entry.error();
+  }
+  if (!entry->has_value()) {
+    co_return std::optional(ItemPosition());
+  }
+  const auto index = ItemIndex::Decode((*entry)->mValue);
+  if (index.has_error()) {
+    LogEvent("item_index_ignored", LogLevel::Error)
+      .Field("step", aId)
+      .Field("error", FormatError(index.error()))
+      .Write();
+    co_return std::optional(ItemPosition());
+  }
+  co_return index->Find(aItem);
+}
+
+Awaitable<Result<std::optional<StepItem>>> StepStore::LoadItem(
   StepRecord aRecord,
-  std::function<bool(StepItem)> aVisit)
+  std::string aItem)
 {
-  ItemDecoder decoder;
-  for (uint32_t chunk = 0; chunk < aRecord.mChunkCount; ++chunk) {
+  ItemPosition from;
+  if (aRecord.mChunkCount > 1) {
+    const auto found = co_await FindItem(aRecord.mId, aItem);
+    if (found.has_error()) {
+      co_return found.error();
+    }
+    if (!found->has_value()) {
+      co_return std::optional<StepItem>();
+    }
+    from = **found;
+  }
+  std::optional<StepItem> item;
+  const ItemVisitor take = [&item, &aItem](StepItem aCandidate) {
+    if (aCandidate.mId == aItem) {
+      item = std::move(aCandidate);
+    }
+    return !item;
+  };
+  const auto visited = co_await VisitItems(std::move(aRecord), from, take);
+  if (visited.has_error()) {
+    co_return visited.error();
+  }
+  co_return item;
+}
+
+/// Loads the items from a position on one after the other, and passes each to
+/// aVisit until that returns false. The value is whether it never did.
+Awaitable<Result<bool>> StepStore::VisitItems(StepRecord aRecord,
+                                              ItemPosition aFrom,
+                                              ItemVisitor aVisit)
+{
+  ItemDecoder decoder =
+    aFrom.mItemsLeft > 0 ? ItemDecoder(aFrom) : ItemDecoder();
+  for (uint32_t chunk = aFrom.mChunk; chunk < aRecord.mChunkCount; ++chunk) {
     std::string key = NumberedKey(kItemsPrefix, aRecord.mId, chunk);
     const auto entry = co_await ReadKey(mStore, std::move(key));
     if (entry.has_error()) {
@@ -340,15 +417,17 @@
 }
 
 Awaitable<AppendOutcome> StepStore::Append(StepRecord aRecord,
-                                           uint32_t aEntry,
+                                           LogIndex aIndex,
                                            std::string aResults)
 {
   const std::string recordKey = RecordKey(aRecord.mId);
-  const std::string key = NumberedKey(kLogPrefix, aRecord.mId, aEntry);
+  const std::string key =
+    NumberedKey(kLogPrefix, aRecord.mId, aIndex.EntryCount() - 1);
   TransactionRequest append;
   append.mCompares.push_back({ recordKey, aRecord.mRevision });
   append.mCompares.push_back({ key, 0 });
   append.mPuts.push_back({ key, aResults });
+  append.mPuts.push_back({ IndexKey(aRecord.mId), aIndex.Encode() });
   append.mReadOnFailure = { recordKey, key };
   StoreRequest request = std::move(append);
   const auto appended = co_await mStore(std::move(request));
@@ -372,7 +451,7 @@
 {
   const std::string prefix = std::string(kLogPrefix) + aId + "/";
   StoreRequest request =
-    RangeRequest{ NumberedKey(kLogPrefix, aId, aFrom), PrefixEnd(prefix), 0 };
+    RangeRequest{ NumberedKey(kLogPrefix, aId, aFrom), PrefixEnd(prefix), 1 };
   const auto reply = co_await mStore(std::move(request));
   if (reply.has_error()) {
     co_return reply.error();
@@ -380,14 +459,14 @@
   LogPart part;
   part.mRevision = reply->mRevision;
   for (const StoreEntry& entry : reply->mEntries) {
-    if (entry.mKey != NumberedKey(kLogPrefix, aId, aFrom + part.mEntryCount)) {
+    if (entry.mKey != NumberedKey(kLogPrefix, aId, aFrom + part.EntryCount())) {
       break;
     }
     auto results = DecodeResults(entry.mValue);
     if (results.has_error()) {
       co_return results.error();
     }
-    ++part.mEntryCount;
+    part.mResultCounts.push_back(static_cast<uint32_t>(results->size()));
     for (ItemResult& result : *results) {
       part.mResults.push_back(std::move(result));
     }
@@ -395,6 +474,64 @@
   co_return part;
 }
 
+Awaitable<Result<LogPart>> StepStore::ReadWholeLog(StepRecord aRecord)
+{
+  LogPart log;
+  bool atEnd = false;
+  // Nothing follows the results of all items.
+  while (!atEnd && log.mResults.size() < aRecord.mItemCount) {
+    auto part = co_await ReadLog(aRecord.mId, log.EntryCount());
+    if (part.has_error()) {
+      co_return part.error();
+    }
+    atEnd = part->mResultCounts.empty();
+    log.mRevision = log.mRevision == 0 ? part->mRevision : log.mRevision;
+    log.mResultCounts.insert(log.mResultCounts.end(),
+                             part->mResultCounts.begin(),
+                             part->mResultCounts.end());
+    for (ItemResult& result : part->mResults) {
+      log.mResults.push_back(std::move(result));
+    }
+  }
+  co_return log;
+}
+
+Awaitable<Result<LogIndex>> StepStore::LoadLogIndex(std::string aId)
+{
+  std::string key = IndexKey(aId);
+  const auto entry = co_await ReadKey(mStore, std::move(key));
+  if (entry.has_error()) {
+    co_return entry.error();
+  }
+  if (!entry->has_value()) {
+    co_return LogIndex();
+  }
+  auto index = LogIndex::Decode((*entry)->mValue);
+  if (index.has_error()) {
+    LogEvent("log_index_ignored", LogLevel::Error)
+      .Field("step", aId)
+      .Field("error", FormatError(index.error()))
+      .Write();
+    co_return LogIndex();
+  }
+  co_return index;
+}
+
+Awaitable<Result<LogIndex>> StepStore::LoadWholeIndex(StepRecord aRecord)
+{
+  auto index = co_await LoadLogIndex(aRecord.mId);
+  bool atEnd = index.has_error();
+  while (!atEnd && index->ResultCount() < aRecord.mItemCount) {
+    const auto part = co_await ReadLog(aRecord.mId, index->EntryCount());
+    if (part.has_error()) {
+      co_return part.error();
+    }
+    index->Add(part->mResultCounts);
+    atEnd = part->mResultCounts.empty();
+  }
+  co_return index;
+}
+
 Awaitable<Result<bool>> StepStore::AwaitLog(std::string aId,
                                             int64_t aAfterRevision,
                                             std::chrono::milliseconds aMaxWait)
@@ -475,6 +612,8 @@
   for (uint32_t entry = 0; entry < aLogEntries; ++entry) {
     keys.push_back(NumberedKey(kLogPrefix, aRecord.mId, entry));
   }
+  keys.push_back(ItemIndexKey(aRecord.mId));
+  keys.push_back(IndexKey(aRecord.mId));
   keys.push_back(std::string(kPartialsPrefix) + aRecord.mId);
   // Delete the record last, so that an interrupted deletion is repeated.
   keys.push_back(RecordKey(aRecord.mId));
