--- a/include/agatetide/steps/log_index.hpp
+++ b/include/agatetide/steps/log_index.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "agatetide/base/error.hpp"
+#include "agatetide/steps/step.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -19,6 +19,8 @@
   size_t mResult = 0;
 };
 
+struct IndexedLog;
+
 /// @brief Which results each entry of a step's log holds, so that a page of
 /// results can be read without the entries before it. Not thread-safe.
 class LogIndex
@@ -39,15 +41,28 @@
 
   size_t ResultCount() const { return mEnds.empty() ? 0 : mEnds.back(); }
 
-  std::string Encode() const;
-
-  /// @brief The inverse of Encode(). Errors: DataLoss when the bytes cannot be
-  /// decoded.
-  static Result<LogIndex> Decode(std::string_view aBytes);
-
 private:
+  friend std::string EncodeIndexedLog(const StepRecord& aRecord,
+                                      const LogIndex& aIndex);
+  friend Result<IndexedLog> DecodeIndexedLog(std::string_view aBytes);
+
   /// By entry, the position that follows its last result.
   std::vector<uint32_t> mEnds;
 };
 
+/// @brief A step as its index tells it, so that results can be read without its
+/// record.
+struct IndexedLog
+{
+  /// The record as of the last entry. Its owner and end may have changed since.
+  StepRecord mRecord;
+  LogIndex mIndex;
+};
+
+std::string EncodeIndexedLog(const StepRecord& aRecord, const LogIndex& aIndex);
+
+/// @brief The inverse of EncodeIndexedLog(). Errors: DataLoss when the bytes
+/// cannot be decoded.
+Result<IndexedLog> DecodeIndexedLog(std::string_view aBytes);
+
 } // namespace agatetide::steps
--- a/include/agatetide/steps/step_service.hpp
+++ b/include/agatetide/steps/step_service.hpp
@@ -136,6 +136,9 @@
     size_t mItemBytes = 0;
     /// The results that were asked for last; never null.
     LogWindowPtr mLog = std::make_shared<LogWindow>();
+    LogIndex mIndex;
+    /// When the index was last read.
+    TimePoint mIndexReadAt{};
     TimePoint mLastUsed{};
 
     size_t Bytes() const { return mItemBytes + mLog->mBytes; }
@@ -164,7 +167,13 @@
   };
 
   Awaitable<Result<CachedStepPtr>> Lookup(std::string aId,
-                                          std::string aAccount);
+                                          std::string aAccount,
+                                          bool aWithIndex);
+  Awaitable<Result<std::optional<StepRecord>>> LoadRecord(CachedStepPtr aStep,
+                                                          std::string aId,
+                                                          bool aWithIndex);
+  Awaitable<Result<std::optional<StepRecord>>> LoadIndex(CachedStepPtr aStep,
+                                                         std::string aId);
   Awaitable<Result<LogWindowPtr>> OpenLog(CachedStepPtr aStep, size_t aFrom);
   Awaitable<Result<LogRead>> ReadNewResults(std::string aId,
                                             LogWindowPtr aLog,
--- a/include/agatetide/steps/step_store.hpp
+++ b/include/agatetide/steps/step_store.hpp
@@ -123,9 +123,9 @@
   /// ReadLog().
   Awaitable<Result<LogPart>> ReadWholeLog(StepRecord aRecord);
 
-  /// @brief Loads the index of the log; it is empty if there is none, or none
+  /// @brief Loads the index of the log; std::nullopt if there is none, or none
   /// that can be decoded. Errors: those of the store.
-  Awaitable<Result<LogIndex>> LoadLogIndex(std::string aId);
+  Awaitable<Result<std::optional<IndexedLog>>> LoadIndexedLog(std::string aId);
 
   /// @brief Loads the index of the log, and reads the entries that it lacks.
   /// Errors: as ReadLog().
--- a/src/agatetide/steps/log_index.cpp
+++ b/src/agatetide/steps/log_index.cpp
@@ -27,26 +27,49 @@
   return { static_cast<uint32_t>(after - mEnds.begin()), *std::prev(after) };
 }
 
-std::string LogIndex::Encode() const
+namespace {
+
+/// The stored form of an index.
+struct StoredIndex
+{
+  std::string mRecord;
+  std::vector<uint32_t> mEnds;
+};
+
+template<class Archive>
+void serialize(Archive& aArchive, StoredIndex& aIndex)
+{
+  aArchive(aIndex.mRecord, aIndex.mEnds);
+}
+
+} // namespace
+
+std::string EncodeIndexedLog(const StepRecord& aRecord, const LogIndex& aIndex)
 {
-  return coordination::EncodePortable(mEnds);
+  return coordination::EncodePortable(
+    StoredIndex{ EncodeRecord(aRecord), aIndex.mEnds });
 }
 
-Result<LogIndex> LogIndex::Decode(std::string_view aBytes)
+Result<IndexedLog> DecodeIndexedLog(std::string_view aBytes)
 {
-  auto ends = coordination::DecodePortable<std::vector<uint32_t>>(
+  auto stored = coordination::DecodePortable<StoredIndex>(
     aBytes, "the stored index of a step's log", ErrorKind::DataLoss);
-  if (ends.has_error()) {
-    return ends.error();
+  if (stored.has_error()) {
+    return stored.error();
+  }
+  auto record = DecodeRecord(stored->mRecord);
+  if (record.has_error()) {
+    return record.error();
   }
-  if (!std::is_sorted(ends->begin(), ends->end())) {
+  if (!std::is_sorted(stored->mEnds.begin(), stored->mEnds.end())) {
     return Error{ ErrorKind::DataLoss,
                   "the stored index of a step's log is not in order",
                   "check that all daemons run the same version" };
   }
-  LogIndex index;
-  index.mEnds = std::move(*ends);
-  return index;
+  IndexedLog log;
+  log.mRecord = std::move(*record);
+  log.mIndex.mEnds = std::move(stored->mEnds);
+  return log;
 }
 
 } // namespace agatetide::steps
--- a/src/agatetide/steps/log_index_test.cpp
+++ b/src/agatetide/steps/log_index_test.cpp
@@ -1,6 +1,5 @@
 #include "agatetide/steps/log_index.hpp"
 
-#include "agatetide/coordination/portable_bytes.hpp"
 #include "agatetide/coordination/recorded_bytes.hpp"
 
 #include <criterion/criterion.h>
@@ -48,23 +47,31 @@
 // reading one that is damaged.
 Test(log_index, a_stored_index_says_the_same)
 {
-  const std::string bytes = MakeIndex().Encode();
-  const auto index = LogIndex::Decode(bytes);
-  cr_assert(index.has_value());
-  cr_expect_eq(index->EntryCount(), 3);
-  cr_expect_eq(index->Find(5).mResult, 4);
+  StepRecord record;
+  record.mId = "step";
+  record.mAccount = "account";
+  record.mItemCount = 8;
+  const std::string bytes = EncodeIndexedLog(record, MakeIndex());
+  const auto log = DecodeIndexedLog(bytes);
+  cr_assert(log.has_value());
+  cr_expect_str_eq(log->mRecord.mAccount.c_str(), "account");
+  cr_expect_eq(log->mRecord.mItemCount, 8);
+  cr_expect_eq(log->mIndex.EntryCount(), 3);
+  cr_expect_eq(log->mIndex.Find(5).mResult, 4);
   for (size_t size = 0; size < bytes.size(); ++size) {
-    cr_expect(LogIndex::Decode(bytes.substr(0, size)).has_error());
+    cr_expect(DecodeIndexedLog(bytes.substr(0, size)).has_error());
   }
-  const std::string unsorted =
-    coordination::EncodePortable(std::vector<uint32_t>{ 3, 2 });
-  cr_expect(LogIndex::Decode(unsorted).has_error());
+  std::string unsorted = bytes;
+  unsorted[unsorted.size() - 4] = 1;
+  cr_expect(DecodeIndexedLog(unsorted).has_error());
 }
 
 // Guards against a change of the stored form, which later builds must read.
 Test(log_index, its_stored_form_stays)
 {
-  coordination::ExpectRecordedBytes(MakeIndex().Encode(),
-                                    "0103000000000000000300000004000000080000"
-                                    "00");
+  const std::string record = EncodeRecord(StepRecord());
+  const std::string bytes = EncodeIndexedLog(StepRecord(), MakeIndex());
+  cr_assert_eq(bytes.find(record), 9, "after byte order and length");
+  coordination::ExpectRecordedBytes(bytes.substr(9 + record.size()),
+                                    "0300000000000000030000000400000008000000");
 }
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -279,21 +279,54 @@
     std::move(aId), std::move(aAccount), aFrom, remaining, aTrace);
 }
 
-Awaitable<Result<StepService::CachedStepPtr>> StepService::Lookup(
-  std::string aId,
-  std::string aAccount)
+/// Loads the index of a step's log, and with it the record; std::nullopt if
+/// there is no index.
+Awaitable<Result<std::optional<StepRecord>>> StepService::LoadIndex(
+  CachedStepPtr aStep,
+  std::string aId)
+{
+  auto log = co_await mContext.mStepStore.LoadIndexedLog(std::move(aId));
+  if (log.has_error()) {
+    co_return log.error();
+  }
+  aStep->mIndexReadAt = mContext.mClock();
+  if (!log->has_value()) {
+    co_return std::optional<StepRecord>();
+  }
+  aStep->mIndex = std::move((*log)->mIndex);
+  co_return std::optional(std::move((*log)->mRecord));
+}
+
+/// Loads the record of a step, or what the index of its log tells of it, which
+/// saves a call; std::nullopt if there is none.
+Awaitable<Result<std::optional<StepRecord>>>
+StepService::LoadRecord(CachedStepPtr aStep, std::string aId, bool aWithIndex)
+{
+  if (aWithIndex) {
+    auto record = co_await LoadIndex(aStep, aId);
+    if (record.has_error() || record->has_value()) {
+      co_return record;
+    }
+  }
+  co_return co_await mContext.mStepStore.Load(std::move(aId));
+}
+
+/// Finds a step of the account in the cache or the store, with the index of its
+/// log if it is not in the cache and aWithIndex is set.
+Awaitable<Result<StepService::CachedStepPtr>>
+StepService::Lookup(std::string aId, std::string aAccount, bool aWithIndex)
 {
   auto found = mCache.find(aId);
   if (found == mCache.end()) {
-    const auto record = co_await mContext.mStepStore.Load(aId);
+    auto step = std::make_shared<CachedStep>();
+    auto record = co_await LoadRecord(step, aId, aWithIndex);
     if (record.has_error()) {
       co_return record.error();
     }
     if (!record->has_value()) {
       co_return StepNotFound(aId);
     }
-    auto step = std::make_shared<CachedStep>();
-    step->mRecord = **record;
+    step->mRecord = std::move(**record);
     found = mCache.try_emplace(aId, std::move(step)).first;
   }
   const CachedStepPtr step = found->second;
@@ -331,15 +364,15 @@
   if (known->mFirst <= aFrom && aFrom <= known->End()) {
     co_return known;
   }
-  LogPosition start;
-  if (aFrom > 0) {
-    const auto index =
-      co_await mContext.mStepStore.LoadLogIndex(aStep->mRecord.mId);
-    if (index.has_error()) {
-      co_return index.error();
+  const bool isCurrent =
+    mContext.mClock() - aStep->mIndexReadAt <= kMaxCacheAge;
+  if (aFrom > 0 && aStep->mIndex.ResultCount() <= aFrom && !isCurrent) {
+    const auto loaded = co_await LoadIndex(aStep, aStep->mRecord.mId);
+    if (loaded.has_error()) {
+      co_return loaded.error();
     }
-    start = index->Find(aFrom);
   }
+  const LogPosition start = aStep->mIndex.Find(aFrom);
   if (known->mFirst <= aFrom && known->mNextEntry >= start.mEntry) {
     co_return known;
   }
@@ -385,7 +418,7 @@
 {
   const TimePoint deadline = mContext.mClock() + aMaxWait;
   aTrace.mSource = mCache.contains(aId) ? "cache" : "store";
-  const auto found = co_await Lookup(aId, std::move(aAccount));
+  const auto found = co_await Lookup(aId, std::move(aAccount), aFrom > 0);
   if (found.has_error()) {
     co_return found.error();
   }
@@ -448,7 +481,8 @@
       co_return find(owned->mItems);
     }
   }
-  const auto found = co_await Lookup(std::move(aId), std::move(aAccount));
+  const auto found =
+    co_await Lookup(std::move(aId), std::move(aAccount), false);
   if (found.has_error()) {
     co_return found.error();
   }
--- a/src/agatetide/steps/step_store.cpp
+++ b/src/agatetide/steps/step_store.cpp
@@ -427,7 +427,8 @@
   append.mCompares.push_back({ recordKey, aRecord.mRevision });
   append.mCompares.push_back({ key, 0 });
   append.mPuts.push_back({ key, aResults });
-  append.mPuts.push_back({ IndexKey(aRecord.mId), aIndex.Encode() });
+  append.mPuts.push_back(
+    { IndexKey(aRecord.mId), EncodeIndexedLog(aRecord, aIndex) });
   append.mReadOnFailure = { recordKey, key };
   StoreRequest request = std::move(append);
   const auto appended = co_await mStore(std::move(request));
@@ -496,7 +497,8 @@
   co_return log;
 }
 
-Awaitable<Result<LogIndex>> StepStore::LoadLogIndex(std::string aId)
+Awaitable<Result<std::optional<IndexedLog>>> StepStore::LoadIndexedLog(
+  std::string aId)
 {
   std::string key = IndexKey(aId);
   const auto entry = co_await ReadKey(mStore, std::move(key));
@@ -504,29 +506,36 @@
     co_return entry.error();
   }
   if (!entry->has_value()) {
-    co_return LogIndex();
+    co_return std::optional<IndexedLog>();
   }
-  auto index = LogIndex::Decode((*entry)->mValue);
-  if (index.has_error()) {
+  auto log = DecodeIndexedLog((*entry)->mValue);
+  if (log.has_error()) {
     LogEvent("log_index_ignored", LogLevel::Error)
       .Field("step", aId)
-      .Field("error", FormatError(index.error()))
+      .Field("error", FormatError(log.error()))
       .Write();
-    co_return LogIndex();
+    co_return std::optional<IndexedLog>();
   }
-  co_return index;
+  co_return std::optional(std::move(*log));
 }
 
 Awaitable<Result<LogIndex>> StepStore::LoadWholeIndex(StepRecord aRecord)
 {
-  auto index = co_await LoadLogIndex(aRecord.mId);
-  bool atEnd = index.has_error();
-  while (!atEnd && index->ResultCount() < aRecord.mItemCount) {
-    const auto part = co_await ReadLog(aRecord.mId, index->EntryCount());
+  auto stored = co_await LoadIndexedLog(aRecord.mId);
+  if (stored.has_error()) {
+    co_return stored.error();
+  }
+  LogIndex index;
+  if (stored->has_value()) {
+    index = std::move((*stored)->mIndex);
+  }
+  bool atEnd = false;
+  while (!atEnd && index.ResultCount() < aRecord.mItemCount) {
+    const auto part = co_await ReadLog(aRecord.mId, index.EntryCount());
     if (part.has_error()) {
       co_return part.error();
     }
-    index->Add(part->mResultCounts);
+    index.Add(part->mResultCounts);
     atEnd = part->mResultCounts.empty();
   }
   co_return index;
--- a/src/agatetide/steps/step_store_test.cpp
+++ b/src/agatetide/steps/step_store_test.cpp
@@ -292,18 +292,19 @@
     cr_expect(range.mRangeEnd.empty() || range.mLimit > 0);
     ++calls;
   };
-  const auto index = RunCoroutine(fixture.mSteps.LoadLogIndex("step"));
-  cr_assert(index.has_value());
-  cr_expect_eq(index->EntryCount(), 3);
-  const LogPosition third = index->Find(2);
+  const auto log = RunCoroutine(fixture.mSteps.LoadIndexedLog("step"));
+  cr_assert(log.has_value() && log->has_value());
+  cr_expect_eq((*log)->mIndex.EntryCount(), 3);
+  cr_expect_str_eq((*log)->mRecord.mAccount.c_str(), "account");
+  const LogPosition third = (*log)->mIndex.Find(2);
   const auto part = RunCoroutine(fixture.mSteps.ReadLog("step", third.mEntry));
   cr_expect_eq(calls, 2);
   cr_assert(!part->mResults.empty());
   cr_expect_str_eq(part->mResults[0].mId.c_str(), "c");
   const auto none = RunCoroutine(fixture.mSteps.ReadLog("step", 3));
   cr_expect_eq(none->EntryCount(), 0);
-  const auto log = RunCoroutine(fixture.mSteps.ReadWholeLog(record));
-  cr_expect_eq(log->mResults.size(), 3);
+  const auto whole = RunCoroutine(fixture.mSteps.ReadWholeLog(record));
+  cr_expect_eq(whole->mResults.size(), 3);
 }
 
 // Guards against an index that names an entry which was not appended, or stays
@@ -317,8 +318,8 @@
   claim.mOwner = "second";
   RunCoroutine(fixture.mSteps.Replace(claim));
   cr_expect(fixture.Append(record, 1, "b") == AppendOutcome::Superseded);
-  cr_expect_eq(RunCoroutine(fixture.mSteps.LoadLogIndex("step"))->EntryCount(),
-               1);
+  const auto log = RunCoroutine(fixture.mSteps.LoadIndexedLog("step"));
+  cr_expect_eq((*log)->mIndex.EntryCount(), 1);
   RunCoroutine(fixture.mSteps.Delete(record, 1));
   cr_expect_eq(CountKeys(fixture, "agatetide/"), 0);
 }
@@ -395,11 +396,12 @@
   ItemIndex items(100);
   items.Add("item", 7);
   TransactionRequest earlier;
-  earlier.mPuts.push_back({ "agatetide/step-index/step", log.Encode() });
+  earlier.mPuts.push_back({ "agatetide/step-index/step",
+                            EncodeIndexedLog(fixture.Record("old"), log) });
   earlier.mPuts.push_back({ "agatetide/step-item-index/step", items.Encode() });
   Write(fixture, std::move(earlier));
   fixture.Create("first");
-  const auto index = RunCoroutine(fixture.mSteps.LoadLogIndex("step"));
-  cr_expect_eq(index->EntryCount(), 0);
+  const auto index = RunCoroutine(fixture.mSteps.LoadIndexedLog("step"));
+  cr_expect(!index->has_value());
   cr_expect_eq(CountKeys(fixture, "agatetide/step-item-index/"), 0);
 }
