--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -155,29 +155,32 @@
             self.silent_connections.add(handler.connection)
             threading.Timer(delay_s, self.execute, (method, path, query, call)).start()
             wait_for_end(handler.connection)
-        elif self.seconds_per_mb:
-            status, value = self.execute(method, path, query, call)
-            data = json.dumps(value).encode()
-            time.sleep(self.seconds_per_mb * len(data) / 1e6)
-            handler.reply(status, data)
-        elif loses_answer is None:
+        elif loses_answer is None and not self.seconds_per_mb:
             self.store.handle(handler, method, path, query, body)
         else:
-            self.handle_with_loss(handler, method, path, query, call, loses_answer)
+            self.handle_on_path(handler, method, path, query, call, loses_answer)
 
     def execute(self, *call):
         with self.store.lock:
             return self.store.execute(*call)
 
-    def handle_with_loss(self, handler, method, path, query, body, loses_answer):
+    def handle_on_path(self, handler, method, path, query, body, loses_answer):
+        """Executes a call whose answer may take time or be lost."""
+        while self.store.silent:
+            time.sleep(0.1)
+        if self.store.refuse:
+            handler.reply(503)
+            return
         status, value = self.execute(method, path, query, body)
-        if loses_answer(path, body):
+        data = json.dumps(value).encode()
+        time.sleep(self.seconds_per_mb * len(data) / 1e6)
+        if loses_answer is not None and loses_answer(path, body):
             # A connection on which an answer is lost brings nothing further.
             self.silent_connections.add(handler.connection)
         if handler.connection in self.silent_connections:
             wait_for_end(handler.connection)
         else:
-            handler.reply(status, value)
+            handler.reply(status, data)
 
     def silence_open_connections(self, acknowledges):
         """Open connections bring nothing any more, new ones work; returns their number."""
@@ -339,7 +342,7 @@
         self.born = int(time.time() * 1000)
         self.requests = []
         self.endless_stream = False
-        self.event_bytes = 0  # events are filled up to this size
+        self.event_bytes = 0  # events are filled up to this size, or to that of a function of the request's id
         self.statuses = []  # of the next answers; 200 after them
         self.flood = None  # what its connections bring without end in place of answers; see harness/flood.py
         self.cut_response_at = None  # bytes of its responses after which the connection ends
@@ -500,7 +503,8 @@
             time.sleep(self.pause)
             data = "x" * 20000 if self.endless_stream else "%s-%d" % (headers["Attempt-Id"], number)
             data += "@" + self.software if self.software != "v1" else ""
-            data = data.ljust(self.event_bytes, ".")
+            size = self.event_bytes(headers["Attempt-Id"]) if callable(self.event_bytes) else self.event_bytes
+            data = data.ljust(size, ".")
             text = ("id: %d\ndata: %s\n\n" % (number, data)).encode()
             handler.wfile.write(b"%x\r\n%s\r\n" % (len(text), text))
             if self.breaks_after is not None and number >= self.breaks_after:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -18,6 +18,7 @@
 from harness.users_platform import DRAIN_S
 import crashing_requests
 from soak_disruptions import KEY, LONG_STEP_ITEMS, TENANT_OF_OTHERS, Disruptions
+from soak_end import JOB_ITEMS, End
 from software_versions import add_engines, check_unmixed, software_of, stream
 
 EVENTS = 6
@@ -33,14 +34,13 @@
 MARGIN_S = 0.5
 # Results are still read for this long after the faults.
 WATCH_S = 9
-JOB_ITEMS = 24
 
 
 def site_config(version):
     return config(version, limits={"maxHeaderBytes": 4096, "maxBodyBytes": MAX_BODY_BYTES})
 
 
-class Soak(Disruptions):
+class Soak(Disruptions, End):
     """One run: callers, trainers and faults on a site of its own."""
 
     def __init__(self, seed, daemons, only=None, **options):
@@ -49,6 +49,7 @@
         self.site = Site(daemons=daemons, plain=3, engines=3, events=EVENTS, pause=0.05, memory_mb=MEMORY_MB, **options)
         self.site.store.put("op/config", site_config(3))
         add_engines(self.site, "v2", 2)
+        self.prepare_end(seed)
         self.end = time.monotonic() + FAULTS_S
         self.lock = threading.Lock()
         self.killed_at = collections.defaultdict(list)  # by daemon name
@@ -319,14 +320,15 @@
         """Reads a job at a host; notes its results, or those that it should have listed."""
         started = time.monotonic()
         known, known_at = self.listed.get(name, ([], started))
-        found = []
+        results = []
         while True:  # A page may have fewer results than are known.
-            page = self.site.read(daemon, name, len(found))
+            page = self.site.read(daemon, name, len(results))
             if "status" in page:
                 return
-            found += [r["id"] for r in page["results"]]
-            if not page["results"] or len(found) >= len(known):
+            results += page["results"]
+            if not page["results"] or len(results) >= len(known):
                 break
+        found = [r["id"] for r in results]
         if found[:len(known)] != known[:len(found)]:
             self.missing.append((daemon.name, name, "other results", found[:3], known[:3]))
         quiet_since = max(known_at + SETTLE_S, self.last_disturbance(daemon.address, time.monotonic()) + SETTLE_S)
@@ -335,6 +337,7 @@
         with self.lock:
             if len(found) > len(self.listed.get(name, ([], 0))[0]):
                 self.listed[name] = (found, time.monotonic())
+                self.results[name] = results
 
     def watch_listed(self):
         """Reads jobs at all hosts until some time after the faults."""
@@ -348,13 +351,16 @@
 
     def watch_memory(self):
         while time.monotonic() < self.end + WATCH_S:
-            for daemon in self.site.daemons:
-                try:
-                    self.peaks[daemon.name] = max(self.peaks[daemon.name], daemon.peak_memory_mb())
-                except (OSError, StopIteration):
-                    pass  # It has ended.
+            self.note_memory()
             time.sleep(0.1)
 
+    def note_memory(self):
+        for daemon in self.site.daemons:
+            try:
+                self.peaks[daemon.name] = max(self.peaks[daemon.name], daemon.peak_memory_mb())
+            except (OSError, StopIteration):
+                pass  # It has ended.
+
     # Checks
 
     def check_memory(self):
@@ -407,12 +413,12 @@
 
     def check_steps(self):
         for name in self.steps:
-            results = self.site.read_all(self.site.daemons[0], 6, name, timeout=CALM_S)
+            results = self.results[name] = self.site.read_all(self.site.daemons[0], 6, name, timeout=CALM_S)
             check(len({r["id"] for r in results}) == 6, "each item once")
             check({r["state"] for r in results} == {"completed"}, "items are completed: %s" % results)
-            check_unmixed(results, EVENTS)
+            check_unmixed(results, EVENTS, self.size_of_events(name))
         for name, items in [(n, 24) for n in self.large_steps] + [(n, LONG_STEP_ITEMS) for n in self.long_steps]:
-            self.site.read_all(self.site.daemons[0], items, name, timeout=CALM_S)
+            self.results[name] = self.site.read_all(self.site.daemons[0], items, name, timeout=CALM_S)
 
     def work(self):
         """Returns what the callers and the causes of faults do, each in a thread of its own."""
@@ -450,8 +456,9 @@
             watcher.join()
         check(not failures, "a reader failed: %r" % failures[:1])
         check(not self.missing, "results that were read are not listed: %s" % self.missing[:3])
-        return "%d steps, %d streams, %d requests refused, %d unanswered, %s" % (
-            len(self.steps), len(self.streams), len(self.refused), len(self.unanswered), crashing)
+        read_again = self.check_end()
+        return "%d steps, %d streams, %d requests refused, %d unanswered, %s, %s" % (
+            len(self.steps), len(self.streams), len(self.refused), len(self.unanswered), crashing, read_again)
 
     def submit_steps_twice(self):
         """Submits steps that were accepted once more at another host."""
--- a/tests/software_versions.py
+++ b/tests/software_versions.py
@@ -14,10 +14,12 @@
 LONGEST_WATCH_S = 2.5
 
 
-def check_unmixed(results, events):
+def check_unmixed(results, events, event_bytes=0):
     """Checks that each text is complete and comes from replicas of one software version."""
     for result in results:
         lines = result["text"].split("\n")
+        check(min(map(len, lines)) >= event_bytes, "a text with short events: %s" % [len(line) for line in lines])
+        lines = [line.rstrip(".") for line in lines]  # replicas fill events up
         check([line.split("@")[0].rsplit("-", 1)[1] for line in lines] == [str(n + 1) for n in range(events)],
               "an incomplete text: %s" % lines)
         check(len({line.partition("@")[2] for line in lines}) == 1, "a text of two software versions: %s" % lines)
@@ -81,7 +83,7 @@
 
 
 def software_of(events):
-    return {event.partition("@")[2] for event in events}
+    return {event.rstrip(".").partition("@")[2] for event in events}
 
 
 def start_streams(site, count, prefix="stream"):
