Read the steps at the end of the soak at hosts that have not seen them

Change: eight daemons run after the loss of power, so that each of seven attempts is at a host of its own; a last job has the largest log (3 MB).

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -18,7 +18,7 @@
 from harness.users_platform import DRAIN_S
 import crashing_requests
 from soak_disruptions import KEY, LONG_STEP_ITEMS, TENANT_OF_OTHERS, Disruptions
-from soak_end import JOB_ITEMS, End
+from soak_end import JOB_ITEMS, MEMORY_MB, End
 from software_versions import add_engines, check_unmixed, software_of, stream
 
 EVENTS = 6
@@ -26,8 +26,8 @@
 CALM_S = 25
 # Repetitions of a request that crashes replicas, after the faults have ended.
 LATE_REPETITIONS = 12
-# Memory of a daemon, and what it stays below it.
-MEMORY_MB, MEMORY_MARGIN_MB = 110, 5
+# What a daemon stays below its memory.
+MEMORY_MARGIN_MB = 5
 MAX_BODY_BYTES = 33554432
 # A result that was read is listed by all hosts after this time. Hosts are in touch again this long after a disruption.
 SETTLE_S, CONTACT_S = 1.0, 4.0
--- a/tests/soak_end.py
+++ b/tests/soak_end.py
@@ -10,18 +10,24 @@
 import signal
 import time
 
-from harness.site import MAX_ADDRESSES, check, until
+from harness.site import MAX_ADDRESSES, Daemon, check, until
 from soak_disruptions import KEY, LONG_STEP_ITEMS
 
 # Readers allow no wait, leave after this time, and ask another host this often for a page, as the users' readers do.
 PATIENCE_S, ATTEMPTS = 1.5, 7
+# A host keeps a log that it has read after its reader has left, so each attempt for a page needs a host of its own.
+HOSTS = ATTEMPTS + 1
 # Pause after an attempt that failed at once.
 RETRY_S = 0.2
+# Memory of a daemon.
+MEMORY_MB = 110
 STEPS, READERS = 8, 4
 # Logs of jobs in runs with long results, and the path to the store in these, as between regions.
 JOB_ITEMS = 24
 LOG_BYTES, SECONDS_PER_MB = (1000000, 3000000), (0.2, 0.5)
 SHARE_OF_LONG_RESULTS = 0.5
+# A job of the largest size that runs after the faults, since many jobs during faults end early.
+LAST_JOB = "soak-job-last"
 
 
 class End:
@@ -49,16 +55,23 @@
             return 0
         # Short steps have as long texts as others, and shorter logs.
         items = LONG_STEP_ITEMS if name.startswith("soak-long") else JOB_ITEMS
-        return random.Random("%d-%s" % (self.seed, name)).randint(*LOG_BYTES) // (items * self.site.engines[0].events)
+        log_bytes = LOG_BYTES[1] if name == LAST_JOB else random.Random("%d-%s" % (self.seed, name)).randint(*LOG_BYTES)
+        return log_bytes // (items * self.site.engines[0].events)
 
     def lose_power(self):
-        """Kills all daemons at the same moment and starts them again."""
+        """Kills all daemons at the same moment, and starts them again and others beside them."""
         for daemon in self.site.daemons:
             daemon.process.send_signal(signal.SIGKILL)
         for daemon in self.site.daemons:
             daemon.process.wait(10)
         with concurrent.futures.ThreadPoolExecutor(READERS) as pool:
             list(pool.map(lambda d: d.start(), self.site.daemons))
+            first = self.site.daemons[0]
+            added = list(pool.map(lambda i: Daemon(self.site, i, program=first.program, memory_mb=MEMORY_MB),
+                                  range(len(self.site.daemons), HOSTS)))
+        for daemon in added:
+            daemon.store_endpoint.seconds_per_mb = self.seconds_per_mb
+        self.site.daemons += added
         count = min(len(self.site.daemons), MAX_ADDRESSES)
         until(lambda: all(len(self.site.addresses(d)) == count for d in self.site.daemons), "all hosts are known again")
 
@@ -96,6 +109,8 @@
 
     def check_end(self):
         """No step whose results were read is lost when all hosts have lost power; returns what was read."""
+        check(self.site.submit(self.site.daemons[0], LAST_JOB, JOB_ITEMS) == 202, "the last job is accepted")
+        self.results[LAST_JOB] = self.site.read_all(self.site.daemons[0], JOB_ITEMS, LAST_JOB, timeout=20)
         self.note_memory()
         self.lose_power()
         names = sorted((n for n in self.results if self.results[n]), key=lambda n: (-len(json.dumps(self.results[n])), n))
