--- a/include/agatetide/steps/step_store.hpp
+++ b/include/agatetide/steps/step_store.hpp
@@ -160,10 +160,14 @@
 
 private:
   using ItemVisitor = std::function<bool(StepItem)>;
+  using LogVisitor = std::function<void(LogPart)>;
 
   Awaitable<Result<bool>> VisitItems(StepRecord aRecord,
                                      ItemPosition aFrom,
                                      ItemVisitor aVisit);
+  Awaitable<Result<bool>> VisitLog(StepRecord aRecord,
+                                   LogIndex aKnown,
+                                   LogVisitor aVisit);
   Awaitable<Result<std::optional<ItemPosition>>> FindItem(std::string aId,
                                                           std::string aItem);
   Awaitable<std::optional<CreateResult>> StoreItemsAhead(
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -661,9 +661,9 @@
     co_await RequestRecovery(std::move(hostsToAsk));
     if (sweep) {
       lastSweep = mClock();
-      mVersionUpdater->SetTokenDemand(mSteps.TokenDemand(),
-                                      mSteps.DemandRule());
-      mAutoscaler->SetPeakItems(mSteps.PeakItems());
+      mVersionUpdater->SetTokenDemand(mSteps.Demand().Tokens(),
+                                      mSteps.Demand().Rule());
+      mAutoscaler->SetPeakItems(mSteps.Demand().PeakItems());
     }
   }
 }
--- a/src/agatetide/steps/step_store.cpp
+++ b/src/agatetide/steps/step_store.cpp
@@ -5,6 +5,7 @@
 #include "agatetide/steps/item_encoder.hpp"
 
 #include <cstdio>
+#include <iterator>
 
 namespace agatetide::steps {
 
@@ -68,6 +69,32 @@
   return *record;
 }
 
+/// Reads and decodes an index; std::nullopt if there is none. One that cannot
+/// be decoded is logged and ignored, since what it tells can be read elsewhere.
+template<class Index>
+Awaitable<Result<std::optional<Index>>> ReadIndex(
+  const StoreCall& aStore,
+  std::string aKey,
+  Result<Index> (*aDecode)(std::string_view))
+{
+  const auto entry = co_await ReadKey(aStore, aKey);
+  if (entry.has_error()) {
+    co_return entry.error();
+  }
+  if (!entry->has_value()) {
+    co_return std::optional<Index>();
+  }
+  auto index = aDecode((*entry)->mValue);
+  if (index.has_error()) {
+    LogEvent("index_ignored", LogLevel::Error)
+      .Field("key", aKey)
+      .Field("error", FormatError(index.error()))
+      .Write();
+    co_return std::optional<Index>();
+  }
+  co_return std::optional(std::move(*index));
+}
+
 const StoreEntry* FindEntry(const std::vector<StoreEntry>& aEntries,
                             std::string_view aKey)
 {
@@ -334,22 +361,13 @@
   std::string aItem)
 {
   std::string key = ItemIndexKey(aId);
-  const auto entry = co_await ReadKey(mStore, std::move(key));
-  if (entry.has_error()) {
-    co_return entry.error();
-  }
-  if (!entry->has_value()) {
-    co_return std::optional(ItemPosition());
-  }
-  const auto index = ItemIndex::Decode((*entry)->mValue);
+  const auto index =
+    co_await ReadIndex(mStore, std::move(key), &ItemIndex::Decode);
   if (index.has_error()) {
-    LogEvent("item_index_ignored", LogLevel::Error)
-      .Field("step", aId)
-      .Field("error", FormatError(index.error()))
-      .Write();
-    co_return std::optional(ItemPosition());
+    co_return index.error();
   }
-  co_return index->Find(aItem);
+  co_return index->has_value() ? (*index)->Find(aItem)
+                               : std::optional(ItemPosition());
 }
 
 Awaitable<Result<std::optional<StepItem>>> StepStore::LoadItem(
@@ -475,24 +493,43 @@
   co_return part;
 }
 
-Awaitable<Result<LogPart>> StepStore::ReadWholeLog(StepRecord aRecord)
+/// Reads the entries of a log that follow those of an index, and passes them to
+/// aVisit, until there are no more or all items have a result.
+Awaitable<Result<bool>> StepStore::VisitLog(StepRecord aRecord,
+                                            LogIndex aKnown,
+                                            LogVisitor aVisit)
 {
-  LogPart log;
-  bool atEnd = false;
-  // Nothing follows the results of all items.
-  while (!atEnd && log.mResults.size() < aRecord.mItemCount) {
-    auto part = co_await ReadLog(aRecord.mId, log.EntryCount());
+  while (aKnown.ResultCount() < aRecord.mItemCount) {
+    auto part = co_await ReadLog(aRecord.mId, aKnown.EntryCount());
     if (part.has_error()) {
       co_return part.error();
     }
-    atEnd = part->mResultCounts.empty();
-    log.mRevision = log.mRevision == 0 ? part->mRevision : log.mRevision;
-    log.mResultCounts.insert(log.mResultCounts.end(),
-                             part->mResultCounts.begin(),
-                             part->mResultCounts.end());
-    for (ItemResult& result : part->mResults) {
-      log.mResults.push_back(std::move(result));
+    if (part->mResultCounts.empty()) {
+      break;
     }
+    aKnown.Add(part->mResultCounts);
+    aVisit(std::move(*part));
+  }
+  co_return true;
+}
+
+Awaitable<Result<LogPart>> StepStore::ReadWholeLog(StepRecord aRecord)
+{
+  LogPart log;
+  LogVisitor append = [&log](LogPart aPart) {
+    log.mRevision = log.mRevision == 0 ? aPart.mRevision : log.mRevision;
+    log.mResultCounts.insert(log.mResultCounts.end(),
+                             aPart.mResultCounts.begin(),
+                             aPart.mResultCounts.end());
+    std::move(aPart.mResults.begin(),
+              aPart.mResults.end(),
+              std::back_inserter(log.mResults));
+  };
+  LogIndex none;
+  const auto visited =
+    co_await VisitLog(std::move(aRecord), std::move(none), std::move(append));
+  if (visited.has_error()) {
+    co_return visited.error();
   }
   co_return log;
 }
@@ -501,22 +538,7 @@
   std::string aId)
 {
   std::string key = IndexKey(aId);
-  const auto entry = co_await ReadKey(mStore, std::move(key));
-  if (entry.has_error()) {
-    co_return entry.error();
-  }
-  if (!entry->has_value()) {
-    co_return std::optional<IndexedLog>();
-  }
-  auto log = DecodeIndexedLog((*entry)->mValue);
-  if (log.has_error()) {
-    LogEvent("log_index_ignored", LogLevel::Error)
-      .Field("step", aId)
-      .Field("error", FormatError(log.error()))
-      .Write();
-    co_return std::optional<IndexedLog>();
-  }
-  co_return std::optional(std::move(*log));
+  co_return co_await ReadIndex(mStore, std::move(key), &DecodeIndexedLog);
 }
 
 Awaitable<Result<LogIndex>> StepStore::LoadWholeIndex(StepRecord aRecord)
@@ -529,14 +551,13 @@
   if (stored->has_value()) {
     index = std::move((*stored)->mIndex);
   }
-  bool atEnd = false;
-  while (!atEnd && index.ResultCount() < aRecord.mItemCount) {
-    const auto part = co_await ReadLog(aRecord.mId, index.EntryCount());
-    if (part.has_error()) {
-      co_return part.error();
-    }
-    index.Add(part->mResultCounts);
-    atEnd = part->mResultCounts.empty();
+  LogVisitor add = [&index](const LogPart& aPart) {
+    index.Add(aPart.mResultCounts);
+  };
+  const auto visited =
+    co_await VisitLog(std::move(aRecord), index, std::move(add));
+  if (visited.has_error()) {
+    co_return visited.error();
   }
   co_return index;
 }
