Answer with a known page without a look at the log

Cause: a host that read results of a step over 0.5 s ago looked for more before it answered, also when it knew a page of them, and so took as long as the store.

Change: known results with texts of 350 KB, half of the largest page, are a page. Fewer are completed from the log as before, since entries of results end before a page is exactly full.

Result: tests/long_logs.py known_page_is_answered_without_the_store (a silent store, a reader who waits 1.5 s) fails on the code before and passes now.

--- a/include/agatetide/steps/step_reader.hpp
+++ b/include/agatetide/steps/step_reader.hpp
@@ -28,6 +28,9 @@
 {
   /// Maximum size of the texts of a page with several results.
   size_t mMaxPageBytes = size_t{ 700 } << 10U;
+  /// Known results with texts of this size are a page without a look at the log
+  /// for more.
+  size_t mSufficientPageBytes = size_t{ 350 } << 10U;
   /// Limit of the memory for cached steps of other daemons.
   size_t mMaxCachedBytes = size_t{ 6 } << 20U;
 };
--- a/src/agatetide/steps/step_reader.cpp
+++ b/src/agatetide/steps/step_reader.cpp
@@ -24,6 +24,15 @@
            "check the item id" };
 }
 
+size_t SizeInBytes(std::span<const ItemResult> aResults)
+{
+  size_t bytes = 0;
+  for (const ItemResult& result : aResults) {
+    bytes += result.mText.size();
+  }
+  return bytes;
+}
+
 } // namespace
 
 Error StepNotFound(std::string_view aId)
@@ -255,14 +264,16 @@
   co_return read;
 }
 
-/// Whether the log may have results that follow the known ones.
+/// Whether known results are few for a page, and the log may have further ones.
 bool StepReader::MustRefresh(const LogWindow& aLog,
                              size_t aFrom,
                              size_t aTotal) const
 {
   const bool isKnown = aLog.End() > aFrom;
   const bool isOld = mContext.mClock() - aLog.mReadAt > kMaxCacheAge;
-  return isKnown && isOld && aLog.End() < aTotal;
+  const bool suffices =
+    SizeInBytes(aLog.From(aFrom)) >= mOptions.mSufficientPageBytes;
+  return isKnown && isOld && !suffices && aLog.End() < aTotal;
 }
 
 Awaitable<Result<ResultPage>> StepReader::ReadFromStore(std::string aId,
--- a/tests/long_logs.py
+++ b/tests/long_logs.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import sys
+import time
 
 from harness.site import check, config, run_tests, until
 
@@ -15,6 +16,8 @@
 SECONDS_PER_MB = 0.6
 # Readers that allow no wait get their answer within this time, or go away.
 PATIENCE_S = 1.5
+# A page of a step that is not complete is made of what was read within this time.
+MAX_CACHE_AGE_S = 0.5
 STEP = "long"
 INDEX_PREFIX, LOG_PREFIX = "agatetide/step-index/", "agatetide/step-log/"
 
@@ -100,6 +103,18 @@
     check(page["results"] == results[:len(page["results"])], "with the results that were read before")
 
 
+def known_page_is_answered_without_the_store(site):
+    """Guards against a host that looks for further results, while those that it knows fill the page."""
+    (reader, *_), results = run_step(site)
+    check(read_page(reader, 0) is not None, "the first page is read")
+    time.sleep(MAX_CACHE_AGE_S + 0.5)
+    reader.store_endpoint.silent = True
+    page = read_page(reader, 0)
+    reader.store_endpoint.silent = False
+    check(page is not None and page["results"], "the page that is known comes in time")
+    check(page["results"] == results[:len(page["results"])], "with the results that were read before")
+
+
 def log_without_an_index_is_read(site):
     """Guards against a log of an older build, whose results are not found without an index."""
     (reader, *_), results = run_step(site)
@@ -174,5 +189,6 @@
     sys.exit(run_tests("long_logs", [(test, options) for test in (
         each_host_reads_from_the_start_in_time, each_page_is_read_in_time_at_another_host,
         positions_inside_of_entries_and_earlier_ones_are_read, refused_host_reads_through_others_in_time,
-        log_without_an_index_is_read, body_of_any_item_of_a_large_job_is_read_in_time,
+        known_page_is_answered_without_the_store, log_without_an_index_is_read,
+        body_of_any_item_of_a_large_job_is_read_in_time,
         large_job_is_accepted_over_a_long_path, results_that_waited_for_the_store_are_all_listed)]))
