Renew leases on two routes while the store is silent

Cause: the renewal of a lease waited for the direct call until its timeout of 1.5 s before it went through another host.

Change: a renewal without a direct reply after 0.5 s is also sent through another host; the first reply counts. Calls of other kinds are as before, since they may not run twice. If the direct reply comes first, the next calls stay direct.

Result: three unit tests with a silent, a slow and a sound store.

--- a/include/agatetide/entry/store_router.hpp
+++ b/include/agatetide/entry/store_router.hpp
@@ -5,6 +5,7 @@
 #include "agatetide/http/message.hpp"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -26,6 +27,9 @@
   size_t mMaxPeers = 3;
   /// Time for which a daemon that failed isn't asked again.
   Milliseconds mPeerBackoff{ 3000 };
+  /// The renewal of a lease that has no direct reply after this time is also
+  /// sent through another daemon.
+  Milliseconds mHedgeDelay{ 500 };
   /// Time for which calls are tried through other daemons first, after one of
   /// them succeeded or a direct call had an unknown outcome. Doubles with each
   /// consecutive use, up to the maximum.
@@ -40,7 +44,8 @@
 /// @brief Calls the store directly, or through another daemon while the store
 /// refuses this one or doesn't reply to it but serves others.
 ///
-/// A call is only retried if it was certainly not executed, or renews a lease.
+/// A call is only retried if it was certainly not executed, or renews a lease:
+/// a renewal takes the second route also while the first one is silent.
 /// Leases stay safe:
 /// the holder counts the TTL from before the renewal was sent, whichever route
 /// it took. Not thread-safe: use it only on the executor of the daemon.
@@ -65,6 +70,14 @@
     coordination::StoreRequest aRequest);
 
 private:
+  struct HedgedCall;
+
+  Awaitable<Result<coordination::StoreReply>> CallHedged(
+    coordination::StoreRequest aRequest);
+  Awaitable<void> CallDirectly(std::shared_ptr<HedgedCall> aCall,
+                               coordination::StoreRequest aRequest);
+  Awaitable<void> CallThroughPeers(std::shared_ptr<HedgedCall> aCall,
+                                   coordination::StoreRequest aRequest);
   /// Calls the store through other daemons. std::nullopt if the call was
   /// certainly not executed.
   Awaitable<std::optional<Result<coordination::StoreReply>>> CallPeers(
--- a/src/agatetide/entry/store_router.cpp
+++ b/src/agatetide/entry/store_router.cpp
@@ -3,12 +3,20 @@
 #include "agatetide/base/encoding.hpp"
 #include "agatetide/base/event_log.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <utility>
 
 namespace agatetide::entry {
 
 using namespace coordination;
+namespace asio = boost::asio;
 
 namespace {
 
@@ -41,6 +49,35 @@
 
 } // namespace
 
+/// A call that takes two routes, until one of them has brought a reply.
+struct StoreRouter::HedgedCall
+{
+  explicit HedgedCall(const asio::any_io_executor& aExecutor)
+    : mFinished(aExecutor)
+  {
+  }
+
+  bool IsDone() const
+  {
+    return mPendingRoutes == 0 || (mReply && mReply->has_value());
+  }
+
+  /// Takes the reply of a route; a later one counts if this is an error.
+  void Finish(std::optional<Result<StoreReply>> aReply)
+  {
+    --mPendingRoutes;
+    if (aReply && (!mReply || mReply->has_error())) {
+      mReply = std::move(aReply);
+    }
+    mFinished.cancel();
+  }
+
+  unsigned mPendingRoutes = 0;
+  std::optional<Result<StoreReply>> mReply;
+  /// Canceled with each reply.
+  asio::steady_timer mFinished;
+};
+
 StoreRouter::StoreRouter(StoreRouterOptions aOptions,
                          Clock aClock,
                          std::string aSelf,
@@ -122,7 +159,6 @@
     auto reply =
       co_await mCallViaPeer(*endpoint, aRequest, mOptions.mPeerTimeout);
     if (reply.has_value()) {
-      PreferPeers();
       co_return std::optional(std::move(reply));
     }
     mPeerBackoffUntil[name] = mClock() + mOptions.mPeerBackoff;
@@ -139,15 +175,74 @@
   co_return std::nullopt;
 }
 
+Awaitable<void> StoreRouter::CallDirectly(std::shared_ptr<HedgedCall> aCall,
+                                          StoreRequest aRequest)
+{
+  auto reply = co_await mStore(std::move(aRequest));
+  if (reply.has_value()) {
+    ResetBackoffs();
+  } else {
+    LogEvent("store_call_failed", LogLevel::Warning)
+      .Field("error", FormatError(reply.error()))
+      .Field("next", "another daemon")
+      .Write();
+  }
+  aCall->Finish(std::move(reply));
+}
+
+Awaitable<void> StoreRouter::CallThroughPeers(std::shared_ptr<HedgedCall> aCall,
+                                              StoreRequest aRequest)
+{
+  auto reply = co_await CallPeers(std::move(aRequest));
+  const bool isFirst = !aCall->IsDone();
+  if (isFirst && reply && reply->has_value()) {
+    PreferPeers();
+  }
+  aCall->Finish(std::move(reply));
+}
+
+/// Calls the store directly, and through another daemon as well if that fails
+/// or has brought no reply after the hedge delay. The first reply counts.
+Awaitable<Result<StoreReply>> StoreRouter::CallHedged(StoreRequest aRequest)
+{
+  const auto executor = co_await asio::this_coro::executor;
+  const auto call = std::make_shared<HedgedCall>(executor);
+  boost::system::error_code ignored;
+  ++call->mPendingRoutes;
+  asio::co_spawn(executor, CallDirectly(call, aRequest), asio::detached);
+  if (!call->IsDone()) {
+    call->mFinished.expires_after(mOptions.mHedgeDelay);
+    co_await call->mFinished.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  if (!call->mReply || call->mReply->has_error()) {
+    ++call->mPendingRoutes;
+    asio::co_spawn(executor, CallThroughPeers(call, aRequest), asio::detached);
+  }
+  while (!call->IsDone()) {
+    call->mFinished.expires_at(asio::steady_timer::time_point::max());
+    co_await call->mFinished.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  co_return std::move(*call->mReply);
+}
+
 Awaitable<Result<StoreReply>> StoreRouter::Call(StoreRequest aRequest)
 {
   const bool viaPeersFirst = mClock() < mDirectBackoffUntil;
   if (viaPeersFirst) {
     auto reply = co_await CallPeers(aRequest);
     if (reply) {
+      if (reply->has_value()) {
+        PreferPeers();
+      }
       co_return std::move(*reply);
     }
   }
+  const bool mayAskPeers = !viaPeersFirst && mClock() >= mAllPeersBackoffUntil;
+  if (mayAskPeers && IsRepeatable(aRequest)) {
+    co_return co_await CallHedged(std::move(aRequest));
+  }
   auto direct = co_await mStore(aRequest);
   if (direct.has_value()) {
     ResetBackoffs();
@@ -163,15 +258,16 @@
   if (direct.error().mExecution != Execution::NotRun) {
     // This call may have been executed. The next ones take another route.
     PreferPeers();
-    if (!IsRepeatable(aRequest)) {
-      co_return direct;
-    }
+    co_return direct;
+  }
+  auto reply = co_await CallPeers(std::move(aRequest));
+  if (!reply) {
+    co_return direct;
   }
-  auto reply = co_await CallPeers(aRequest);
-  if (reply) {
-    co_return std::move(*reply);
+  if (reply->has_value()) {
+    PreferPeers();
   }
-  co_return direct;
+  co_return std::move(*reply);
 }
 
 Awaitable<Result<StoreReply>> StoreRouter::ServePeer(StoreRequest aRequest)
--- a/src/agatetide/entry/store_router_test.cpp
+++ b/src/agatetide/entry/store_router_test.cpp
@@ -3,6 +3,9 @@
 #include "agatetide/coordination/store_messages.hpp"
 #include "agatetide/coordination/test_store.hpp"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <criterion/criterion.h>
 
 #include <set>
@@ -18,6 +21,15 @@
   return { ErrorKind::Unavailable, "the store refused", "wait" };
 }
 
+Awaitable<void> Sleep(Milliseconds aDuration)
+{
+  if (aDuration > Milliseconds(0)) {
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                    aDuration);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+}
+
 /// A daemon that the store may refuse, and one other daemon each in its own and
 /// in another availability zone.
 struct Fixture
@@ -47,20 +59,25 @@
   fleet::FleetView mView{ mClock.AsClock(), "a", "region" };
   Result<StoreReply> mDirectReply = StoreReply{};
   Result<StoreReply> mPeerReply = StoreReply{};
+  Milliseconds mDirectDelay{ 0 };
+  Milliseconds mPeerDelay{ 0 };
   int mDirectCalls = 0;
   std::vector<uint16_t> mAskedPorts;
-  StoreRouter mRouter{ {},
+  StoreRouterOptions mOptions{ .mHedgeDelay = Milliseconds(40) };
+  StoreRouter mRouter{ mOptions,
                        mClock.AsClock(),
                        "self",
                        mView,
                        [this](StoreRequest) -> Awaitable<Result<StoreReply>> {
                          ++mDirectCalls;
+                         co_await Sleep(mDirectDelay);
                          co_return mDirectReply;
                        },
                        [this](http::Endpoint aPeer,
                               StoreRequest,
                               Milliseconds) -> Awaitable<Result<StoreReply>> {
                          mAskedPorts.push_back(aPeer.mPort);
+                         co_await Sleep(mPeerDelay);
                          co_return mPeerReply;
                        } };
 };
@@ -183,6 +200,49 @@
   cr_expect(renewing.mAskedPorts == std::vector<uint16_t>({ 1 }));
 }
 
+// Guards against a registration that expires because its renewal waits for a
+// silent store until the timeout, and against a late reply that is taken for
+// that of another call.
+Test(store_path, a_renewal_takes_two_routes_while_the_store_is_silent)
+{
+  Fixture fixture;
+  fixture.mDirectDelay = 4 * fixture.mOptions.mHedgeDelay;
+  fixture.mPeerReply = StoreReply{ .mTtlSeconds = 3 };
+  StoreRequest renewal = LeaseKeepAliveRequest{ 7 };
+  const auto renewed = RunCoroutine(fixture.mRouter.Call(renewal));
+  cr_assert(renewed.has_value());
+  cr_expect_eq(renewed->mTtlSeconds, 3);
+  cr_expect_eq(fixture.mDirectCalls, 1);
+  cr_expect(fixture.mAskedPorts == std::vector<uint16_t>({ 1 }));
+}
+
+// Guards against two calls for each renewal where the store replies in time,
+// and for each write where it does not.
+Test(store_path, only_a_renewal_without_a_reply_takes_two_routes)
+{
+  Fixture fixture;
+  fixture.mDirectDelay = fixture.mOptions.mHedgeDelay / 4;
+  StoreRequest renewal = LeaseKeepAliveRequest{ 7 };
+  cr_expect(RunCoroutine(fixture.mRouter.Call(renewal)).has_value());
+  cr_expect(fixture.mAskedPorts.empty());
+  fixture.mDirectDelay = 4 * fixture.mOptions.mHedgeDelay;
+  cr_expect(fixture.Put().has_value());
+  cr_expect(fixture.mAskedPorts.empty());
+}
+
+// Guards against a slow store that makes each host call it through others.
+Test(store_path, a_late_direct_reply_counts_if_it_is_the_first)
+{
+  Fixture fixture;
+  fixture.mDirectDelay = 2 * fixture.mOptions.mHedgeDelay;
+  fixture.mPeerDelay = 4 * fixture.mOptions.mHedgeDelay;
+  StoreRequest renewal = LeaseKeepAliveRequest{ 7 };
+  cr_expect(RunCoroutine(fixture.mRouter.Call(renewal)).has_value());
+  cr_expect_eq(fixture.mAskedPorts.size(), 1);
+  cr_expect(fixture.Put().has_value());
+  cr_expect_eq(fixture.mAskedPorts.size(), 1, "the next call is direct");
+}
+
 // Guards against items of a step that leave their region because the store
 // refuses their host.
 Test(store_path, calls_of_steps_stay_in_the_region_where_regions_are_restricted)
