Ask refused hosts of a zone by turns

Cause: a host that the store refuses asks one host of its zone for each call. After that one had failed, no host was asked for up to 4 s, while the failed one was avoided for 3 s only: it was asked again each time, and one that the store served never, in a deployment with a single zone.

Change: hosts that failed are asked after the others, the latest failure last; a success forgets the failure.

Result: a unit test with two refused hosts of one zone.

--- a/src/agatetide/entry/store_router.cpp
+++ b/src/agatetide/entry/store_router.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace agatetide::entry {
@@ -96,26 +97,41 @@
 /// The daemons to ask, in this order: one of the own availability zone, then
 /// those of other zones, since the store often refuses neighboring hosts
 /// together. Each daemon has its own order, so that the refused ones don't all
-/// ask the same daemon.
+/// ask the same daemon. Those that failed come last, the latest at the end, so
+/// that all are asked by turns.
 std::vector<std::string> StoreRouter::Peers() const
 {
-  std::vector<std::pair<uint64_t, const fleet::EntryHost*>> ranks;
+  struct Rank
+  {
+    TimePoint mBackoffUntil;
+    uint64_t mHash = 0;
+    const fleet::EntryHost* mHost = nullptr;
+  };
+  std::vector<Rank> ranks;
   for (const auto& [name, host] : mView.Hosts()) {
     const auto backoff = mPeerBackoffUntil.find(name);
     if (name == mSelf || host.mDraining || host.mPeerAddress.empty() ||
         (backoff != mPeerBackoffUntil.end() && mClock() < backoff->second)) {
       continue;
     }
-    ranks.emplace_back(Hash64(name, Hash64(mSelf)), &host);
+    const bool hasFailed = backoff != mPeerBackoffUntil.end();
+    ranks.push_back({ hasFailed ? backoff->second : TimePoint{},
+                      Hash64(name, Hash64(mSelf)),
+                      &host });
   }
-  std::sort(ranks.begin(), ranks.end());
+  std::sort(
+    ranks.begin(), ranks.end(), [](const Rank& aLeft, const Rank& aRight) {
+      return std::tie(aLeft.mBackoffUntil, aLeft.mHash) <
+             std::tie(aRight.mBackoffUntil, aRight.mHash);
+    });
   std::vector<std::string> peers;
   for (const bool local : { true, false }) {
-    for (const auto& [hash, host] : ranks) {
-      const bool sameZone = host->mAvailabilityZone == mView.AvailabilityZone();
+    for (const Rank& rank : ranks) {
+      const bool sameZone =
+        rank.mHost->mAvailabilityZone == mView.AvailabilityZone();
       const size_t limit = local ? 1 : mOptions.mMaxPeers;
       if (sameZone == local && peers.size() < limit) {
-        peers.push_back(host->mName);
+        peers.push_back(rank.mHost->mName);
       }
     }
   }
@@ -159,6 +175,7 @@
     auto reply =
       co_await mCallViaPeer(*endpoint, aRequest, mOptions.mPeerTimeout);
     if (reply.has_value()) {
+      mPeerBackoffUntil.erase(name);
       co_return std::optional(std::move(reply));
     }
     mPeerBackoffUntil[name] = mClock() + mOptions.mPeerBackoff;
--- a/src/agatetide/entry/store_router_test.cpp
+++ b/src/agatetide/entry/store_router_test.cpp
@@ -156,6 +156,30 @@
   cr_expect(asked.size() == fixture.mAskedPorts.size());
 }
 
+// Guards against a host that asks the same refused daemon of its zone again and
+// again, and never the one that the store serves.
+Test(store_path, refused_daemons_of_a_zone_are_asked_by_turns)
+{
+  Fixture fixture;
+  auto hosts = fixture.mView.Hosts();
+  hosts.erase("far");
+  hosts["next"] = hosts.at("near");
+  hosts["next"].mName = "next";
+  hosts["next"].mPeerAddress = "127.0.0.1:3";
+  fixture.mView.SetHosts(hosts);
+  fixture.mDirectReply = Refused();
+  fixture.mPeerReply = Refused();
+  constexpr size_t kCalls = 8;
+  for (size_t i = 0; i < kCalls; ++i) {
+    cr_expect(fixture.Put().has_error());
+    fixture.mClock.Advance(StoreRouterOptions().mMaxAllPeersBackoff);
+  }
+  cr_assert_eq(fixture.mAskedPorts.size(), kCalls);
+  for (size_t i = 1; i < kCalls; ++i) {
+    cr_expect_neq(fixture.mAskedPorts[i], fixture.mAskedPorts[i - 1]);
+  }
+}
+
 // Guards against calls that change when they are encoded and decoded, and
 // against a crash on malformed ones.
 Test(store_path, calls_are_read_back_and_malformed_ones_refused)
