Fill the pools of the silent-connections tests; allow for frozen hosts in the soak

Cause: since a reader who has all results of a step is answered at once, so that the readers that should fill the pools of connections to the store held none: 11 to 14 connections by chance where more than 12 are asked for, which refused the last landing.

Change: the readers wait for the last result of a running step, and the check asks for twice as many connections as before. The soak notes when it freezes a host. A request is excepted if its caller gave up after 6 s in which the host was not frozen for less than the request's timeout of 2 s and 0.5 s; one whose connection ends earlier is not excepted.

--- a/tests/silent_connections.py
+++ b/tests/silent_connections.py
@@ -13,18 +13,18 @@
 # Bounds of the users' platform: hosts are in touch again this long after a disruption, and then keep the others.
 CONTACT_S, DRAIN_S, REVOKE_S, APPLY_S = 4.0, 3.0, 5.0, 3.0
 MARGIN_S = 0.3
-READERS, FILL_S = 12, 3
+READERS, FILL_S, ITEMS = 12, 3, 24
 KEY = {"Authorization": "Bearer key-a"}
 
 
 def fill_pools(site, step):
-    """Lets each daemon open as many connections to the store as readers of a running batch job need."""
-    check(site.submit(site.daemons[0], step, items=24) == 202, "accepted")
+    """Lets each daemon but the owner open as many connections to the store as waiting readers of a running batch job need."""
+    check(site.submit(site.daemons[0], step, items=ITEMS) == 202, "accepted")
     end = time.monotonic() + FILL_S
 
     def read(daemon):
         while time.monotonic() < end:
-            daemon.call("GET", "/lots/%s?after=24" % step, headers={**KEY, "Wait-Ms": "500"})
+            daemon.call("GET", "/lots/%s?after=%d" % (step, ITEMS - 1), headers={**KEY, "Wait-Ms": "500"})
             time.sleep(0.1)
 
     readers = [threading.Thread(target=read, args=(d,), daemon=True) for d in site.daemons for _ in range(READERS)]
@@ -81,7 +81,7 @@
     for replica, acknowledges in zip(site.plain, (True, False)):
         fill_pools(site, "filler-" + replica.name)
         count, silent_at = silence_store(site, acknowledges), time.monotonic()
-        check(count > READERS, "%d connections were open" % count)
+        check(count > 2 * READERS, "%d connections were open" % count)
         time.sleep(1)
         replica.drain()
         acknowledged_at = time.monotonic()
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -32,6 +32,10 @@
 # A result that was read is listed by all hosts after this time. Hosts are in touch again this long after a disruption.
 SETTLE_S, CONTACT_S = 1.0, 4.0
 MARGIN_S = 0.5
+# What a lookup allows, from its arrival at a host.
+REQUEST_TIMEOUT_S = 2
+# A caller waits this long for an answer.
+CALLER_TIMEOUT_S = 6
 # Results are still read for this long after the faults.
 WATCH_S = 9
 
@@ -53,6 +57,7 @@
         self.end = time.monotonic() + FAULTS_S
         self.lock = threading.Lock()
         self.killed_at = collections.defaultdict(list)  # by daemon name
+        self.frozen = collections.defaultdict(list)  # from when to when, by daemon name
         self.disturbed_at = collections.defaultdict(list)  # restarts and freezes, by daemon address
         self.busy = set()  # daemons that a fault acts on
         self.starting = set()  # daemons whose program may not have begun to run
@@ -92,8 +97,9 @@
             count += 1
             name, sent_at = "soak-%d-%d" % (number, count), time.monotonic()
             try:
-                connection = connection or http.client.HTTPConnection(daemon.address, daemon.front_port, timeout=6)
-                connection.request("POST", path, b"question", {"Host": HOST, "Attempt-Id": name, "Timeout-Ms": "2000"})
+                connection = connection or http.client.HTTPConnection(daemon.address, daemon.front_port, timeout=CALLER_TIMEOUT_S)
+                connection.request("POST", path, b"question",
+                                   {"Host": HOST, "Attempt-Id": name, "Timeout-Ms": str(1000 * REQUEST_TIMEOUT_S)})
                 answer = connection.getresponse()
                 body = answer.read()
                 self.answers[answer.status] += 1
@@ -215,11 +221,17 @@
     def freeze(self):
         daemon = self.acquire()
         if daemon is not None:
-            daemon.process.send_signal(signal.SIGSTOP)
-            self.sleep(0.2, 1.5)
-            daemon.process.send_signal(signal.SIGCONT)
+            self.stop_and_continue(daemon, 0.2, 1.5)
             self.release(daemon)
 
+    def stop_and_continue(self, daemon, shortest, longest):
+        """Stops the process for some seconds, in which it does nothing."""
+        daemon.process.send_signal(signal.SIGSTOP)
+        stopped_at = time.monotonic()
+        self.sleep(shortest, longest)
+        daemon.process.send_signal(signal.SIGCONT)
+        self.frozen[daemon.name].append((stopped_at, time.monotonic()))
+
     def reload(self):
         for _ in range(3):
             for daemon in self.site.daemons:
@@ -382,9 +394,16 @@
         ran = [n for n in self.refused if runs[n] and n in once]
         check(not ran, "refused requests that ran: %s" % ran)
         lost = [u for u in self.unanswered
-                if runs[u[0]] and not any(u[2] - 0.5 <= t <= u[3] + 0.5 for t in self.killed_at[u[1]])]
+                if runs[u[0]] and not self.was_frozen_too_long(*u[1:4])
+                and not any(u[2] - 0.5 <= t <= u[3] + 0.5 for t in self.killed_at[u[1]])]
         check(not lost, "requests that ran and got no answer: %s" % lost[:3])
 
+    def was_frozen_too_long(self, name, sent_at, ended_at):
+        """Returns whether a caller gave up before its daemon, which was frozen meanwhile, ran for the request's timeout."""
+        waited = ended_at - sent_at
+        frozen = sum(max(0, min(ended_at, end) - max(sent_at, start)) for start, end in self.frozen[name])
+        return waited >= CALLER_TIMEOUT_S and waited - frozen <= REQUEST_TIMEOUT_S + MARGIN_S
+
     def check_drained(self):
         """No request may reach a replica from a host that has long known that it leaves."""
         late = [(replica.name, sender, told, now) for replica in [*self.site.plain, *self.site.engines]
--- a/tests/soak_disruptions.py
+++ b/tests/soak_disruptions.py
@@ -7,7 +7,6 @@
 import base64
 import http.client
 import json
-import signal
 import threading
 import time
 
@@ -83,11 +82,12 @@
     def fill_pools(self):
         """Lets hosts open as many connections to the store as many waiting readers need."""
         end = time.monotonic() + FILL_S
+        name = self.steps[-1] if self.steps else "soak-step-0"
 
         def read(daemon):
             while time.monotonic() < end:
                 try:
-                    daemon.call("GET", "/lots/soak-step-0?after=6", headers={**KEY, "Wait-Ms": "500"})
+                    daemon.call("GET", "/lots/%s?after=5" % name, headers={**KEY, "Wait-Ms": "500"})
                 except (OSError, http.client.HTTPException):
                     pass
                 time.sleep(0.1)
@@ -152,9 +152,7 @@
             self.release(first)
             if not self.acquire_this(owner):
                 return
-        owner.process.send_signal(signal.SIGSTOP)
-        self.sleep(FREEZE_S, FREEZE_S + 1)
-        owner.process.send_signal(signal.SIGCONT)
+        self.stop_and_continue(owner, FREEZE_S, FREEZE_S + 1)
         second = next((d for d in self.site.daemons if d is not owner and
                        any("step=%s " % name in line for line in d.lines("step_taken_over"))), None)
         self.release(owner)
