--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -121,8 +121,12 @@
   /// one, and deregisters it. Call it last, before the process exits.
   Awaitable<void> Shutdown();
 
-  /// @brief Whether this host accepts new callers.
-  bool IsReady() const { return !mDraining && mView.Config() != nullptr; }
+  /// @brief Whether this host accepts new callers: it knows the configuration
+  /// and the replicas, and is not about to stop.
+  bool IsReady() const
+  {
+    return !mDraining && mView.Config() != nullptr && mReplicas.AreKnown();
+  }
 
   const fleet::FleetView& View() const { return mView; }
   request::ReplicaPool& Pool() { return mPool; }
--- a/include/agatetide/entry/replica_registrations.hpp
+++ b/include/agatetide/entry/replica_registrations.hpp
@@ -35,6 +35,9 @@
   /// @brief Replaces what is known by all registrations in the store.
   void Reset(std::span<const coordination::StoreEntry> aEntries);
 
+  /// @brief Whether the registrations were read since the start of the process.
+  bool AreKnown() const { return mWereRead; }
+
   /// @brief Applies one change in the store.
   void Apply(const coordination::StoreChange& aChange);
 
@@ -64,6 +67,7 @@
   fleet::FleetView& mView;
   request::RequestLimits& mLimits;
   Clock mClock;
+  bool mWereRead = false;
   TimePoint mLastStoreFailure{};
   /// Replicas whose registration is gone, with the time of their removal from
   /// the view.
--- a/src/agatetide/entry/replica_registrations.cpp
+++ b/src/agatetide/entry/replica_registrations.cpp
@@ -90,6 +90,7 @@
 
 void ReplicaRegistrations::Reset(std::span<const StoreEntry> aEntries)
 {
+  mWereRead = true;
   std::set<std::string_view> present;
   for (const StoreEntry& entry : aEntries) {
     if (Put(entry)) {
--- a/src/agatetide/entry/replica_registrations_test.cpp
+++ b/src/agatetide/entry/replica_registrations_test.cpp
@@ -87,6 +87,17 @@
   cr_expect(!fixture.IsKnown("gone"));
 }
 
+// Guards against a host that says that it is ready before it knows a replica,
+// and rejects the first requests of its callers.
+Test(replica_registrations, they_are_known_once_they_were_read)
+{
+  Fixture fixture;
+  fixture.mRegistrations.Apply(MakeChange("a", false));
+  cr_expect_not(fixture.mRegistrations.AreKnown());
+  fixture.mRegistrations.Reset({});
+  cr_expect(fixture.mRegistrations.AreKnown());
+}
+
 // Guards against an older registration that makes a replica usable again after
 // it has said that it leaves, and against a new start that is left alone.
 Test(replica_registrations, what_a_replica_says_lasts_until_its_next_start)
