--- a/review/sheet_site.py
+++ b/review/sheet_site.py
@@ -150,10 +150,10 @@
         super().start()
 
 
-def open_site(record, **options):
+def open_site(record, replica=RecordingReplica, **options):
     """Starts the doubles and the daemons. Raises AssertionError if they don't get ready."""
     RecordingReplica.record = record
-    harness.Store, harness.StoreEndpoint, harness.Replica, harness.Daemon = SheetStore, CutEndpoint, RecordingReplica, SheetDaemon
+    harness.Store, harness.StoreEndpoint, harness.Replica, harness.Daemon = SheetStore, CutEndpoint, replica, SheetDaemon
     return harness.Site(program=DAEMON, **options)
 
 
