--- a/review/sheet_site.py
+++ b/review/sheet_site.py
@@ -29,6 +29,10 @@
 HISTORY_S = 20
 MAX_BODY_BYTES = 33554432
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+# Ends of a process, and machines, of the rule on faults.
+MAX_ENDS, MIN_MACHINES = 3, 2
+# How often the memory of a process is read, and the time until it is started again.
+POLL_S, RESTART_S = 0.002, 0.5
 
 
 class Record:
@@ -95,6 +99,7 @@
 
     record = None
     events_of = None
+    down = False
 
     def __init__(self, *arguments):
         super().__init__(*arguments)
@@ -129,12 +134,21 @@
                            ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")):
             handler.send_header(name, text)
         handler.end_headers()
+        server = self.server
         for number in range(int(headers.get("Last-Event-Id") or 0) + 1, events + 1):
             time.sleep(self.pause)
+            if server is not self.server or self.down:
+                raise ConnectionResetError
             text = ("id: %d\ndata: %s-%d\n\n" % (number, headers["Attempt-Id"], number)).encode()
             handler.wfile.write(b"%x\r\n%s\r\n" % (len(text), text))
         handler.wfile.write(b"0\r\n\r\n")
 
+    def crash_for(self, seconds):
+        """Ends as a process does, and is back after a while under its id and with its address."""
+        self.down = True
+        self.end_process(restart_s=seconds, new_id=False)
+        self.down = False
+
 
 class SheetDaemon(harness.Daemon):
     """A daemon with the settings of the users' sheets."""
@@ -150,6 +164,50 @@
         super().start()
 
 
+def used_mb(process):
+    """Anonymous memory of a process; 0 if it has ended."""
+    try:
+        status = pathlib.Path("/proc/%d/status" % process.pid).read_text()
+        return int(next(line for line in status.splitlines() if line.startswith("RssAnon")).split()[1]) / 1024
+    except (OSError, StopIteration):
+        return 0
+
+
+class MemoryLimit:
+    """Kills a process that uses more than its limit, and starts it again."""
+
+    def __init__(self, record, daemons, limit_mb):
+        self.record, self.limit_mb, self.ended = record, limit_mb, threading.Event()
+        self.ends = {daemon.name: 0 for daemon in daemons}
+        self.peaks = {daemon.name: 0.0 for daemon in daemons}
+        self.threads = [threading.Thread(target=self.watch, args=(daemon,), daemon=True) for daemon in daemons]
+        for thread in self.threads:
+            thread.start()
+
+    def watch(self, daemon):
+        while not self.ended.wait(POLL_S):
+            used = used_mb(daemon.process)
+            self.peaks[daemon.name] = max(self.peaks[daemon.name], used)
+            if used > self.limit_mb:
+                daemon.stop()
+                self.ends[daemon.name] += 1
+                self.record.write("%s used %.1f MB of %d and was killed" % (daemon.name, used, self.limit_mb))
+                time.sleep(RESTART_S)
+                try:
+                    daemon.start()
+                except AssertionError as error:
+                    self.record.write("%s: %s" % (daemon.name, error))
+
+    def stop(self):
+        self.ended.set()
+        for thread in self.threads:
+            thread.join()
+
+    def breaks_fault(self):
+        """Whether processes ended so often, on so many machines, that RULES.md counts it as a fault."""
+        return sum(count >= MAX_ENDS for count in self.ends.values()) >= MIN_MACHINES
+
+
 def open_site(record, replica=RecordingReplica, **options):
     """Starts the doubles and the daemons. Raises AssertionError if they don't get ready."""
     RecordingReplica.record = record
