--- a/review/sheet_site.py
+++ b/review/sheet_site.py
@@ -221,9 +221,9 @@
             "targetLatencyMs": 500, "priority": 2, "service": service, "maxAttempts": 3, "anonymous": False, **changes}
 
 
-def run_case(folder, play):
+def run_case(folder, play, record_name="record.txt"):
     """Plays a case and ends its processes; returns the exit code."""
-    record = Record(pathlib.Path(folder) / "record.txt")
+    record = Record(pathlib.Path(folder) / record_name)
     sites = []
     try:
         if not DAEMON.exists():
