--- a/review/sheet_site.py
+++ b/review/sheet_site.py
@@ -1,4 +1,4 @@
-"""A small deployment for the scripts in review/6, review/9 and review/10.
+"""A small deployment for the scripts in review/6, review/7 and review/10.
 
 Daemons start with the command of the deploy file and with settings like those
 of the users' sheets. Store, replicas and platform API are the doubles of
--- a/review/small_site.py
+++ b/review/small_site.py
@@ -1,4 +1,4 @@
-"""A small deployment for the scripts in review/7 and review/8.
+"""A small deployment for the scripts in review/8 and review/9.
 
 Starts the daemon with the command of deploy/system.toml on loopback addresses. The
 platform's store, the platform's API and the replicas are the project's own stand-ins
