Start items in a pass of their own, outside of the loops that ask for it

Callers saw: while all replicas were down, each daemon with a batch job that has groups beyond the needed ones ended by SIGSEGV, three times within a minute.

Cause: RunItem() ended with a new pass over all steps. At a host that reaches no replica a stream fails without suspending, so that pass ran inside the loops of the pass that had started the stream, and replaced the plan that they walk.

Change: StartWaitingItems() requests one pass in a call of the event loop of its own; a stream begins after the pass that starts its item. An end by a signal of a fault leaves a line with the call stack, written without allocating.

--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -259,9 +259,10 @@
                                size_t aKnownCount,
                                Milliseconds aMaxWait);
 
-  /// @brief Starts waiting items as far as replicas have free slots: those of
-  /// services that report a pace in the order of policy::StartOrder(), the
-  /// others by the submission of their steps.
+  /// @brief Requests a pass that starts waiting items as far as replicas have
+  /// free slots. The pass runs after the current call of the event loop has
+  /// ended, once for all requests until then, so that whoever calls this may be
+  /// in the middle of a loop over what a pass reads or changes.
   void StartWaitingItems();
 
   /// @brief Number of items that have a stream.
@@ -279,6 +280,7 @@
   void StartDueCheckpoints();
   Awaitable<void> RunCheckpoint(OwnedStepPtr aStep);
   Awaitable<void> CheckpointStep(OwnedStepPtr aStep);
+  void RunStartPass();
   bool StartItemsOfStep(const OwnedStepPtr& aStep);
   bool UsesSchedule(const OwnedStep& aStep) const;
   bool IsCritical(const OwnedStep& aStep, size_t aIndex) const;
@@ -318,6 +320,12 @@
                           size_t aIndex,
                           request::ReplicaPool::Reservation aReservation,
                           fleet::Route aRoute);
+  Awaitable<Result<request::UpstreamResponse>> StreamItem(
+    const OwnedStep& aStep,
+    size_t aIndex,
+    const fleet::Replica& aReplica,
+    const fleet::Route& aRoute,
+    request::StreamOptions aOptions);
   request::UpstreamRequest MakeRequest(const OwnedStep& aStep,
                                        size_t aIndex,
                                        std::string aReplicaId,
@@ -385,6 +393,8 @@
   policy::EventLength mEventLength;
   size_t mRunningItemCount = 0;
   size_t mRunningCheckpoints = 0;
+  /// A pass that starts waiting items was requested and has not begun.
+  bool mStartPassPending = false;
 };
 
 } // namespace agatetide::steps
--- a/src/agatetide/daemon/main.cpp
+++ b/src/agatetide/daemon/main.cpp
@@ -1,3 +1,4 @@
+#include "agatetide/base/crash_log.hpp"
 #include "agatetide/base/event_log.hpp"
 #include "agatetide/daemon/daemon.hpp"
 #include "agatetide/daemon/settings.hpp"
@@ -86,6 +87,7 @@
   // The request to reload may arrive before its handler is set, and would end
   // the process by default.
   std::signal(SIGHUP, SIG_IGN);
+  InstallCrashLog();
   cxxopts::Options options("agatetided", "Rollout service daemon.");
   options.add_options()("settings",
                         "Settings file, JSON with comments",
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -337,6 +338,29 @@
   return request;
 }
 
+/// Streams an item from a replica. The stream begins after the pass that starts
+/// it has ended, since a stream that fails at once would otherwise change what
+/// the pass walks.
+Awaitable<Result<request::UpstreamResponse>> StepRunner::StreamItem(
+  const OwnedStep& aStep,
+  size_t aIndex,
+  const fleet::Replica& aReplica,
+  const fleet::Route& aRoute,
+  request::StreamOptions aOptions)
+{
+  co_await asio::post(mContext.mExecutor, asio::use_awaitable);
+  if (aOptions.mCancel->IsCanceled()) {
+    co_return Error{ ErrorKind::Canceled,
+                     "the stream was canceled before it began",
+                     "none",
+                     Execution::NotRun };
+  }
+  request::UpstreamRequest request =
+    MakeRequest(aStep, aIndex, aReplica.mId, aRoute);
+  co_return co_await mContext.mStream(
+    aReplica.mEndpoint, std::move(request), std::move(aOptions));
+}
+
 Awaitable<void> StepRunner::RunItem(
   OwnedStepPtr aStep,
   size_t aIndex,
@@ -353,10 +377,8 @@
     [this, aStep, aIndex, &aRoute, &replica](request::StreamEvent aEvent) {
       return HandleEvent(*aStep, aIndex, aRoute, replica, std::move(aEvent));
     };
-  request::UpstreamRequest request =
-    MakeRequest(*aStep, aIndex, replica.mId, aRoute);
-  const auto response = co_await mContext.mStream(
-    replica.mEndpoint, std::move(request), std::move(options));
+  const auto response =
+    co_await StreamItem(*aStep, aIndex, replica, aRoute, std::move(options));
   run.mCancel.reset();
   ObserveSpeed(replica.mId, run);
   --mRunningItemCount;
--- a/src/agatetide/steps/step_planning.cpp
+++ b/src/agatetide/steps/step_planning.cpp
@@ -2,11 +2,16 @@
 
 #include "agatetide/base/event_log.hpp"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
+#include <utility>
 
 /// The part of StepRunner that decides which waiting items start.
 namespace agatetide::steps {
 
+namespace asio = boost::asio;
+
 namespace {
 
 /// A plan is made again after this time, since running items progress.
@@ -112,6 +117,21 @@
 }
 
 void StepRunner::StartWaitingItems()
+{
+  if (std::exchange(mStartPassPending, true)) {
+    return;
+  }
+  asio::post(mContext.mExecutor, [this] {
+    mStartPassPending = false;
+    RunStartPass();
+  });
+}
+
+/// Starts waiting items: those of services that report a pace in the order of
+/// policy::StartOrder(), the others by the submission of their steps. Nothing
+/// that it calls may change the steps, their plans or the replicas, since it
+/// walks them; streams begin after it, see StreamItem().
+void StepRunner::RunStartPass()
 {
   std::vector<OwnedStepPtr> steps;
   for (const auto& [id, step] : mSteps) {
