Share bodies between all who hold them, and reserve memory before reading

Callers saw: hosts of 110 MB were killed for their memory 6 to 8 times a minute while trainers submitted batch jobs of 19 to 30 MB, and whenever several clients read one large item; nobody got the item.

Cause: budgets counted a body once, and each holder had a copy: the router for as long as an item ran, the request until it was written, each reader from its load on. Decoding and encoding took several times the largest item besides, before anything was counted.

Change: SharedBytes is the one owner of a body and of its part of a budget. Readers and hosts that take a step over reserve its memory before they read it.

--- a/include/agatetide/base/encoding.hpp
+++ b/include/agatetide/base/encoding.hpp
@@ -18,6 +18,29 @@
 /// Errors: InvalidArgument when the text is not valid base64.
 Result<std::string> Base64Decode(std::string_view aText);
 
+/// @brief Decodes standard base64 with padding that arrives in pieces, so that
+/// the whole text need not be in memory. Not thread-safe.
+class Base64Decoder
+{
+public:
+  /// @brief Decodes the next piece.
+  void Add(std::string_view aPiece);
+
+  /// @brief Returns what was decoded, and begins a new text. Errors:
+  /// InvalidArgument when the text is not valid base64; white space is not.
+  Result<std::string> Finish();
+
+private:
+  void DecodeGroups(std::string_view aText);
+
+  std::string mBytes;
+  /// The beginning of a group of four characters.
+  std::string mRest;
+  /// Padding has ended the text.
+  bool mEnded = false;
+  bool mInvalid = false;
+};
+
 /// @brief SHA-256 digest, 32 bytes.
 std::string Sha256(std::string_view aBytes);
 
--- a/include/agatetide/base/memory_budget.hpp
+++ b/include/agatetide/base/memory_budget.hpp
@@ -64,8 +64,17 @@
     return aBytes <= mTaken || Grow(aBytes - mTaken);
   }
 
+  /// @brief Returns what is taken beyond aBytes.
+  void ShrinkTo(size_t aBytes);
+
+  /// @brief Hands over a part of what is taken: aBytes, or all if it is less.
+  MemoryReservation Split(size_t aBytes);
+
   /// @brief Returns all bytes.
-  void Reset();
+  void Reset() { ShrinkTo(0); }
+
+  /// @brief Bytes that are taken.
+  size_t Taken() const { return mTaken; }
 
 private:
   std::shared_ptr<MemoryBudget> mBudget;
--- a/include/agatetide/entry/relay_messages.hpp
+++ b/include/agatetide/entry/relay_messages.hpp
@@ -35,6 +35,9 @@
 
 std::string Encode(const RelayRequest& aRequest);
 
+/// @brief At least the number of bytes of Encode(aRequest).
+size_t EncodedSizeLimit(const RelayRequest& aRequest);
+
 /// @brief Errors: InvalidArgument if the bytes are malformed.
 Result<RelayRequest> DecodeRelayRequest(std::string_view aBytes);
 
--- a/include/agatetide/http/message.hpp
+++ b/include/agatetide/http/message.hpp
@@ -3,6 +3,7 @@
 #include "agatetide/base/awaitable.hpp"
 #include "agatetide/base/error.hpp"
 #include "agatetide/base/memory_budget.hpp"
+#include "agatetide/base/shared_bytes.hpp"
 
 #include <functional>
 #include <memory>
@@ -45,7 +46,7 @@
   std::string mMethod = "POST";
   std::string mTarget = "/";
   std::vector<Header> mHeaders;
-  std::string mBody;
+  SharedBytes mBody;
   /// IP address of the sender; set by the server.
   std::string mRemoteAddress;
   /// Set by the server; null in requests that a client sends.
@@ -57,7 +58,7 @@
   /// @brief Frees the body and returns its memory to the budget.
   void DropBody()
   {
-    std::string().swap(mBody); // An assignment would keep the memory.
+    mBody.Reset();
     if (mBodyMemory) {
       mBodyMemory->Reset();
     }
@@ -75,7 +76,7 @@
 {
   unsigned mStatus = 200;
   std::vector<Header> mHeaders;
-  std::string mBody;
+  SharedBytes mBody;
   /// Writes the body chunk by chunk; the server still tells Request::mCaller of
   /// a disconnect meanwhile. If it returns an error, the connection is
   /// closed without the final chunk, so that the caller notices that the
@@ -91,7 +92,7 @@
 /// @brief Returns a response with a body of the given content type.
 Response MakeResponse(unsigned aStatus,
                       std::string_view aContentType,
-                      std::string aBody);
+                      SharedBytes aBody);
 
 /// @brief Returns a response with the status and the JSON error body of the
 /// Connect protocol.
--- a/include/agatetide/request/upstream.hpp
+++ b/include/agatetide/request/upstream.hpp
@@ -55,7 +55,7 @@
   std::string mTarget = "/";
   /// The caller's headers without the hop-by-hop ones.
   std::vector<http::Header> mHeaders;
-  std::string mBody;
+  SharedBytes mBody;
   /// Client account; empty on routes that need no key.
   std::string mAccount;
   /// The replica that must run the request; any other one refuses it.
@@ -102,7 +102,7 @@
 {
   unsigned mStatus = 0;
   std::vector<http::Header> mHeaders;
-  std::string mBody;
+  SharedBytes mBody;
   /// The replica states that it did not run the request.
   bool mNotRun = false;
   /// The replica at this address has another id or weight version (status
--- a/include/agatetide/steps/item_index.hpp
+++ b/include/agatetide/steps/item_index.hpp
@@ -18,6 +18,8 @@
   uint32_t mChunk = 0;
   /// Offset of its first byte there.
   uint32_t mOffset = 0;
+  /// Size of the encoded item; 0 if it is not known.
+  uint64_t mBytes = 0;
   /// Number of items from this one on.
   uint64_t mItemsLeft = 0;
   /// Byte order of the stored values.
--- a/include/agatetide/steps/step.hpp
+++ b/include/agatetide/steps/step.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "agatetide/base/error.hpp"
+#include "agatetide/base/memory_budget.hpp"
+#include "agatetide/base/shared_bytes.hpp"
 #include "agatetide/http/message.hpp"
 
 #include <cstdint>
@@ -22,7 +24,7 @@
   std::string mId;
   std::string mHttpHost;
   std::string mPath;
-  std::string mBody;
+  SharedBytes mBody;
 };
 
 /// @brief The request to generate one sample.
@@ -31,7 +33,7 @@
   std::string mId;
   std::string mPath;
   std::vector<http::Header> mHeaders;
-  std::string mBody;
+  SharedBytes mBody;
   /// Items of the same group share a prompt.
   std::string mGroup;
   /// The trainer's estimate of the output tokens; 0 if there is none.
@@ -42,6 +44,16 @@
 /// @brief Size of the bodies of items, including those of their scoring calls.
 size_t SizeInBytes(std::span<const StepItem> aItems);
 
+/// @brief Memory of a step that runs these items: their bodies, their other
+/// texts, and what each item takes besides.
+size_t MemoryBytes(std::span<const StepItem> aItems);
+
+/// @brief Hands memory of a budget over to the bodies of items, each of which
+/// returns its part when nobody holds it any more. Returns the rest, which is
+/// for all else.
+MemoryReservation CountBodies(std::span<StepItem> aItems,
+                              MemoryReservation aMemory);
+
 /// @brief A step as submitted by a trainer.
 struct StepSubmission
 {
--- a/include/agatetide/steps/step_reader.hpp
+++ b/include/agatetide/steps/step_reader.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agatetide/steps/shared_loads.hpp"
 #include "agatetide/steps/step_cache.hpp"
 #include "agatetide/steps/step_runner.hpp"
 
@@ -54,9 +55,10 @@
                                      size_t aFrom,
                                      Milliseconds aMaxWait);
 
-  /// @brief Returns the body of an item. Errors: as Read(); NotFound also if
-  /// the step has no such item.
-  Awaitable<Result<std::string>> ItemBody(std::string aId,
+  /// @brief Returns the body of an item, which its readers share. Errors: as
+  /// Read(); NotFound also if the step has no such item; Unavailable if there
+  /// is no memory for it now.
+  Awaitable<Result<SharedBytes>> ItemBody(std::string aId,
                                           std::string aAccount,
                                           std::string aItem);
 
@@ -93,6 +95,8 @@
                                                           bool aWithIndex);
   Awaitable<Result<std::optional<StepRecord>>> LoadIndex(CachedStepPtr aStep,
                                                          std::string aId);
+  Awaitable<Result<SharedBytes>> LoadLargeItem(StepRecord aRecord,
+                                               std::string aItem);
   bool MustLoadIndex(const CachedStep& aStep, size_t aFrom) const;
   Awaitable<Result<LogWindowPtr>> OpenLog(CachedStepPtr aStep, size_t aFrom);
   Awaitable<Result<LogRead>> ReadNewResults(std::string aId,
@@ -118,6 +122,8 @@
   StepRunner& mRunner;
   StepReaderOptions mOptions;
   StepCache mCache;
+  /// Loads of items of large steps, by step and item.
+  SharedLoads mLoads;
 };
 
 } // namespace agatetide::steps
--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -41,6 +41,8 @@
   std::shared_ptr<MemoryBudget> mTextBudget;
   /// For the items of steps that run; null if unlimited.
   std::shared_ptr<MemoryBudget> mItemBudget;
+  /// For large items that readers get from the store; null if unlimited.
+  std::shared_ptr<MemoryBudget> mReadBudget;
   /// Must not be empty. For the choice of replicas.
   Random mRandom = ProcessRandom();
 };
@@ -121,7 +123,8 @@
 {
   StepRecord mRecord;
   std::vector<StepItem> mItems;
-  /// What mItems take from the budget.
+  /// What mItems take from the budget besides their bodies, which count
+  /// themselves.
   MemoryReservation mItemMemory;
   /// The bodies of mItems are only in the store.
   bool mBodiesDropped = false;
@@ -223,7 +226,7 @@
 
   /// @brief Runs a step; replaces a stopped copy. Items with a result in the
   /// log are done; items with a partial sample resume from it. aItemMemory is
-  /// what the items take from the budget.
+  /// what MemoryBytes() of the items takes from the budget.
   OwnedStepPtr Adopt(StepRecord aRecord,
                      std::vector<StepItem> aItems,
                      MemoryReservation aItemMemory,
--- a/include/agatetide/steps/step_store.hpp
+++ b/include/agatetide/steps/step_store.hpp
@@ -98,11 +98,25 @@
   /// when a value is missing or cannot be decoded.
   Awaitable<Result<std::vector<StepItem>>> LoadItems(StepRecord aRecord);
 
-  /// @brief Loads one item of a step, without the values before it if the step
-  /// has an index of its items; std::nullopt if there is no such item. Errors:
-  /// as LoadItems().
+  /// @brief The most memory that LoadItems() takes, in bytes.
+  static size_t LoadedBytesLimit(const StepRecord& aRecord);
+
+  /// @brief Where to begin to read for one item: the first item if the step has
+  /// no index of its items; std::nullopt if the index does not have the item.
+  /// Errors: those of the store.
+  Awaitable<Result<std::optional<ItemPosition>>> FindItem(StepRecord aRecord,
+                                                          std::string aItem);
+
+  /// @brief The most memory that LoadItem() takes, in bytes.
+  static size_t LoadedBytesLimit(const StepRecord& aRecord,
+                                 const ItemPosition& aPosition);
+
+  /// @brief Loads one item of a step, without the values before its position;
+  /// std::nullopt if there is no such item. Errors: as LoadItems().
+  /// Precondition: aPosition is from FindItem().
   Awaitable<Result<std::optional<StepItem>>> LoadItem(StepRecord aRecord,
-                                                      std::string aItem);
+                                                      std::string aItem,
+                                                      ItemPosition aPosition);
 
   /// @brief Writes the last entry of aIndex, which describes the whole log with
   /// it. aResults comes from EncodeResults(). After NotAppended or Unknown,
@@ -168,8 +182,6 @@
   Awaitable<Result<bool>> VisitLog(StepRecord aRecord,
                                    LogIndex aKnown,
                                    LogVisitor aVisit);
-  Awaitable<Result<std::optional<ItemPosition>>> FindItem(std::string aId,
-                                                          std::string aItem);
   Awaitable<std::optional<CreateResult>> StoreItemsAhead(
     StepRecord aRecord,
     std::vector<coordination::StorePut> aItems,
--- a/src/agatetide/base/encoding.cpp
+++ b/src/agatetide/base/encoding.cpp
@@ -6,6 +6,8 @@
 #include <openssl/sha.h>
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace agatetide {
 
 namespace {
@@ -15,6 +17,11 @@
   return reinterpret_cast<const unsigned char*>(aText.data());
 }
 
+/// Each group of four characters of base64 stands for three bytes.
+constexpr size_t kGroupChars = 4;
+constexpr size_t kGroupBytes = 3;
+constexpr size_t kMaxPadding = 2;
+
 Error InvalidBase64()
 {
   return { ErrorKind::InvalidArgument,
@@ -70,6 +77,55 @@
   return bytes;
 }
 
+/// Decodes whole groups of four characters. Padding ends the last one.
+void Base64Decoder::DecodeGroups(std::string_view aText)
+{
+  const size_t padding =
+    aText.size() - std::min(aText.size(), aText.find_last_not_of('=') + 1);
+  const bool isEarly =
+    aText.substr(0, aText.size() - padding).find('=') != std::string_view::npos;
+  const size_t before = mBytes.size();
+  mBytes.resize(before + aText.size() / kGroupChars * kGroupBytes);
+  const int length =
+    EVP_DecodeBlock(reinterpret_cast<unsigned char*>(mBytes.data()) + before,
+                    Bytes(aText),
+                    static_cast<int>(aText.size()));
+  mInvalid = mInvalid || mEnded || isEarly || padding > kMaxPadding ||
+             length != static_cast<int>(mBytes.size() - before);
+  mEnded = padding > 0;
+  mBytes.resize(mBytes.size() - std::min(padding, kMaxPadding));
+}
+
+void Base64Decoder::Add(std::string_view aPiece)
+{
+  if (!mRest.empty()) {
+    const size_t missing = std::min(kGroupChars - mRest.size(), aPiece.size());
+    mRest.append(aPiece.substr(0, missing));
+    aPiece.remove_prefix(missing);
+    if (mRest.size() < kGroupChars) {
+      return;
+    }
+    DecodeGroups(mRest);
+    mRest.clear();
+  }
+  const size_t whole = aPiece.size() / kGroupChars * kGroupChars;
+  if (whole > 0) {
+    DecodeGroups(aPiece.substr(0, whole));
+  }
+  mRest.append(aPiece.substr(whole));
+}
+
+Result<std::string> Base64Decoder::Finish()
+{
+  const bool isValid = !mInvalid && mRest.empty();
+  std::string bytes = std::move(mBytes);
+  *this = Base64Decoder();
+  if (!isValid) {
+    return InvalidBase64();
+  }
+  return bytes;
+}
+
 std::string Sha256(std::string_view aBytes)
 {
   std::string digest(SHA256_DIGEST_LENGTH, '\0');
--- a/src/agatetide/base/memory_budget.cpp
+++ b/src/agatetide/base/memory_budget.cpp
@@ -51,14 +51,23 @@
   return true;
 }
 
-void MemoryReservation::Reset()
+void MemoryReservation::ShrinkTo(size_t aBytes)
 {
-  const size_t taken = std::exchange(mTaken, 0);
+  const size_t kept = std::min(mTaken, aBytes);
+  const size_t returned = std::exchange(mTaken, kept) - kept;
   if (mBudget) {
-    mBudget->Return(taken);
+    mBudget->Return(returned);
   }
 }
 
+MemoryReservation MemoryReservation::Split(size_t aBytes)
+{
+  MemoryReservation part(mBudget);
+  part.mTaken = std::min(mTaken, aBytes);
+  mTaken -= part.mTaken;
+  return part;
+}
+
 BudgetedBuffer::BudgetedBuffer(std::shared_ptr<MemoryBudget> aBudget)
   : mBudget(std::move(aBudget))
 {
--- a/src/agatetide/coordination/input_archive.hpp
+++ b/src/agatetide/coordination/input_archive.hpp
@@ -71,6 +71,15 @@
     mBytes.remove_prefix(aSize);
   }
 
+  /// @brief Leaves bytes out.
+  void Skip(size_t aSize)
+  {
+    if (aSize > mBytes.size()) {
+      throw cereal::Exception("the input is truncated");
+    }
+    mBytes.remove_prefix(aSize);
+  }
+
   bool AtEnd() const { return mBytes.empty(); }
   size_t BytesLeft() const { return mBytes.size(); }
 
--- a/src/agatetide/ctl/session.cpp
+++ b/src/agatetide/ctl/session.cpp
@@ -59,7 +59,7 @@
   for (const http::Endpoint& host : mOptions.mHosts) {
     const auto response = SendOnce(host, request, mOptions.mTimeout);
     if (response.has_value() && response->mStatus == 200) {
-      return response->mBody;
+      return std::string(response->mBody);
     }
     error = response.has_error() ? response.error()
                                  : http::ParseErrorResponse(*response);
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -244,7 +244,10 @@
                   [this] { return mWallClock.Now(); },
                   mOwner,
                   mOptions.mTextBudget,
-                  mOptions.mItemBudget }
+                  mOptions.mItemBudget,
+                  mOptions.mConnectionMemory
+                    ? mOptions.mConnectionMemory->Parts().mResponses
+                    : nullptr }
   , mRunner(mStepContext)
   , mSteps(mStepContext, mRunner)
   , mStepRouter(
--- a/src/agatetide/entry/relay_messages.cpp
+++ b/src/agatetide/entry/relay_messages.cpp
@@ -1,6 +1,7 @@
 #include "agatetide/entry/relay_messages.hpp"
 
 #include "agatetide/coordination/portable_bytes.hpp"
+#include "agatetide/coordination/shared_bytes_archive.hpp"
 
 #include <algorithm>
 #include <array>
@@ -66,7 +67,7 @@
   std::string mMethod;
   std::string mTarget;
   std::vector<http::Header> mHeaders;
-  std::string mBody;
+  SharedBytes mBody;
   std::string mAccount;
   std::string mReplicaId;
   Optional<int64_t> mVersion;
@@ -141,7 +142,7 @@
 {
   unsigned mStatus = 0;
   std::vector<http::Header> mHeaders;
-  std::string mBody;
+  SharedBytes mBody;
   bool mNotRun = false;
   bool mMisdirected = false;
   std::string mSignature;
@@ -249,23 +250,36 @@
 
 } // namespace
 
+size_t EncodedSizeLimit(const RelayRequest& aRequest)
+{
+  constexpr size_t kHeadBytes = 1024;
+  constexpr size_t kLineBytes = 16;
+  const UpstreamRequest& request = aRequest.mRequest;
+  size_t bytes = kHeadBytes + request.mTarget.size() + request.mBody.size();
+  for (const http::Header& header : request.mHeaders) {
+    bytes += header.mName.size() + header.mValue.size() + kLineBytes;
+  }
+  return bytes;
+}
+
 std::string Encode(const RelayRequest& aRequest)
 {
   const UpstreamRequest& request = aRequest.mRequest;
-  return EncodePortable(WireRequest{ aRequest.mReplica,
-                                     request.mId,
-                                     request.mMethod,
-                                     request.mTarget,
-                                     request.mHeaders,
-                                     request.mBody,
-                                     request.mAccount,
-                                     request.mReplicaId,
-                                     Wrap(request.mVersion),
-                                     request.mFreshConnection,
-                                     Wrap(request.mResumeAfter),
-                                     aRequest.mRemainingTime.count(),
-                                     aRequest.mIsStream,
-                                     aRequest.mIdleTimeout.count() });
+  const WireRequest wire{ aRequest.mReplica,
+                          request.mId,
+                          request.mMethod,
+                          request.mTarget,
+                          request.mHeaders,
+                          request.mBody,
+                          request.mAccount,
+                          request.mReplicaId,
+                          Wrap(request.mVersion),
+                          request.mFreshConnection,
+                          Wrap(request.mResumeAfter),
+                          aRequest.mRemainingTime.count(),
+                          aRequest.mIsStream,
+                          aRequest.mIdleTimeout.count() };
+  return EncodePortable(wire, EncodedSizeLimit(aRequest));
 }
 
 Result<RelayRequest> DecodeRelayRequest(std::string_view aBytes)
--- a/src/agatetide/entry/replica_relay.cpp
+++ b/src/agatetide/entry/replica_relay.cpp
@@ -38,6 +38,14 @@
            Execution::NotRun };
 }
 
+Error NoMemoryForMessage()
+{
+  return { ErrorKind::Unavailable,
+           "messages to other daemons take the memory of this host",
+           "retry later",
+           Execution::NotRun };
+}
+
 Error ReplicaDraining()
 {
   return { ErrorKind::Unavailable,
@@ -124,9 +132,15 @@
   relay.mIdleTimeout =
     aStream != nullptr ? aStream->mIdleTimeout : Milliseconds(0);
   relay.mRequest = std::move(aRequest);
+  MemoryReservation memory(mResponses.mBudget);
+  if (!memory.Grow(EncodedSizeLimit(relay))) {
+    co_return RelayOutcome{ false, NoMemoryForMessage() };
+  }
   http::Request message;
   message.mTarget = std::string(kRelayTarget);
-  message.mBody = Encode(relay);
+  message.mBody = SharedBytes(Encode(relay), std::move(memory));
+  // The message has what the other daemon needs.
+  relay.mRequest.mBody.Reset();
   const auto response = co_await mClient->Stream(
     std::move(aPeer), std::move(message), std::move(options), sink);
   if (response.has_error()) {
--- a/src/agatetide/entry/step_router_test.cpp
+++ b/src/agatetide/entry/step_router_test.cpp
@@ -50,7 +50,7 @@
     submission.mModel = ModelOwnedByPeer();
     submission.mAccount = "account";
     submission.mItems.resize(1);
-    submission.mItems[0].mBody.resize(aBytes);
+    submission.mItems[0].mBody = std::string(aBytes, 'b');
     return coordination::RunCoroutine(
       mStepRouter.Submit(submission, mClock.Now() + std::chrono::seconds(1)));
   }
--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -88,11 +88,14 @@
            Execution::Unknown };
 }
 
-beast::http::request<beast::http::string_body> ToMessage(
-  const Endpoint& aEndpoint,
-  Request& aRequest)
+/// A message that refers to the body of its request.
+using OutgoingRequest =
+  beast::http::request<beast::http::span_body<const char>>;
+
+/// Precondition: the body of the request outlives the message.
+OutgoingRequest ToMessage(const Endpoint& aEndpoint, const Request& aRequest)
 {
-  beast::http::request<beast::http::string_body> message;
+  OutgoingRequest message;
   message.version(11);
   message.method_string(aRequest.mMethod);
   message.target(aRequest.mTarget);
@@ -106,7 +109,7 @@
       message.insert(header.mName, header.mValue);
     }
   }
-  message.body() = std::move(aRequest.mBody);
+  message.body() = { aRequest.mBody.data(), aRequest.mBody.size() };
   message.keep_alive(true);
   message.prepare_payload();
   return message;
@@ -366,6 +369,7 @@
     co_return connection;
   }
 
+  /// Gives up the body of the request once it is sent.
   Awaitable<Result<ConnectionPtr>> Send(const Endpoint& aEndpoint,
                                         Request& aRequest,
                                         const CallOptions& aOptions)
@@ -393,6 +397,7 @@
       connection.mStream,
       message,
       asio::redirect_error(asio::use_awaitable, error));
+    aRequest.mBody.Reset();
     if (error) {
       CheckSilence(aEndpoint, sentAt, error, false);
       co_return TransferError(aEndpoint, error);
--- a/src/agatetide/http/message.cpp
+++ b/src/agatetide/http/message.cpp
@@ -75,7 +75,7 @@
 
 Response MakeResponse(unsigned aStatus,
                       std::string_view aContentType,
-                      std::string aBody)
+                      SharedBytes aBody)
 {
   Response response;
   response.mStatus = aStatus;
--- a/src/agatetide/http/server.cpp
+++ b/src/agatetide/http/server.cpp
@@ -141,9 +141,10 @@
                               bool aKeepAlive,
                               std::chrono::milliseconds aTimeout)
 {
-  beast::http::response<beast::http::string_body> message;
+  const SharedBytes body = std::move(aResponse.mBody);
+  beast::http::response<beast::http::span_body<const char>> message;
   FillHeader(message, aResponse, aKeepAlive);
-  message.body() = std::move(aResponse.mBody);
+  message.body() = { body.data(), body.size() };
   message.prepare_payload();
   ErrorCode error;
   aStream.expires_after(aTimeout);
@@ -453,9 +454,11 @@
       memory->Reset();
       hold.Reset();
       hold.SetPhase(ConnectionPhase::Writing);
-      const size_t responseBytes =
-        options.mFromHosts ? 0 : response.mBody.capacity();
+      // Bytes that other responses share are counted by themselves.
+      const size_t heldBytes = options.mFromHosts ? 0 : response.mBody.size();
+      const size_t responseBytes = response.mBody.IsCounted() ? 0 : heldBytes;
       const bool fits = co_await TakeResponseMemory(hold, responseBytes);
+      hold.SetBodyBytes(heldBytes - responseBytes);
       if (hold.IsClosed()) {
         co_return;
       }
--- a/src/agatetide/steps/item_decoder_test.cpp
+++ b/src/agatetide/steps/item_decoder_test.cpp
@@ -29,7 +29,7 @@
 std::optional<std::vector<StepItem>> Decode(std::string_view aBytes,
                                             size_t aPieceSize)
 {
-  ItemDecoder decoder;
+  ItemDecoder decoder(aBytes.size());
   std::vector<StepItem> items;
   for (size_t at = 0; at < aBytes.size(); at += aPieceSize) {
     decoder.Add(aBytes.substr(at, aPieceSize));
@@ -84,7 +84,7 @@
     for (const StepItem& item : items) {
       const auto position = index->Find(item.mId);
       cr_assert(position.has_value());
-      ItemDecoder decoder(*position);
+      ItemDecoder decoder(*position, pieces.size() * size);
       std::optional<StepItem> decoded;
       for (size_t at = position->mChunk; !decoded; ++at) {
         cr_assert(at < pieces.size());
@@ -97,6 +97,28 @@
   }
 }
 
+// Guards against a large body that is in memory twice while its item is
+// decoded, and against one whose end takes bytes of the next item.
+Test(item_decoder, a_large_body_takes_over_the_memory_of_its_pieces)
+{
+  constexpr size_t kPieceBytes = size_t{ 64 } << 10U;
+  std::vector<StepItem> items = MakeItems(4);
+  items[2].mBody = std::string(size_t{ 2 } << 20U, 'x');
+  const std::string whole = EncodeItems(items);
+  ItemDecoder decoder(whole.size());
+  std::vector<StepItem> decoded;
+  for (size_t at = 0; at < whole.size(); at += kPieceBytes) {
+    decoder.Add(std::string_view(whole).substr(at, kPieceBytes));
+    while (auto item = decoder.Next()) {
+      decoded.push_back(std::move(*item));
+    }
+  }
+  cr_assert(decoder.AtEnd());
+  cr_expect(EncodeItems(decoded) == whole);
+  cr_expect_leq(decoded[2].mBody.Release().capacity(),
+                (size_t{ 2 } << 20U) + 2 * kPieceBytes);
+}
+
 // Guards against a change of the stored form, which later builds must read, and
 // against reading a damaged one.
 Test(item_decoder, the_stored_index_keeps_its_form)
--- a/src/agatetide/steps/item_index.cpp
+++ b/src/agatetide/steps/item_index.cpp
@@ -51,6 +51,10 @@
   position.mChunk = static_cast<uint32_t>(mOffsets[item] / mChunkBytes);
   position.mOffset = static_cast<uint32_t>(mOffsets[item] % mChunkBytes);
   position.mItemsLeft = mOffsets.size() - item;
+  const bool hasNext = item + 1 < mOffsets.size();
+  if (hasNext && mOffsets[item + 1] > mOffsets[item]) {
+    position.mBytes = mOffsets[item + 1] - mOffsets[item];
+  }
   position.mLittleEndian = mLittleEndian;
   return position;
 }
--- a/src/agatetide/steps/step.cpp
+++ b/src/agatetide/steps/step.cpp
@@ -57,6 +57,9 @@
 
 namespace {
 
+/// An item, its progress, and its id in several maps.
+constexpr size_t kItemOverheadBytes = 1024;
+
 template<class Value>
 Result<Value> Decode(std::string_view aBytes, std::string_view aWhat)
 {
@@ -76,6 +79,32 @@
   return bytes;
 }
 
+size_t MemoryBytes(std::span<const StepItem> aItems)
+{
+  size_t bytes = SizeInBytes(aItems);
+  for (const StepItem& item : aItems) {
+    bytes += kItemOverheadBytes + item.mPath.size() + item.mGroup.size();
+    for (const http::Header& header : item.mHeaders) {
+      bytes += header.mName.size() + header.mValue.size();
+    }
+    bytes += item.mScoring ? item.mScoring->mPath.size() : 0;
+  }
+  return bytes;
+}
+
+MemoryReservation CountBodies(std::span<StepItem> aItems,
+                              MemoryReservation aMemory)
+{
+  for (StepItem& item : aItems) {
+    item.mBody.SetMemory(aMemory.Split(item.mBody.size()));
+    if (item.mScoring) {
+      SharedBytes& body = item.mScoring->mBody;
+      body.SetMemory(aMemory.Split(body.size()));
+    }
+  }
+  return aMemory;
+}
+
 std::string OwnerName(std::string_view aHost, std::string_view aIncarnation)
 {
   return std::string(aHost) + "#" + std::string(aIncarnation);
@@ -83,7 +112,7 @@
 
 std::string EncodeSubmission(const StepSubmission& aSubmission)
 {
-  return EncodePortable(aSubmission);
+  return EncodePortable(aSubmission, MemoryBytes(aSubmission.mItems));
 }
 
 std::string EncodeRecord(const StepRecord& aRecord)
--- a/src/agatetide/steps/step_archive.hpp
+++ b/src/agatetide/steps/step_archive.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatetide/coordination/portable_bytes.hpp"
+#include "agatetide/coordination/shared_bytes_archive.hpp"
 #include "agatetide/steps/step.hpp"
 
 namespace agatetide::http {
@@ -21,8 +22,16 @@
   aArchive(aCall.mId, aCall.mHttpHost, aCall.mPath, aCall.mBody);
 }
 
+/// The fields of an item before its body.
 template<class Archive>
-void serialize(Archive& aArchive, StepItem& aItem)
+void SerializeHead(Archive& aArchive, StepItem& aItem)
+{
+  aArchive(aItem.mId, aItem.mPath, aItem.mHeaders);
+}
+
+/// The fields of an item after its body.
+template<class Archive>
+void SerializeTail(Archive& aArchive, StepItem& aItem)
 {
   // Encoded as a list of zero or one elements, since the bounded input archive
   // does not support optionals.
@@ -30,16 +39,18 @@
   if (aItem.mScoring) {
     scoring.push_back(*aItem.mScoring);
   }
-  aArchive(aItem.mId,
-           aItem.mPath,
-           aItem.mHeaders,
-           aItem.mBody,
-           aItem.mGroup,
-           aItem.mExpectedTokens,
-           scoring);
+  aArchive(aItem.mGroup, aItem.mExpectedTokens, scoring);
   if (!scoring.empty()) {
     aItem.mScoring = std::move(scoring.front());
   }
 }
 
+template<class Archive>
+void serialize(Archive& aArchive, StepItem& aItem)
+{
+  SerializeHead(aArchive, aItem);
+  aArchive(aItem.mBody);
+  SerializeTail(aArchive, aItem);
+}
+
 } // namespace agatetide::steps
--- a/src/agatetide/steps/step_reader.cpp
+++ b/src/agatetide/steps/step_reader.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds kMinLogWait{ 20 };
 /// Items of other hosts' steps with more stored values are not cached.
 constexpr uint32_t kMaxCachedChunks = 2;
+/// When a large response may have been read.
+constexpr Milliseconds kReadRetryDelay{ 1000 };
 /// A page of results is made of what was read from the log within this time.
 constexpr std::chrono::milliseconds kMaxCacheAge{ 500 };
 
@@ -24,6 +26,15 @@
            "check the item id" };
 }
 
+Error NoMemoryForItem()
+{
+  return { ErrorKind::Unavailable,
+           "other responses take the memory of this host",
+           "retry later, or at another host",
+           Execution::NotRun,
+           kReadRetryDelay };
+}
+
 size_t SizeInBytes(std::span<const ItemResult> aResults)
 {
   size_t bytes = 0;
@@ -49,6 +60,7 @@
   , mRunner(aRunner)
   , mOptions(aOptions)
   , mCache(aOptions.mMaxCachedBytes)
+  , mLoads(aContext.mExecutor)
 {
 }
 
@@ -323,12 +335,41 @@
   co_return MakePage(log->From(aFrom), total, aFrom);
 }
 
-Awaitable<Result<std::string>> StepReader::ItemBody(std::string aId,
+/// Loads the body of an item into memory that is reserved before.
+Awaitable<Result<SharedBytes>> StepReader::LoadLargeItem(StepRecord aRecord,
+                                                         std::string aItem)
+{
+  const auto position = co_await mContext.mStepStore.FindItem(aRecord, aItem);
+  if (position.has_error()) {
+    co_return position.error();
+  }
+  if (!position->has_value()) {
+    co_return ItemNotFound(aItem);
+  }
+  MemoryReservation memory(mContext.mReadBudget);
+  if (!memory.Grow(StepStore::LoadedBytesLimit(aRecord, **position))) {
+    co_return NoMemoryForItem();
+  }
+  auto item = co_await mContext.mStepStore.LoadItem(
+    std::move(aRecord), aItem, **position);
+  if (item.has_error()) {
+    co_return item.error();
+  }
+  if (!item->has_value()) {
+    co_return ItemNotFound(aItem);
+  }
+  SharedBytes body = std::move((*item)->mBody);
+  memory.ShrinkTo(body.size());
+  body.SetMemory(std::move(memory));
+  co_return body;
+}
+
+Awaitable<Result<SharedBytes>> StepReader::ItemBody(std::string aId,
                                                     std::string aAccount,
                                                     std::string aItem)
 {
   const auto find =
-    [&](const std::vector<StepItem>& aItems) -> Result<std::string> {
+    [&](const std::vector<StepItem>& aItems) -> Result<SharedBytes> {
     for (const StepItem& item : aItems) {
       if (item.mId == aItem) {
         return item.mBody;
@@ -351,14 +392,11 @@
   }
   const CachedStepPtr& step = *found;
   if (step->mRecord.mChunkCount > kMaxCachedChunks) {
-    auto item = co_await mContext.mStepStore.LoadItem(step->mRecord, aItem);
-    if (item.has_error()) {
-      co_return item.error();
-    }
-    if (!item->has_value()) {
-      co_return ItemNotFound(aItem);
-    }
-    co_return std::move((*item)->mBody);
+    std::string key = step->mRecord.mId + "\n" + aItem;
+    const SharedLoads::Load load = [this, record = step->mRecord, aItem] {
+      return LoadLargeItem(record, aItem);
+    };
+    co_return co_await mLoads.Get(std::move(key), load);
   }
   if (step->mItems.empty()) {
     auto items = co_await mContext.mStepStore.LoadItems(step->mRecord);
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -110,12 +110,11 @@
 void OwnedStep::DropBodies()
 {
   for (StepItem& item : mItems) {
-    std::string().swap(item.mBody); // An assignment would keep the memory.
+    item.mBody.Reset();
     if (item.mScoring) {
-      std::string().swap(item.mScoring->mBody);
+      item.mScoring->mBody.Reset();
     }
   }
-  mItemMemory.Reset();
   mBodiesDropped = true;
 }
 
@@ -145,7 +144,7 @@
   auto step = std::make_shared<OwnedStep>();
   step->mRecord = std::move(aRecord);
   step->mItems = std::move(aItems);
-  step->mItemMemory = std::move(aItemMemory);
+  step->mItemMemory = CountBodies(step->mItems, std::move(aItemMemory));
   step->mStartOrder = StartOrder(step->mItems);
   step->mRuns.resize(step->mItems.size());
   RecordGroups(*step);
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -41,7 +41,7 @@
     co_return SubmitOutcome::Accepted;
   }
   MemoryReservation memory(mContext.mItemBudget);
-  if (!memory.Grow(SizeInBytes(aSubmission.mItems))) {
+  if (!memory.Grow(MemoryBytes(aSubmission.mItems))) {
     LogMemoryShortage("step_refused", aSubmission.mId);
     co_return SubmitOutcome::Refused;
   }
@@ -216,6 +216,12 @@
 /// owner. Returns whether the state could be loaded.
 Awaitable<bool> StepService::AdoptStored(StepRecord aRecord)
 {
+  MemoryReservation memory(mContext.mItemBudget);
+  if (!memory.Grow(StepStore::LoadedBytesLimit(aRecord))) {
+    LogMemoryShortage("step_not_adopted", aRecord.mId);
+    mNeedsRecovery = true;
+    co_return false;
+  }
   auto items = co_await mContext.mStepStore.LoadItems(aRecord);
   auto log = co_await mContext.mStepStore.ReadWholeLog(aRecord);
   if (items.has_error() || log.has_error()) {
@@ -227,12 +233,13 @@
     mNeedsRecovery = true;
     co_return false;
   }
-  MemoryReservation memory(mContext.mItemBudget);
-  if (!memory.Grow(SizeInBytes(*items))) {
+  const size_t bytes = MemoryBytes(*items);
+  if (!memory.GrowTo(bytes)) {
     LogMemoryShortage("step_not_adopted", aRecord.mId);
     mNeedsRecovery = true;
     co_return false;
   }
+  memory.ShrinkTo(bytes);
   // An error is ignored, since without partial samples the items are only
   // generated from the beginning.
   auto partials = co_await mContext.mStepStore.LoadPartials(aRecord.mId);
--- a/src/agatetide/steps/step_store.cpp
+++ b/src/agatetide/steps/step_store.cpp
@@ -4,6 +4,7 @@
 #include "agatetide/steps/item_decoder.hpp"
 #include "agatetide/steps/item_encoder.hpp"
 
+#include <algorithm>
 #include <cstdio>
 #include <iterator>
 
@@ -354,13 +355,31 @@
   co_return items;
 }
 
-/// The position of an item, or the first one if the step has no index of its
-/// items; std::nullopt if the index does not have the item.
+size_t StepStore::LoadedBytesLimit(const StepRecord& aRecord)
+{
+  return size_t{ aRecord.mChunkCount } * kMaxChunkBytes;
+}
+
+size_t StepStore::LoadedBytesLimit(const StepRecord& aRecord,
+                                   const ItemPosition& aPosition)
+{
+  const uint32_t chunks =
+    aRecord.mChunkCount - std::min(aRecord.mChunkCount, aPosition.mChunk);
+  const size_t rest = size_t{ chunks } * kMaxChunkBytes;
+  // Its last value may hold other items, too.
+  return aPosition.mBytes > 0
+           ? std::min<size_t>(rest, aPosition.mBytes + kMaxChunkBytes)
+           : rest;
+}
+
 Awaitable<Result<std::optional<ItemPosition>>> StepStore::FindItem(
-  std::string aId,
+  StepRecord aRecord,
   std::string aItem)
 {
-  std::string key = ItemIndexKey(aId);
+  if (aRecord.mChunkCount <= 1) {
+    co_return std::optional(ItemPosition());
+  }
+  std::string key = ItemIndexKey(aRecord.mId);
   const auto index =
     co_await ReadIndex(mStore, std::move(key), &ItemIndex::Decode);
   if (index.has_error()) {
@@ -372,19 +391,9 @@
 
 Awaitable<Result<std::optional<StepItem>>> StepStore::LoadItem(
   StepRecord aRecord,
-  std::string aItem)
+  std::string aItem,
+  ItemPosition aPosition)
 {
-  ItemPosition from;
-  if (aRecord.mChunkCount > 1) {
-    const auto found = co_await FindItem(aRecord.mId, aItem);
-    if (found.has_error()) {
-      co_return found.error();
-    }
-    if (!found->has_value()) {
-      co_return std::optional<StepItem>();
-    }
-    from = **found;
-  }
   std::optional<StepItem> item;
   const ItemVisitor take = [&item, &aItem](StepItem aCandidate) {
     if (aCandidate.mId == aItem) {
@@ -392,7 +401,7 @@
     }
     return !item;
   };
-  const auto visited = co_await VisitItems(std::move(aRecord), from, take);
+  const auto visited = co_await VisitItems(std::move(aRecord), aPosition, take);
   if (visited.has_error()) {
     co_return visited.error();
   }
@@ -405,8 +414,9 @@
                                               ItemPosition aFrom,
                                               ItemVisitor aVisit)
 {
+  const size_t maxBytes = LoadedBytesLimit(aRecord, aFrom);
   ItemDecoder decoder =
-    aFrom.mItemsLeft > 0 ? ItemDecoder(aFrom) : ItemDecoder();
+    aFrom.mItemsLeft > 0 ? ItemDecoder(aFrom, maxBytes) : ItemDecoder(maxBytes);
   for (uint32_t chunk = aFrom.mChunk; chunk < aRecord.mChunkCount; ++chunk) {
     std::string key = NumberedKey(kItemsPrefix, aRecord.mId, chunk);
     const auto entry = co_await ReadKey(mStore, std::move(key));
--- a/tests/doubles/double_platform.cpp
+++ b/tests/doubles/double_platform.cpp
@@ -43,7 +43,7 @@
       co_return AcceptOrder(json::parse(aRequest.mBody));
     }
     if (aRequest.mTarget == "/usage") {
-      co_return AcceptUsage(aRequest.mBody);
+      co_return AcceptUsage(aRequest.mBody.Release());
     }
     co_return http::MakeResponse(404, "application/json", "{}");
   }
--- a/tests/doubles/double_service.cpp
+++ b/tests/doubles/double_service.cpp
@@ -65,12 +65,12 @@
 private:
   Awaitable<http::Response> Run(http::Request aRequest)
   {
-    if (aRequest.mBody.find("CRASH") != std::string::npos) {
+    if (aRequest.mBody.View().find("CRASH") != std::string::npos) {
       std::_Exit(1);
     }
     const std::string id(http::FindHeader(aRequest.mHeaders, "x-request-id"));
     if (!http::FindHeader(aRequest.mHeaders, "authorization").empty() ||
-        aRequest.mBody.find("ak_") != std::string::npos) {
+        aRequest.mBody.View().find("ak_") != std::string::npos) {
       ++mKeysSeen;
     }
     ++mInFlight;
--- a/tests/large_jobs.py
+++ b/tests/large_jobs.py
@@ -5,6 +5,7 @@
 
 import base64
 import json
+import pathlib
 import sys
 import threading
 import time
@@ -157,6 +158,74 @@
     print("taken over: %s" % check_memory(site, "taken over"), file=sys.stderr)
 
 
+def anonymous_memory_mb(daemon):
+    status = pathlib.Path("/proc/%d/status" % daemon.process.pid).read_text()
+    return int(next(line for line in status.splitlines() if line.startswith("RssAnon")).split()[1]) / 1024
+
+
+def make_job_of(count, megabytes):
+    """A batch job with this many items and this many million bytes of JSON; returns it and the body of each item."""
+    prompt = b"p" * int(megabytes * MB / count * 3 / 4)
+    return json.dumps({"step": 0, "model": "m", "minVersion": 1, "desired": count, "items": [
+        {"id": "item-%d" % i, "path": "/step/x/%d" % i, "headers": {"Model": "m", "Length-Hint": "64"},
+         "body": base64.b64encode(prompt).decode(), "tokens": 10, "group": "g%d" % i} for i in range(count)]}), prompt
+
+
+def running_items_are_in_memory_once(site):
+    """Guards against streams that each keep a copy of their item, which no budget counts."""
+    allow_large_bodies(site)
+    daemon = site.daemons[0]
+    for engine in site.engines:
+        engine.pause = 0.5
+    idle = anonymous_memory_mb(daemon)
+    job, prompt = make_job_of(8, 24)
+    check(post(daemon, "job-1", job)[0] == 202, "accepted")
+    until(lambda: sum(len(e.requests) for e in site.engines) == 8, "all items run")
+    time.sleep(1)  # Requests are written, and freed memory is returned.
+    used, bodies = anonymous_memory_mb(daemon) - idle, 8 * len(prompt) / 2**20
+    print("running items: %.1f MB for %.1f MB of bodies" % (used, bodies), file=sys.stderr)
+    check(used < 1.3 * bodies, "%.1f MB are used for %.1f MB of bodies" % (used, bodies))
+
+
+def job_of_one_item_fits(site):
+    """Guards against a job that takes more memory the larger its items are: its JSON, texts and encoding by themselves."""
+    allow_large_bodies(site)
+    for engine in site.engines:
+        engine.pause = 0.3
+    job, prompt = make_job_of(1, 30)
+    status, _, seconds = post(site.daemons[0], "job-1", job)
+    check(status == 202, "status %d after %.2f s" % (status, seconds))
+    status, body, _ = site.daemons[0].call("GET", "/items/job-1?id=item-0", headers=KEY, timeout=20)
+    check(status == 200 and body == prompt, "the item is read")
+    print("one item: %s" % check_memory(site, "one item"), file=sys.stderr)
+
+
+def readers_of_an_item_share_a_copy(site):
+    """Guards against hosts that load a large item once for each of its readers, before any memory is counted."""
+    allow_large_bodies(site)
+    for engine in site.engines:
+        engine.pause = 0.5
+    job, prompt = make_job_of(1, 30)
+    check(post(site.daemons[0], "job-1", job)[0] == 202, "accepted")
+    answers = []
+
+    def read(daemon):
+        status, body, headers = daemon.call("GET", "/items/job-1?id=item-0", headers=KEY, timeout=20)
+        answers.append((daemon.name, status, body == prompt, headers.get("Retry-After")))
+
+    readers = [threading.Thread(target=read, args=(d,), daemon=True) for d in site.daemons[1:] for _ in range(11)]
+    for reader in readers:
+        reader.start()
+    for reader in readers:
+        reader.join()
+    check(len(answers) == 22, "%d of 22 readers got an answer" % len(answers))
+    for daemon in site.daemons[1:]:
+        check((daemon.name, 200, True, None) in answers, "a reader at %s gets the body: %s" % (daemon.name, answers))
+    for _, status, whole, retry in answers:
+        check((status, whole) == (200, True) or (status == 503 and float(retry) > 0), "answers: %s" % answers)
+    print("%d of 22 readers got the body; %s" % (sum(a[2] for a in answers), check_memory(site, "readers")), file=sys.stderr)
+
+
 def job_that_never_fits_is_refused(site):
     """Guards against a 503 for a batch job that no repetition can bring through, and against parts of it in the store."""
     allow_large_bodies(site)
@@ -174,6 +243,9 @@
     (items_of_a_large_job_are_read_anywhere, {"daemons": 3, "events": 2, "memory_mb": MEMORY_MB}),
     (jobs_at_once_wait_for_memory, {"daemons": 3, "events": 2, "memory_mb": MEMORY_MB}),
     (job_of_an_ended_host_is_taken_over, {"daemons": 3, "events": 2, "memory_mb": MEMORY_MB}),
+    (running_items_are_in_memory_once, {"daemons": 3, "events": 20, "memory_mb": MEMORY_MB}),
+    (job_of_one_item_fits, {"daemons": 3, "events": 8, "memory_mb": MEMORY_MB}),
+    (readers_of_an_item_share_a_copy, {"daemons": 3, "events": 40, "memory_mb": MEMORY_MB}),
     (job_that_never_fits_is_refused, {"daemons": 1, "events": 2, "memory_mb": 64}),
 ]
 
