Take the memory of a step before claiming it, and offer what does not fit

Callers saw: a batch job whose host was removed for good ran nowhere until its time was up, since its new owner had no memory for it and kept it.

Cause: TakeOver() wrote itself into the record before it asked for memory, and a live owner keeps all other hosts away. Recover() took steps over one after the other, so small ones waited for the loads of large ones.

Change: StepLoader reserves by the size in the record, then the step is claimed, then loaded. A host without room declines, or hands back what names it as owner, and offers the step to hosts that have the memory, of its region first. Up to four steps are taken over at a time, small ones first. The loop moved from EntryDaemon to StepRecovery.

--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -12,10 +12,10 @@
 #include "agatetide/entry/replica_registrations.hpp"
 #include "agatetide/entry/replica_relay.hpp"
 #include "agatetide/entry/replica_router.hpp"
+#include "agatetide/entry/step_recovery.hpp"
 #include "agatetide/entry/step_router.hpp"
 #include "agatetide/entry/store_router.hpp"
 #include "agatetide/entry/stream_forwarder.hpp"
-#include "agatetide/entry/takeover_plan.hpp"
 #include "agatetide/request/forwarder.hpp"
 #include "agatetide/steps/step_service.hpp"
 
@@ -158,7 +158,6 @@
   Awaitable<void> WatchReplicas();
   Awaitable<void> DutyLoop();
   Awaitable<void> UsageLoop();
-  Awaitable<void> RecoverLoop();
   Awaitable<void> PathLoop();
   template<class T>
   Awaitable<Result<T>> CheckPathsAfter(Awaitable<Result<T>> aCall);
@@ -175,7 +174,7 @@
   /// The regions whose hosts may run the step; std::nullopt allows all.
   std::optional<fleet::RegionSet> RegionsOf(
     const steps::StepRecord& aRecord) const;
-  Awaitable<void> RequestRecovery(std::set<std::string> aHosts);
+  StepRecoveryHooks MakeRecoveryHooks();
   Awaitable<Result<steps::SubmitOutcome>> SubmitForPeer(
     steps::StepSubmission aSubmission);
 
@@ -215,14 +214,12 @@
   steps::StepService mSteps;
   StepRouter mStepRouter;
   HostRegistry mRegistry;
-  TakeoverPlan mTakeoverPlan;
+  StepRecovery mRecovery;
   duty::UsageLedger mUsage;
   std::optional<duty::Leadership> mLeadership;
   std::optional<duty::VersionUpdater> mVersionUpdater;
   std::optional<duty::Autoscaler> mAutoscaler;
   bool mDraining = false;
-  /// Another daemon has asked this one to look for steps without an owner.
-  bool mRecoveryRequested = false;
   std::set<std::string> mDiskHostsToRetire;
   std::set<std::string> mEmptiedHosts;
 };
--- a/include/agatetide/entry/peer_channel.hpp
+++ b/include/agatetide/entry/peer_channel.hpp
@@ -2,6 +2,7 @@
 
 #include "agatetide/coordination/watch_messages.hpp"
 #include "agatetide/entry/replica_relay.hpp"
+#include "agatetide/entry/step_offers.hpp"
 #include "agatetide/http/client.hpp"
 #include "agatetide/http/server.hpp"
 #include "agatetide/steps/step_service.hpp"
@@ -23,6 +24,9 @@
   std::function<http::Response(const http::Request&)> mRelay;
   /// Another daemon asks this one to look for steps without an owner.
   std::function<void()> mRecover;
+  /// Another daemon offers a step that it has no memory for. Returns whether
+  /// this one takes it over.
+  std::function<bool(const StepOffer&)> mAcceptOffer;
   /// Load reports for a message to another daemon, at most as many bytes; empty
   /// if there are none. May be an empty function.
   std::function<std::string(size_t)> mExportLoads;
@@ -77,6 +81,13 @@
   Awaitable<Result<bool>> RequestRecovery(http::Endpoint aPeer,
                                           Milliseconds aTimeout);
 
+  /// @brief Offers a step without an owner to the daemon at aPeer. Returns
+  /// whether it accepts; a daemon of a build that knows no offers looks for
+  /// steps without an owner, and accepts. Errors: as RequestRecovery().
+  Awaitable<Result<bool>> OfferStep(http::Endpoint aPeer,
+                                    StepOffer aOffer,
+                                    Milliseconds aTimeout);
+
 private:
   PeerChannel(std::unique_ptr<http::Client> aClient, PeerHandlers aHandlers);
   Awaitable<http::Response> Handle(http::Request aRequest);
--- a/include/agatetide/steps/step.hpp
+++ b/include/agatetide/steps/step.hpp
@@ -18,6 +18,10 @@
 /// up to 1 MiB of the text that encodes them.
 constexpr size_t kMaxEntryBytes = size_t{ 700 } << 10U;
 
+/// @brief Memory of an item besides its texts: the item, its progress, and its
+/// id in several maps.
+constexpr size_t kItemOverheadBytes = 1024;
+
 /// @brief The request that scores the complete text of a sample.
 struct ScoringCall
 {
--- a/include/agatetide/steps/step_service.hpp
+++ b/include/agatetide/steps/step_service.hpp
@@ -1,12 +1,15 @@
 #pragma once
 
+#include "agatetide/base/event_log.hpp"
 #include "agatetide/steps/step_demand.hpp"
+#include "agatetide/steps/step_loader.hpp"
 #include "agatetide/steps/step_reader.hpp"
 
 #include <functional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace agatetide::steps {
 
@@ -19,6 +22,14 @@
   Unknown,
 };
 
+/// @brief A step without an owner for which this host has no memory.
+struct DeclinedStep
+{
+  StepRecord mRecord;
+  /// The memory that it needs.
+  size_t mBytes = 0;
+};
+
 struct StepServiceOptions
 {
   /// Ended steps are deleted this long after their submission.
@@ -51,15 +62,30 @@
 
   /// @brief Takes over the steps whose owner is not in aLiveOwners and for
   /// which aIsResponsible returns true, and the steps of this process that do
-  /// not run. Deletes expired steps if aDeleteExpired is set. Returns false if
-  /// the steps could not all be read or taken over.
+  /// not run, as far as there is memory for them; see Declined(). Deletes
+  /// expired steps if aDeleteExpired is set. Returns false if the steps could
+  /// not all be read or taken over.
   Awaitable<bool> Recover(std::set<std::string> aLiveOwners,
                           std::function<bool(const StepRecord&)> aIsResponsible,
                           bool aDeleteExpired);
 
-  /// @brief Whether a step owned by this process could not be loaded, so that
-  /// Recover() must be called again.
-  bool NeedsRecovery() const { return mNeedsRecovery; }
+  /// @brief Whether Recover() must be called again: a step owned by this
+  /// process could not be loaded, or one without an owner is wanted here.
+  bool NeedsRecovery() const { return mNeedsRecovery || !mWanted.empty(); }
+
+  /// @brief The steps that the last Recover() left to others for lack of
+  /// memory.
+  const std::vector<DeclinedStep>& Declined() const { return mDeclined; }
+
+  /// @brief Whether this host has the memory for a step now.
+  bool CanHold(size_t aBytes) const { return mLoader.CanHold(aBytes); }
+
+  /// @brief Lets the next Recover() take over a step that another host has
+  /// declined, if it has no owner by then.
+  void Want(std::string aId) { mWanted.insert(std::move(aId)); }
+
+  /// @brief Whether the step was declined here, or is wanted for another host.
+  bool IsWanted(const std::string& aId) const { return mWanted.contains(aId); }
 
   /// @brief Serves the results and items of steps of all daemons.
   StepReader& Reader() { return mReader; }
@@ -71,13 +97,22 @@
   Awaitable<void> ResolveUnknownCreate(std::string aId);
   Awaitable<void> ResolveUnknownClaim(std::string aId, int64_t aRevision);
   bool IsOrphan(const StepRecord& aRecord) const;
+  Awaitable<bool> TakeOverAll(std::vector<StepRecord> aRecords);
   Awaitable<bool> TakeOver(StepRecord aRecord);
-  Awaitable<bool> AdoptStored(StepRecord aRecord);
+  Awaitable<Result<bool>> IsCompleteInLog(StepRecord aRecord);
+  Awaitable<Result<std::optional<StepRecord>>> Claim(StepRecord aRecord);
+  Awaitable<Result<std::optional<StepRecord>>> ReadOwnRecord(
+    StepRecord aRecord);
+  Awaitable<bool> Decline(StepRecord aRecord);
+  Awaitable<void> AdoptFound(StepRecord aRecord);
+  Awaitable<bool> AdoptStored(StepRecord aRecord, MemoryReservation aMemory);
+  Awaitable<void> DeleteExpired(StepRecord aRecord);
   void LogMemoryShortage(std::string_view aEvent, const std::string& aId) const;
 
   StepContext& mContext;
   StepRunner& mRunner;
   StepServiceOptions mOptions;
+  StepLoader mLoader;
   StepReader mReader;
   StepDemand mDemand;
   /// Ids of steps that may be stored although creating them failed.
@@ -86,6 +121,10 @@
   /// them failed.
   std::set<std::string> mUnknownClaims;
   bool mNeedsRecovery = false;
+  std::vector<DeclinedStep> mDeclined;
+  /// Ids of steps without an owner that this process takes over if it can.
+  std::set<std::string> mWanted;
+  LogLimiter mDeclineLog;
 };
 
 } // namespace agatetide::steps
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -28,12 +28,6 @@
 constexpr std::chrono::milliseconds kDutyInterval{ 100 };
 constexpr std::chrono::milliseconds kUsageInterval{ 250 };
 constexpr std::chrono::milliseconds kPathInterval{ 500 };
-/// Interval at which the leader sweeps all records for steps whose owner is
-/// gone.
-constexpr std::chrono::milliseconds kSweepInterval{ 4000 };
-/// Interval at which changes of the hosts are checked, so that changes of
-/// several hosts, which often come together, are handled at once.
-constexpr std::chrono::milliseconds kRecoverInterval{ 400 };
 constexpr std::chrono::milliseconds kRecoveryCallTimeout{ 500 };
 
 } // namespace
@@ -71,7 +65,10 @@
       [relay = &daemon->mRelayServer](const http::Request& aRequest) {
         return relay->Handle(aRequest);
       },
-      [self = daemon.get()] { self->mRecoveryRequested = true; },
+      [self = daemon.get()] { self->mRecovery.Request(); },
+      [self = daemon.get()](const StepOffer& aOffer) {
+        return self->mRecovery.Accept(aOffer);
+      },
       [pool = &daemon->mPool](size_t aMaxBytes) {
         return pool->ExportLoads(aMaxBytes);
       },
@@ -273,7 +270,12 @@
         return mFleetWatch.Watch(std::move(aRequest));
       },
       mBootClock)
-  , mTakeoverPlan({}, mClock, mOptions.mSelf.mName)
+  , mRecovery(mExecutor,
+              mClock,
+              mOptions.mSelf.mName,
+              mView,
+              mSteps,
+              MakeRecoveryHooks())
   , mUsage(
       mOptions.mUsage,
       mStore,
@@ -294,6 +296,29 @@
   };
 }
 
+StepRecoveryHooks EntryDaemon::MakeRecoveryHooks()
+{
+  StepRecoveryHooks hooks;
+  hooks.mMayLead = [this] { return mLeadership->MayAct(); };
+  hooks.mRegionsOf = [this](const steps::StepRecord& aRecord) {
+    return RegionsOf(aRecord);
+  };
+  hooks.mRequestRecovery = [this](http::Endpoint aPeer) {
+    return mPeerChannel->RequestRecovery(std::move(aPeer),
+                                         kRecoveryCallTimeout);
+  };
+  hooks.mOfferStep = [this](http::Endpoint aPeer, StepOffer aOffer) {
+    return mPeerChannel->OfferStep(
+      std::move(aPeer), std::move(aOffer), kRecoveryCallTimeout);
+  };
+  hooks.mOnSweep = [this] {
+    mVersionUpdater->SetTokenDemand(mSteps.Demand().Tokens(),
+                                    mSteps.Demand().Rule());
+    mAutoscaler->SetPeakItems(mSteps.Demand().PeakItems());
+  };
+  return hooks;
+}
+
 void EntryDaemon::Start()
 {
   mRunner.Start();
@@ -303,7 +328,7 @@
   asio::co_spawn(mExecutor, mRegistry.WatchHosts(), asio::detached);
   asio::co_spawn(mExecutor, DutyLoop(), asio::detached);
   asio::co_spawn(mExecutor, UsageLoop(), asio::detached);
-  asio::co_spawn(mExecutor, RecoverLoop(), asio::detached);
+  asio::co_spawn(mExecutor, mRecovery.Run(), asio::detached);
   asio::co_spawn(mExecutor, PathLoop(), asio::detached);
   asio::co_spawn(mExecutor, mCrashRecords.Maintain(), asio::detached);
 }
@@ -311,6 +336,7 @@
 Awaitable<void> EntryDaemon::BeginDrain(TimePoint aEnd)
 {
   mDraining = true;
+  mRecovery.Stop();
   mRelayServer.BeginDrain(aEnd);
   co_await mRegistry.BeginDrain();
   co_await mLeadership->Resign();
@@ -598,77 +624,4 @@
                 : std::nullopt;
 }
 
-/// Asks other daemons to look for steps without an owner. One that does not
-/// answer is asked again after the next sweep.
-Awaitable<void> EntryDaemon::RequestRecovery(std::set<std::string> aHosts)
-{
-  for (const std::string& host : aHosts) {
-    const auto endpoint = mView.PeerEndpoint(host);
-    if (endpoint.has_error()) {
-      continue;
-    }
-    const auto asked =
-      co_await mPeerChannel->RequestRecovery(*endpoint, kRecoveryCallTimeout);
-    LogEvent("recovery_requested")
-      .Field("host", host)
-      .Field("result",
-             asked.has_error() ? FormatError(asked.error()) : std::string("ok"))
-      .Write();
-  }
-}
-
-/// Takes over steps whose owner is gone: one daemon of the region does it, and
-/// the leader's sweep takes the remaining ones. Steps that may not run in the
-/// leader's region are left to a daemon of an allowed one, which it asks.
-Awaitable<void> EntryDaemon::RecoverLoop()
-{
-  asio::steady_timer timer(mExecutor);
-  TimePoint lastSweep = mClock();
-  while (!mDraining) {
-    timer.expires_after(kRecoverInterval);
-    co_await timer.async_wait(asio::use_awaitable);
-    mTakeoverPlan.Update(mView.Hosts(),
-                         mView.Config() && mView.Config()->RestrictsRegions());
-    const bool sweep =
-      mLeadership->MayAct() && mClock() - lastSweep >= kSweepInterval;
-    if (!mTakeoverPlan.ScanDue() && !mSteps.NeedsRecovery() && !sweep &&
-        !mRecoveryRequested) {
-      continue;
-    }
-    const bool takeAll = sweep || std::exchange(mRecoveryRequested, false);
-    std::set<std::string> liveOwners;
-    for (const auto& [name, host] : mView.Hosts()) {
-      liveOwners.insert(steps::OwnerName(name, host.mIncarnation));
-    }
-    // Hosts of allowed regions, for steps that may not run in this one.
-    std::set<std::string> hostsToAsk;
-    std::function<bool(const steps::StepRecord&)> takeOver =
-      [this, sweep, takeAll, &hostsToAsk](const steps::StepRecord& aRecord) {
-        const auto regions = RegionsOf(aRecord);
-        if (!fleet::Includes(regions, mView.Region())) {
-          if (sweep && !aRecord.mEnded) {
-            hostsToAsk.insert(mTakeoverPlan.ResponsibleHost(
-              aRecord.mId, aRecord.mRegion, regions));
-          }
-          return false;
-        }
-        return takeAll ||
-               mTakeoverPlan.ShouldTakeOver(
-                 aRecord.mId, aRecord.mOwner, aRecord.mRegion, regions);
-      };
-    const bool complete = co_await mSteps.Recover(
-      std::move(liveOwners), std::move(takeOver), sweep);
-    if (complete) {
-      mTakeoverPlan.MarkScanned();
-    }
-    co_await RequestRecovery(std::move(hostsToAsk));
-    if (sweep) {
-      lastSweep = mClock();
-      mVersionUpdater->SetTokenDemand(mSteps.Demand().Tokens(),
-                                      mSteps.Demand().Rule());
-      mAutoscaler->SetPeakItems(mSteps.Demand().PeakItems());
-    }
-  }
-}
-
 } // namespace agatetide::entry
--- a/src/agatetide/entry/peer_channel.cpp
+++ b/src/agatetide/entry/peer_channel.cpp
@@ -199,10 +199,21 @@
     kOk, kContentType, std::string(OutcomeText(*outcome)));
 }
 
-Awaitable<http::Response> PeerChannel::HandleRecover(http::Request)
+/// A request without an offer is one to look for all steps without an owner.
+Awaitable<http::Response> PeerChannel::HandleRecover(http::Request aRequest)
 {
-  mHandlers.mRecover();
-  co_return http::MakeResponse(kOk, kContentType, std::string(kAccepted));
+  bool accepted = true;
+  if (aRequest.mBody.empty()) {
+    mHandlers.mRecover();
+  } else {
+    const auto offer = DecodeStepOffer(aRequest.mBody);
+    if (offer.has_error()) {
+      co_return MakePeerError(offer.error(), aRequest);
+    }
+    accepted = mHandlers.mAcceptOffer(*offer);
+  }
+  co_return http::MakeResponse(
+    kOk, kContentType, std::string(accepted ? kAccepted : kRefused));
 }
 
 Awaitable<http::Response> PeerChannel::HandleWatch(http::Request aRequest)
@@ -255,7 +266,7 @@
   if (answer->mStatus != kOk) {
     co_return http::ParseErrorResponse(*answer);
   }
-  co_return std::move(answer->mBody);
+  co_return answer->mBody.Release();
 }
 
 Awaitable<Result<PeerWatchReply>> PeerChannel::Watch(http::Endpoint aPeer,
@@ -299,6 +310,18 @@
   co_return true;
 }
 
+Awaitable<Result<bool>> PeerChannel::OfferStep(http::Endpoint aPeer,
+                                               StepOffer aOffer,
+                                               Milliseconds aTimeout)
+{
+  const auto answer =
+    co_await Post(std::move(aPeer), kRecoverTarget, Encode(aOffer), aTimeout);
+  if (answer.has_error()) {
+    co_return answer.error();
+  }
+  co_return *answer == kAccepted;
+}
+
 Awaitable<Result<steps::SubmitOutcome>> PeerChannel::Submit(
   http::Endpoint aPeer,
   steps::StepSubmission aSubmission,
--- a/src/agatetide/steps/step.cpp
+++ b/src/agatetide/steps/step.cpp
@@ -57,9 +57,6 @@
 
 namespace {
 
-/// An item, its progress, and its id in several maps.
-constexpr size_t kItemOverheadBytes = 1024;
-
 template<class Value>
 Result<Value> Decode(std::string_view aBytes, std::string_view aWhat)
 {
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -1,11 +1,15 @@
 #include "agatetide/steps/step_service.hpp"
 
+#include "agatetide/base/concurrency.hpp"
 #include "agatetide/base/event_log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace agatetide::steps {
 
 namespace asio = boost::asio;
@@ -17,6 +21,12 @@
 constexpr std::chrono::seconds kResolveTimeout{ 10 };
 constexpr std::chrono::milliseconds kCreateRetryDelay{ 100 };
 constexpr unsigned kMaxEndAttempts = 8;
+/// The owner of a step that no process runs.
+constexpr const char* kNoOwner = "";
+/// Steps that are taken over at a time, within the rate of the store.
+constexpr size_t kMaxTakeovers = 4;
+/// Larger steps are loaded while others are taken over.
+constexpr size_t kMaxAwaitedBytes = size_t{ 2 } << 20U;
 /// Steps count as demand for this long after their submission.
 constexpr Milliseconds kDemandWindow{ 20000 };
 
@@ -28,6 +38,7 @@
   : mContext(aContext)
   , mRunner(aRunner)
   , mOptions(aOptions)
+  , mLoader(aContext)
   , mReader(aContext, aRunner)
   , mDemand(aContext, kDemandWindow)
 {
@@ -97,7 +108,8 @@
     const bool isNew = reply.mOutcome == CreateOutcome::Created || mayBeStored;
     if (!isNew && !mRunner.IsRunning(reply.mRecord)) {
       // Its results are in the log, since it was complete or ended long ago.
-      co_await AdoptStored(reply.mRecord);
+      memory.Reset();
+      co_await AdoptFound(reply.mRecord);
     } else if (!mRunner.Find(record.mId)) {
       mRunner.Adopt(reply.mRecord,
                     std::move(aSubmission.mItems),
@@ -135,7 +147,7 @@
       resolved = true;
       if ((*record)->mOwner == mContext.mOwner &&
           !mRunner.IsRunning(**record)) {
-        co_await AdoptStored(**record);
+        co_await AdoptFound(**record);
       }
     }
   }
@@ -160,7 +172,7 @@
     if (resolved && record->has_value() && !(*record)->mEnded &&
         (*record)->mOwner == mContext.mOwner && !mRunner.IsRunning(**record)) {
       LogEvent("claim_found").Field("step", aId).Write();
-      co_await AdoptStored(**record);
+      co_await AdoptFound(**record);
     }
   }
   mUnknownClaims.erase(aId);
@@ -212,90 +224,160 @@
     .Write();
 }
 
-/// Runs a step from its stored state. The record must name this process as the
-/// owner. Returns whether the state could be loaded.
-Awaitable<bool> StepService::AdoptStored(StepRecord aRecord)
+/// Runs a step from its stored state in memory that is reserved. The record
+/// must name this process as the owner. Returns whether the state could be
+/// loaded.
+Awaitable<bool> StepService::AdoptStored(StepRecord aRecord,
+                                         MemoryReservation aMemory)
 {
-  MemoryReservation memory(mContext.mItemBudget);
-  if (!memory.Grow(StepStore::LoadedBytesLimit(aRecord))) {
-    LogMemoryShortage("step_not_adopted", aRecord.mId);
-    mNeedsRecovery = true;
-    co_return false;
+  if (mLoader.IsLoading(aRecord.mId)) {
+    co_return true;
   }
-  auto items = co_await mContext.mStepStore.LoadItems(aRecord);
-  auto log = co_await mContext.mStepStore.ReadWholeLog(aRecord);
-  if (items.has_error() || log.has_error()) {
+  auto loaded = co_await mLoader.Load(aRecord, std::move(aMemory));
+  if (loaded.has_error()) {
     LogEvent("step_not_adopted", LogLevel::Warning)
       .Field("step", aRecord.mId)
-      .Field("error",
-             FormatError(items.has_error() ? items.error() : log.error()))
+      .Field("error", FormatError(loaded.error()))
       .Write();
     mNeedsRecovery = true;
     co_return false;
   }
-  const size_t bytes = MemoryBytes(*items);
-  if (!memory.GrowTo(bytes)) {
-    LogMemoryShortage("step_not_adopted", aRecord.mId);
-    mNeedsRecovery = true;
-    co_return false;
-  }
-  memory.ShrinkTo(bytes);
-  // An error is ignored, since without partial samples the items are only
-  // generated from the beginning.
-  auto partials = co_await mContext.mStepStore.LoadPartials(aRecord.mId);
   mRunner.StopOldCopy(aRecord);
   if (!mRunner.IsRunning(aRecord)) {
     mReader.Forget(aRecord.mId);
-    mRunner.Adopt(std::move(aRecord),
-                  std::move(*items),
-                  std::move(memory),
-                  std::move(*log),
-                  partials.has_value() ? std::move(*partials)
-                                       : std::vector<PartialSample>());
+    mRunner.Adopt(std::move(loaded->mRecord),
+                  std::move(loaded->mItems),
+                  std::move(loaded->mMemory),
+                  std::move(loaded->mLog),
+                  std::move(loaded->mPartials));
   }
   co_return true;
 }
 
+/// Runs a step of this process that was found in the store. Without memory for
+/// it, the next Recover() hands it back.
+Awaitable<void> StepService::AdoptFound(StepRecord aRecord)
+{
+  auto memory = mLoader.Reserve(aRecord);
+  if (!memory) {
+    mNeedsRecovery = true;
+    co_return;
+  }
+  co_await AdoptStored(std::move(aRecord), std::move(*memory));
+}
+
+/// Makes this process the owner of a step; std::nullopt if another process was
+/// faster. Errors: those of the store.
+Awaitable<Result<std::optional<StepRecord>>> StepService::Claim(
+  StepRecord aRecord)
+{
+  aRecord.mOwner = mContext.mOwner;
+  auto claimed = co_await mContext.mStepStore.Replace(aRecord);
+  const bool mayBeOwner =
+    claimed.has_error() && claimed.error().mExecution != Execution::NotRun;
+  if (mayBeOwner && mUnknownClaims.insert(aRecord.mId).second) {
+    asio::co_spawn(mContext.mExecutor,
+                   ResolveUnknownClaim(aRecord.mId, aRecord.mRevision),
+                   asio::detached);
+  }
+  co_return claimed;
+}
+
+/// Reads the record of a step of this process again, since the known one may be
+/// older than the end of the step; std::nullopt if it need not run here.
+/// Errors: those of the store.
+Awaitable<Result<std::optional<StepRecord>>> StepService::ReadOwnRecord(
+  StepRecord aRecord)
+{
+  auto current = co_await mContext.mStepStore.Load(aRecord.mId);
+  const bool isGone =
+    current.has_value() && (!current->has_value() || (*current)->mEnded ||
+                            (*current)->mOwner != mContext.mOwner);
+  if (isGone) {
+    current->reset();
+  }
+  co_return current;
+}
+
+/// Leaves a step for which this host has no memory to others: it is listed in
+/// Declined(), and no process owns it any more. Returns false if that must be
+/// retried.
+Awaitable<bool> StepService::Decline(StepRecord aRecord)
+{
+  if (aRecord.mOwner == mContext.mOwner) {
+    aRecord.mOwner = kNoOwner;
+    const auto released = co_await mContext.mStepStore.Replace(aRecord);
+    if (released.has_error()) {
+      mNeedsRecovery = true;
+      co_return false;
+    }
+    if (!released->has_value()) {
+      co_return true;
+    }
+    aRecord = **released;
+    LogEvent("step_handed_back").Field("step", aRecord.mId).Write();
+  }
+  if (mDeclineLog.Allow(mContext.mClock())) {
+    LogMemoryShortage("step_declined", aRecord.mId);
+  }
+  mWanted.insert(aRecord.mId);
+  const size_t bytes = StepStore::LoadedBytesLimit(aRecord);
+  mDeclined.push_back({ std::move(aRecord), bytes });
+  co_return false;
+}
+
+/// Whether a step of this process that is not in memory is complete: it may
+/// only be gone from there because its retention has passed. Errors: those of
+/// the store.
+Awaitable<Result<bool>> StepService::IsCompleteInLog(StepRecord aRecord)
+{
+  const auto index = co_await mContext.mStepStore.LoadWholeIndex(aRecord);
+  if (index.has_error()) {
+    co_return index.error();
+  }
+  co_return index->ResultCount() >= aRecord.mItemCount;
+}
+
 /// Makes this process the owner of a step and runs it. Returns false if that
 /// must be retried; true also if another process took the step over first.
 Awaitable<bool> StepService::TakeOver(StepRecord aRecord)
 {
   const std::string previousOwner = aRecord.mOwner;
-  if (previousOwner != mContext.mOwner) {
-    aRecord.mOwner = mContext.mOwner;
-    const auto claimed = co_await mContext.mStepStore.Replace(aRecord);
-    if (claimed.has_error()) {
-      const bool mayBeOwner = claimed.error().mExecution != Execution::NotRun;
-      if (mayBeOwner && mUnknownClaims.insert(aRecord.mId).second) {
-        asio::co_spawn(mContext.mExecutor,
-                       ResolveUnknownClaim(aRecord.mId, aRecord.mRevision),
-                       asio::detached);
-      }
-      co_return false;
-    }
-    if (!claimed->has_value()) {
-      co_return true;
+  const bool own = previousOwner == mContext.mOwner;
+  if (own) {
+    const auto isComplete = co_await IsCompleteInLog(aRecord);
+    if (isComplete.has_error() || *isComplete) {
+      co_return isComplete.has_value();
     }
-    aRecord = **claimed;
+  }
+  auto memory = mLoader.Reserve(aRecord);
+  if (!memory) {
+    co_return co_await Decline(std::move(aRecord));
+  }
+  Result<std::optional<StepRecord>> claimed = std::optional<StepRecord>();
+  if (own) {
+    claimed = co_await ReadOwnRecord(aRecord);
   } else {
-    // The record may be older than the end of the step.
-    const auto current = co_await mContext.mStepStore.Load(aRecord.mId);
-    if (current.has_error()) {
-      co_return false;
-    }
-    if (!current->has_value() || (*current)->mEnded ||
-        (*current)->mOwner != mContext.mOwner) {
-      co_return true;
-    }
-    aRecord = **current;
+    claimed = co_await Claim(aRecord);
+  }
+  if (claimed.has_error() || !claimed->has_value()) {
+    co_return claimed.has_value();
   }
+  aRecord = **claimed;
   mRunner.StopOldCopy(aRecord);
   LogEvent("step_taken_over")
     .Field("step", aRecord.mId)
     .Field("account", aRecord.mAccount)
     .Field("owner", previousOwner)
     .Write();
-  co_return co_await AdoptStored(std::move(aRecord));
+  if (StepStore::LoadedBytesLimit(aRecord) > kMaxAwaitedBytes) {
+    // Other steps need not wait for it. If it fails, Recover() is due again.
+    asio::co_spawn(mContext.mExecutor,
+                   AdoptStored(std::move(aRecord), std::move(*memory)),
+                   asio::detached);
+    co_return true;
+  }
+  co_return co_await AdoptStored(std::move(aRecord), std::move(*memory));
 }
 
 /// Whether nobody runs a step although its record names this process as the
@@ -305,9 +387,41 @@
   const OwnedStepPtr step = mRunner.Find(aRecord.mId);
   const bool isComplete = step && step->mStopped && step->IsComplete();
   return !isComplete && !mRunner.IsRunning(aRecord) &&
+         !mLoader.IsLoading(aRecord.mId) &&
          !mUnknownCreates.contains(aRecord.mId);
 }
 
+/// Takes over several steps at a time, small ones first, which need not wait
+/// for large ones. Returns false if that must be retried.
+Awaitable<bool> StepService::TakeOverAll(std::vector<StepRecord> aRecords)
+{
+  std::sort(aRecords.begin(),
+            aRecords.end(),
+            [](const StepRecord& aLeft, const StepRecord& aRight) {
+              return std::pair(aLeft.mChunkCount, aLeft.mSubmittedMs) <
+                     std::pair(aRight.mChunkCount, aRight.mSubmittedMs);
+            });
+  bool complete = true;
+  const std::function<Awaitable<void>(size_t)> takeOver =
+    [&](size_t aNumber) -> Awaitable<void> {
+    const bool taken = co_await TakeOver(aRecords[aNumber]);
+    complete = complete && taken;
+  };
+  co_await ForEachConcurrently(
+    mContext.mExecutor, aRecords.size(), kMaxTakeovers, takeOver);
+  co_return complete;
+}
+
+/// Deletes what is stored of a step that ended long ago. What cannot be deleted
+/// now is deleted by a later call.
+Awaitable<void> StepService::DeleteExpired(StepRecord aRecord)
+{
+  const auto index = co_await mContext.mStepStore.LoadWholeIndex(aRecord);
+  if (index.has_value()) {
+    co_await mContext.mStepStore.Delete(aRecord, index->EntryCount());
+  }
+}
+
 Awaitable<bool> StepService::Recover(
   std::set<std::string> aLiveOwners,
   std::function<bool(const StepRecord&)> aIsResponsible,
@@ -317,43 +431,39 @@
   if (records.has_error()) {
     co_return false;
   }
+  const int64_t now = mContext.mWallClock();
   if (aDeleteExpired) {
-    // What cannot be deleted now is deleted by a later call.
     co_await mContext.mStepStore.DeleteAbandonedItems(
-      mContext.mWallClock() - mOptions.mAbandonedItemsRetention.count());
+      now - mOptions.mAbandonedItemsRetention.count());
   }
-  bool complete = true;
   mNeedsRecovery = false;
+  mDeclined.clear();
   mDemand.Update(*records);
+  std::vector<StepRecord> orphans;
+  std::set<std::string> withoutOwner;
   for (const StepRecord& record : *records) {
-    const int64_t age = mContext.mWallClock() - record.mSubmittedMs;
-    if (aDeleteExpired && record.mEnded && age > mOptions.mRetention.count()) {
-      const auto index = co_await mContext.mStepStore.LoadWholeIndex(record);
-      if (index.has_value()) {
-        co_await mContext.mStepStore.Delete(record, index->EntryCount());
+    if (record.mEnded) {
+      if (aDeleteExpired &&
+          now - record.mSubmittedMs > mOptions.mRetention.count()) {
+        co_await DeleteExpired(record);
       }
       continue;
     }
-    const bool own = record.mOwner == mContext.mOwner;
-    const bool orphan =
-      own ? IsOrphan(record)
-          : !aLiveOwners.contains(record.mOwner) && aIsResponsible(record);
-    if (record.mEnded || !orphan) {
-      continue;
-    }
-    if (own) {
-      // The step may only be gone from memory because it was complete and its
-      // retention has passed; its results tell whether it is.
-      const auto index = co_await mContext.mStepStore.LoadWholeIndex(record);
-      if (index.has_error() || index->ResultCount() >= record.mItemCount) {
-        complete = complete && index.has_value();
-        continue;
+    if (record.mOwner == mContext.mOwner) {
+      if (IsOrphan(record)) {
+        orphans.push_back(record);
+      }
+    } else if (!aLiveOwners.contains(record.mOwner)) {
+      withoutOwner.insert(record.mId);
+      if (aIsResponsible(record)) {
+        orphans.push_back(record);
       }
     }
-    const bool taken = co_await TakeOver(record);
-    complete = complete && taken;
   }
-  co_return complete;
+  std::erase_if(mWanted, [&](const std::string& aId) {
+    return !withoutOwner.contains(aId);
+  });
+  co_return co_await TakeOverAll(std::move(orphans));
 }
 
 } // namespace agatetide::steps
--- a/src/agatetide/steps/step_store.cpp
+++ b/src/agatetide/steps/step_store.cpp
@@ -357,7 +357,8 @@
 
 size_t StepStore::LoadedBytesLimit(const StepRecord& aRecord)
 {
-  return size_t{ aRecord.mChunkCount } * kMaxChunkBytes;
+  return size_t{ aRecord.mChunkCount } * kMaxChunkBytes +
+         size_t{ aRecord.mItemCount } * kItemOverheadBytes;
 }
 
 size_t StepStore::LoadedBytesLimit(const StepRecord& aRecord,
--- a/tests/large_jobs.py
+++ b/tests/large_jobs.py
@@ -226,6 +226,30 @@
     print("%d of 22 readers got the body; %s" % (sum(a[2] for a in answers), check_memory(site, "readers")), file=sys.stderr)
 
 
+def job_without_room_is_run_by_another_host(site):
+    """Guards against a host that becomes the owner of a job which it has no memory for, so that nobody runs it."""
+    allow_large_bodies(site)
+    leaving, free, full = site.daemons  # the second one in a region of its own
+    for engine in site.engines:
+        engine.pause = 0.5
+    job, _ = make_job_of(8, 22)
+    for number in range(2):
+        check(post(full, "other-%d" % number, job.replace("item-", "other-%d-item-" % number))[0] == 202, "accepted")
+    check(post(leaving, "job-1", job)[0] == 202, "accepted")
+    leaving.stop()
+    begun = time.monotonic()
+
+    def takers():
+        return [d.name for d in (free, full) if any("step=job-1 " in line for line in d.lines("step_taken_over"))]
+
+    until(takers, "a host takes it over", timeout=ANSWER_S + 4)
+    check(takers() == [free.name], "%s took it over" % takers())
+    check(len(site.read_all(full, 8, "job-1", timeout=30)) == 8, "the job is complete")
+    print("taken over by %s, complete after %.1f s" % (free.name, time.monotonic() - begun), file=sys.stderr)
+    check(any("step=job-1 " in line for line in full.lines("step_declined")), "the full host says that it has no room")
+    leaving.start()
+
+
 def job_that_never_fits_is_refused(site):
     """Guards against a 503 for a batch job that no repetition can bring through, and against parts of it in the store."""
     allow_large_bodies(site)
@@ -246,6 +270,8 @@
     (running_items_are_in_memory_once, {"daemons": 3, "events": 20, "memory_mb": MEMORY_MB}),
     (job_of_one_item_fits, {"daemons": 3, "events": 8, "memory_mb": MEMORY_MB}),
     (readers_of_an_item_share_a_copy, {"daemons": 3, "events": 40, "memory_mb": MEMORY_MB}),
+    (job_without_room_is_run_by_another_host, {"daemons": 3, "engines": 6, "events": 12, "memory_mb": MEMORY_MB,
+                                               "zones": {"z1": "r1", "z2": "r2"}}),
     (job_that_never_fits_is_refused, {"daemons": 1, "events": 2, "memory_mb": 64}),
 ]
 
