Read the record of a step again after its load, before its first item

Callers saw: items of a batch job ran for about 1 s, more than cancelMs after the acknowledged end of the job, at a host that had just taken it over.

Cause: the host loaded the items for 4 s and then started the step by the record from before the load. It looked at the record 0.9 s later for the first time.

The last call of a load reads the record; without an answer no item starts. Stored values are read four at a time.

--- a/include/agatetide/steps/step_loader.hpp
+++ b/include/agatetide/steps/step_loader.hpp
@@ -2,8 +2,9 @@
 
 #include "agatetide/steps/step_runner.hpp"
 
+#include <map>
+#include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,7 +24,8 @@
 
 /// @brief Loads steps that this process is to run from the store. Memory is
 /// reserved before anything else: a host claims no step that it cannot hold.
-/// Not thread-safe.
+/// A step that is ended or taken over while it is loaded is not run: the last
+/// call of a load reads its record. Not thread-safe.
 class StepLoader
 {
 public:
@@ -40,19 +42,34 @@
   /// @brief Whether the step is being loaded.
   bool IsLoading(std::string_view aId) const { return mLoading.contains(aId); }
 
-  /// @brief Loads a step into memory from Reserve(). Errors: those of the
-  /// store; ResourceExhausted if it takes more than that and there is no more.
-  /// Precondition: the step is not being loaded.
-  Awaitable<Result<LoadedStep>> Load(StepRecord aRecord,
-                                     MemoryReservation aMemory);
+  /// @brief Ends the load of a step that was ended; does nothing if it is not
+  /// being loaded.
+  void Cancel(std::string_view aId);
+
+  /// @brief Loads a step into memory from Reserve(); std::nullopt if this
+  /// process is not to run it any more. The caller must run it before it waits
+  /// for anything. Errors: those of the store, also if it does not tell whether
+  /// the step has ended meanwhile; ResourceExhausted if the step takes more
+  /// memory than that and there is no more; Unavailable if it must be loaded
+  /// again. Precondition: the step is not being loaded.
+  Awaitable<Result<std::optional<LoadedStep>>> Load(StepRecord aRecord,
+                                                    MemoryReservation aMemory);
 
 private:
+  struct LoadState;
+
+  bool IsOurs(const std::optional<StepRecord>& aRecord) const;
+  Awaitable<void> CheckWhileLoading(std::string aId,
+                                    std::shared_ptr<LoadState> aState);
+  Awaitable<Result<bool>> Confirm(StepRecord aRecord,
+                                  std::shared_ptr<LoadState> aState);
   Awaitable<Result<LoadedStep>> LoadParts(StepRecord aRecord,
-                                          MemoryReservation aMemory);
+                                          MemoryReservation aMemory,
+                                          std::shared_ptr<LoadState> aState);
 
   const StepContext& mContext;
-  /// Ids of the steps that are being loaded.
-  std::set<std::string, std::less<>> mLoading;
+  /// The steps that are being loaded, by id.
+  std::map<std::string, std::shared_ptr<LoadState>, std::less<>> mLoading;
 };
 
 } // namespace agatetide::steps
--- a/include/agatetide/steps/step_store.hpp
+++ b/include/agatetide/steps/step_store.hpp
@@ -6,6 +6,7 @@
 #include "agatetide/steps/log_index.hpp"
 #include "agatetide/steps/step.hpp"
 
+#include <functional>
 #include <optional>
 
 namespace agatetide::steps {
@@ -94,9 +95,15 @@
   /// decoded. Errors: those of the store.
   Awaitable<Result<std::vector<StepRecord>>> List();
 
-  /// @brief Loads the items of a step. Errors: those of the store; DataLoss
-  /// when a value is missing or cannot be decoded.
-  Awaitable<Result<std::vector<StepItem>>> LoadItems(StepRecord aRecord);
+  /// @brief Tells a load that its result is not needed any more. May be empty.
+  using IsCanceled = std::function<bool()>;
+
+  /// @brief Loads the items of a step, with several calls of the store at a
+  /// time. Errors: those of the store; DataLoss when a value is missing or
+  /// cannot be decoded; Canceled if aIsCanceled returned true.
+  Awaitable<Result<std::vector<StepItem>>> LoadItems(
+    StepRecord aRecord,
+    IsCanceled aIsCanceled = {});
 
   /// @brief The most memory that LoadItems() takes, in bytes.
   static size_t LoadedBytesLimit(const StepRecord& aRecord);
@@ -178,7 +185,8 @@
 
   Awaitable<Result<bool>> VisitItems(StepRecord aRecord,
                                      ItemPosition aFrom,
-                                     ItemVisitor aVisit);
+                                     ItemVisitor aVisit,
+                                     IsCanceled aIsCanceled = {});
   Awaitable<Result<bool>> VisitLog(StepRecord aRecord,
                                    LogIndex aKnown,
                                    LogVisitor aVisit);
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -200,6 +200,7 @@
       ended = replaced->has_value();
     }
     if (ended) {
+      mLoader.Cancel(aId);
       if (const OwnedStepPtr owned = mRunner.Find(aId)) {
         owned->mLogIsAhead = owned->mLogIsAhead ||
                              (!owned->IsComplete() &&
@@ -242,14 +243,18 @@
     mNeedsRecovery = true;
     co_return false;
   }
+  if (!loaded->has_value()) {
+    co_return true;
+  }
   mRunner.StopOldCopy(aRecord);
   if (!mRunner.IsRunning(aRecord)) {
     mReader.Forget(aRecord.mId);
-    mRunner.Adopt(std::move(loaded->mRecord),
-                  std::move(loaded->mItems),
-                  std::move(loaded->mMemory),
-                  std::move(loaded->mLog),
-                  std::move(loaded->mPartials));
+    LoadedStep step = std::move(**loaded);
+    mRunner.Adopt(std::move(step.mRecord),
+                  std::move(step.mItems),
+                  std::move(step.mMemory),
+                  std::move(step.mLog),
+                  std::move(step.mPartials));
   }
   co_return true;
 }
--- a/src/agatetide/steps/step_service_test.cpp
+++ b/src/agatetide/steps/step_service_test.cpp
@@ -81,7 +81,7 @@
 
   std::string OwnerOf(const std::string& aId)
   {
-    return (**Run(mSteps.Load(aId)))->mOwner;
+    return DecodeRecord(StoredRecord(aId).mValue).value().mOwner;
   }
 
   bool IsSent(const std::string& aItem) const
@@ -92,13 +92,34 @@
   /// Holds the reads of the items of a step.
   void HoldItemsOf(const std::string& aId)
   {
-    mHolds = [aId](const StoreRequest& aRequest) {
+    mHolds = ReadsOf("agatetide/step-items/" + aId + "/");
+  }
+
+  static std::function<bool(const StoreRequest&)> ReadsOf(std::string aPrefix)
+  {
+    return [prefix = std::move(aPrefix)](const StoreRequest& aRequest) {
       const auto* range = std::get_if<RangeRequest>(&aRequest);
-      return range != nullptr &&
-             range->mKey.starts_with("agatetide/step-items/" + aId + "/");
+      return range != nullptr && range->mKey.starts_with(prefix);
     };
   }
 
+  /// Changes the stored record of a step as another host does.
+  void Change(const std::string& aId, std::function<void(StepRecord&)> aChange)
+  {
+    StepRecord record = DecodeRecord(StoredRecord(aId).mValue).value();
+    aChange(record);
+    TransactionRequest write;
+    write.mPuts.push_back({ "agatetide/step/" + aId, EncodeRecord(record) });
+    mStore.Apply(write);
+  }
+
+  StoreEntry StoredRecord(const std::string& aId)
+  {
+    return mStore.Apply(RangeRequest{ "agatetide/step/" + aId, "", 0 })
+      .value()
+      .mEntries.at(0);
+  }
+
   MemoryReservation mTaken{ mItemBudget };
   StepService mService{ mStepContext, mRunner };
 };
@@ -174,3 +195,82 @@
   fixture.Release();
   cr_expect(fixture.IsSent("a-large-item"));
 }
+
+// Guards against items that run after the acknowledged end of their step, since
+// the host that loads it knows only the record from before the load.
+Test(step_service, a_step_that_ends_while_it_is_loaded_is_not_run)
+{
+  Fixture fixture;
+  fixture.Store("step", kLargeBytes);
+  fixture.HoldItemsOf("step");
+  fixture.Recover();
+  cr_expect_str_eq(fixture.OwnerOf("step").c_str(), "owner");
+  fixture.Change("step", [](StepRecord& aRecord) { aRecord.mEnded = true; });
+  fixture.Release();
+  cr_expect(!fixture.IsSent("step-item"));
+  cr_expect(!fixture.mRunner.Find("step"));
+  cr_expect_eq(fixture.mItemBudget->Used(), 0, "its memory is free again");
+  cr_expect(*fixture.Recover());
+  cr_expect(!fixture.IsSent("step-item"));
+}
+
+// Guards against an end that only the store is told of, at the host that loads
+// the step.
+Test(step_service, an_end_at_the_host_that_loads_the_step_is_seen)
+{
+  Fixture fixture;
+  fixture.Store("step", kLargeBytes);
+  fixture.HoldItemsOf("step");
+  fixture.Recover();
+  cr_assert(fixture.Run(fixture.mService.End("step", "account")).has_value());
+  fixture.Release();
+  cr_expect(!fixture.IsSent("step-item"));
+}
+
+// Guards against two hosts that run a step, since one of them took it over
+// while the other one was loading it.
+Test(step_service, a_step_with_a_newer_owner_is_not_run)
+{
+  Fixture fixture;
+  fixture.Store("step", kLargeBytes);
+  fixture.HoldItemsOf("step");
+  fixture.Recover();
+  fixture.Change("step", [](StepRecord& aRecord) { aRecord.mOwner = "other"; });
+  fixture.Release();
+  cr_expect(!fixture.IsSent("step-item"));
+  cr_expect(!fixture.mRunner.Find("step"));
+}
+
+// Guards against results that are lost, since another host owned the step for a
+// time while this one was loading it, and appended to its log.
+Test(step_service, a_step_that_came_back_is_loaded_again)
+{
+  Fixture fixture;
+  fixture.Store("step", kLargeBytes);
+  fixture.HoldItemsOf("step");
+  fixture.Recover();
+  fixture.Change("step", [](StepRecord&) {});
+  fixture.Release();
+  cr_expect(!fixture.IsSent("step-item"));
+  cr_expect(fixture.mService.NeedsRecovery());
+  cr_expect(*fixture.Recover());
+  cr_expect(fixture.IsSent("step-item"));
+}
+
+// Guards against items that start although the store does not tell whether
+// their step has ended, and against a step that is lost when it does not answer
+// once.
+Test(step_service, items_start_only_when_the_store_has_answered)
+{
+  Fixture fixture;
+  fixture.Store("step", kLargeBytes);
+  fixture.HoldItemsOf("step");
+  fixture.Recover();
+  fixture.mFails = Fixture::ReadsOf("agatetide/step/step");
+  fixture.Release();
+  cr_expect(!fixture.IsSent("step-item"));
+  fixture.mFails = nullptr;
+  fixture.mContext.restart();
+  fixture.mContext.run_for(Milliseconds(400));
+  cr_expect(fixture.IsSent("step-item"));
+}
--- a/src/agatetide/steps/step_store.cpp
+++ b/src/agatetide/steps/step_store.cpp
@@ -1,15 +1,19 @@
 #include "agatetide/steps/step_store.hpp"
 
 #include "agatetide/base/event_log.hpp"
+#include "agatetide/coordination/key_reader.hpp"
 #include "agatetide/steps/item_decoder.hpp"
 #include "agatetide/steps/item_encoder.hpp"
 
+#include <boost/asio/this_coro.hpp>
+
 #include <algorithm>
 #include <cstdio>
 #include <iterator>
 
 namespace agatetide::steps {
 
+namespace asio = boost::asio;
 using namespace coordination;
 
 namespace {
@@ -28,6 +32,9 @@
 /// Values of items in one transaction. They arrive within the timeout of a call
 /// on the links of small hosts, and between regions.
 constexpr uint32_t kChunksPerTransaction = 4;
+/// Values that are read at a time. Their texts are within what the answers of
+/// the store may take of the memory of a small host.
+constexpr size_t kMaxReadsAhead = 4;
 /// Keys deleted in one transaction of the store.
 constexpr size_t kMaxDeletesPerTransaction = 30;
 
@@ -123,6 +130,19 @@
   return { CreateOutcome::Exists, std::move(*record), {} };
 }
 
+/// The number of stored values to read from a position on: those of its item if
+/// its size is known, otherwise all that follow.
+uint32_t ValueCount(const StepRecord& aRecord, const ItemPosition& aFrom)
+{
+  const uint32_t rest =
+    aRecord.mChunkCount - std::min(aRecord.mChunkCount, aFrom.mChunk);
+  if (aFrom.mBytes == 0) {
+    return rest;
+  }
+  const uint64_t last = (aFrom.mOffset + aFrom.mBytes - 1) / kMaxChunkBytes;
+  return static_cast<uint32_t>(std::min<uint64_t>(rest, last + 1));
+}
+
 } // namespace
 
 StepStore::StepStore(StoreCall aStore, WatchCall aWatch)
@@ -341,14 +361,17 @@
 }
 
 Awaitable<Result<std::vector<StepItem>>> StepStore::LoadItems(
-  StepRecord aRecord)
+  StepRecord aRecord,
+  IsCanceled aIsCanceled)
 {
   std::vector<StepItem> items;
+  const ItemVisitor add = [&items](StepItem aItem) {
+    items.push_back(std::move(aItem));
+    return true;
+  };
+  const ItemPosition first;
   const auto visited =
-    co_await VisitItems(std::move(aRecord), {}, [&items](StepItem aItem) {
-      items.push_back(std::move(aItem));
-      return true;
-    });
+    co_await VisitItems(std::move(aRecord), first, add, std::move(aIsCanceled));
   if (visited.has_error()) {
     co_return visited.error();
   }
@@ -402,28 +425,48 @@
     }
     return !item;
   };
-  const auto visited = co_await VisitItems(std::move(aRecord), aPosition, take);
+  auto visited = co_await VisitItems(aRecord, aPosition, take);
+  if (visited.has_value() && !item && aPosition.mBytes > 0) {
+    // Another item has the same hash; the one that is looked for comes later.
+    aPosition.mBytes = 0;
+    visited = co_await VisitItems(std::move(aRecord), aPosition, take);
+  }
   if (visited.has_error()) {
     co_return visited.error();
   }
   co_return item;
 }
 
-/// Loads the items from a position on one after the other, and passes each to
-/// aVisit until that returns false. The value is whether it never did.
+/// Loads the items from a position on, and passes each to aVisit until that
+/// returns false. The value is whether it never did.
 Awaitable<Result<bool>> StepStore::VisitItems(StepRecord aRecord,
                                               ItemPosition aFrom,
-                                              ItemVisitor aVisit)
+                                              ItemVisitor aVisit,
+                                              IsCanceled aIsCanceled)
 {
   const size_t maxBytes = LoadedBytesLimit(aRecord, aFrom);
   ItemDecoder decoder =
     aFrom.mItemsLeft > 0 ? ItemDecoder(aFrom, maxBytes) : ItemDecoder(maxBytes);
-  for (uint32_t chunk = aFrom.mChunk; chunk < aRecord.mChunkCount; ++chunk) {
-    std::string key = NumberedKey(kItemsPrefix, aRecord.mId, chunk);
-    const auto entry = co_await ReadKey(mStore, std::move(key));
+  const auto executor = co_await asio::this_coro::executor;
+  KeyReader values(executor,
+                   mStore,
+                   ValueCount(aRecord, aFrom),
+                   kMaxReadsAhead,
+                   [id = aRecord.mId, first = aFrom.mChunk](size_t aNumber) {
+                     return NumberedKey(kItemsPrefix,
+                                        id,
+                                        first + static_cast<uint32_t>(aNumber));
+                   });
+  while (!values.AtEnd()) {
+    const auto entry = co_await values.Next();
     if (entry.has_error()) {
       co_return entry.error();
     }
+    if (aIsCanceled && aIsCanceled()) {
+      co_return Error{ ErrorKind::Canceled,
+                       "the step is not needed any more",
+                       "none" };
+    }
     if (!entry->has_value()) {
       co_return Error{ ErrorKind::DataLoss,
                        "the items of step " + aRecord.mId + " are missing",
@@ -436,7 +479,8 @@
       }
     }
   }
-  if (!decoder.AtEnd()) {
+  // The values of one item end within the next one.
+  if (aFrom.mBytes == 0 && !decoder.AtEnd()) {
     co_return Error{ ErrorKind::DataLoss,
                      "the stored items of step " + aRecord.mId +
                        " cannot be decoded",
--- a/src/agatetide/steps/test_runner.hpp
+++ b/src/agatetide/steps/test_runner.hpp
@@ -108,7 +108,8 @@
     return step;
   }
 
-  /// Calls the store; calls for which mHolds returns true wait for Release().
+  /// Calls the store; calls for which mHolds returns true wait for Release(),
+  /// and those for which mFails does get no answer.
   Awaitable<Result<coordination::StoreReply>> CallStore(
     coordination::StoreRequest aRequest)
   {
@@ -118,6 +119,9 @@
       co_await mHeld.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
     }
+    if (mFails && mFails(aRequest)) {
+      co_return Error{ ErrorKind::Unavailable, "no answer", "wait" };
+    }
     co_return mStore.Apply(aRequest);
   }
 
@@ -152,6 +156,7 @@
 
   asio::io_context mContext;
   std::function<bool(const coordination::StoreRequest&)> mHolds;
+  std::function<bool(const coordination::StoreRequest&)> mFails;
   asio::steady_timer mHeld{ mContext, asio::steady_timer::time_point::max() };
   int mHeldCount = 0;
   ManualClock mTime;
