Take no status below 200 for an answer, nor for an interim response with a body

Callers saw: after a response with status 000, 099, 101 or 103 whose body was a whole 200, that inner response as the answer to their request; with another body, a 504 at their deadline.

Cause: the client read on after each status below 200, so the body was read as the next response.

Change: interim are 100 and 102 to 199 without a body, as RFC 9110 has them. All else below 200 is a fault of the server like broken bytes. A 204 or 304 that announces a body ends its connection. The server writes no status below 200. Statuses from 600 on are returned unchanged, and count as failures.

--- a/include/agatetide/http/syntax.hpp
+++ b/include/agatetide/http/syntax.hpp
@@ -7,6 +7,28 @@
 
 namespace agatetide::http {
 
+constexpr unsigned kFirstInterimStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kMaxStatus = 999;
+
+/// @brief Whether a response with this status is followed by another one for
+/// the same request (RFC 9110, section 15.2). Status 101 is not: it answers an
+/// upgrade, which the client never asks for.
+constexpr bool IsInterimStatus(unsigned aStatus)
+{
+  return aStatus >= kFirstInterimStatus && aStatus < kFirstFinalStatus &&
+         aStatus != kSwitchingProtocols;
+}
+
+/// @brief Whether a response with this status can be the answer to a request.
+/// Those from 600 on belong to no class, and count as failures of the server
+/// (RFC 9110, section 15).
+constexpr bool IsFinalStatus(unsigned aStatus)
+{
+  return aStatus >= kFirstFinalStatus && aStatus <= kMaxStatus;
+}
+
 /// @name Syntax of the parts of an HTTP/1.1 message (RFC 9110 and 9112)
 /// Thread-safe.
 /// @{
--- a/src/agatetide/entry/replica_relay.cpp
+++ b/src/agatetide/entry/replica_relay.cpp
@@ -1,5 +1,7 @@
 #include "agatetide/entry/replica_relay.hpp"
 
+#include "agatetide/http/syntax.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -153,8 +155,11 @@
   if (declined) {
     co_return RelayOutcome{ false, *declined };
   }
+  // The other daemon may be of a build that passes on what is no answer.
+  const bool isAnswer =
+    result && (result->has_error() || http::IsFinalStatus((*result)->mStatus));
   co_return RelayOutcome{ true,
-                          result ? std::move(*result) : IncompleteRelay() };
+                          isAnswer ? std::move(*result) : IncompleteRelay() };
 }
 
 /// An attempt for another daemon. Frames wait in mPending until they are
--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -25,7 +25,6 @@
 
 /// Interim responses (1xx) before the final one.
 constexpr unsigned kMaxInterimResponses = 8;
-constexpr unsigned kFirstFinalStatus = 200;
 /// Only bodies of responses with this status are streamed; others are
 /// collected in memory.
 constexpr unsigned kStreamedStatus = 200;
@@ -88,6 +87,16 @@
            Execution::Unknown };
 }
 
+Error InvalidStatus(const Endpoint& aEndpoint, unsigned aStatus)
+{
+  return { ErrorKind::DataLoss,
+           "the response from " + aEndpoint.mAddress + ":" +
+             std::to_string(aEndpoint.mPort) + " has the status " +
+             std::to_string(aStatus) + ", which answers no request",
+           "the request may have run; repeat it only if it is idempotent",
+           Execution::Unknown };
+}
+
 /// A message that refers to the body of its request.
 using OutgoingRequest =
   beast::http::request<beast::http::span_body<const char>>;
@@ -127,6 +136,22 @@
   return response;
 }
 
+/// Whether the header of a response announces a body.
+template<class Fields>
+bool HasBodyFields(const Fields& aMessage)
+{
+  return aMessage.find(beast::http::field::content_length) != aMessage.end() ||
+         aMessage.find(beast::http::field::transfer_encoding) != aMessage.end();
+}
+
+/// Whether a response has no body whatever its header announces.
+constexpr bool NeverHasBody(unsigned aStatus)
+{
+  constexpr unsigned kNoContent = 204;
+  constexpr unsigned kNotModified = 304;
+  return aStatus == kNoContent || aStatus == kNotModified;
+}
+
 /// How long an idle connection may be reused: the server's keep-alive timeout
 /// minus a margin, so that no request is under way when the server closes it.
 std::chrono::milliseconds KeepAliveTimeout(const Response& aResponse)
@@ -192,9 +217,14 @@
         mError = error;
         co_return UnlessAborted(TransferError(mEndpoint, error));
       }
-      if (mParser->get().result_int() < kFirstFinalStatus) {
+      const unsigned status = mParser->get().result_int();
+      if (IsInterimStatus(status) && !HasBodyFields(mParser->get())) {
         continue;
       }
+      if (!IsFinalStatus(status)) {
+        // What follows may be a body, so it is not read as a response.
+        co_return InvalidStatus(mEndpoint, status);
+      }
       if (mParser->get().need_eof() && !mOptions.mAllowCloseDelimited) {
         // Without a length or chunked encoding, a truncated body cannot be
         // told from a complete one.
@@ -245,7 +275,14 @@
     co_return true;
   }
 
-  bool KeepAlive() const { return mParser->keep_alive(); }
+  /// Whether the connection can be used again. A body that the status rules out
+  /// may still follow.
+  bool KeepAlive() const
+  {
+    const auto& message = mParser->get();
+    return mParser->keep_alive() &&
+           !(NeverHasBody(message.result_int()) && HasBodyFields(message));
+  }
   /// The error that ended the response early.
   const ErrorCode& LastError() const { return mError; }
   bool GotSome() const { return mParser && mParser->got_some(); }
--- a/src/agatetide/http/faulty_server_test.cpp
+++ b/src/agatetide/http/faulty_server_test.cpp
@@ -320,3 +320,146 @@
   context.run();
   cr_expect(!outcome.mSucceeded);
 }
+
+namespace {
+
+/// A whole answer, which is the body of another one.
+constexpr std::string_view kInnerAnswer = "HTTP/1.1 200 OK\r\n"
+                                          "Content-Length: 5\r\n\r\n"
+                                          "inner";
+
+/// Sends the same bytes to each request, and waits for the client to close.
+http::ScriptedServer::Script Repeat(std::string aBytes)
+{
+  return [bytes = std::move(aBytes)](
+           http::ScriptedConnection& aConnection) -> Awaitable<void> {
+    while (!(co_await aConnection.ReadHeader()).empty()) {
+      co_await aConnection.Write(bytes);
+    }
+  };
+}
+
+CallOutcome CallOnce(http::ScriptedServer::Script aScript)
+{
+  asio::io_context context;
+  http::ScriptedServer server(context.get_executor(), std::move(aScript));
+  const auto client = http::Client::Create(context.get_executor());
+  CallOutcome outcome;
+  asio::co_spawn(context,
+                 CallServer(*client, server.Port(), outcome),
+                 [&](const std::exception_ptr&) { context.stop(); });
+  context.run();
+  return outcome;
+}
+
+std::string WithBody(std::string_view aStatusLine, std::string_view aBody)
+{
+  return std::string(aStatusLine) +
+         "\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+         std::string(aBody);
+}
+
+} // namespace
+
+// Guards against bytes of a body that become an answer, since a response whose
+// status is none, or none that is followed by another one, is taken for
+// interim; and against a wait for one that never comes.
+Test(http_client, takes_no_status_below_200_for_an_answer)
+{
+  for (const char* line : { "HTTP/1.1 000 Trouble",
+                            "HTTP/1.1 001 Trouble",
+                            "HTTP/1.1 099 Trouble",
+                            "HTTP/1.1 100 Continue",
+                            "HTTP/1.1 101 Switching Protocols",
+                            "HTTP/1.1 103 Early Hints",
+                            "HTTP/1.1 199 Trouble",
+                            "HTTP/1.0 000 Trouble",
+                            "HTTP/1.1 20 Short",
+                            "HTTP/1.1 2000 Long",
+                            "HTTP/1.1 -20 Sign",
+                            "HTTP/1.1 2x0 Letter",
+                            "HTTP/1.1  Missing",
+                            "HTTP/2 200 OK" }) {
+    for (const std::string_view body :
+         { kInnerAnswer, std::string_view("text"), std::string_view() }) {
+      const CallOutcome outcome = CallOnce(Repeat(WithBody(line, body)));
+      cr_expect(!outcome.mSucceeded, "%s", line);
+      cr_expect(outcome.mError.mExecution == Execution::Unknown, "%s", line);
+      cr_expect_lt(outcome.mDuration.count(),
+                   std::chrono::nanoseconds(kCallTimeout / 2).count(),
+                   "%s",
+                   line);
+    }
+  }
+  for (const char* line : { "HTTP/1.1 000 Trouble", "HTTP/1.1 101 Switched" }) {
+    const auto outcome = CallOnce(Repeat(std::string(line) + "\r\n\r\n"));
+    cr_expect(!outcome.mSucceeded, "%s", line);
+    cr_expect_lt(outcome.mDuration.count(),
+                 std::chrono::nanoseconds(kCallTimeout / 2).count());
+  }
+}
+
+// Guards against refusing the interim responses of a sound server.
+Test(http_client, reads_the_answer_behind_interim_ones)
+{
+  const std::string answer = WithBody("HTTP/1.1 200 OK", "text");
+  for (const char* interim : { "HTTP/1.1 100 Continue\r\n\r\n",
+                               "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n",
+                               "HTTP/1.1 199 Other\r\n\r\n" }) {
+    cr_expect(CallOnce(Repeat(interim + answer)).mSucceeded, "%s", interim);
+    cr_expect(
+      CallOnce(Repeat(std::string(interim) + interim + answer)).mSucceeded,
+      "%s twice",
+      interim);
+  }
+}
+
+namespace {
+
+/// Sends the head of a response, and its body when the next request has come.
+Awaitable<void> SendBodyLate(http::ScriptedConnection& aConnection,
+                             std::string aHead)
+{
+  co_await aConnection.ReadHeader();
+  co_await aConnection.Write(aHead);
+  const std::string next = co_await aConnection.ReadHeader();
+  if (!next.empty()) {
+    co_await aConnection.Write(std::string(kInnerAnswer));
+  }
+}
+
+Awaitable<void> CallTwice(http::Client& aClient,
+                          uint16_t aPort,
+                          CallOutcome& aFirst,
+                          CallOutcome& aSecond)
+{
+  co_await CallServer(aClient, aPort, aFirst);
+  co_await CallServer(aClient, aPort, aSecond);
+}
+
+} // namespace
+
+// Guards against a body behind a response that has none, which the next request
+// on the connection gets for its answer.
+Test(http_client, a_body_that_the_status_rules_out_joins_nothing)
+{
+  for (const char* line :
+       { "HTTP/1.1 204 No Content", "HTTP/1.1 304 Not Modified" }) {
+    asio::io_context context;
+    std::string head = WithBody(line, kInnerAnswer);
+    head.resize(head.size() - kInnerAnswer.size());
+    http::ScriptedServer server(context.get_executor(),
+                                [&](http::ScriptedConnection& aConnection) {
+                                  return SendBodyLate(aConnection, head);
+                                });
+    const auto client = http::Client::Create(context.get_executor());
+    CallOutcome first;
+    CallOutcome second;
+    asio::co_spawn(context,
+                   CallTwice(*client, server.Port(), first, second),
+                   [&](const std::exception_ptr&) { context.stop(); });
+    context.run();
+    cr_expect(first.mSucceeded, "%s", line);
+    cr_expect_eq(server.ConnectionCount(), 2, "%s", line);
+  }
+}
--- a/src/agatetide/http/server.cpp
+++ b/src/agatetide/http/server.cpp
@@ -123,7 +123,14 @@
                 bool aKeepAlive)
 {
   aMessage.version(11);
-  aMessage.result(aResponse.mStatus);
+  if (IsFinalStatus(aResponse.mStatus)) {
+    aMessage.result(aResponse.mStatus);
+  } else {
+    LogEvent("response_status_invalid", LogLevel::Error)
+      .Field("status", aResponse.mStatus)
+      .Write();
+    aMessage.result(beast::http::status::internal_server_error);
+  }
   for (const Header& header : aResponse.mHeaders) {
     if (auto reason = FindInvalidPart(header)) {
       LogEvent("response_header_dropped", LogLevel::Error)
--- a/tests/broken_responses.py
+++ b/tests/broken_responses.py
@@ -4,6 +4,7 @@
 """
 
 import sys
+import time
 
 from harness.site import check, run_tests, until
 from software_versions import check_unmixed, resumed_requests, stream
@@ -11,6 +12,8 @@
 EVENTS = 6
 # A response of a plain stand-in replica ends its head after at least as many bytes.
 MIN_HEAD_BYTES = 130
+# An answer to a request that no replica can answer does not wait for its deadline, which is 3 s.
+AT_ONCE_S = 1.5
 
 
 def response_whose_head_breaks_off_is_not_an_answer(site):
@@ -78,7 +81,65 @@
         check(all(site.lookup(daemon, "again-%d-%d" % (refusal, i))[0] == 200 for i in range(4)), "served by another replica")
 
 
+def odd_answer(line, inner=True):
+    """Makes the bytes of an answer with this status line, whose body is itself a whole 200, or a text."""
+    def answer(headers):
+        name = headers.get("Attempt-Id") or "none"
+        fields = "Attempt-Id: %s\r\nResponse-Signature: signed-%s\r\n" % (name, name)
+        body = "HTTP/1.1 200 OK\r\n%sContent-Length: 5\r\n\r\ninner" % fields if inner else "trouble"
+        return ("%s\r\n%sContent-Length: %d\r\n\r\n%s" % (line, fields, len(body), body)).encode()
+    return answer
+
+
+NO_STATUS = ["HTTP/1.1 000 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 101 Switching", "HTTP/1.1 103 Hints", "HTTP/1.1 199 Trouble",
+             "HTTP/1.0 000 Trouble", "HTTP/1.1 20 Short", "HTTP/1.1 2000 Long", "HTTP/1.1 -20 Sign", "HTTP/2 200 OK"]
+
+
+def status_that_is_none_is_not_an_answer(site):
+    """Guards against bytes of a body that a caller gets as the answer, and against a wait for an answer that was given."""
+    daemon = site.daemons[0]
+    for number, line in enumerate(NO_STATUS):
+        for inner in (True, False):
+            for replica in site.plain:
+                replica.raw_answer = odd_answer(line, inner)
+            for path in ("/open/1", "/once/1"):
+                started = time.monotonic()
+                status, body, headers = site.lookup(daemon, "odd-%d-%d-%s" % (number, inner, path[1:5]), path)
+                check(status == 502 and b"inner" not in body, "%s, %s: %d %r" % (line, path, status, body))
+                check("Response-Signature" not in headers, "%s: a failure of this service has a signature" % line)
+                check(time.monotonic() - started < AT_ONCE_S, "%s, %s: answered late" % (line, path))
+    site.plain[1].raw_answer = None
+    for i in range(12):
+        status, body, _ = site.lookup(daemon, "next-%d" % i)
+        check(status == 200 and body == b"answer to question", "another replica serves it: %d %r" % (status, body))
+
+
+def status_that_is_none_ends_no_item(site):
+    """Guards against samples and scores that are made of bytes of a body, and against orders that count as carried out."""
+    broken = site.engines[0]
+    broken.raw_answer, site.plain[0].raw_answer = odd_answer("HTTP/1.1 000 Trouble"), odd_answer("HTTP/1.1 099 Trouble")
+    check(site.submit(site.daemons[0], "step-1", items=6) == 202, "accepted")
+    results = site.read_all(site.daemons[0], 6, "step-1", timeout=30)
+    check({r["state"] for r in results} == {"completed"}, "%s" % results)
+    check_unmixed(results, EVENTS)
+    check(broken.requests, "the broken replica was asked")
+    check(not any("inner" in r["text"] for r in results), "text of a body in a sample")
+
+
+def status_above_599_is_returned_as_it_is(site):
+    """Guards against another status than the replica gave, beside its signature; requests that may go elsewhere do first."""
+    for replica in site.plain:
+        replica.statuses = [600] * 40
+    status, body, headers = site.lookup(site.daemons[0], "once", "/once/1")
+    check(status == 600 and headers["Response-Signature"] == "signed-once", "%d %r" % (status, body))
+    site.plain[1].statuses = []
+    check(all(site.lookup(site.daemons[0], "next-%d" % i)[0] == 200 for i in range(8)), "another replica serves it")
+
+
 TESTS = [
+    (status_that_is_none_is_not_an_answer, {}),
+    (status_that_is_none_ends_no_item, {"events": EVENTS}),
+    (status_above_599_is_returned_as_it_is, {}),
     (refusal_that_promises_nothing_is_not_passed_on_as_a_promise, {}),
     (response_whose_head_breaks_off_is_not_an_answer, {}),
     (request_is_served_by_the_next_replica_after_a_broken_head, {}),
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -345,6 +345,7 @@
         self.endless_stream = False
         self.event_bytes = 0  # events are filled up to this size, or to that of a function of the request's id
         self.statuses = []  # of the next answers; 200 after them
+        self.raw_answer = None  # the bytes of its answers, by a function of their headers
         self.flood = None  # what its connections bring without end in place of answers; see harness/flood.py
         self.cut_response_at = None  # bytes of its responses after which the connection ends
         self.load = None  # text of the load that its answers report
@@ -434,6 +435,11 @@
             handler.reply(202)
             self.register()
             return
+        if self.raw_answer is not None:
+            self.requests.append((headers.get("Attempt-Id"), path, dict(headers.items()), body))
+            handler.wfile.write(self.raw_answer(headers))
+            handler.close_connection = False
+            return
         if self.cut_response_at is not None:
             handler.wfile = CutWriter(handler.wfile, self.cut_response_at)
         self.record_arrival(handler.client_address[0])
