Split the large files of the steps module by what they do

Change: moves of items, the logs of steps, and the take-over of steps are files of their own; keys of the store are in one private header. No logic changed.

--- a/include/agatetide/base/shared_bytes.hpp
+++ b/include/agatetide/base/shared_bytes.hpp
@@ -38,9 +38,9 @@
 
   size_t size() const { return View().size(); }
   bool empty() const { return View().empty(); }
-  const char* data() const { return View().data(); }
-  const char* begin() const { return data(); }
-  const char* end() const { return data() + size(); }
+  const char* Data() const { return View().data(); }
+  const char* begin() const { return Data(); }
+  const char* end() const { return Data() + size(); }
 
   /// @brief Hands over what the bytes take from a budget, for all holders.
   /// Without bytes, the memory is returned to its budget.
--- a/src/agatetide/base/shared_bytes_test.cpp
+++ b/src/agatetide/base/shared_bytes_test.cpp
@@ -16,7 +16,7 @@
   const SharedBytes::Observer observer = first.Observe();
   {
     const SharedBytes second = first;
-    cr_expect_eq(second.data(), first.data(), "the bytes are not copied");
+    cr_expect_eq(second.Data(), first.Data(), "the bytes are not copied");
     first.Reset();
     cr_expect_eq(budget->Used(), 60);
     cr_expect(observer.Lock() == "text");
@@ -31,7 +31,7 @@
 {
   SharedBytes first(std::string(100, 'a'));
   SharedBytes second = first;
-  const char* const bytes = first.data();
+  const char* const bytes = first.Data();
   cr_expect_eq(first.Release().size(), 100);
   cr_expect_eq(second.size(), 100);
   const std::string last = second.Release();
--- a/src/agatetide/coordination/shared_bytes_archive.hpp
+++ b/src/agatetide/coordination/shared_bytes_archive.hpp
@@ -14,7 +14,7 @@
 {
   aArchive(
     cereal::make_size_tag(static_cast<cereal::size_type>(aBytes.size())));
-  aArchive(cereal::binary_data(aBytes.data(), aBytes.size()));
+  aArchive(cereal::binary_data(aBytes.Data(), aBytes.size()));
 }
 
 inline void CEREAL_LOAD_FUNCTION_NAME(coordination::InputArchive& aArchive,
--- a/src/agatetide/http/client.cpp
+++ b/src/agatetide/http/client.cpp
@@ -118,7 +118,7 @@
       message.insert(header.mName, header.mValue);
     }
   }
-  message.body() = { aRequest.mBody.data(), aRequest.mBody.size() };
+  message.body() = { aRequest.mBody.Data(), aRequest.mBody.size() };
   message.keep_alive(true);
   message.prepare_payload();
   return message;
--- a/src/agatetide/http/server.cpp
+++ b/src/agatetide/http/server.cpp
@@ -151,7 +151,7 @@
   const SharedBytes body = std::move(aResponse.mBody);
   beast::http::response<beast::http::span_body<const char>> message;
   FillHeader(message, aResponse, aKeepAlive);
-  message.body() = { body.data(), body.size() };
+  message.body() = { body.Data(), body.size() };
   message.prepare_payload();
   ErrorCode error;
   aStream.expires_after(aTimeout);
--- a/src/agatetide/steps/shared_loads_test.cpp
+++ b/src/agatetide/steps/shared_loads_test.cpp
@@ -78,7 +78,7 @@
   cr_assert_eq(fixture.mRead.size(), 4, "they are held, so none is loaded");
   cr_expect_eq(fixture.mLoadCount, 1);
   for (const auto& read : fixture.mRead) {
-    cr_expect_eq(read->data(), fixture.mRead[0]->data());
+    cr_expect_eq(read->Data(), fixture.mRead[0]->Data());
   }
 }
 
--- a/src/agatetide/steps/step_store.cpp
+++ b/src/agatetide/steps/step_store.cpp
@@ -4,12 +4,11 @@
 #include "agatetide/coordination/key_reader.hpp"
 #include "agatetide/steps/item_decoder.hpp"
 #include "agatetide/steps/item_encoder.hpp"
+#include "agatetide/steps/step_keys.hpp"
 
 #include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
-#include <cstdio>
-#include <iterator>
 
 namespace agatetide::steps {
 
@@ -18,14 +17,6 @@
 
 namespace {
 
-constexpr std::string_view kRecordPrefix = "agatetide/step/";
-constexpr std::string_view kItemsPrefix = "agatetide/step-items/";
-constexpr std::string_view kLogPrefix = "agatetide/step-log/";
-constexpr std::string_view kIndexPrefix = "agatetide/step-index/";
-constexpr std::string_view kItemIndexPrefix = "agatetide/step-item-index/";
-/// Names the steps of which some items, but not the record, are stored.
-constexpr std::string_view kPendingPrefix = "agatetide/step-pending/";
-constexpr std::string_view kPartialsPrefix = "agatetide/step-partials/";
 /// Maximum size of a value of items. Two of them, which hold an item that
 /// begins in one of them, are read in a part of the time that readers wait.
 constexpr uint32_t kMaxChunkBytes = 384U << 10U;
@@ -38,30 +29,6 @@
 /// Keys deleted in one transaction of the store.
 constexpr size_t kMaxDeletesPerTransaction = 30;
 
-std::string RecordKey(std::string_view aId)
-{
-  return std::string(kRecordPrefix) + std::string(aId);
-}
-
-std::string IndexKey(std::string_view aId)
-{
-  return std::string(kIndexPrefix) + std::string(aId);
-}
-
-std::string ItemIndexKey(std::string_view aId)
-{
-  return std::string(kItemIndexPrefix) + std::string(aId);
-}
-
-std::string NumberedKey(std::string_view aPrefix,
-                        std::string_view aId,
-                        uint32_t aNumber)
-{
-  char digits[16];
-  std::snprintf(digits, sizeof digits, "/%06u", aNumber);
-  return std::string(aPrefix) + std::string(aId) + digits;
-}
-
 /// Decodes a record; logs an error and returns std::nullopt if that fails.
 std::optional<StepRecord> ToRecord(const StoreEntry& aEntry)
 {
@@ -77,43 +44,6 @@
   return *record;
 }
 
-/// Reads and decodes an index; std::nullopt if there is none. One that cannot
-/// be decoded is logged and ignored, since what it tells can be read elsewhere.
-template<class Index>
-Awaitable<Result<std::optional<Index>>> ReadIndex(
-  const StoreCall& aStore,
-  std::string aKey,
-  Result<Index> (*aDecode)(std::string_view))
-{
-  const auto entry = co_await ReadKey(aStore, aKey);
-  if (entry.has_error()) {
-    co_return entry.error();
-  }
-  if (!entry->has_value()) {
-    co_return std::optional<Index>();
-  }
-  auto index = aDecode((*entry)->mValue);
-  if (index.has_error()) {
-    LogEvent("index_ignored", LogLevel::Error)
-      .Field("key", aKey)
-      .Field("error", FormatError(index.error()))
-      .Write();
-    co_return std::optional<Index>();
-  }
-  co_return std::optional(std::move(*index));
-}
-
-const StoreEntry* FindEntry(const std::vector<StoreEntry>& aEntries,
-                            std::string_view aKey)
-{
-  for (const StoreEntry& entry : aEntries) {
-    if (entry.mKey == aKey && entry.mModRevision != 0) {
-      return &entry;
-    }
-  }
-  return nullptr;
-}
-
 /// The result of a creation whose conditions did not hold.
 CreateResult ToCreateResult(const StoreReply& aReply, std::string_view aId)
 {
@@ -489,148 +419,6 @@
   co_return true;
 }
 
-Awaitable<AppendOutcome> StepStore::Append(StepRecord aRecord,
-                                           LogIndex aIndex,
-                                           std::string aResults)
-{
-  const std::string recordKey = RecordKey(aRecord.mId);
-  const std::string key =
-    NumberedKey(kLogPrefix, aRecord.mId, aIndex.EntryCount() - 1);
-  TransactionRequest append;
-  append.mCompares.push_back({ recordKey, aRecord.mRevision });
-  append.mCompares.push_back({ key, 0 });
-  append.mPuts.push_back({ key, aResults });
-  append.mPuts.push_back(
-    { IndexKey(aRecord.mId), EncodeIndexedLog(aRecord, aIndex) });
-  append.mReadOnFailure = { recordKey, key };
-  StoreRequest request = std::move(append);
-  const auto appended = co_await mStore(std::move(request));
-  if (appended.has_error()) {
-    co_return appended.error().mExecution == Execution::NotRun
-      ? AppendOutcome::NotAppended
-      : AppendOutcome::Unknown;
-  }
-  if (appended->mSucceeded) {
-    co_return AppendOutcome::Appended;
-  }
-  const StoreEntry* existing = FindEntry(appended->mEntries, key);
-  if (existing != nullptr && existing->mValue == aResults) {
-    // An earlier attempt took effect, but its response was lost.
-    co_return AppendOutcome::Appended;
-  }
-  co_return AppendOutcome::Superseded;
-}
-
-Awaitable<Result<LogPart>> StepStore::ReadLog(std::string aId, uint32_t aFrom)
-{
-  const std::string prefix = std::string(kLogPrefix) + aId + "/";
-  StoreRequest request =
-    RangeRequest{ NumberedKey(kLogPrefix, aId, aFrom), PrefixEnd(prefix), 1 };
-  const auto reply = co_await mStore(std::move(request));
-  if (reply.has_error()) {
-    co_return reply.error();
-  }
-  LogPart part;
-  part.mRevision = reply->mRevision;
-  for (const StoreEntry& entry : reply->mEntries) {
-    if (entry.mKey != NumberedKey(kLogPrefix, aId, aFrom + part.EntryCount())) {
-      break;
-    }
-    auto results = DecodeResults(entry.mValue);
-    if (results.has_error()) {
-      co_return results.error();
-    }
-    part.mResultCounts.push_back(static_cast<uint32_t>(results->size()));
-    for (ItemResult& result : *results) {
-      part.mResults.push_back(std::move(result));
-    }
-  }
-  co_return part;
-}
-
-/// Reads the entries of a log that follow those of an index, and passes them to
-/// aVisit, until there are no more or all items have a result.
-Awaitable<Result<bool>> StepStore::VisitLog(StepRecord aRecord,
-                                            LogIndex aKnown,
-                                            LogVisitor aVisit)
-{
-  while (aKnown.ResultCount() < aRecord.mItemCount) {
-    auto part = co_await ReadLog(aRecord.mId, aKnown.EntryCount());
-    if (part.has_error()) {
-      co_return part.error();
-    }
-    if (part->mResultCounts.empty()) {
-      break;
-    }
-    aKnown.Add(part->mResultCounts);
-    aVisit(std::move(*part));
-  }
-  co_return true;
-}
-
-Awaitable<Result<LogPart>> StepStore::ReadWholeLog(StepRecord aRecord)
-{
-  LogPart log;
-  LogVisitor append = [&log](LogPart aPart) {
-    log.mRevision = log.mRevision == 0 ? aPart.mRevision : log.mRevision;
-    log.mResultCounts.insert(log.mResultCounts.end(),
-                             aPart.mResultCounts.begin(),
-                             aPart.mResultCounts.end());
-    std::move(aPart.mResults.begin(),
-              aPart.mResults.end(),
-              std::back_inserter(log.mResults));
-  };
-  LogIndex none;
-  const auto visited =
-    co_await VisitLog(std::move(aRecord), std::move(none), std::move(append));
-  if (visited.has_error()) {
-    co_return visited.error();
-  }
-  co_return log;
-}
-
-Awaitable<Result<std::optional<IndexedLog>>> StepStore::LoadIndexedLog(
-  std::string aId)
-{
-  std::string key = IndexKey(aId);
-  co_return co_await ReadIndex(mStore, std::move(key), &DecodeIndexedLog);
-}
-
-Awaitable<Result<LogIndex>> StepStore::LoadWholeIndex(StepRecord aRecord)
-{
-  auto stored = co_await LoadIndexedLog(aRecord.mId);
-  if (stored.has_error()) {
-    co_return stored.error();
-  }
-  LogIndex index;
-  if (stored->has_value()) {
-    index = std::move((*stored)->mIndex);
-  }
-  LogVisitor add = [&index](const LogPart& aPart) {
-    index.Add(aPart.mResultCounts);
-  };
-  const auto visited =
-    co_await VisitLog(std::move(aRecord), index, std::move(add));
-  if (visited.has_error()) {
-    co_return visited.error();
-  }
-  co_return index;
-}
-
-Awaitable<Result<bool>> StepStore::AwaitLog(std::string aId,
-                                            int64_t aAfterRevision,
-                                            std::chrono::milliseconds aMaxWait)
-{
-  WatchRequest request{ std::string(kLogPrefix) + aId + "/",
-                        aAfterRevision,
-                        aMaxWait };
-  const auto reply = co_await mWatch(std::move(request));
-  if (reply.has_error()) {
-    co_return reply.error();
-  }
-  co_return reply->mCompacted || !reply->mChanges.empty();
-}
-
 Awaitable<Result<std::optional<StepRecord>>> StepStore::Replace(
   StepRecord aRecord)
 {
