--- a/src/agatetide/entry/step_offers.cpp
+++ b/src/agatetide/entry/step_offers.cpp
@@ -69,6 +69,7 @@
   std::sort(ranks.begin(), ranks.end());
   ranks.resize(std::min(ranks.size(), mOptions.mMaxHosts));
   std::vector<std::string> hosts;
+  hosts.reserve(ranks.size());
   for (auto& [otherRegion, hash, name] : ranks) {
     hosts.push_back(std::move(name));
   }
