--- a/src/agatetide/steps/step_service_test.cpp
+++ b/src/agatetide/steps/step_service_test.cpp
@@ -134,13 +134,13 @@
   fixture.Store("step", kLargeBytes);
   fixture.LeaveMemory(kLargeBytes / 2);
   cr_expect(!*fixture.Recover());
-  cr_expect_str_eq(fixture.OwnerOf("step").c_str(), kGone);
+  cr_expect(fixture.OwnerOf("step") == kGone);
   cr_assert_eq(fixture.mService.Declined().size(), 1);
   cr_expect_geq(fixture.mService.Declined()[0].mBytes, kLargeBytes);
   cr_expect(fixture.mService.NeedsRecovery());
   fixture.LeaveMemory(3 * kLargeBytes);
   cr_expect(*fixture.Recover());
-  cr_expect_str_eq(fixture.OwnerOf("step").c_str(), "owner");
+  cr_expect(fixture.OwnerOf("step") == "owner");
   cr_expect(fixture.IsSent("step-item"));
   cr_expect(fixture.mService.Declined().empty());
 }
@@ -153,12 +153,12 @@
   fixture.Store("step", kLargeBytes, "owner");
   fixture.LeaveMemory(kLargeBytes / 2);
   cr_expect(!*fixture.Recover());
-  cr_expect_str_eq(fixture.OwnerOf("step").c_str(), "");
+  cr_expect(fixture.OwnerOf("step") == "");
   cr_assert_eq(fixture.mService.Declined().size(), 1);
   cr_expect(fixture.mService.IsWanted("step"));
   fixture.LeaveMemory(3 * kLargeBytes);
   cr_expect(*fixture.Recover());
-  cr_expect_str_eq(fixture.OwnerOf("step").c_str(), "owner");
+  cr_expect(fixture.OwnerOf("step") == "owner");
   cr_expect(fixture.IsSent("step-item"));
 }
 
@@ -175,7 +175,7 @@
     { "owner", "other" }, [](const StepRecord&) { return true; }, false));
   cr_expect(*recovered);
   cr_expect(!fixture.mService.NeedsRecovery());
-  cr_expect_str_eq(fixture.OwnerOf("step").c_str(), "other");
+  cr_expect(fixture.OwnerOf("step") == "other");
 }
 
 // Guards against small steps that wait at no replica while a large one that was
@@ -204,7 +204,7 @@
   fixture.Store("step", kLargeBytes);
   fixture.HoldItemsOf("step");
   fixture.Recover();
-  cr_expect_str_eq(fixture.OwnerOf("step").c_str(), "owner");
+  cr_expect(fixture.OwnerOf("step") == "owner");
   fixture.Change("step", [](StepRecord& aRecord) { aRecord.mEnded = true; });
   fixture.Release();
   cr_expect(!fixture.IsSent("step-item"));
