Build the crash log with the address sanitizer

Cause: its functions were unused there, which is an error; the group sanitizers failed. Change: a constant in place of a conditional body.

--- a/src/agatetide/base/crash_log.cpp
+++ b/src/agatetide/base/crash_log.cpp
@@ -14,6 +14,12 @@
 
 namespace {
 
+/// The address sanitizer reports faults itself, with more details.
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool kSanitizerReports = true;
+#else
+constexpr bool kSanitizerReports = false;
+#endif
 constexpr std::array kFaultSignals{ SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT };
 constexpr int kMaxFrames = 24;
 /// The handler and the unwinder need about 10 KiB.
@@ -93,9 +99,9 @@
 
 void InstallCrashLog()
 {
-#ifdef __SANITIZE_ADDRESS__
-  return; // The sanitizer reports faults itself, with more details.
-#else
+  if (kSanitizerReports) {
+    return;
+  }
   ::dl_iterate_phdr(ReadLoadAddress, nullptr);
   // The first call loads the unwinder, which allocates.
   std::array<void*, 1> frame{};
@@ -111,7 +117,6 @@
   for (const int signal : kFaultSignals) {
     ::sigaction(signal, &action, nullptr);
   }
-#endif
 }
 
 } // namespace agatetide
