Read two stored values of a step at a time

Cause: several loads of four reads each could use up the memory for answers of the store, which the watches of the fleet share.

--- a/src/agatetide/steps/step_store.cpp
+++ b/src/agatetide/steps/step_store.cpp
@@ -25,7 +25,7 @@
 constexpr uint32_t kChunksPerTransaction = 4;
 /// Values that are read at a time. Their texts are within what the answers of
 /// the store may take of the memory of a small host.
-constexpr size_t kMaxReadsAhead = 4;
+constexpr size_t kMaxReadsAhead = 2;
 /// Keys deleted in one transaction of the store.
 constexpr size_t kMaxDeletesPerTransaction = 30;
 
