--- a/src/agatetide/steps/step_service_test.cpp
+++ b/src/agatetide/steps/step_service_test.cpp
@@ -153,7 +153,7 @@
   fixture.Store("step", kLargeBytes, "owner");
   fixture.LeaveMemory(kLargeBytes / 2);
   cr_expect(!*fixture.Recover());
-  cr_expect(fixture.OwnerOf("step") == "");
+  cr_expect(fixture.OwnerOf("step").empty());
   cr_assert_eq(fixture.mService.Declined().size(), 1);
   cr_expect(fixture.mService.IsWanted("step"));
   fixture.LeaveMemory(3 * kLargeBytes);
