Count the slots of streams that have just ended as taken in the next pass

Cause: since passes run after the call that ends a stream, the slot was free in them at once. The replica had often not noticed the end of a canceled stream, and refused the next item. No test of the project shows it yet.

--- a/include/agatetide/steps/step_runner.hpp
+++ b/include/agatetide/steps/step_runner.hpp
@@ -398,6 +398,9 @@
   size_t mRunningCheckpoints = 0;
   /// A pass that starts waiting items was requested and has not begun.
   bool mStartPassPending = false;
+  /// Slots of streams that have ended since the last pass. They count as taken
+  /// in the next one, since their replicas may not have noticed the end.
+  std::vector<request::ReplicaPool::Reservation> mEndedStreams;
 };
 
 } // namespace agatetide::steps
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -392,6 +392,7 @@
   } else {
     HandleResponse(aStep, aIndex, replica, aRoute, *response);
   }
+  mEndedStreams.push_back(std::move(aReservation));
   StartWaitingItems();
 }
 
--- a/src/agatetide/steps/step_planning.cpp
+++ b/src/agatetide/steps/step_planning.cpp
@@ -152,6 +152,7 @@
     }
   }
   StartScheduledItems(scheduled);
+  mEndedStreams.clear();
 }
 
 /// Plans a step again if the state of an item has changed or the plan is old.
