Reproduce ends of plain processes in tests that fail

What callers saw: processes that end by themselves, or a system that does not start, only as real processes.

--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -132,6 +132,7 @@
     "users_platform": script("users_platform"),
     "software_versions": script("software_versions"),
     "planned_stop": script("planned_stop"),
+    "process_life": script("process_life"),
     "broken_responses": script("broken_responses"),
     "cut_off_hosts": script("cut_off_hosts"),
     "leaving_replicas": script("leaving_replicas"),
