Keep the reader of the log from ending or holding up the process

What callers saw: a host that ends by itself when the reader of its log goes away (SIGPIPE), and a host that cannot end after SIGTERM or a fault while nobody reads its log: it keeps its ports, so that the next process does not start (code 4).

Cause: lines were written to standard error by blocking writes, with the default action of SIGPIPE, and the end waited for the log thread.

Change: LogOutput writes to pipes, terminals and sockets without waiting longer than its patience, on a descriptor of its own, so that the mode of a shared pipe does not change. What cannot be written is dropped and counted, and the next line is preceded by the count. Faults are written the same way; the handler of faults ends by SIGALRM if it hangs, gives the log thread 0.1 s for the lines before, and an exception that nobody catches leaves its text. A log file that cannot be opened no longer ends the daemon. A line after the end of the log is ignored.

--- a/include/agatetide/base/event_log.hpp
+++ b/include/agatetide/base/event_log.hpp
@@ -45,7 +45,7 @@
 private:
   LogLevel mLevel;
   /// False when the logger does not log this level; Field() then does nothing.
-  bool mLogged;
+  bool mLogged = false;
   std::string mText;
 };
 
@@ -73,11 +73,23 @@
   uint64_t mSuppressed = 0;
 };
 
-/// @brief Starts the log thread. An empty path logs to standard error.
+/// @brief Starts the log thread. An empty path logs to standard error, and so
+/// does one that cannot be opened. Without room for a thread, the threads that
+/// log write their lines themselves.
 /// Precondition: called once, before the first LogEvent is written.
 void StartEventLog(LogLevel aLevel, const std::string& aPath);
 
-/// @brief Writes the queued lines and stops the log thread.
+/// @brief Passes buffered lines of a log file on to the system. Thread-safe.
+void FlushEventLog();
+
+/// @brief Lines that were dropped since the start, because they came faster
+/// than they could be written or because they could not be written.
+/// Thread-safe.
+uint64_t DroppedLogLines();
+
+/// @brief Writes the queued lines and stops the log thread. Lines for which the
+/// reader of the log makes no room in a fraction of a second are dropped; later
+/// ones are ignored. Precondition: no other thread logs.
 void StopEventLog();
 
 /// @brief Parses "debug", "info", "warning" or "error". Returns Info for
--- a/src/agatetide/base/crash_log.cpp
+++ b/src/agatetide/base/crash_log.cpp
@@ -1,5 +1,7 @@
 #include "agatetide/base/crash_log.hpp"
 
+#include "agatetide/base/log_output.hpp"
+
 #include <execinfo.h>
 #include <link.h>
 #include <unistd.h>
@@ -8,6 +10,9 @@
 #include <charconv>
 #include <csignal>
 #include <cstdint>
+#include <cstdlib>
+#include <ctime>
+#include <exception>
 #include <string_view>
 
 namespace agatetide {
@@ -27,9 +32,16 @@
 constexpr size_t kMaxLineBytes = 1024;
 constexpr int kHexadecimal = 16;
 constexpr size_t kMaxDigits = 20;
+/// Time for the log thread to write the lines before the fault.
+constexpr timespec kLogTime{ 0, 100'000'000 };
+/// If the handler hangs, for example in the unwinder, SIGALRM ends the process.
+constexpr unsigned kHandlerTimeoutS = 2;
 
 /// Address at which the program was loaded; set before the handler.
 uintptr_t gLoadAddress = 0;
+/// Where lines of faults go; set before the handler.
+const LogOutput* gOutput = nullptr;
+FaultObserver gObserver = nullptr;
 alignas(16) std::array<char, kHandlerStackBytes> gHandlerStack;
 
 /// A line of limited length, which is built without allocating.
@@ -57,9 +69,7 @@
   void Write()
   {
     mBytes[mLength++] = '\n';
-    // There is nobody to tell of an error.
-    [[maybe_unused]] const auto written =
-      ::write(STDERR_FILENO, mBytes.data(), mLength);
+    gOutput->WriteInSignalHandler({ mBytes.data(), mLength });
   }
 
 private:
@@ -67,8 +77,23 @@
   size_t mLength = 0;
 };
 
+void LimitHandlerTime()
+{
+  std::signal(SIGALRM, SIG_DFL);
+  sigset_t signals;
+  ::sigemptyset(&signals);
+  ::sigaddset(&signals, SIGALRM);
+  ::pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+  ::alarm(kHandlerTimeoutS);
+}
+
 void LogAndEnd(int aSignal, siginfo_t* aInfo, void* /*aContext*/)
 {
+  LimitHandlerTime();
+  if (gObserver != nullptr) {
+    gObserver(aSignal);
+  }
+  ::nanosleep(&kLogTime, nullptr);
   LineBuffer line;
   line.Append("level=error event=process_fault signal=");
   line.AppendNumber(static_cast<uint64_t>(aSignal), 10);
@@ -88,6 +113,31 @@
   ::raise(aSignal);
 }
 
+std::string_view DescribeCurrentException()
+{
+  try {
+    std::rethrow_exception(std::current_exception());
+  } catch (const std::exception& error) {
+    // The exception lives on in std::current_exception().
+    return error.what();
+  } catch (...) {
+    return "of an unknown type";
+  }
+}
+
+/// The abort leaves the call stack in a line of its own.
+[[noreturn]] void LogExceptionAndAbort()
+{
+  LineBuffer line;
+  line.Append("level=error event=uncaught_exception what=\"");
+  if (std::current_exception() != nullptr) {
+    line.Append(DescribeCurrentException());
+  }
+  line.Append("\"");
+  line.Write();
+  std::abort();
+}
+
 /// The program is the first object of the list.
 int ReadLoadAddress(dl_phdr_info* aInfo, size_t /*aSize*/, void* /*aData*/)
 {
@@ -99,6 +149,8 @@
 
 void InstallCrashLog()
 {
+  gOutput = &LogOutput::StandardError();
+  std::set_terminate(LogExceptionAndAbort);
   if (kSanitizerReports) {
     return;
   }
@@ -119,4 +171,9 @@
   }
 }
 
+void SetFaultObserver(FaultObserver aObserver)
+{
+  gObserver = aObserver;
+}
+
 } // namespace agatetide
--- a/src/agatetide/base/event_log.cpp
+++ b/src/agatetide/base/event_log.cpp
@@ -1,13 +1,18 @@
 #include "agatetide/base/event_log.hpp"
 
+#include "agatetide/base/log_output.hpp"
+
 #include <spdlog/async.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/basic_file_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <charconv>
+#include <mutex>
+#include <system_error>
 
 namespace agatetide {
 
@@ -16,6 +21,8 @@
 /// The queue is allocated at the start and takes about 400 bytes a line. When
 /// it is full, the oldest lines are dropped.
 constexpr size_t kMaxQueuedLines = 4096;
+/// What the end of the process waits for the reader of the log.
+constexpr Milliseconds kStopPatience{ 200 };
 
 bool NeedsQuotes(std::string_view aValue)
 {
@@ -42,6 +49,69 @@
   }
 }
 
+/// Writes the lines of the logger to a LogOutput.
+class OutputSink : public spdlog::sinks::base_sink<std::mutex>
+{
+public:
+  explicit OutputSink(LogOutput& aOutput)
+    : mOutput(aOutput)
+  {
+  }
+
+protected:
+  void sink_it_(const spdlog::details::log_msg& aMessage) override
+  {
+    spdlog::memory_buf_t line;
+    formatter_->format(aMessage, line);
+    mOutput.Write({ line.data(), line.size() });
+  }
+
+  void flush_() override {}
+
+private:
+  LogOutput& mOutput;
+};
+
+/// Lines that the logger could not write to its file.
+std::atomic<uint64_t> gFailedLines{ 0 };
+
+spdlog::sink_ptr MakeStandardErrorSink()
+{
+  return std::make_shared<OutputSink>(LogOutput::StandardError());
+}
+
+/// Returns the reason in aFailure if the file cannot be used.
+spdlog::sink_ptr MakeSink(const std::string& aPath, std::string& aFailure)
+{
+  if (aPath.empty()) {
+    return MakeStandardErrorSink();
+  }
+  try {
+    return std::make_shared<spdlog::sinks::basic_file_sink_mt>(aPath);
+  } catch (const spdlog::spdlog_ex& error) {
+    aFailure = error.what();
+    return MakeStandardErrorSink();
+  }
+}
+
+/// Without a thread, lines are written by those who log them, and are dropped
+/// at once while the reader makes no room.
+std::shared_ptr<spdlog::logger> MakeLogger(const spdlog::sink_ptr& aSink)
+{
+  constexpr const char* kName = "agatetide";
+  try {
+    spdlog::init_thread_pool(kMaxQueuedLines, 1);
+    return std::make_shared<spdlog::async_logger>(
+      kName,
+      aSink,
+      spdlog::thread_pool(),
+      spdlog::async_overflow_policy::overrun_oldest);
+  } catch (const std::system_error&) {
+    LogOutput::StandardError().SetPatience(Milliseconds(0));
+    return std::make_shared<spdlog::logger>(kName, aSink);
+  }
+}
+
 spdlog::level::level_enum SpdlogLevel(LogLevel aLevel)
 {
   switch (aLevel) {
@@ -61,8 +131,10 @@
 
 LogEvent::LogEvent(std::string_view aName, LogLevel aLevel)
   : mLevel(aLevel)
-  , mLogged(spdlog::default_logger_raw()->should_log(SpdlogLevel(aLevel)))
 {
+  // There is no logger after StopEventLog().
+  const spdlog::logger* logger = spdlog::default_logger_raw();
+  mLogged = logger != nullptr && logger->should_log(SpdlogLevel(aLevel));
   if (mLogged) {
     mText.append("event=").append(aName);
   }
@@ -162,24 +234,40 @@
 
 void StartEventLog(LogLevel aLevel, const std::string& aPath)
 {
-  spdlog::init_thread_pool(kMaxQueuedLines, 1);
-  std::shared_ptr<spdlog::logger> logger;
-  if (aPath.empty()) {
-    logger =
-      spdlog::create_async_nb<spdlog::sinks::stderr_sink_mt>("agatetide");
-  } else {
-    logger = spdlog::create_async_nb<spdlog::sinks::basic_file_sink_mt>(
-      "agatetide", aPath);
-  }
+  std::string failure;
+  const auto logger = MakeLogger(MakeSink(aPath, failure));
   logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%f level=%l %v");
   logger->set_level(SpdlogLevel(aLevel));
   logger->flush_on(spdlog::level::warn);
+  // By default the logger writes its errors to standard error, whose reader may
+  // be gone.
+  logger->set_error_handler([](const std::string&) { ++gFailedLines; });
   spdlog::set_default_logger(logger);
-  spdlog::flush_every(std::chrono::seconds(1));
+  if (!failure.empty()) {
+    LogEvent("log_file_unusable", LogLevel::Error)
+      .Field("path", aPath)
+      .Field("error", failure)
+      .Write();
+  }
+}
+
+void FlushEventLog()
+{
+  if (spdlog::logger* logger = spdlog::default_logger_raw()) {
+    logger->flush();
+  }
+}
+
+uint64_t DroppedLogLines()
+{
+  const auto pool = spdlog::thread_pool();
+  const uint64_t overrun = pool ? pool->overrun_counter() : 0;
+  return overrun + gFailedLines + LogOutput::StandardError().DroppedCount();
 }
 
 void StopEventLog()
 {
+  LogOutput::StandardError().SetPatience(kStopPatience);
   spdlog::shutdown();
 }
 
--- a/src/agatetide/daemon/main.cpp
+++ b/src/agatetide/daemon/main.cpp
@@ -87,6 +87,8 @@
   // The request to reload may arrive before its handler is set, and would end
   // the process by default.
   std::signal(SIGHUP, SIG_IGN);
+  // A reader of the log that goes away must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   InstallCrashLog();
   cxxopts::Options options("agatetided", "Rollout service daemon.");
   options.add_options()("settings",
