Log exceptions that end a task, and start lasting tasks again

What callers would see: a host that runs but no longer accepts connections, renews its registration or follows the store, after one exception, for example for lack of memory.

Cause: tasks were started with asio::detached, which drops the exception that ends them: nothing was logged, and a task that should last as long as the process was gone. PeerLink asked for the next connection at once after an error that lasts, such as the limit of descriptors, and so kept the thread busy.

Change: LogFailure in place of detached logs and counts (task_failed, at most one a second); SpawnKept starts a lasting task again after a second: accepting connections, registration, watches, duties, usage, steps, the loops of the control thread. PeerLink waits 50 ms after an error. The number of connections of other daemons is an option.

--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -80,6 +80,8 @@
   fleet::EntryHost mSelf;
   /// Listen address for other daemons; port 0 disables it.
   http::Endpoint mPeerListen;
+  /// Connections that other daemons may open.
+  size_t mMaxPeerConnections = 512;
   /// Region by availability zone.
   std::map<std::string, std::string, std::less<>> mRegions;
   /// Maximum time from the withdrawal of a key until requests with it are
--- a/include/agatetide/entry/peer_channel.hpp
+++ b/include/agatetide/entry/peer_channel.hpp
@@ -11,6 +11,14 @@
 
 namespace agatetide::entry {
 
+/// @brief Where other daemons connect to, and how many of their connections are
+/// accepted.
+struct PeerListener
+{
+  http::Endpoint mEndpoint;
+  size_t mMaxConnections = 512;
+};
+
 /// @brief Handlers for the requests of other daemons.
 struct PeerHandlers
 {
@@ -42,13 +50,12 @@
 class PeerChannel
 {
 public:
-  /// @brief Listens at aListen; port 0 disables the server. aResponses limits
-  /// the answers of other daemons, aConnections what their connections hold;
-  /// null if it is unlimited.
-  /// Errors: those of http::Server::Create().
+  /// @brief Listens as aListener says; port 0 disables the server. aResponses
+  /// limits the answers of other daemons, aConnections what their connections
+  /// hold; null if it is unlimited. Errors: those of http::Server::Create().
   static Result<std::unique_ptr<PeerChannel>> Create(
     boost::asio::any_io_executor aExecutor,
-    const http::Endpoint& aListen,
+    const PeerListener& aListener,
     PeerHandlers aHandlers,
     http::ResponseLimits aResponses,
     std::shared_ptr<http::ConnectionMemory> aConnections);
--- /dev/null
+++ b/src/agatetide/base/task_test.cpp
@@ -0,0 +1,68 @@
+#include "agatetide/base/task.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <criterion/criterion.h>
+
+#include <stdexcept>
+
+using namespace agatetide;
+
+namespace {
+
+Awaitable<void> Throw()
+{
+  throw std::runtime_error("no memory");
+  co_return;
+}
+
+Awaitable<int> ThrowInsteadOfResult()
+{
+  throw std::runtime_error("no memory");
+  co_return 1;
+}
+
+/// Counts a start, and throws in the first ones.
+Awaitable<void> CountStart(int& aStarts, int aFailures)
+{
+  if (++aStarts <= aFailures) {
+    co_await Throw();
+  }
+}
+
+/// Returns how often a kept task was started.
+int RunKept(int aFailures)
+{
+  boost::asio::io_context context;
+  int starts = 0;
+  SpawnKept(context.get_executor(), "loop", [&starts, aFailures] {
+    return CountStart(starts, aFailures);
+  });
+  context.run();
+  return starts;
+}
+
+} // namespace
+
+// Guards against a task that ends without a word, or ends the process.
+Test(task, exception_of_a_task_is_counted)
+{
+  boost::asio::io_context context;
+  boost::asio::co_spawn(context, Throw(), LogFailure("first"));
+  boost::asio::co_spawn(context, ThrowInsteadOfResult(), LogFailure("second"));
+  context.run();
+  cr_expect_eq(TaskFailureCount(), 2);
+}
+
+// Guards against a loop of the process that is gone after one exception.
+Test(task, kept_task_is_started_again)
+{
+  cr_expect_eq(RunKept(2), 3);
+  cr_expect_eq(TaskFailureCount(), 2);
+}
+
+// Guards against a task that is started again after its planned end.
+Test(task, kept_task_ends_when_it_returns)
+{
+  cr_expect_eq(RunKept(0), 1);
+}
--- a/src/agatetide/daemon/call_dispatcher.cpp
+++ b/src/agatetide/daemon/call_dispatcher.cpp
@@ -1,10 +1,10 @@
 #include "agatetide/daemon/call_dispatcher.hpp"
 
 #include "agatetide/base/encoding.hpp"
+#include "agatetide/base/task.hpp"
 #include "agatetide/clients/engine_client.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
@@ -253,7 +253,7 @@
     asio::co_spawn(
       mContext.mExecutor,
       RunAndFinish(std::move(aCall), std::move(aOperation), outcome),
-      asio::detached);
+      LogFailure("run_and_finish"));
   }
   co_return co_await AwaitOutcome(outcome, deadline);
 }
@@ -511,7 +511,7 @@
       if (tokens == 0 || brokenAttempts > 1) {
         asio::co_spawn(mContext.mExecutor,
                        ReportBrokenConnection(mContext, fingerprint, address),
-                       asio::detached);
+                       LogFailure("report_broken_connection"));
       }
     }
     if (mAttemptLog.Allow(mContext.mClock())) {
@@ -577,7 +577,7 @@
   hedge->mPendingCopies = 1;
   asio::co_spawn(mContext.mExecutor,
                  RunCopy(aRequest, hedge, std::move(aFirst)),
-                 asio::detached);
+                 LogFailure("run_copy"));
   boost::system::error_code ignored;
   if (!hedge->mResult) {
     hedge->mTimer.expires_after(aDelay);
@@ -600,7 +600,7 @@
         RunCopy(aRequest,
                 hedge,
                 std::make_shared<SelectedReplica>(std::move(*second))),
-        asio::detached);
+        LogFailure("run_copy"));
     }
   }
   while (!hedge->mResult) {
--- a/src/agatetide/daemon/control.cpp
+++ b/src/agatetide/daemon/control.cpp
@@ -1,6 +1,7 @@
 #include "agatetide/daemon/control.hpp"
 
 #include "agatetide/base/encoding.hpp"
+#include "agatetide/base/task.hpp"
 #include "agatetide/clients/etcd_store.hpp"
 #include "agatetide/clients/platform_client.hpp"
 #include "agatetide/daemon/crash_evidence.hpp"
@@ -10,7 +11,6 @@
 #include "agatetide/daemon/usage_duty.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <algorithm>
 
@@ -221,7 +221,8 @@
   {
     if (aVersion > mConfigLog.Version() && !mFetching) {
       mFetching = true;
-      asio::co_spawn(mExecutor, FetchFromPeer(aAddress), asio::detached);
+      asio::co_spawn(
+        mExecutor, FetchFromPeer(aAddress), LogFailure("fetch_from_peer"));
     }
   }
 
@@ -664,19 +665,19 @@
   }
   state.mMembership->SetSeeds(seeds);
   state.mLink->Start();
-  const auto spawn = [&](Awaitable<void> aLoop) {
-    asio::co_spawn(state.mExecutor, std::move(aLoop), asio::detached);
+  const auto keep = [&state](std::string_view aTask, auto aStart) {
+    SpawnKept(state.mExecutor, aTask, std::move(aStart));
   };
-  spawn(state.MembershipLoop());
-  spawn(state.ConfigLoop());
-  spawn(state.RegistrationLoop());
-  spawn(state.ViewLoop());
-  spawn(state.UpstreamListLoop());
-  spawn(state.ControlCostLoop());
-  spawn(state.AdmissionLeaseLoop());
-  spawn(state.mPlacementDuty->Run());
-  spawn(state.mUsageDuty->Run());
-  spawn(state.mUpstreamDuty->Run());
+  keep("membership", [&state] { return state.MembershipLoop(); });
+  keep("config", [&state] { return state.ConfigLoop(); });
+  keep("registration", [&state] { return state.RegistrationLoop(); });
+  keep("view", [&state] { return state.ViewLoop(); });
+  keep("upstream_list", [&state] { return state.UpstreamListLoop(); });
+  keep("control_cost", [&state] { return state.ControlCostLoop(); });
+  keep("admission_lease", [&state] { return state.AdmissionLeaseLoop(); });
+  keep("placement", [&state] { return state.mPlacementDuty->Run(); });
+  keep("usage", [&state] { return state.mUsageDuty->Run(); });
+  keep("upstreams", [&state] { return state.mUpstreamDuty->Run(); });
 }
 
 void Control::BeginDrain()
--- a/src/agatetide/daemon/peer_link.cpp
+++ b/src/agatetide/daemon/peer_link.cpp
@@ -1,8 +1,9 @@
 #include "agatetide/daemon/peer_link.hpp"
 
+#include "agatetide/base/task.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/read.hpp>
@@ -31,6 +32,8 @@
 constexpr uint32_t kMaxFrameBytes = 16U << 20U;
 constexpr size_t kMaxConnections = 1024;
 constexpr std::chrono::seconds kFrameTimeout{ 10 };
+/// Time after an error of the system, which may last.
+constexpr std::chrono::milliseconds kErrorPause{ 50 };
 
 Error Unreachable(const std::string& aAddress, const std::string& aReason)
 {
@@ -50,6 +53,13 @@
            Execution::Unknown };
 }
 
+Awaitable<void> Pause(asio::any_io_executor aExecutor)
+{
+  asio::steady_timer timer(aExecutor, kErrorPause);
+  ErrorCode ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 Awaitable<bool> WriteFrame(boost::beast::tcp_stream& aStream,
                            const std::string& aBytes)
 {
@@ -146,7 +156,9 @@
         co_return;
       }
       if (error) {
-        continue; // Reports an ICMP error for an earlier datagram.
+        // An ICMP error for an earlier datagram, or one of the system.
+        co_await Pause(mUdp.get_executor());
+        continue;
       }
       const auto datagram = coordination::DecodeMessage<Datagram>(
         std::string_view(buffer).substr(0, size), mSecret);
@@ -173,13 +185,18 @@
       if (error == asio::error::operation_aborted) {
         co_return;
       }
-      if (error || mConnections >= kMaxConnections) {
+      if (error) {
+        // For example out of file descriptors: waits until some are closed.
+        co_await Pause(mAcceptor.get_executor());
+        continue;
+      }
+      if (mConnections >= kMaxConnections) {
         continue;
       }
       asio::co_spawn(
         mAcceptor.get_executor(),
         ServePeer(self, boost::beast::tcp_stream(std::move(socket))),
-        asio::detached);
+        LogFailure("serve_peer"));
     }
   }
 
@@ -273,8 +290,12 @@
 void PeerLink::Start()
 {
   const auto executor = mState->mUdp.get_executor();
-  asio::co_spawn(executor, mState->ReceiveDatagrams(), asio::detached);
-  asio::co_spawn(executor, mState->AcceptPeers(), asio::detached);
+  SpawnKept(executor, "receive_datagrams", [state = mState] {
+    return state->ReceiveDatagrams();
+  });
+  SpawnKept(executor, "accept_peers", [state = mState] {
+    return state->AcceptPeers();
+  });
 }
 
 void PeerLink::SendDatagram(const std::string& aAddress,
--- a/src/agatetide/daemon/rollout.cpp
+++ b/src/agatetide/daemon/rollout.cpp
@@ -1,9 +1,9 @@
 #include "agatetide/daemon/rollout.hpp"
 
 #include "agatetide/base/encoding.hpp"
+#include "agatetide/base/task.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -184,7 +184,8 @@
 {
   if (!aStep->mSupervised && !HasEnded(*aStep)) {
     aStep->mSupervised = true;
-    asio::co_spawn(mContext.mExecutor, SuperviseStep(aStep), asio::detached);
+    asio::co_spawn(
+      mContext.mExecutor, SuperviseStep(aStep), LogFailure("supervise_step"));
   }
 }
 
@@ -297,8 +298,9 @@
   const auto index =
     static_cast<uint32_t>(found - aStep->mSampleStates.begin());
   aStep->mActiveSamples.try_emplace(index);
-  asio::co_spawn(
-    mContext.mExecutor, GenerateSample(aStep, index), asio::detached);
+  asio::co_spawn(mContext.mExecutor,
+                 GenerateSample(aStep, index),
+                 LogFailure("generate_sample"));
 }
 
 /// Moves slow streams to other engines. Once all needed samples have been
--- a/src/agatetide/daemon/rollout_samples.cpp
+++ b/src/agatetide/daemon/rollout_samples.cpp
@@ -1,10 +1,10 @@
 #include "agatetide/daemon/rollout.hpp"
 
 #include "agatetide/base/encoding.hpp"
+#include "agatetide/base/task.hpp"
 #include "agatetide/daemon/crash_evidence.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -416,7 +416,7 @@
                         ++sample.mBrokenStreamCount > 1)) {
       asio::co_spawn(mContext.mExecutor,
                      CountCrash(aStep, prompt, replica->Address()),
-                     asio::detached);
+                     LogFailure("count_crash"));
     }
     co_return done.error();
   }
--- a/src/agatetide/daemon/upstream_duty.cpp
+++ b/src/agatetide/daemon/upstream_duty.cpp
@@ -1,7 +1,8 @@
 #include "agatetide/daemon/upstream_duty.hpp"
 
+#include "agatetide/base/task.hpp"
+
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <sstream>
 
@@ -108,7 +109,7 @@
     mLoading.insert(addresses[next]);
     boost::asio::co_spawn(mContext.mExecutor,
                           LoadWeights(addresses[next], aWeights),
-                          boost::asio::detached);
+                          LogFailure("load_weights"));
   }
 }
 
@@ -123,7 +124,7 @@
           mPolling.insert(replica.address()).second) {
         boost::asio::co_spawn(mContext.mExecutor,
                               PollReplica(replica.address(), engine),
-                              boost::asio::detached);
+                              LogFailure("poll_replica"));
       }
     }
   }
--- a/src/agatetide/duty/autoscaler.cpp
+++ b/src/agatetide/duty/autoscaler.cpp
@@ -1,9 +1,9 @@
 #include "agatetide/duty/autoscaler.hpp"
 
 #include "agatetide/base/event_log.hpp"
+#include "agatetide/base/task.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -171,7 +171,7 @@
                  Send(std::move(key),
                       static_cast<unsigned>(std::max(0, replicas)),
                       aService.mScaling->mBootTime),
-                 asio::detached);
+                 LogFailure("send_capacity_order"));
 }
 
 Awaitable<void> Autoscaler::Send(GroupKey aKey,
--- a/src/agatetide/duty/version_updater.cpp
+++ b/src/agatetide/duty/version_updater.cpp
@@ -1,9 +1,9 @@
 #include "agatetide/duty/version_updater.hpp"
 
 #include "agatetide/base/event_log.hpp"
+#include "agatetide/base/task.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <algorithm>
 
@@ -166,8 +166,9 @@
     ++loading[replica->mService];
     mUpdates[replica->mId] = { model, version, true, {} };
     mLastOrderTime[model] = mClock();
-    asio::co_spawn(
-      mExecutor, SendLoadOrder(*replica, model, version), asio::detached);
+    asio::co_spawn(mExecutor,
+                   SendLoadOrder(*replica, model, version),
+                   LogFailure("send_load_order"));
   }
 }
 
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -2,9 +2,9 @@
 
 #include "agatetide/base/encoding.hpp"
 #include "agatetide/base/event_log.hpp"
+#include "agatetide/base/task.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -52,7 +52,7 @@
   daemon->mLeadership.emplace(std::move(*leadership));
   auto peers = PeerChannel::Create(
     daemon->mExecutor,
-    daemon->mOptions.mPeerListen,
+    { daemon->mOptions.mPeerListen, daemon->mOptions.mMaxPeerConnections },
     { [watch = &daemon->mFleetWatch](PeerWatchRequest aRequest) {
        return watch->ServePeer(std::move(aRequest));
      },
@@ -322,15 +322,18 @@
 void EntryDaemon::Start()
 {
   mRunner.Start();
-  asio::co_spawn(mExecutor, WatchOperatorEntries(), asio::detached);
-  asio::co_spawn(mExecutor, WatchReplicas(), asio::detached);
-  asio::co_spawn(mExecutor, mRegistry.MaintainRegistration(), asio::detached);
-  asio::co_spawn(mExecutor, mRegistry.WatchHosts(), asio::detached);
-  asio::co_spawn(mExecutor, DutyLoop(), asio::detached);
-  asio::co_spawn(mExecutor, UsageLoop(), asio::detached);
-  asio::co_spawn(mExecutor, mRecovery.Run(), asio::detached);
-  asio::co_spawn(mExecutor, PathLoop(), asio::detached);
-  asio::co_spawn(mExecutor, mCrashRecords.Maintain(), asio::detached);
+  const auto keep = [this](std::string_view aTask, auto aStart) {
+    SpawnKept(mExecutor, aTask, std::move(aStart));
+  };
+  keep("watch_operator_entries", [this] { return WatchOperatorEntries(); });
+  keep("watch_replicas", [this] { return WatchReplicas(); });
+  keep("register", [this] { return mRegistry.MaintainRegistration(); });
+  keep("watch_hosts", [this] { return mRegistry.WatchHosts(); });
+  keep("duties", [this] { return DutyLoop(); });
+  keep("usage", [this] { return UsageLoop(); });
+  keep("recover_steps", [this] { return mRecovery.Run(); });
+  keep("check_paths", [this] { return PathLoop(); });
+  keep("crash_records", [this] { return mCrashRecords.Maintain(); });
 }
 
 Awaitable<void> EntryDaemon::BeginDrain(TimePoint aEnd)
--- a/src/agatetide/entry/peer_channel.cpp
+++ b/src/agatetide/entry/peer_channel.cpp
@@ -26,7 +26,6 @@
 constexpr std::string_view kUnknown = "unknown";
 constexpr std::string_view kContentType = "application/octet-stream";
 constexpr unsigned kOk = 200;
-constexpr size_t kMaxConnections = 512;
 constexpr size_t kMaxLoggedTargetBytes = 80;
 /// Above what hosts accept from callers, since requests of callers are passed
 /// on.
@@ -79,7 +78,7 @@
 
 Result<std::unique_ptr<PeerChannel>> PeerChannel::Create(
   boost::asio::any_io_executor aExecutor,
-  const http::Endpoint& aListen,
+  const PeerListener& aListener,
   PeerHandlers aHandlers,
   http::ResponseLimits aResponses,
   std::shared_ptr<http::ConnectionMemory> aConnections)
@@ -91,13 +90,13 @@
   client.mResponses = std::move(aResponses);
   std::unique_ptr<PeerChannel> channel(new PeerChannel(
     http::Client::Create(aExecutor, client), std::move(aHandlers)));
-  if (aListen.mPort == 0) {
+  if (aListener.mEndpoint.mPort == 0) {
     return channel;
   }
   http::ServerOptions options;
-  options.mAddress = aListen.mAddress;
-  options.mPort = aListen.mPort;
-  options.mMaxConnections = kMaxConnections;
+  options.mAddress = aListener.mEndpoint.mAddress;
+  options.mPort = aListener.mEndpoint.mPort;
+  options.mMaxConnections = aListener.mMaxConnections;
   options.mMaxBodyBytes = kMaxBodyBytes;
   options.mFromHosts = true;
   if (aConnections) {
--- a/src/agatetide/entry/replica_relay.cpp
+++ b/src/agatetide/entry/replica_relay.cpp
@@ -1,9 +1,9 @@
 #include "agatetide/entry/replica_relay.hpp"
 
+#include "agatetide/base/task.hpp"
 #include "agatetide/http/syntax.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -268,7 +268,7 @@
         attempt->mWake.cancel();
       });
     }
-    asio::co_spawn(mExecutor, Run(attempt), asio::detached);
+    asio::co_spawn(mExecutor, Run(attempt), LogFailure("relay_attempt"));
     Result<bool> written = true;
     while (written.has_value() && !attempt->mAbandoned &&
            !(attempt->mFinished && attempt->mPending.empty())) {
--- a/src/agatetide/entry/store_router.cpp
+++ b/src/agatetide/entry/store_router.cpp
@@ -2,9 +2,9 @@
 
 #include "agatetide/base/encoding.hpp"
 #include "agatetide/base/event_log.hpp"
+#include "agatetide/base/task.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -226,7 +226,8 @@
   const auto call = std::make_shared<HedgedCall>(executor);
   boost::system::error_code ignored;
   ++call->mPendingRoutes;
-  asio::co_spawn(executor, CallDirectly(call, aRequest), asio::detached);
+  asio::co_spawn(
+    executor, CallDirectly(call, aRequest), LogFailure("call_directly"));
   if (!call->IsDone()) {
     call->mFinished.expires_after(mOptions.mHedgeDelay);
     co_await call->mFinished.async_wait(
@@ -234,7 +235,9 @@
   }
   if (!call->mReply || call->mReply->has_error()) {
     ++call->mPendingRoutes;
-    asio::co_spawn(executor, CallThroughPeers(call, aRequest), asio::detached);
+    asio::co_spawn(executor,
+                   CallThroughPeers(call, aRequest),
+                   LogFailure("call_through_peers"));
   }
   while (!call->IsDone()) {
     call->mFinished.expires_at(asio::steady_timer::time_point::max());
--- a/src/agatetide/entry/stream_origins.cpp
+++ b/src/agatetide/entry/stream_origins.cpp
@@ -1,9 +1,9 @@
 #include "agatetide/entry/stream_origins.hpp"
 
 #include "agatetide/base/encoding.hpp"
+#include "agatetide/base/task.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
@@ -197,7 +197,7 @@
   mWrites.push_back(write);
   if (!mWriting) {
     mWriting = true;
-    asio::co_spawn(mExecutor, WriteLoop(), asio::detached);
+    asio::co_spawn(mExecutor, WriteLoop(), LogFailure("write_loop"));
   }
   while (!write->mResult) {
     boost::system::error_code ignored;
--- a/src/agatetide/http/server.cpp
+++ b/src/agatetide/http/server.cpp
@@ -1,11 +1,11 @@
 #include "agatetide/http/server.hpp"
 
 #include "agatetide/base/event_log.hpp"
+#include "agatetide/base/task.hpp"
 #include "agatetide/http/syntax.hpp"
 #include "request_reader.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -507,7 +507,7 @@
                  Serve(aState,
                        beast::tcp_stream(std::move(aSocket)),
                        std::make_unique<ScopedCount>(aState->mConnectionCount)),
-                 asio::detached);
+                 LogFailure("serve_connection"));
 }
 
 template<class ServerState>
@@ -567,7 +567,7 @@
       "stop the process that uses the address or choose another one"
     };
   }
-  asio::co_spawn(aExecutor, Accept(state), asio::detached);
+  SpawnKept(aExecutor, "accept", [state] { return Accept(state); });
   return std::unique_ptr<Server>(new Server(std::move(state)));
 }
 
--- a/src/agatetide/request/crash_suspects.cpp
+++ b/src/agatetide/request/crash_suspects.cpp
@@ -1,9 +1,9 @@
 #include "agatetide/request/crash_suspects.hpp"
 
 #include "agatetide/base/event_log.hpp"
+#include "agatetide/base/task.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -167,7 +167,8 @@
   if (mDetector.IsCutOff()) {
     mTable.DiscountUnsettled(KeyOf(crash));
   }
-  asio::co_spawn(mExecutor, Settle(std::move(crash), aReplica), asio::detached);
+  asio::co_spawn(
+    mExecutor, Settle(std::move(crash), aReplica), LogFailure("settle_crash"));
 }
 
 Awaitable<void> CrashSuspects::Settle(CrashRecord aCrash,
--- a/src/agatetide/request/forwarder.cpp
+++ b/src/agatetide/request/forwarder.cpp
@@ -1,10 +1,10 @@
 #include "agatetide/request/forwarder.hpp"
 
 #include "agatetide/base/event_log.hpp"
+#include "agatetide/base/task.hpp"
 #include "agatetide/policy/shutdown_admission.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -444,7 +444,7 @@
   aState->mCancels.push_back(cancel);
   asio::co_spawn(mExecutor,
                  RunAttempt(aState, std::move(*reservation), cancel),
-                 asio::detached);
+                 LogFailure("run_attempt"));
   return true;
 }
 
--- a/src/agatetide/request/reachability_monitor.cpp
+++ b/src/agatetide/request/reachability_monitor.cpp
@@ -1,9 +1,9 @@
 #include "agatetide/request/reachability_monitor.hpp"
 
 #include "agatetide/base/event_log.hpp"
+#include "agatetide/base/task.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -131,7 +131,7 @@
 {
   aCheck->mTried += aEndpoints.size();
   for (const http::Endpoint& endpoint : aEndpoints) {
-    asio::co_spawn(mExecutor, Connect(aCheck, endpoint), asio::detached);
+    asio::co_spawn(mExecutor, Connect(aCheck, endpoint), LogFailure("connect"));
   }
 }
 
@@ -166,7 +166,8 @@
       std::chrono::duration_cast<Milliseconds>(now - aCheck.mStart).count())
     .Write();
   if (IsCutOff()) {
-    asio::co_spawn(mExecutor, RecheckUntilRestored(), asio::detached);
+    asio::co_spawn(
+      mExecutor, RecheckUntilRestored(), LogFailure("recheck_until_restored"));
   }
   if (mOnChange) {
     mOnChange(IsCutOff());
--- a/src/agatetide/steps/step_items.cpp
+++ b/src/agatetide/steps/step_items.cpp
@@ -1,9 +1,9 @@
 #include "agatetide/steps/step_runner.hpp"
 
 #include "agatetide/base/event_log.hpp"
+#include "agatetide/base/task.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -242,7 +242,7 @@
   }
   asio::co_spawn(mContext.mExecutor,
                  RunItem(aStep, aIndex, std::move(*reservation), aRoute),
-                 asio::detached);
+                 LogFailure("run_item"));
   return true;
 }
 
@@ -451,7 +451,8 @@
   if (aResponse.IsSuccess()) {
     aStep->SetState(run, ItemRun::State::Scoring);
     run.mTextEnd = mContext.mClock();
-    asio::co_spawn(mContext.mExecutor, Score(aStep, aIndex), asio::detached);
+    asio::co_spawn(
+      mContext.mExecutor, Score(aStep, aIndex), LogFailure("score"));
     return;
   }
   if (aResponse.mNotRun || aResponse.mMisdirected) {
--- a/src/agatetide/steps/step_loader.cpp
+++ b/src/agatetide/steps/step_loader.cpp
@@ -1,9 +1,9 @@
 #include "agatetide/steps/step_loader.hpp"
 
 #include "agatetide/base/event_log.hpp"
+#include "agatetide/base/task.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -86,8 +86,9 @@
     state->mTimer.cancel();
     mLoading.erase(id);
   });
-  asio::co_spawn(
-    mContext.mExecutor, CheckWhileLoading(id, state), asio::detached);
+  asio::co_spawn(mContext.mExecutor,
+                 CheckWhileLoading(id, state),
+                 LogFailure("check_while_loading"));
   auto loaded =
     co_await LoadParts(std::move(aRecord), std::move(aMemory), state);
   if (loaded.has_value() && !state->mCanceled) {
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -1,9 +1,9 @@
 #include "agatetide/steps/step_runner.hpp"
 
 #include "agatetide/base/event_log.hpp"
+#include "agatetide/base/task.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -126,7 +126,8 @@
 
 void StepRunner::Start()
 {
-  asio::co_spawn(mContext.mExecutor, ReviewLoop(), asio::detached);
+  SpawnKept(
+    mContext.mExecutor, "review_steps", [this] { return ReviewLoop(); });
 }
 
 OwnedStepPtr StepRunner::Find(std::string_view aId) const
@@ -181,7 +182,8 @@
   if (step->IsComplete() || step->mRecord.mEnded) {
     Stop(step, false);
   } else {
-    asio::co_spawn(mContext.mExecutor, CommitLoop(step), asio::detached);
+    asio::co_spawn(
+      mContext.mExecutor, CommitLoop(step), LogFailure("commit_loop"));
     StartWaitingItems();
   }
   return step;
@@ -276,7 +278,8 @@
       MoveStragglers(step);
       if (mContext.mClock() - step->mRecordCheckedAt > kRecordCheckInterval) {
         step->mRecordCheckedAt = mContext.mClock();
-        asio::co_spawn(mContext.mExecutor, CheckRecord(step), asio::detached);
+        asio::co_spawn(
+          mContext.mExecutor, CheckRecord(step), LogFailure("check_record"));
       }
     }
     StartDueCheckpoints();
@@ -311,7 +314,8 @@
     std::min(due.size(), kMaxRunningCheckpoints - mRunningCheckpoints));
   for (const OwnedStepPtr& step : due) {
     step->mCheckpointedAt = now;
-    asio::co_spawn(mContext.mExecutor, RunCheckpoint(step), asio::detached);
+    asio::co_spawn(
+      mContext.mExecutor, RunCheckpoint(step), LogFailure("run_checkpoint"));
   }
 }
 
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -1,9 +1,9 @@
 #include "agatetide/steps/step_service.hpp"
 
 #include "agatetide/base/event_log.hpp"
+#include "agatetide/base/task.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -119,8 +119,9 @@
     co_return SubmitOutcome::Refused;
   }
   if (mUnknownCreates.insert(record.mId).second) {
-    asio::co_spawn(
-      mContext.mExecutor, ResolveUnknownCreate(record.mId), asio::detached);
+    asio::co_spawn(mContext.mExecutor,
+                   ResolveUnknownCreate(record.mId),
+                   LogFailure("resolve_unknown_create"));
   }
   co_return SubmitOutcome::Unknown;
 }
--- a/src/agatetide/steps/step_takeover.cpp
+++ b/src/agatetide/steps/step_takeover.cpp
@@ -2,9 +2,9 @@
 
 #include "agatetide/base/concurrency.hpp"
 #include "agatetide/base/event_log.hpp"
+#include "agatetide/base/task.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -83,7 +83,7 @@
   if (mayBeOwner && mUnknownClaims.insert(aRecord.mId).second) {
     asio::co_spawn(mContext.mExecutor,
                    ResolveUnknownClaim(aRecord.mId, aRecord.mRevision),
-                   asio::detached);
+                   LogFailure("resolve_unknown_claim"));
   }
   co_return claimed;
 }
@@ -179,7 +179,7 @@
     // Other steps need not wait for it. If it fails, Recover() is due again.
     asio::co_spawn(mContext.mExecutor,
                    AdoptStored(std::move(aRecord), std::move(*memory)),
-                   asio::detached);
+                   LogFailure("adopt_stored"));
     co_return true;
   }
   co_return co_await AdoptStored(std::move(aRecord), std::move(*memory));
