Check settings whole before anything starts, and wait for a file being written

Cause: the file was read once, and each field was read leniently on its own.

The daemon's own settings are read the same way.

--- a/src/agatetide/daemon/settings.cpp
+++ b/src/agatetide/daemon/settings.cpp
@@ -1,19 +1,12 @@
 #include "agatetide/daemon/settings.hpp"
 
 #include "agatetide/coordination/read_lease.hpp"
+#include "agatetide/process/settings_file.hpp"
+#include "agatetide/process/settings_schema.hpp"
+#include "agatetide/process/signals.hpp"
 
 #include <nlohmann/json.hpp>
 
-// The valijson adapter requires nlohmann/json to be included first.
-#include <valijson/adapters/nlohmann_json_adapter.hpp>
-#include <valijson/schema.hpp>
-#include <valijson/schema_parser.hpp>
-#include <valijson/validation_results.hpp>
-#include <valijson/validator.hpp>
-
-#include <fstream>
-#include <sstream>
-
 namespace agatetide::daemon {
 
 using nlohmann::json;
@@ -69,45 +62,6 @@
     ErrorKind::InvalidArgument, std::move(aMessage), std::move(aRemedy) });
 }
 
-/// Returns "key: reason" for the first error of the validator, which is the
-/// innermost one.
-std::string DescribeFirstError(valijson::ValidationResults& aResults)
-{
-  std::string key = "settings";
-  std::string reason = "does not match the schema";
-  valijson::ValidationResults::Error error;
-  bool first = true;
-  while (aResults.popError(error)) {
-    if (!first) {
-      continue;
-    }
-    first = false;
-    reason = error.description;
-    key.clear();
-    for (const std::string& part : error.context) {
-      key += part;
-    }
-  }
-  return key + ": " + reason;
-}
-
-leaf::result<void> Validate(const json& aSettings)
-{
-  const json schemaText = json::parse(kSettingsSchema);
-  valijson::Schema schema;
-  valijson::SchemaParser parser;
-  parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(schemaText),
-                        schema);
-  valijson::Validator validator;
-  valijson::ValidationResults results;
-  if (!validator.validate(
-        schema, valijson::adapters::NlohmannJsonAdapter(aSettings), &results)) {
-    return InvalidSettings(DescribeFirstError(results),
-                           "see the settings reference, docs/settings.md");
-  }
-  return {};
-}
-
 leaf::result<http::Endpoint> ParseAddress(const std::string& aKey,
                                           const std::string& aText)
 {
@@ -139,7 +93,10 @@
                              error.what(),
                            "correct the syntax at this position");
   }
-  BOOST_LEAF_CHECK(Validate(parsed));
+  const auto checked = process::CheckSettings(parsed, kSettingsSchema);
+  if (checked.has_error()) {
+    return leaf::new_error(checked.error());
+  }
   Settings settings;
   BOOST_LEAF_ASSIGN(
     settings.mCallerListen,
@@ -185,15 +142,17 @@
 
 leaf::result<Settings> LoadSettings(const std::string& aPath)
 {
-  std::ifstream file(aPath);
-  if (!file) {
-    return leaf::new_error(Error{ ErrorKind::NotFound,
-                                  "cannot read settings file " + aPath,
-                                  "pass an existing file with --settings" });
+  process::SettingsFileOptions options;
+  options.mIsStopping = [] { return process::PendingStopSignal().has_value(); };
+  constexpr bool kAllowComments = true;
+  const auto isComplete = [](std::string_view aText) {
+    return json::accept(aText, kAllowComments);
+  };
+  const auto text = process::ReadSettingsFile(aPath, isComplete, options);
+  if (text.has_error()) {
+    return leaf::new_error(text.error());
   }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return ParseSettings(text.str());
+  return ParseSettings(*text);
 }
 
 } // namespace agatetide::daemon
