Give the life of a process one owner

SIGUSR1 and others end the process at any time. - A port that is still taken, by the process before or a connection, ends the start (code 4), also one of the range for other hosts that has free ports. - Closed standard streams: log lines go into the descriptors that got their numbers. - Callers on three listeners may take more descriptors than there are. - Nothing tells how a process ended, so none of these could be told apart.

Change: module process owns it for both roles and the daemon's own interface: streams, signals (held from before the constructors of the libraries until their handlers stand), memory of the C library, limits of the kernel, settings, addresses (waited for, 10 s), event loops (an exception of a handler is logged and counted), the deadline of the stop, a cause for each exit code in the last line, and a record from which the next start logs previous_end.

What remains is before the program's first instruction.

--- a/include/agatetide/daemon/daemon.hpp
+++ b/include/agatetide/daemon/daemon.hpp
@@ -2,6 +2,7 @@
 
 #include "agatetide/base/error.hpp"
 #include "agatetide/daemon/settings.hpp"
+#include "agatetide/process/process.hpp"
 
 #include <memory>
 
@@ -12,16 +13,19 @@
 class Daemon
 {
 public:
-  /// @brief Opens all listening sockets. aSettings must outlive the daemon.
+  /// @brief Opens all listening sockets. aSettings and aProcess must outlive
+  /// the daemon; aMaxDescriptors is what the process may open.
   /// Errors: Unavailable when an address is in use; InvalidArgument.
-  static Result<std::unique_ptr<Daemon>> Create(const Settings& aSettings);
+  static Result<std::unique_ptr<Daemon>> Create(const Settings& aSettings,
+                                                process::Process& aProcess,
+                                                size_t aMaxDescriptors);
   ~Daemon();
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
 
-  /// @brief Serves until SIGTERM or SIGINT, then drains. A second signal exits
-  /// the process at once. Returns the exit code.
-  int Run();
+  /// @brief Serves until SIGTERM or SIGINT, then drains. A second signal ends
+  /// the process at once.
+  void Run();
 
 private:
   struct State;
--- a/src/agatetide/daemon/daemon.cpp
+++ b/src/agatetide/daemon/daemon.cpp
@@ -1,18 +1,17 @@
 #include "agatetide/daemon/daemon.hpp"
 
+#include "agatetide/base/task.hpp"
 #include "agatetide/daemon/api.hpp"
 #include "agatetide/daemon/control.hpp"
 #include "agatetide/http/server.hpp"
+#include "agatetide/process/signals.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <atomic>
 #include <csignal>
@@ -32,21 +31,9 @@
 constexpr std::chrono::milliseconds kDrainPropagationTime{ 2000 };
 /// Limits the calls of the traffic thread that wait for the control thread.
 constexpr size_t kMaxPendingControlCalls = 4096;
-
-/// Raises the limit of file descriptors and returns the maximum number of
-/// caller connections: half of the descriptors, so that a flood of callers
-/// leaves enough for the store, peers and upstreams.
-size_t MaxCallerConnections()
-{
-  rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
-    return 512;
-  }
-  limit.rlim_cur = limit.rlim_max;
-  setrlimit(RLIMIT_NOFILE, &limit);
-  getrlimit(RLIMIT_NOFILE, &limit);
-  return static_cast<size_t>(limit.rlim_cur / 2);
-}
+/// What the last responses and the departure from the other daemons may take
+/// besides the times of the settings.
+constexpr std::chrono::milliseconds kStopMargin{ 10000 };
 
 Error ControlBusy()
 {
@@ -93,8 +80,12 @@
 
 struct Daemon::State
 {
-  explicit State(const Settings& aSettings)
+  State(const Settings& aSettings,
+        process::Process& aProcess,
+        size_t aMaxDescriptors)
     : mSettings(aSettings)
+    , mProcess(aProcess)
+    , mMaxDescriptors(aMaxDescriptors)
     , mControlWork(mControlContext.get_executor())
     , mTraffic{ mTrafficContext.get_executor(),
                 aSettings,
@@ -206,8 +197,9 @@
     http::ServerOptions options;
     options.mAddress = mSettings.mCallerListen.mAddress;
     options.mPort = mSettings.mCallerListen.mPort;
+    // A flood of callers leaves enough for the store, peers and upstreams.
     options.mMaxConnections =
-      std::min(options.mMaxConnections, MaxCallerConnections());
+      std::min(options.mMaxConnections, mMaxDescriptors / 2);
     auto server = http::Server::Create(
       mTrafficContext.get_executor(), options, [this](http::Request aRequest) {
         return mApi->Handle(std::move(aRequest));
@@ -252,24 +244,40 @@
 
   void WatchSignals()
   {
-    mSignals.async_wait([this](const boost::system::error_code& aError, int) {
-      if (aError) {
-        return;
-      }
-      asio::co_spawn(mTrafficContext, Drain(), asio::detached);
-      mSignals.async_wait([](const boost::system::error_code& aAgain, int) {
-        if (!aAgain) {
-          std::_Exit(1);
+    mSignals.async_wait(
+      [this](const boost::system::error_code& aError, int aSignal) {
+        if (aError) {
+          return;
         }
+        HandleSignal(aSignal);
+        WatchSignals();
       });
-    });
+  }
+
+  void HandleSignal(int aSignal)
+  {
+    if (aSignal == SIGHUP) {
+      LogEvent("reload").Field("changes", "none at run time").Write();
+      return;
+    }
+    if (mStopping) {
+      mProcess.EndNow({ process::EndCause::SecondSignal, aSignal });
+    }
+    mStopping = true;
+    mProcess.BeginStop(aSignal,
+                       mSettings.mAddressLifetime + kDrainPropagationTime +
+                         mSettings.mDrainTimeout + kStopMargin);
+    asio::co_spawn(mTrafficContext, Drain(), LogFailure("drain"));
   }
 
   const Settings& mSettings;
+  process::Process& mProcess;
+  const size_t mMaxDescriptors;
+  bool mStopping = false;
   asio::io_context mControlContext{ 1 };
   asio::io_context mTrafficContext{ 1 };
   asio::executor_work_guard<asio::io_context::executor_type> mControlWork;
-  asio::signal_set mSignals{ mTrafficContext, SIGTERM, SIGINT };
+  asio::signal_set mSignals{ mTrafficContext, SIGTERM, SIGINT, SIGHUP };
   TrafficContext mTraffic;
   Ring<TrafficViewPtr> mViewQueue;
   Ring<TrafficReport> mReportQueue;
@@ -279,9 +287,11 @@
   std::unique_ptr<http::Server> mServer;
 };
 
-Result<std::unique_ptr<Daemon>> Daemon::Create(const Settings& aSettings)
+Result<std::unique_ptr<Daemon>> Daemon::Create(const Settings& aSettings,
+                                               process::Process& aProcess,
+                                               size_t aMaxDescriptors)
 {
-  auto state = std::make_unique<State>(aSettings);
+  auto state = std::make_unique<State>(aSettings, aProcess, aMaxDescriptors);
   const auto opened = state->Open();
   if (opened.has_error()) {
     return opened.error();
@@ -296,21 +306,21 @@
 
 Daemon::~Daemon() = default;
 
-int Daemon::Run()
+void Daemon::Run()
 {
   State& state = *mState;
-  state.WatchSignals();
   asio::post(state.mControlContext, [&] { state.mControl->Start(); });
-  std::thread control([&] { state.mControlContext.run(); });
+  std::thread control(
+    [&] { state.mProcess.RunLoop(state.mControlContext, "control"); });
+  state.WatchSignals();
+  process::AllowSignals();
   LogEvent("started")
     .Field("callers", state.mSettings.mCallerListen.mAddress)
     .Field("port", static_cast<unsigned>(state.mSettings.mCallerListen.mPort))
     .Field("availability_zone", state.mSettings.mAvailabilityZone)
     .Write();
-  state.mTrafficContext.run();
+  state.mProcess.RunLoop(state.mTrafficContext, "traffic");
   control.join();
-  LogEvent("stopped").Write();
-  return 0;
 }
 
 } // namespace agatetide::daemon
--- /dev/null
+++ b/src/agatetide/process/life_record.cpp
@@ -0,0 +1,204 @@
+#include "agatetide/process/life_record.hpp"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <cerrno>
+#include <cstdlib>
+#include <filesystem>
+#include <system_error>
+#include <utility>
+
+namespace agatetide::process {
+
+namespace {
+
+using nlohmann::json;
+
+/// The record fills this part of the file; the signal of a fault follows it.
+constexpr size_t kRecordBytes = 1024;
+constexpr size_t kMaxErrorBytes = 400;
+constexpr std::string_view kFaultCause = "fault";
+
+/// Descriptor for RecordFault(); -1 without a file.
+std::atomic<int> gFaultDescriptor{ -1 };
+
+Error SystemError(ErrorKind aKind, const std::string& aPath)
+{
+  return { aKind,
+           "cannot use " + aPath + ": " +
+             std::generic_category().message(errno),
+           "set TMPDIR to a folder that this user may write to" };
+}
+
+bool IsFileOfThisUser(int aDescriptor)
+{
+  struct stat status = {};
+  return ::fstat(aDescriptor, &status) == 0 && S_ISREG(status.st_mode) &&
+         status.st_uid == ::geteuid() && status.st_nlink == 1;
+}
+
+/// Errors are shortened and are ASCII, so that a record has a known length.
+std::string ShortenError(const std::string& aError)
+{
+  std::string text = aError.substr(0, kMaxErrorBytes);
+  for (char& character : text) {
+    const bool plain = character >= ' ' && character <= '~' &&
+                       character != '"' && character != '\\';
+    character = plain ? character : '?';
+  }
+  return text;
+}
+
+} // namespace
+
+std::string EncodeLifeRecord(const LifeRecord& aRecord)
+{
+  return json{
+    { "pid", aRecord.mProcessId },
+    { "boot", aRecord.mBootId },
+    { "phase", aRecord.mPhase },
+    { "uptime_s", aRecord.mUptimeS },
+    { "resident", aRecord.mUsage.mResidentBytes },
+    { "peak", aRecord.mUsage.mPeakResidentBytes },
+    { "descriptors", aRecord.mUsage.mDescriptors },
+    { "memory_limit", aRecord.mLimits.mMemoryBytes },
+    { "descriptor_limit", aRecord.mLimits.mDescriptors },
+    { "stalled_s", aRecord.mStalledS },
+    { "end", aRecord.mEndCause },
+    { "signal", aRecord.mEndSignal },
+    { "error", ShortenError(aRecord.mEndError) }
+  }.dump();
+}
+
+Result<LifeRecord> DecodeLifeRecord(std::string_view aText)
+{
+  LifeRecord record;
+  try {
+    const json value = json::parse(aText);
+    record.mProcessId = value.at("pid");
+    record.mBootId = value.at("boot");
+    record.mPhase = value.at("phase");
+    record.mUptimeS = value.at("uptime_s");
+    record.mUsage.mResidentBytes = value.at("resident");
+    record.mUsage.mPeakResidentBytes = value.at("peak");
+    record.mUsage.mDescriptors = value.at("descriptors");
+    record.mLimits.mMemoryBytes = value.at("memory_limit");
+    record.mLimits.mDescriptors = value.at("descriptor_limit");
+    record.mStalledS = value.at("stalled_s");
+    record.mEndCause = value.at("end");
+    record.mEndSignal = value.at("signal");
+    record.mEndError = value.at("error");
+  } catch (const json::exception& error) {
+    return Error{ ErrorKind::DataLoss,
+                  std::string("the record of the process before is "
+                              "malformed: ") +
+                    error.what(),
+                  "none: the next record replaces it" };
+  }
+  return record;
+}
+
+std::string LifeRecordFile::PathFor(std::string_view aRole,
+                                    const std::string& aSettingsPath)
+{
+  std::error_code error;
+  const std::string identity =
+    std::string(aRole) + '\n' +
+    std::filesystem::absolute(aSettingsPath, error).string();
+  const char* folder = std::getenv("TMPDIR");
+  return std::string(folder != nullptr ? folder : "/tmp") + "/agatetide-" +
+         std::to_string(::geteuid()) + "-" +
+         std::to_string(XXH64(identity.data(), identity.size(), 0)) + ".life";
+}
+
+Result<LifeRecordFile> LifeRecordFile::Open(const std::string& aPath)
+{
+  constexpr mode_t kOwnerOnly = 0600;
+  const int descriptor = ::open(
+    aPath.c_str(), O_RDWR | O_CREAT | O_NOFOLLOW | O_CLOEXEC, kOwnerOnly);
+  if (descriptor < 0) {
+    return SystemError(ErrorKind::Internal, aPath);
+  }
+  LifeRecordFile file(descriptor);
+  if (!IsFileOfThisUser(descriptor)) {
+    errno = EPERM;
+    return SystemError(ErrorKind::PermissionDenied, aPath);
+  }
+  // Other errors mean that the file system has no locks.
+  if (::flock(descriptor, LOCK_EX | LOCK_NB) != 0 && errno == EWOULDBLOCK) {
+    return Error{ ErrorKind::Unavailable,
+                  "another process runs with the same role and settings",
+                  "stop it, or use other settings" };
+  }
+  file.ReadPrevious();
+  [[maybe_unused]] const int truncated = ::ftruncate(descriptor, 0);
+  gFaultDescriptor = descriptor;
+  return file;
+}
+
+LifeRecordFile::LifeRecordFile(LifeRecordFile&& aOther) noexcept
+  : mDescriptor(std::exchange(aOther.mDescriptor, -1))
+  , mPrevious(std::move(aOther.mPrevious))
+{
+}
+
+LifeRecordFile::~LifeRecordFile()
+{
+  if (mDescriptor < 0) {
+    return;
+  }
+  int own = mDescriptor;
+  gFaultDescriptor.compare_exchange_strong(own, -1);
+  ::close(mDescriptor);
+}
+
+void LifeRecordFile::ReadPrevious()
+{
+  std::array<char, kRecordBytes + 8> bytes{};
+  const ssize_t count = ::pread(mDescriptor, bytes.data(), bytes.size(), 0);
+  if (count <= 0) {
+    return;
+  }
+  const size_t size = static_cast<size_t>(count);
+  const std::string_view text(bytes.data(), std::min(size, kRecordBytes));
+  auto record = DecodeLifeRecord(text.substr(0, text.find('\n')));
+  if (record.has_error()) {
+    return;
+  }
+  if (size > kRecordBytes) {
+    record->mEndCause = kFaultCause;
+    record->mEndSignal = std::atoi(bytes.data() + kRecordBytes);
+  }
+  mPrevious = std::move(*record);
+}
+
+void LifeRecordFile::Write(const LifeRecord& aRecord)
+{
+  std::string text = EncodeLifeRecord(aRecord) + '\n';
+  text.resize(kRecordBytes, ' ');
+  [[maybe_unused]] const ssize_t written =
+    ::pwrite(mDescriptor, text.data(), text.size(), 0);
+}
+
+void LifeRecordFile::RecordFault(int aSignal)
+{
+  const int descriptor = gFaultDescriptor;
+  if (descriptor < 0) {
+    return;
+  }
+  const std::array<char, 3> text{ static_cast<char>('0' + aSignal / 10),
+                                  static_cast<char>('0' + aSignal % 10),
+                                  '\n' };
+  [[maybe_unused]] const ssize_t written = ::pwrite(
+    descriptor, text.data(), text.size(), static_cast<off_t>(kRecordBytes));
+}
+
+} // namespace agatetide::process
--- /dev/null
+++ b/src/agatetide/process/life_record_test.cpp
@@ -0,0 +1,137 @@
+#include "agatetide/process/life_record.hpp"
+
+#include <criterion/criterion.h>
+
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+using namespace agatetide;
+using namespace agatetide::process;
+
+namespace {
+
+/// A folder that is removed at the end of the test.
+class TemporaryFolder
+{
+public:
+  TemporaryFolder()
+  {
+    std::string path = "/tmp/agatetide-test-XXXXXX";
+    cr_assert_not_null(::mkdtemp(path.data()));
+    mPath = path;
+  }
+  ~TemporaryFolder() { std::filesystem::remove_all(mPath); }
+  TemporaryFolder(const TemporaryFolder&) = delete;
+  TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+
+  std::string File(const std::string& aName) const
+  {
+    return (mPath / aName).string();
+  }
+
+private:
+  std::filesystem::path mPath;
+};
+
+LifeRecord SampleRecord()
+{
+  LifeRecord record;
+  record.mProcessId = 7;
+  record.mBootId = "boot";
+  record.mPhase = "serving";
+  record.mUptimeS = 12.5;
+  record.mUsage.mResidentBytes = 100;
+  record.mLimits.mDescriptors = 4100;
+  return record;
+}
+
+/// Writes a record as a process does that ends after it.
+void WriteAndEnd(const std::string& aPath, const LifeRecord& aRecord)
+{
+  auto file = LifeRecordFile::Open(aPath);
+  cr_assert(file.has_value());
+  file->Write(aRecord);
+}
+
+} // namespace
+
+// Guards against a next start that does not know the process before.
+Test(life_record, next_process_reads_the_record)
+{
+  const TemporaryFolder folder;
+  WriteAndEnd(folder.File("life"), SampleRecord());
+  const auto next = LifeRecordFile::Open(folder.File("life"));
+  cr_assert(next.has_value() && next->Previous().has_value());
+  const LifeRecord& previous = *next->Previous();
+  cr_expect_eq(previous.mProcessId, 7);
+  cr_expect(previous.mPhase == "serving" && previous.mEndCause.empty());
+  cr_expect_eq(previous.mLimits.mDescriptors, 4100);
+}
+
+// Guards against an end by a fault that looks like one by SIGKILL.
+Test(life_record, fault_is_the_cause_of_the_end)
+{
+  const TemporaryFolder folder;
+  {
+    auto file = LifeRecordFile::Open(folder.File("life"));
+    cr_assert(file.has_value());
+    file->Write(SampleRecord());
+    LifeRecordFile::RecordFault(SIGSEGV);
+    file->Write(SampleRecord());
+  }
+  const auto next = LifeRecordFile::Open(folder.File("life"));
+  cr_assert(next.has_value() && next->Previous().has_value());
+  cr_expect(next->Previous()->mEndCause == "fault");
+  cr_expect_eq(next->Previous()->mEndSignal, SIGSEGV);
+}
+
+// Guards against a second process that takes the record of one that runs.
+Test(life_record, record_of_a_running_process_is_left_alone)
+{
+  const TemporaryFolder folder;
+  auto first = LifeRecordFile::Open(folder.File("life"));
+  cr_assert(first.has_value());
+  const auto second = LifeRecordFile::Open(folder.File("life"));
+  cr_assert(second.has_error());
+  cr_expect(second.error().mKind == ErrorKind::Unavailable);
+}
+
+// Guards against writing through a link that another user has put there.
+Test(life_record, links_are_not_followed)
+{
+  const TemporaryFolder folder;
+  std::ofstream(folder.File("target")) << "content";
+  std::filesystem::create_symlink(folder.File("target"), folder.File("life"));
+  std::filesystem::create_hard_link(folder.File("target"), folder.File("hard"));
+  cr_expect(LifeRecordFile::Open(folder.File("life")).has_error());
+  cr_expect(LifeRecordFile::Open(folder.File("hard")).has_error());
+}
+
+// Guards against a start that fails because of what the process before left.
+Test(life_record, malformed_records_are_ignored)
+{
+  const TemporaryFolder folder;
+  for (const char* text : { "", "{", "[]", "{\"pid\":\"x\"}", "\n\n" }) {
+    std::ofstream(folder.File("life")) << text;
+    const auto file = LifeRecordFile::Open(folder.File("life"));
+    cr_assert(file.has_value());
+    cr_expect(!file->Previous().has_value(), "%s", text);
+  }
+}
+
+// Guards against a record that an error of any length or bytes breaks.
+Test(life_record, errors_are_shortened)
+{
+  const TemporaryFolder folder;
+  LifeRecord record = SampleRecord();
+  record.mEndCause = "runtime_failure";
+  record.mEndError = std::string(5000, '\xff') + "\n\"";
+  WriteAndEnd(folder.File("life"), record);
+  const auto next = LifeRecordFile::Open(folder.File("life"));
+  cr_assert(next.has_value() && next->Previous().has_value());
+  cr_expect(next->Previous()->mEndCause == "runtime_failure");
+}
