Let the soak read logs through pipes that block and break, and limit the kernel's memory

Cause: the harness and the soak wrote logs into files and started processes with all signals open, so neither could see an end by SIGPIPE, a process that its full log holds up, or an end for lack of address space; and SIGHUP to a process that starts was excepted.

Change: the soak's hosts log into named pipes whose readers stop, go away and come back; have 88 or 110 MB, in half of the runs as the limit of their address space; and get SIGHUP at any time, since their starter holds it until it can be handled. A process that ends while no fault acts on it fails the run.

--- a/tests/harness/site.py
+++ b/tests/harness/site.py
@@ -14,6 +14,7 @@
 import time
 import traceback
 
+from harness.log_reader import LogReader
 from harness.ports import free_port
 from harness.users_platform import PlatformApi, Replica, Store, StoreEndpoint
 
@@ -27,9 +28,11 @@
 class Daemon:
     """One daemon process on an entry host of its own, with an IP address of its own."""
 
-    def __init__(self, site, number, listens_for_peers=True, program=DAEMON, memory_mb=None, zone="z1", zones=None, limits=()):
-        """limits: pairs of a limit of the kernel, as in module resource, and its value."""
-        self.program, self.limits = program, limits
+    def __init__(self, site, number, listens_for_peers=True, program=DAEMON, memory_mb=None, zone="z1", zones=None,
+                 limits=(), log_pipes=False, held_signals=()):
+        """limits: pairs of a limit of the kernel, as in module resource, and its value; held_signals: blocked by the
+        starter; with log_pipes, the log is read through a pipe."""
+        self.program, self.limits, self.held_signals = program, limits, held_signals
         zones = zones or {"z1": "r1"}
         self.name, self.store_endpoint = "host-%d" % number, StoreEndpoint(site.store)
         self.address = "127.0.1.%d" % (number + 1)
@@ -46,15 +49,19 @@
         self.settings_path = pathlib.Path(self.folder.name) / "node.json"
         self.settings_path.write_text(json.dumps(settings))
         self.log = open(pathlib.Path(self.folder.name) / "log", "w+")
+        self.log_reader = LogReader(self.log) if log_pipes else None
         self.start()
 
-    def set_limits(self):
+    def prepare_process(self):
+        """Runs in the process of the daemon, before its program does."""
+        signal.pthread_sigmask(signal.SIG_BLOCK, self.held_signals)
         for kind, value in self.limits:
             resource.setrlimit(kind, (value, value))
 
     def start(self):
+        output = self.log_reader.writer if self.log_reader else self.log
         self.process = subprocess.Popen(
-            [str(self.program), "--platform-role", "entry"], stdout=self.log, stderr=self.log, preexec_fn=self.set_limits,
+            [str(self.program), "--platform-role", "entry"], stdout=output, stderr=output, preexec_fn=self.prepare_process,
             env={**os.environ, "AGATETIDE_NODE_FILE": str(self.settings_path), "TMPDIR": self.folder.name})
         until(lambda: self.is_ready(), self.name + " is ready", self.process)
 
@@ -71,6 +78,10 @@
             answer = connection.getresponse()
             return answer.status, answer.read(), dict(answer.getheaders())
 
+    def tail(self):
+        """Returns the end of the log."""
+        return (pathlib.Path(self.folder.name) / "log").read_text(errors="replace")[-600:]
+
     def lines(self, event):
         """Returns the log lines with this event."""
         log = (pathlib.Path(self.folder.name) / "log").read_text(errors="replace")
@@ -121,8 +132,8 @@
     """The test doubles of the platform, replicas and daemons of one test."""
 
     def __init__(self, daemons=1, plain=2, engines=2, events=4, pause=0.0, peers=True, program=DAEMON, memory_mb=None,
-                 zones=None, limits=()):
-        """With zones (region by zone), daemons and replicas are placed in the zones by turns; limits: see Daemon."""
+                 zones=None, **options):
+        """With zones (region by zone), daemons and replicas are placed in the zones by turns; options: those of Daemon."""
         names = sorted(zones) if zones else ["z1"]
         self.store, self.platform_api = Store(), PlatformApi()
         self.store.put("op/config", config())
@@ -132,7 +143,7 @@
         self.daemons = []
         try:
             for i in range(daemons):
-                self.daemons.append(Daemon(self, i, peers, program, memory_mb, names[i % len(names)], zones, limits))
+                self.daemons.append(Daemon(self, i, peers, program, memory_mb, names[i % len(names)], zones, **options))
             until(lambda: self.lookup(self.daemons[0], "warm")[0] == 200, "the first lookup succeeds")
             # A caller of an unknown region gets the hosts of all regions.
             asks = {"region": "", "zone": ""} if zones else {}
@@ -177,6 +188,8 @@
         for daemon in self.daemons:
             if daemon.process.poll() is None:
                 daemon.stop()
+            if daemon.log_reader:
+                daemon.log_reader.close()
             daemon.log.close()
             daemon.folder.cleanup()
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -18,7 +18,8 @@
 from harness.users_platform import DRAIN_S
 import crashing_requests
 from soak_disruptions import KEY, LONG_STEP_ITEMS, TENANT_OF_OTHERS, Disruptions
-from soak_end import JOB_ITEMS, MEMORY_MB, End
+from soak_end import JOB_ITEMS, End
+from soak_logs import Logs
 from software_versions import add_engines, check_unmixed, software_of, stream
 
 EVENTS = 6
@@ -44,13 +45,14 @@
     return config(version, limits={"maxHeaderBytes": 4096, "maxBodyBytes": MAX_BODY_BYTES})
 
 
-class Soak(Disruptions, End):
+class Soak(Disruptions, End, Logs):
     """One run: callers, trainers and faults on a site of its own."""
 
     def __init__(self, seed, daemons, only=None, **options):
         self.random = random.Random(seed)
         self.only = only
-        self.site = Site(daemons=daemons, plain=3, engines=3, events=EVENTS, pause=0.05, memory_mb=MEMORY_MB, **options)
+        self.site = Site(daemons=daemons, plain=3, engines=3, events=EVENTS, pause=0.05,
+                         **self.prepare_logs(seed), **options)
         self.site.store.put("op/config", site_config(3))
         add_engines(self.site, "v2", 2)
         self.prepare_end(seed)
@@ -60,7 +62,6 @@
         self.frozen = collections.defaultdict(list)  # from when to when, by daemon name
         self.disturbed_at = collections.defaultdict(list)  # restarts and freezes, by daemon address
         self.busy = set()  # daemons that a fault acts on
-        self.starting = set()  # daemons whose program may not have begun to run
         self.unanswered, self.wrong = [], []
         self.answers = collections.Counter()  # by status, 0 if there was none
         self.refused, self.steps, self.streams = set(), [], {}
@@ -196,12 +197,7 @@
         self.killed_at[daemon.name].append(time.monotonic())
         daemon.stop()
         self.sleep(0, 0.5)
-        self.start(daemon)
-
-    def start(self, daemon):
-        self.starting.add(daemon.name)
         daemon.start()
-        self.starting.discard(daemon.name)
 
     def restart(self, planned):
         daemon = self.acquire()
@@ -213,7 +209,7 @@
                 self.sleep(0, 0.1)
             check(daemon.process.wait(10) == 0, "exit code of a planned stop")
             self.sleep(0, 0.5)
-            self.start(daemon)
+            daemon.start()
         else:
             self.kill_and_start(daemon)
         self.release(daemon)
@@ -235,7 +231,7 @@
     def reload(self):
         for _ in range(3):
             for daemon in self.site.daemons:
-                if daemon.name not in self.starting and daemon.process.poll() is None:
+                if daemon.process.poll() is None:
                     daemon.process.send_signal(signal.SIGHUP)
             self.sleep(0, 0.05)
 
@@ -376,8 +372,8 @@
     # Checks
 
     def check_memory(self):
-        high = {name: round(peak) for name, peak in self.peaks.items() if peak > MEMORY_MB - MEMORY_MARGIN_MB}
-        check(not high, "peak memory in MB, %d are allowed: %s" % (MEMORY_MB, high))
+        high = {name: round(peak) for name, peak in self.peaks.items() if peak > self.memory_mb - MEMORY_MARGIN_MB}
+        check(not high, "peak memory in MB, %d are allowed: %s" % (self.memory_mb, high))
 
     def check_hostile_text(self):
         check(not self.accepted_hostile, "items with hostile text were accepted: %s" % self.accepted_hostile[:1])
@@ -442,7 +438,7 @@
     def work(self):
         """Returns what the callers and the causes of faults do, each in a thread of its own."""
         callers = [lambda n=n: self.send_requests(n) for n in range(max(6, len(self.site.daemons)))]
-        return [*callers, self.crash_replicas, self.submit_steps, self.submit_steps_twice, self.take_streams_up,
+        return [*callers, self.disturb_logs, self.watch_ends, self.crash_replicas, self.submit_steps, self.submit_steps_twice, self.take_streams_up,
                 self.train, *[self.cause_faults] * (1 if self.only else 3)]
 
     def run(self):
@@ -462,6 +458,7 @@
         for thread in threads:
             thread.join()
         check(not failures, "a caller or fault failed: %r" % failures[:1])
+        self.check_own_ends()
         until(lambda: all(d.is_ready() for d in self.site.daemons), "all hosts are ready again")
         self.check_hostile_text()
         self.check_memory()
--- a/tests/soak_end.py
+++ b/tests/soak_end.py
@@ -19,8 +19,6 @@
 HOSTS = ATTEMPTS + 1
 # Pause after an attempt that failed at once.
 RETRY_S = 0.2
-# Memory of a daemon.
-MEMORY_MB = 110
 STEPS, READERS = 8, 4
 # Logs of jobs in runs with long results, and the path to the store in these, as between regions.
 JOB_ITEMS = 24
@@ -67,7 +65,7 @@
         with concurrent.futures.ThreadPoolExecutor(READERS) as pool:
             list(pool.map(lambda d: d.start(), self.site.daemons))
             first = self.site.daemons[0]
-            added = list(pool.map(lambda i: Daemon(self.site, i, program=first.program, memory_mb=MEMORY_MB),
+            added = list(pool.map(lambda i: Daemon(self.site, i, program=first.program, memory_mb=self.memory_mb),
                                   range(len(self.site.daemons), HOSTS)))
         for daemon in added:
             daemon.store_endpoint.seconds_per_mb = self.seconds_per_mb
