--- a/include/agatetide/process/life_record.hpp
+++ b/include/agatetide/process/life_record.hpp
@@ -23,14 +23,16 @@
   ResourceLimits mLimits;
   /// How long an event loop has not responded.
   double mStalledS = 0;
+  /// What the event loops were doing.
+  std::string mActivity;
   /// Name of the EndCause; empty while the process runs.
   std::string mEndCause;
   int mEndSignal = 0;
   std::string mEndError;
 };
 
-/// @brief Formats a record as JSON. The text of an error is shortened, so that
-/// the result always fits into a file.
+/// @brief Formats a record as JSON. The texts of error and activity are
+/// shortened, so that the result always fits into a file.
 std::string EncodeLifeRecord(const LifeRecord& aRecord);
 
 /// @brief Reads a record that EncodeLifeRecord() made. Errors: DataLoss.
--- a/include/agatetide/process/process.hpp
+++ b/include/agatetide/process/process.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -60,9 +61,13 @@
 
   /// @brief Runs an event loop until it is stopped or has no work. An
   /// exception that leaves a handler is logged and counted, and the loop goes
-  /// on. May run on several threads, each with a loop of its own.
+  /// on. The loop calls aActivity once a second; its short text, such as
+  /// "requests=3", tells in the log and in the record what was being done. May
+  /// run on several threads, each with a loop of its own.
   /// Precondition: aName is a literal, and the loop is used by one thread.
-  void RunLoop(boost::asio::io_context& aLoop, std::string_view aName);
+  void RunLoop(boost::asio::io_context& aLoop,
+               std::string_view aName,
+               std::function<std::string()> aActivity = {});
 
   /// @brief Begins the phase Stopping. If End() is not called in time, the
   /// process ends with EndCause::StopTimedOut. Thread-safe.
--- a/src/agatetide/daemon/daemon.cpp
+++ b/src/agatetide/daemon/daemon.cpp
@@ -319,7 +319,10 @@
     .Field("port", static_cast<unsigned>(state.mSettings.mCallerListen.mPort))
     .Field("availability_zone", state.mSettings.mAvailabilityZone)
     .Write();
-  state.mProcess.RunLoop(state.mTrafficContext, "traffic");
+  state.mProcess.RunLoop(state.mTrafficContext, "traffic", [&state] {
+    return "requests=" + std::to_string(state.mServer->RunningRequestCount()) +
+           " connections=" + std::to_string(state.mServer->ConnectionCount());
+  });
   control.join();
 }
 
--- a/src/agatetide/process/life_record.cpp
+++ b/src/agatetide/process/life_record.cpp
@@ -24,7 +24,8 @@
 
 /// The record fills this part of the file; the signal of a fault follows it.
 constexpr size_t kRecordBytes = 1024;
-constexpr size_t kMaxErrorBytes = 400;
+constexpr size_t kMaxErrorBytes = 350;
+constexpr size_t kMaxActivityBytes = 200;
 constexpr std::string_view kFaultCause = "fault";
 
 /// Descriptor for RecordFault(); -1 without a file.
@@ -45,10 +46,10 @@
          status.st_uid == ::geteuid() && status.st_nlink == 1;
 }
 
-/// Errors are shortened and are ASCII, so that a record has a known length.
-std::string ShortenError(const std::string& aError)
+/// Shortens a text and makes it ASCII, so that a record has a known length.
+std::string Shorten(const std::string& aText, size_t aMaxBytes)
 {
-  std::string text = aError.substr(0, kMaxErrorBytes);
+  std::string text = aText.substr(0, aMaxBytes);
   for (char& character : text) {
     const bool plain = character >= ' ' && character <= '~' &&
                        character != '"' && character != '\\';
@@ -74,7 +75,8 @@
     { "stalled_s", aRecord.mStalledS },
     { "end", aRecord.mEndCause },
     { "signal", aRecord.mEndSignal },
-    { "error", ShortenError(aRecord.mEndError) }
+    { "activity", Shorten(aRecord.mActivity, kMaxActivityBytes) },
+    { "error", Shorten(aRecord.mEndError, kMaxErrorBytes) }
   }.dump();
 }
 
@@ -93,6 +95,7 @@
     record.mLimits.mMemoryBytes = value.at("memory_limit");
     record.mLimits.mDescriptors = value.at("descriptor_limit");
     record.mStalledS = value.at("stalled_s");
+    record.mActivity = value.at("activity");
     record.mEndCause = value.at("end");
     record.mEndSignal = value.at("signal");
     record.mEndError = value.at("error");
--- a/src/agatetide/process/process.cpp
+++ b/src/agatetide/process/process.cpp
@@ -15,6 +15,7 @@
 #include <condition_variable>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <list>
 #include <mutex>
 #include <optional>
@@ -97,17 +98,21 @@
     .Field("uptime_s", aRecord.mUptimeS)
     .Field("stalled_s", aRecord.mStalledS);
   AppendUsage(event, aRecord.mUsage, aRecord.mLimits);
-  event.Write();
+  event.Field("activity", aRecord.mActivity).Write();
 }
 
 /// An event loop that is watched: it is asked to respond again and again.
 class WatchedLoop
 {
 public:
-  WatchedLoop(asio::io_context& aLoop, std::string_view aName)
+  WatchedLoop(asio::io_context& aLoop,
+              std::string_view aName,
+              std::function<std::string()> aActivity)
     : mLoop(aLoop)
     , mName(aName)
+    , mResponse(std::make_shared<Response>())
   {
+    mResponse->mActivity = std::move(aActivity);
   }
 
   std::string_view Name() const { return mName; }
@@ -116,14 +121,21 @@
   Duration Check()
   {
     const TimePoint now = std::chrono::steady_clock::now();
-    if (*mResponded) {
-      *mResponded = false;
+    if (mResponse->mArrived) {
+      mResponse->mArrived = false;
       mAskedAt = now;
-      asio::post(mLoop, [responded = mResponded] { *responded = true; });
+      asio::post(mLoop, [response = mResponse] { response->Arrive(); });
     }
     return now - mAskedAt;
   }
 
+  /// What the loop did when it last responded.
+  std::string LastActivity() const
+  {
+    const std::lock_guard lock(mResponse->mMutex);
+    return mResponse->mText;
+  }
+
   /// Whether this stall has not been logged yet.
   bool IsNewStall(Duration aStalled)
   {
@@ -134,11 +146,28 @@
   }
 
 private:
+  /// Shared with the loop, which may outlive the watch.
+  struct Response
+  {
+    /// Called by the loop.
+    void Arrive()
+    {
+      if (mActivity) {
+        const std::lock_guard lock(mMutex);
+        mText = mActivity();
+      }
+      mArrived = true;
+    }
+
+    std::function<std::string()> mActivity;
+    std::atomic<bool> mArrived{ true };
+    std::mutex mMutex;
+    std::string mText;
+  };
+
   asio::io_context& mLoop;
   std::string_view mName;
-  /// Shared with the loop, which may outlive this object.
-  std::shared_ptr<std::atomic<bool>> mResponded =
-    std::make_shared<std::atomic<bool>>(true);
+  std::shared_ptr<Response> mResponse;
   TimePoint mAskedAt{};
   bool mStalled = false;
 };
@@ -185,9 +214,20 @@
     record.mUsage = aUsage;
     record.mLimits = mLimits;
     record.mStalledS = Seconds(mStalled);
+    record.mActivity = Activity();
     return record;
   }
 
+  /// Precondition: mMutex is held.
+  std::string Activity() const
+  {
+    std::string activity;
+    for (const WatchedLoop& loop : mLoops) {
+      activity += (activity.empty() ? "" : " ") + loop.LastActivity();
+    }
+    return activity;
+  }
+
   /// Precondition: mMutex is held.
   void WriteRecord(const ResourceUsage& aUsage)
   {
@@ -287,6 +327,7 @@
       .Field("stalled_s", Seconds(mStalled))
       .Field("task_failures", TaskFailureCount())
       .Field("dropped_lines", DroppedLogLines())
+      .Field("activity", Activity())
       .Write();
   }
 
@@ -393,12 +434,15 @@
   mState->mLimits = aLimits;
 }
 
-void Process::RunLoop(asio::io_context& aLoop, std::string_view aName)
+void Process::RunLoop(asio::io_context& aLoop,
+                      std::string_view aName,
+                      std::function<std::string()> aActivity)
 {
   std::list<WatchedLoop>::iterator watched;
   {
     const std::lock_guard lock(mState->mMutex);
-    watched = mState->mLoops.emplace(mState->mLoops.end(), aLoop, aName);
+    watched = mState->mLoops.emplace(
+      mState->mLoops.end(), aLoop, aName, std::move(aActivity));
   }
   for (bool ended = false; !ended;) {
     try {
--- a/tests/process_life.py
+++ b/tests/process_life.py
@@ -347,6 +347,11 @@
         check(daemon.stop(signal.SIGTERM) == 0, "exit code")
 
 
+def previous_end(process):
+    """Returns the last line about the end of the process before."""
+    return next((line for line in reversed(process.log().splitlines()) if "event=previous_end" in line), "")
+
+
 def next_start_tells_how_the_process_before_ended(site):
     """Guards against an end by SIGKILL, as that for too much memory, that nothing tells from another end."""
     with started(site) as process:
@@ -355,18 +360,19 @@
         process.kill()
     with started(site) as process:
         process.wait_until_it_serves()
-        line = next((l for l in process.log().splitlines() if "event=previous_end" in l), "")
-        for part in ("cause=killed", "phase=serving", "uptime_s=", "memory_mb=", "memory_limit_mb=", "descriptors=", "descriptor_limit="):
+        line = previous_end(process)
+        for part in ("cause=killed", "phase=serving", "uptime_s=", "memory_mb=", "memory_limit_mb=", "descriptors=", "descriptor_limit=",
+                     "activity=\"requests="):
             check(part in line, "%s is missing in %r" % (part, line))
         check_clean_end(process, "second process")
     with started(site) as process:
         process.wait_until_it_serves()
-        last = [l for l in process.log().splitlines() if "event=previous_end" in l][-1]
+        last = previous_end(process)
         check("cause=signal signal=15" in last, "last line: %s" % last)
         process.end(signal.SIGSEGV)
     with started(site) as process:
         process.wait_until_it_serves()
-        last = [l for l in process.log().splitlines() if "event=previous_end" in l][-1]
+        last = previous_end(process)
         check("cause=fault signal=11" in last, "last line: %s" % last)
 
 
