--- a/include/agatetide/coordination/membership.hpp
+++ b/include/agatetide/coordination/membership.hpp
@@ -194,6 +194,9 @@
   void RefuteReport(const MemberUpdate& aUpdate);
   bool MergeRecord(const GossipRecord& aRecord, bool aAnnounce);
   void QueueUpdate(const std::string& aAddress);
+  /// Removes the items of a key from a queue.
+  static void EraseQueued(std::deque<QueuedItem>& aQueue,
+                          const std::string& aKey);
   void Send(const std::string& aAddress, Datagram aDatagram);
   void SendWithoutGossip(const std::string& aAddress, Datagram aDatagram);
   GossipRecord RecordToSend(const std::string& aKey) const;
