Split call_dispatcher.cpp by what its parts do

Cause: call_dispatcher.cpp had grown to 751 lines that hold the choice of a replica and retries, requests that run at most once, hedged copies, the calls of services and engines, and the encoding of calls between daemons.

Change: call_outcomes.cpp has the requests that run at most once and their outcomes, call_attempts.cpp the attempts on a replica and hedged copies, call_codec.hpp and .cpp the encoding of calls and outcomes and the fingerprint; api.cpp includes that header. One function or place each now has what stood twice: WithoutNotRun(), the error of a malformed peer request, the text of a JSON body, and the parsing of the replica's address, which RunAttempt() does before it calls a service or an engine. No behaviour changed.

--- a/include/agatetide/daemon/call_dispatcher.hpp
+++ b/include/agatetide/daemon/call_dispatcher.hpp
@@ -124,12 +124,15 @@
   Awaitable<Result<std::string>> CallService(const Call& aCall,
                                              const std::string& aJson,
                                              bool aIdempotent,
-                                             const std::string& aReplica);
+                                             const http::Endpoint& aEndpoint);
   Awaitable<Result<std::string>> CallEngine(const Call& aCall,
                                             const v1::Upstream& aUpstream,
                                             const std::string& aJson,
-                                            const std::string& aReplica,
+                                            const http::Endpoint& aEndpoint,
                                             uint32_t& aTokens);
+  /// Returns aError with Execution::Unknown in place of NotRun, for a request
+  /// of which another attempt may have run.
+  static Error WithoutNotRun(Error aError);
   Awaitable<void> RunAndFinish(
     Call aCall,
     std::function<Awaitable<Result<std::string>>(Call)> aOperation,
@@ -155,17 +158,4 @@
   size_t mRunningCopies = 0;
 };
 
-/// @brief Hash of method and body. Identifies the request for quarantine and
-/// tells whether a second request with the same id is the same request.
-uint64_t ComputeFingerprint(const Call& aCall);
-
-/// @brief Encodes a call as the body of a peer request and decodes it. The API
-/// key is not sent, because the daemon that received the request checked it.
-/// Errors of DecodeCall(): InvalidArgument.
-std::string EncodeCall(const Call& aCall, TimePoint aNow);
-Result<Call> DecodeCall(const std::string& aText, TimePoint aNow);
-
-/// @brief Encodes an outcome as the body of a peer reply.
-std::string EncodeOutcome(const Result<std::string>& aResult);
-
 } // namespace agatetide::daemon
--- a/src/agatetide/daemon/api.cpp
+++ b/src/agatetide/daemon/api.cpp
@@ -1,6 +1,7 @@
 #include "agatetide/daemon/api.hpp"
 
 #include "agatetide/base/encoding.hpp"
+#include "agatetide/daemon/call_codec.hpp"
 #include "agatetide/daemon/keys.hpp"
 #include "agatetide/policy/host_ranking.hpp"
 
