--- a/src/agatetide/steps/step_planning.cpp
+++ b/src/agatetide/steps/step_planning.cpp
@@ -118,13 +118,14 @@
 
 void StepRunner::StartWaitingItems()
 {
-  if (std::exchange(mStartPassPending, true)) {
+  if (mStartPassPending) {
     return;
   }
   asio::post(mContext.mExecutor, [this] {
     mStartPassPending = false;
     RunStartPass();
   });
+  mStartPassPending = true;
 }
 
 /// Starts waiting items: those of services that report a pace in the order of
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -44,6 +44,17 @@
 /// Items of stopped steps that are larger do not stay in memory.
 constexpr size_t kMaxRetainedItemBytes = size_t{ 2 } << 20U;
 
+/// Reserves room for further elements, and more when the vector grows, so that
+/// adding them cannot fail.
+template<class T>
+void ReserveMore(std::vector<T>& aVector, size_t aCount)
+{
+  const size_t needed = aVector.size() + aCount;
+  if (aVector.capacity() < needed) {
+    aVector.reserve(std::max(needed, 2 * aVector.capacity()));
+  }
+}
+
 int64_t InMilliseconds(Duration aDuration)
 {
   return std::chrono::duration_cast<Milliseconds>(aDuration).count();
@@ -182,8 +193,9 @@
   if (step->IsComplete() || step->mRecord.mEnded) {
     Stop(step, false);
   } else {
-    asio::co_spawn(
-      mContext.mExecutor, CommitLoop(step), LogFailure("commit_loop"));
+    SpawnKept(mContext.mExecutor, "commit_results", [this, step] {
+      return CommitLoop(step);
+    });
     StartWaitingItems();
   }
   return step;
@@ -517,6 +529,8 @@
       aStep->mPendingResults.begin() +
       static_cast<std::ptrdiff_t>(EntryLength(aStep->mPendingResults));
     std::vector<ItemResult> batch(aStep->mPendingResults.begin(), batchEnd);
+    // Nothing may fail between the append and the list of what was appended.
+    ReserveMore(aStep->mCommittedResults, batch.size());
     std::string encoded = EncodeResults(batch);
     LogIndex index = aStep->mLogIndex;
     index.Add(batch.size());
--- a/tests/process_life.py
+++ b/tests/process_life.py
@@ -344,6 +344,10 @@
     for number, daemon in enumerate(site.daemons):
         until(lambda: site.lookup(daemon, "after-%d-%d" % (number, time.monotonic_ns()))[0] == 200, "lookups are served", timeout=6)
         check(site.store.value("agatetide/live/host/" + daemon.name) is not None, "the host is registered")
+        name = "step-after-%d" % number
+        until(lambda: site.submit(daemon, name) == 202, "a step is accepted", timeout=6)
+        check(len(site.read_all(daemon, 6, name)) == 6, "the step is complete")
+    for daemon in site.daemons:
         check(daemon.stop(signal.SIGTERM) == 0, "exit code")
 
 
