Survive a lack of memory whole: signals, lasting tasks, deadline, small allocations

Change: 2 MiB are kept in reserve for small allocations (new-handler). A lasting task notes that its coroutine was destroyed, and the watcher starts it again (task_restarted); waiting for signals is such a task in all three roles. The deadline is looked at first and needs no memory; SIGALRM bounds the stop of the log. Pipes and devices as log files are written like standard error.

--- a/include/agatetide/base/task.hpp
+++ b/include/agatetide/base/task.hpp
@@ -35,18 +35,20 @@
   std::string_view mTask;
 };
 
-/// @brief Runs a task that lasts as long as the process. When an exception ends
-/// it, for example for lack of memory, it is logged and the task is started
-/// again after a second. Returns when the task does.
-/// Precondition: aTask, the name in the log, is a literal.
-Awaitable<void> KeepRunning(std::string_view aTask,
-                            std::function<Awaitable<void>()> aStart);
-
-/// @brief Starts a task that is kept running; see KeepRunning().
+/// @brief Starts a task that lasts as long as the process. When an exception
+/// ends it, for example for lack of memory, it is logged and the task is
+/// started again after a second. When its coroutine is destroyed, as asio does
+/// if an operation cannot be started, RestartLostTasks() starts it again. It
+/// ends when aStart returns. Thread-safe. Precondition: aTask, the name in the
+/// log, is a literal.
 void SpawnKept(boost::asio::any_io_executor aExecutor,
                std::string_view aTask,
                std::function<Awaitable<void>()> aStart);
 
+/// @brief Starts tasks of SpawnKept() again whose coroutines were destroyed.
+/// Thread-safe. Precondition: the event loops of the tasks exist.
+void RestartLostTasks();
+
 /// @brief Logs an exception that left a task or an event handler, at most one a
 /// second, and counts it. Thread-safe.
 void LogTaskFailure(std::string_view aTask,
--- a/include/agatetide/process/process.hpp
+++ b/include/agatetide/process/process.hpp
@@ -79,7 +79,7 @@
 
   /// @brief Writes the last line and the record, and ends the process although
   /// its loops run. Thread-safe.
-  [[noreturn]] void EndNow(const ProcessEnd& aEnd);
+  [[noreturn]] void EndNow(EndCause aCause, int aSignal);
 
   /// @brief The end that the signal of BeginStop() caused. Thread-safe.
   ProcessEnd StoppedBySignal() const;
--- a/include/agatetide/process/resources.hpp
+++ b/include/agatetide/process/resources.hpp
@@ -29,6 +29,12 @@
 /// they are freed. Call it before any other thread runs.
 void ConfigureMemory();
 
+/// @brief Keeps memory in reserve for small allocations: when the system
+/// refuses memory, the reserve is released, and what is large fails first.
+/// Fills what was released, if the system has memory again. Call it from time
+/// to time. Thread-safe.
+void RefillMemoryReserve();
+
 /// @brief Raises the soft limit of descriptors up to the hard one if it is
 /// below aWanted, and returns what may be used: aWanted, or the limit if that
 /// is less. A line tells of a limit below aWanted.
--- a/src/agatetide/base/event_log.cpp
+++ b/src/agatetide/base/event_log.cpp
@@ -7,10 +7,14 @@
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/spdlog.h>
 
+#include <fcntl.h>
+
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <cerrno>
 #include <charconv>
+#include <filesystem>
 #include <mutex>
 #include <system_error>
 
@@ -75,9 +79,26 @@
 /// Lines that the logger could not write to its file.
 std::atomic<uint64_t> gFailedLines{ 0 };
 
+/// Where lines go that are not written to a file; set by StartEventLog().
+LogOutput* gOutput = nullptr;
+
 spdlog::sink_ptr MakeStandardErrorSink()
 {
-  return std::make_shared<OutputSink>(LogOutput::StandardError());
+  return std::make_shared<OutputSink>(*gOutput);
+}
+
+/// For pipes and devices, whose readers may not make room.
+spdlog::sink_ptr MakePipeSink(const std::string& aPath, std::string& aFailure)
+{
+  const int descriptor =
+    ::open(aPath.c_str(), O_WRONLY | O_NONBLOCK | O_NOCTTY | O_CLOEXEC);
+  if (descriptor < 0) {
+    aFailure = std::generic_category().message(errno);
+    return MakeStandardErrorSink();
+  }
+  // Never destroyed, as the output of standard error.
+  gOutput = new LogOutput(descriptor);
+  return std::make_shared<OutputSink>(*gOutput);
 }
 
 /// Returns the reason in aFailure if the file cannot be used.
@@ -86,6 +107,11 @@
   if (aPath.empty()) {
     return MakeStandardErrorSink();
   }
+  std::error_code error;
+  if (std::filesystem::exists(aPath, error) &&
+      !std::filesystem::is_regular_file(aPath, error)) {
+    return MakePipeSink(aPath, aFailure);
+  }
   try {
     return std::make_shared<spdlog::sinks::basic_file_sink_mt>(aPath);
   } catch (const spdlog::spdlog_ex& error) {
@@ -107,7 +133,7 @@
       spdlog::thread_pool(),
       spdlog::async_overflow_policy::overrun_oldest);
   } catch (const std::system_error&) {
-    LogOutput::StandardError().SetPatience(Milliseconds(0));
+    gOutput->SetPatience(Milliseconds(0));
     return std::make_shared<spdlog::logger>(kName, aSink);
   }
 }
@@ -234,6 +260,7 @@
 
 void StartEventLog(LogLevel aLevel, const std::string& aPath)
 {
+  gOutput = &LogOutput::StandardError();
   std::string failure;
   const auto logger = MakeLogger(MakeSink(aPath, failure));
   logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%f level=%l %v");
@@ -262,12 +289,15 @@
 {
   const auto pool = spdlog::thread_pool();
   const uint64_t overrun = pool ? pool->overrun_counter() : 0;
-  return overrun + gFailedLines + LogOutput::StandardError().DroppedCount();
+  const uint64_t dropped = gOutput != nullptr ? gOutput->DroppedCount() : 0;
+  return overrun + gFailedLines + dropped;
 }
 
 void StopEventLog()
 {
-  LogOutput::StandardError().SetPatience(kStopPatience);
+  if (gOutput != nullptr) {
+    gOutput->SetPatience(kStopPatience);
+  }
   spdlog::shutdown();
 }
 
--- a/src/agatetide/base/task.cpp
+++ b/src/agatetide/base/task.cpp
@@ -4,10 +4,11 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <atomic>
+#include <list>
+#include <memory>
 #include <mutex>
 #include <new>
 #include <string>
@@ -61,6 +62,83 @@
   }
 }
 
+/// A task of SpawnKept().
+struct KeptTask
+{
+  boost::asio::any_io_executor mExecutor;
+  std::string_view mName;
+  std::function<Awaitable<void>()> mStart;
+  /// Whether its coroutine was destroyed before it ended.
+  std::atomic<bool> mLost{ false };
+};
+
+using KeptTaskPtr = std::shared_ptr<KeptTask>;
+
+/// The tasks that have not ended.
+struct KeptTasks
+{
+  std::mutex mMutex;
+  std::list<KeptTaskPtr> mTasks;
+};
+
+KeptTasks& AllKeptTasks()
+{
+  // Never destroyed, since coroutines may end after static objects.
+  static auto* tasks = new KeptTasks;
+  return *tasks;
+}
+
+/// Lives in the coroutine of a task and notes when that is destroyed early.
+class LossGuard
+{
+public:
+  explicit LossGuard(KeptTaskPtr aTask)
+    : mTask(std::move(aTask))
+  {
+  }
+  ~LossGuard()
+  {
+    if (mTask) {
+      mTask->mLost = true;
+    }
+  }
+  LossGuard(const LossGuard&) = delete;
+  LossGuard& operator=(const LossGuard&) = delete;
+
+  void Release() { mTask.reset(); }
+
+private:
+  KeptTaskPtr mTask;
+};
+
+/// Runs a task until it returns, and starts it again after exceptions.
+Awaitable<void> KeepRunning(KeptTaskPtr aTask)
+{
+  LossGuard guard(aTask);
+  boost::asio::steady_timer timer(aTask->mExecutor);
+  for (;;) {
+    std::exception_ptr failure;
+    try {
+      co_await aTask->mStart();
+      break;
+    } catch (...) {
+      failure = std::current_exception();
+    }
+    LogTaskFailure(aTask->mName, failure);
+    co_await WaitToRestart(timer);
+  }
+  guard.Release();
+  KeptTasks& all = AllKeptTasks();
+  const std::lock_guard lock(all.mMutex);
+  all.mTasks.remove(aTask);
+}
+
+void Spawn(const KeptTaskPtr& aTask)
+{
+  boost::asio::co_spawn(
+    aTask->mExecutor, KeepRunning(aTask), LogFailure(aTask->mName));
+}
+
 } // namespace
 
 void LogFailure::operator()(const std::exception_ptr& aFailure) const
@@ -86,29 +164,38 @@
   return gFailures;
 }
 
-Awaitable<void> KeepRunning(std::string_view aTask,
-                            std::function<Awaitable<void>()> aStart)
+void SpawnKept(boost::asio::any_io_executor aExecutor,
+               std::string_view aTask,
+               std::function<Awaitable<void>()> aStart)
 {
-  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
-  for (;;) {
-    std::exception_ptr failure;
-    try {
-      co_await aStart();
-      co_return;
-    } catch (...) {
-      failure = std::current_exception();
-    }
-    LogTaskFailure(aTask, failure);
-    co_await WaitToRestart(timer);
+  const auto task = std::make_shared<KeptTask>();
+  task->mExecutor = std::move(aExecutor);
+  task->mName = aTask;
+  task->mStart = std::move(aStart);
+  {
+    KeptTasks& all = AllKeptTasks();
+    const std::lock_guard lock(all.mMutex);
+    all.mTasks.push_back(task);
   }
+  Spawn(task);
 }
 
-void SpawnKept(boost::asio::any_io_executor aExecutor,
-               std::string_view aTask,
-               std::function<Awaitable<void>()> aStart)
+void RestartLostTasks()
 {
-  boost::asio::co_spawn(
-    aExecutor, KeepRunning(aTask, std::move(aStart)), LogFailure(aTask));
+  KeptTasks& all = AllKeptTasks();
+  const std::lock_guard lock(all.mMutex);
+  for (const KeptTaskPtr& task : all.mTasks) {
+    if (!task->mLost) {
+      continue;
+    }
+    // If this fails, its coroutine is destroyed and the task is lost again.
+    task->mLost = false;
+    ++gFailures;
+    LogEvent("task_restarted", LogLevel::Error)
+      .Field("task", task->mName)
+      .Write();
+    Spawn(task);
+  }
 }
 
 } // namespace agatetide
--- a/src/agatetide/base/task_test.cpp
+++ b/src/agatetide/base/task_test.cpp
@@ -1,9 +1,12 @@
 #include "agatetide/base/task.hpp"
 
+#include <boost/asio/async_result.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <criterion/criterion.h>
 
+#include <new>
 #include <stdexcept>
 
 using namespace agatetide;
@@ -30,6 +33,36 @@
   }
 }
 
+/// An operation that cannot be started, for which asio destroys the coroutine.
+Awaitable<void> StartWithoutMemory()
+{
+  co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>&,
+                                       void()>(
+    [](auto&&) { throw std::bad_alloc(); }, boost::asio::use_awaitable);
+}
+
+/// Counts a start, and is destroyed in the first one.
+Awaitable<void> CountStartAndLose(int& aStarts)
+{
+  if (++aStarts == 1) {
+    co_await StartWithoutMemory();
+  }
+}
+
+/// Runs until the loop has no work, whatever handlers throw.
+void RunAll(boost::asio::io_context& aContext)
+{
+  aContext.restart();
+  for (bool ended = false; !ended;) {
+    try {
+      aContext.run();
+      ended = true;
+    } catch (const std::bad_alloc&) {
+      continue;
+    }
+  }
+}
+
 /// Returns how often a kept task was started.
 int RunKept(int aFailures)
 {
@@ -61,6 +94,25 @@
   cr_expect_eq(TaskFailureCount(), 2);
 }
 
+// Guards against a lasting task whose coroutine was destroyed, since an
+// operation could not be started.
+Test(task, lost_task_is_started_again)
+{
+  boost::asio::io_context context;
+  int starts = 0;
+  SpawnKept(context.get_executor(), "loop", [&starts] {
+    return CountStartAndLose(starts);
+  });
+  RunAll(context);
+  cr_expect_eq(starts, 1);
+  RestartLostTasks();
+  RunAll(context);
+  cr_expect_eq(starts, 2);
+  RestartLostTasks();
+  RunAll(context);
+  cr_expect_eq(starts, 2);
+}
+
 // Guards against a task that is started again after its planned end.
 Test(task, kept_task_ends_when_it_returns)
 {
--- a/src/agatetide/daemon/daemon.cpp
+++ b/src/agatetide/daemon/daemon.cpp
@@ -242,16 +242,11 @@
     co_await timer.async_wait(asio::use_awaitable);
   }
 
-  void WatchSignals()
+  Awaitable<void> WatchSignals()
   {
-    mSignals.async_wait(
-      [this](const boost::system::error_code& aError, int aSignal) {
-        if (aError) {
-          return;
-        }
-        HandleSignal(aSignal);
-        WatchSignals();
-      });
+    for (;;) {
+      HandleSignal(co_await mSignals.async_wait(asio::use_awaitable));
+    }
   }
 
   void HandleSignal(int aSignal)
@@ -261,13 +256,13 @@
       return;
     }
     if (mStopping) {
-      mProcess.EndNow({ process::EndCause::SecondSignal, aSignal });
+      mProcess.EndNow(process::EndCause::SecondSignal, aSignal);
     }
-    mStopping = true;
     mProcess.BeginStop(aSignal,
                        mSettings.mAddressLifetime + kDrainPropagationTime +
                          mSettings.mDrainTimeout + kStopMargin);
     asio::co_spawn(mTrafficContext, Drain(), LogFailure("drain"));
+    mStopping = true;
   }
 
   const Settings& mSettings;
@@ -312,7 +307,9 @@
   asio::post(state.mControlContext, [&] { state.mControl->Start(); });
   std::thread control(
     [&] { state.mProcess.RunLoop(state.mControlContext, "control"); });
-  state.WatchSignals();
+  SpawnKept(state.mTrafficContext.get_executor(), "signals", [&state] {
+    return state.WatchSignals();
+  });
   process::AllowSignals();
   LogEvent("started")
     .Field("callers", state.mSettings.mCallerListen.mAddress)
--- a/src/agatetide/daemon/main.cpp
+++ b/src/agatetide/daemon/main.cpp
@@ -81,7 +81,6 @@
   if (const auto signal = PendingStopSignal()) {
     return { EndCause::Signal, *signal };
   }
-  PrintError(FormatError(aError));
   return { aError.mKind == ErrorKind::Unavailable ? EndCause::AddressInUse
                                                   : EndCause::RuntimeFailure,
            0,
@@ -120,8 +119,12 @@
   } catch (const std::exception& error) {
     end = { EndCause::ResourcesExhausted, 0, error.what() };
   }
+  const ExitCode code = process->End(end);
+  if (code != ExitCode::Success) {
+    PrintError(end.mError);
+  }
   // Suspended coroutines and static objects are not destroyed.
-  std::_Exit(static_cast<int>(process->End(end)));
+  std::_Exit(static_cast<int>(code));
 }
 
 int RunOnPlatform(const std::string& aRole)
--- a/src/agatetide/process/process.cpp
+++ b/src/agatetide/process/process.cpp
@@ -13,11 +13,13 @@
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <functional>
 #include <list>
 #include <mutex>
+#include <new>
 #include <optional>
 #include <system_error>
 #include <thread>
@@ -34,6 +36,8 @@
 /// The record is written, and usage logged, once in so many watch intervals.
 constexpr unsigned kIntervalsPerRecord = 2;
 constexpr unsigned kIntervalsPerLine = 10;
+/// What the last line and the stop of the log may take.
+constexpr unsigned kEndTimeoutS = 5;
 constexpr double kBytesPerMegabyte = 1048576.0;
 
 double Megabytes(size_t aBytes)
@@ -121,12 +125,17 @@
   Duration Check()
   {
     const TimePoint now = std::chrono::steady_clock::now();
-    if (mResponse->mArrived) {
-      mResponse->mArrived = false;
-      mAskedAt = now;
+    if (!mResponse->mArrived) {
+      return now - mAskedAt;
+    }
+    mResponse->mArrived = false;
+    mAskedAt = now;
+    try {
       asio::post(mLoop, [response = mResponse] { response->Arrive(); });
+    } catch (const std::bad_alloc&) {
+      mResponse->mArrived = true; // It was not asked.
     }
-    return now - mAskedAt;
+    return Duration::zero();
   }
 
   /// What the loop did when it last responded.
@@ -152,11 +161,11 @@
     /// Called by the loop.
     void Arrive()
     {
+      mArrived = true;
       if (mActivity) {
         const std::lock_guard lock(mMutex);
         mText = mActivity();
       }
-      mArrived = true;
     }
 
     std::function<std::string()> mActivity;
@@ -262,6 +271,7 @@
   void Watch()
   {
     for (unsigned interval = 1; WaitForInterval(); ++interval) {
+      EndLateStop();
       try {
         WatchOnce(interval);
       } catch (...) {
@@ -280,17 +290,23 @@
     return !mEnded;
   }
 
+  /// Ends the process if it has not stopped in time. Needs no memory.
+  void EndLateStop()
+  {
+    const std::lock_guard lock(mMutex);
+    if (std::chrono::steady_clock::now() >= mStopDeadline) {
+      EndNow(EndCause::StopTimedOut, mStopSignal);
+    }
+  }
+
   void WatchOnce(unsigned aInterval)
   {
     const bool readsUsage = aInterval % kIntervalsPerRecord == 0;
     const ResourceUsage usage =
       readsUsage ? ReadResourceUsage() : ResourceUsage();
+    RestartLostTasks();
+    RefillMemoryReserve();
     const std::lock_guard lock(mMutex);
-    if (std::chrono::steady_clock::now() >= mStopDeadline) {
-      EndNow({ EndCause::StopTimedOut,
-               mStopSignal,
-               "the process did not stop in time" });
-    }
     CheckLoops();
     FlushEventLog();
     if (readsUsage) {
@@ -361,13 +377,17 @@
   }
 
   /// Precondition: mMutex is held.
-  [[noreturn]] void EndNow(const ProcessEnd& aEnd)
+  [[noreturn]] void EndNow(EndCause aCause, int aSignal)
   {
-    LogEnd(aEnd);
-    // Other threads may log, so the log is not stopped.
-    FlushEventLog();
+    try {
+      LogEnd({ aCause, aSignal });
+      // Other threads may log, so the log is not stopped.
+      FlushEventLog();
+    } catch (const std::exception&) {
+      // Without memory there is no last line.
+    }
     std::this_thread::sleep_for(kLastLineTime);
-    std::_Exit(static_cast<int>(ExitCodeOf(aEnd.mCause)));
+    std::_Exit(static_cast<int>(ExitCodeOf(aCause)));
   }
 
   /// Time for the log thread to write the last line.
@@ -395,6 +415,7 @@
   OpenClosedStreams();
   HoldSignals();
   ConfigureMemory();
+  RefillMemoryReserve();
   InstallCrashLog();
 }
 
@@ -425,7 +446,11 @@
 {
   const std::lock_guard lock(mState->mMutex);
   mState->mPhase = aPhase;
-  mState->WriteRecord(ReadResourceUsage());
+  try {
+    mState->WriteRecord(ReadResourceUsage());
+  } catch (const std::exception&) {
+    LogTaskFailure("life_record", std::current_exception());
+  }
 }
 
 void Process::SetLimits(const ResourceLimits& aLimits)
@@ -460,17 +485,20 @@
 {
   {
     const std::lock_guard lock(mState->mMutex);
-    mState->mPhase = Phase::Stopping;
     mState->mStopSignal = aSignal;
     mState->mStopDeadline = std::chrono::steady_clock::now() + aTimeout;
-    mState->WriteRecord(ReadResourceUsage());
   }
   mState->mWake.notify_all();
+  SetPhase(Phase::Stopping);
 }
 
 ExitCode Process::End(const ProcessEnd& aEnd)
 {
   mState->StopWatching();
+  // Ends the process by SIGALRM if the log cannot be stopped, for example when
+  // its file system hangs.
+  std::signal(SIGALRM, SIG_DFL);
+  ::alarm(kEndTimeoutS);
   {
     const std::lock_guard lock(mState->mMutex);
     mState->LogEnd(aEnd);
@@ -479,10 +507,10 @@
   return ExitCodeOf(aEnd.mCause);
 }
 
-void Process::EndNow(const ProcessEnd& aEnd)
+void Process::EndNow(EndCause aCause, int aSignal)
 {
   const std::lock_guard lock(mState->mMutex);
-  mState->EndNow(aEnd);
+  mState->EndNow(aCause, aSignal);
 }
 
 ProcessEnd Process::StoppedBySignal() const
--- a/src/agatetide/process/resources.cpp
+++ b/src/agatetide/process/resources.cpp
@@ -8,9 +8,13 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
+#include <atomic>
 #include <charconv>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <new>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -28,6 +32,27 @@
 /// buffers of the C library for files.
 constexpr size_t kAddressSpaceMarginBytes = size_t{ 4 } << 20U;
 
+/// Below the size from which the C library maps memory for each allocation, so
+/// that the released reserve serves small ones.
+constexpr size_t kReserveBlockBytes = size_t{ 64 } << 10U;
+constexpr size_t kReserveBlocks = 32;
+/// Blocks of the reserve; null if released.
+std::array<std::atomic<void*>, kReserveBlocks> gReserve{};
+
+/// Releases the reserve. The new-handler of the process.
+void ReleaseReserve()
+{
+  bool released = false;
+  for (std::atomic<void*>& block : gReserve) {
+    void* memory = block.exchange(nullptr);
+    released = released || memory != nullptr;
+    std::free(memory);
+  }
+  if (!released) {
+    throw std::bad_alloc();
+  }
+}
+
 std::optional<size_t> ParseNumber(std::string_view aText)
 {
   size_t value = 0;
@@ -125,6 +150,24 @@
   ::pthread_attr_destroy(&attributes);
 }
 
+void RefillMemoryReserve()
+{
+  std::set_new_handler(ReleaseReserve);
+  for (std::atomic<void*>& block : gReserve) {
+    if (block != nullptr) {
+      continue;
+    }
+    void* memory = std::malloc(kReserveBlockBytes);
+    if (memory == nullptr) {
+      return;
+    }
+    void* expected = nullptr;
+    if (!block.compare_exchange_strong(expected, memory)) {
+      std::free(memory);
+    }
+  }
+}
+
 size_t RaiseDescriptorLimit(size_t aWanted)
 {
   rlimit limit{};
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -195,6 +195,7 @@
 
     def kill_and_start(self, daemon):
         self.killed_at[daemon.name].append(time.monotonic())
+        self.note_own_end(daemon)
         daemon.stop()
         self.sleep(0, 0.5)
         daemon.start()
@@ -459,6 +460,7 @@
             thread.join()
         check(not failures, "a caller or fault failed: %r" % failures[:1])
         self.check_own_ends()
+        self.site.check_tasks()
         until(lambda: all(d.is_ready() for d in self.site.daemons), "all hosts are ready again")
         self.check_hostile_text()
         self.check_memory()
