Do not take over a step that is being submitted

Cause: the record of a step is in the store before Submit() has its reply. A pass of Recover() in between finds a step of this host that does not run, takes it for an orphan and loads its items a second time (log: step_taken_over 20 ms after step_submitted, then step_refused with used=, twice the items).

Change: a step that Submit() is storing is no orphan.

--- a/include/agatetide/steps/step_service.hpp
+++ b/include/agatetide/steps/step_service.hpp
@@ -115,6 +115,8 @@
   StepLoader mLoader;
   StepReader mReader;
   StepDemand mDemand;
+  /// Ids of steps that Submit() is storing. Once for each call.
+  std::multiset<std::string> mSubmitting;
   /// Ids of steps that may be stored although creating them failed.
   std::set<std::string> mUnknownCreates;
   /// Ids of steps of which this process may become the owner although claiming
--- a/src/agatetide/steps/step_service.cpp
+++ b/src/agatetide/steps/step_service.cpp
@@ -49,6 +49,9 @@
     LogMemoryShortage("step_refused", aSubmission.mId);
     co_return SubmitOutcome::Refused;
   }
+  const auto submitting = mSubmitting.insert(aSubmission.mId);
+  const std::shared_ptr<void> submitted(
+    nullptr, [&](void*) { mSubmitting.erase(submitting); });
   StepRecord record;
   record.mId = aSubmission.mId;
   record.mAccount = aSubmission.mAccount;
--- a/src/agatetide/steps/step_service_test.cpp
+++ b/src/agatetide/steps/step_service_test.cpp
@@ -274,3 +274,41 @@
   fixture.mContext.run_for(Milliseconds(400));
   cr_expect(fixture.IsSent("step-item"));
 }
+
+// Guards against a host that loads its own step while it is being submitted, so
+// that its items take twice their memory and the next step is refused.
+Test(step_service, a_step_that_is_being_submitted_is_not_taken_over)
+{
+  Fixture fixture;
+  StepSubmission submission;
+  submission.mId = "step";
+  submission.mAccount = "account";
+  submission.mHttpHost = "host";
+  submission.mPath = "/";
+  submission.mModel = "model";
+  submission.mDesiredGroups = 1;
+  submission.mItems = MakeItems({ 40 });
+  submission.mItems[0].mId = "step-item";
+  submission.mItems[0].mBody = std::string(kLargeBytes, 'b');
+  fixture.LeaveMemory(2 * kLargeBytes);
+  const size_t before = fixture.mItemBudget->Used();
+  fixture.mHoldsReplies = [](const StoreRequest& aRequest) {
+    return std::holds_alternative<TransactionRequest>(aRequest);
+  };
+  cr_assert(!fixture.Run(fixture.mService.Submit(
+    submission, fixture.mClock() + std::chrono::seconds(5))));
+  const size_t submitting = fixture.mItemBudget->Used();
+  while (fixture.mHeldCount > 0 && !fixture.mRunner.Find("step")) {
+    // Each transaction of the step is stored before its reply arrives.
+    cr_expect(*fixture.Recover());
+    cr_expect_eq(fixture.mItemBudget->Used(), submitting);
+    fixture.mHeldCount = 0;
+    fixture.mHeld.cancel();
+    fixture.Poll();
+  }
+  cr_expect(fixture.mRunner.Find("step") != nullptr);
+  cr_expect_leq(fixture.mItemBudget->Used() - before, submitting - before);
+  cr_expect(*fixture.Recover());
+  cr_expect_eq(
+    std::count(fixture.mSent.begin(), fixture.mSent.end(), "step-item"), 1);
+}
--- a/src/agatetide/steps/step_takeover.cpp
+++ b/src/agatetide/steps/step_takeover.cpp
@@ -193,6 +193,7 @@
   const bool isComplete = step && step->mStopped && step->IsComplete();
   return !isComplete && !mRunner.IsRunning(aRecord) &&
          !mLoader.IsLoading(aRecord.mId) &&
+         !mSubmitting.contains(aRecord.mId) &&
          !mUnknownCreates.contains(aRecord.mId);
 }
 
--- a/src/agatetide/steps/test_runner.hpp
+++ b/src/agatetide/steps/test_runner.hpp
@@ -109,26 +109,37 @@
   }
 
   /// Calls the store; calls for which mHolds returns true wait for Release(),
-  /// and those for which mFails does get no answer.
+  /// and those for which mFails does get no answer. Replies for which
+  /// mHoldsReplies returns true wait for Release() after the call took effect.
   Awaitable<Result<coordination::StoreReply>> CallStore(
     coordination::StoreRequest aRequest)
   {
     if (mHolds && mHolds(aRequest)) {
-      ++mHeldCount;
-      boost::system::error_code ignored;
-      co_await mHeld.async_wait(
-        asio::redirect_error(asio::use_awaitable, ignored));
+      co_await WaitForRelease();
     }
     if (mFails && mFails(aRequest)) {
       co_return Error{ ErrorKind::Unavailable, "no answer", "wait" };
     }
-    co_return mStore.Apply(aRequest);
+    auto reply = mStore.Apply(aRequest);
+    if (mHoldsReplies && mHoldsReplies(aRequest)) {
+      co_await WaitForRelease();
+    }
+    co_return reply;
+  }
+
+  Awaitable<void> WaitForRelease()
+  {
+    ++mHeldCount;
+    boost::system::error_code ignored;
+    co_await mHeld.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
   }
 
   /// Lets the calls that were held go on, and holds no further ones.
   void Release()
   {
     mHolds = nullptr;
+    mHoldsReplies = nullptr;
     mHeld.cancel();
     Poll();
   }
@@ -156,6 +167,7 @@
 
   asio::io_context mContext;
   std::function<bool(const coordination::StoreRequest&)> mHolds;
+  std::function<bool(const coordination::StoreRequest&)> mHoldsReplies;
   std::function<bool(const coordination::StoreRequest&)> mFails;
   asio::steady_timer mHeld{ mContext, asio::steady_timer::time_point::max() };
   int mHeldCount = 0;
