--- a/include/agatetide/base/task.hpp
+++ b/include/agatetide/base/task.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatetide/base/awaitable.hpp"
+#include "agatetide/base/error.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -8,6 +9,7 @@
 #include <exception>
 #include <functional>
 #include <string_view>
+#include <utility>
 
 namespace agatetide {
 
@@ -41,12 +43,12 @@
 /// if an operation cannot be started, RestartLostTasks() starts it again. It
 /// ends when aStart returns. Thread-safe. Precondition: aTask, the name in the
 /// log, is a literal.
-void SpawnKept(boost::asio::any_io_executor aExecutor,
-               std::string_view aTask,
-               std::function<Awaitable<void>()> aStart);
+void SpawnSupervised(boost::asio::any_io_executor aExecutor,
+                     std::string_view aTask,
+                     std::function<Awaitable<void>()> aStart);
 
-/// @brief Starts tasks of SpawnKept() again whose coroutines were destroyed.
-/// Thread-safe. Precondition: the event loops of the tasks exist.
+/// @brief Starts tasks of SpawnSupervised() again whose coroutines were
+/// destroyed. Thread-safe. Precondition: the event loops of the tasks exist.
 void RestartLostTasks();
 
 /// @brief Logs an exception that left a task or an event handler, at most one a
@@ -54,6 +56,29 @@
 void LogTaskFailure(std::string_view aTask,
                     const std::exception_ptr& aFailure) noexcept;
 
+/// @brief The error of a call that an exception has ended. Logs the exception,
+/// see LogTaskFailure(). Thread-safe.
+Error EndedByException(std::string_view aCall,
+                       const std::exception_ptr& aFailure);
+
+/// @brief Turns an exception of a call, most often for lack of memory for its
+/// response, into an error (ResourceExhausted, outcome unknown), so that those
+/// who wait for the call, and what they note of it, go on as after any other
+/// failure. Thread-safe. Precondition: aCall, the name in the log, is a
+/// literal.
+template<class T>
+Awaitable<Result<T>> FailureAsError(std::string_view aCall,
+                                    Awaitable<Result<T>> aResult)
+{
+  std::exception_ptr failure;
+  try {
+    co_return co_await std::move(aResult);
+  } catch (...) {
+    failure = std::current_exception();
+  }
+  co_return EndedByException(aCall, failure);
+}
+
 /// @brief Tasks and event handlers that an exception has left since the start.
 /// Thread-safe.
 uint64_t TaskFailureCount();
--- a/include/agatetide/process/life_record.hpp
+++ b/include/agatetide/process/process_record.hpp
@@ -11,7 +11,7 @@
 
 /// @brief What a process leaves for its next start: its state when it was last
 /// written, and its end if it could tell that.
-struct LifeRecord
+struct ProcessRecord
 {
   int mProcessId = 0;
   /// Identifies the start of the host; empty if it is unknown.
@@ -33,14 +33,14 @@
 
 /// @brief Formats a record as JSON. The texts of error and activity are
 /// shortened, so that the result always fits into a file.
-std::string EncodeLifeRecord(const LifeRecord& aRecord);
+std::string EncodeProcessRecord(const ProcessRecord& aRecord);
 
-/// @brief Reads a record that EncodeLifeRecord() made. Errors: DataLoss.
-Result<LifeRecord> DecodeLifeRecord(std::string_view aText);
+/// @brief Reads a record that EncodeProcessRecord() made. Errors: DataLoss.
+Result<ProcessRecord> DecodeProcessRecord(std::string_view aText);
 
 /// @brief The file of a record, in a folder for temporary files. It is locked
 /// while its process runs. Not thread-safe, except RecordFault().
-class LifeRecordFile
+class ProcessRecordFile
 {
 public:
   /// @brief The path for a process with this role and settings file, below
@@ -51,25 +51,25 @@
   /// @brief Opens the file and reads the record of the process before.
   /// Errors: Unavailable if another process has it; PermissionDenied if it is
   /// not a file of this user; Internal if the system refuses it.
-  static Result<LifeRecordFile> Open(const std::string& aPath);
+  static Result<ProcessRecordFile> Open(const std::string& aPath);
 
-  LifeRecordFile(LifeRecordFile&& aOther) noexcept;
-  LifeRecordFile& operator=(LifeRecordFile&& aOther) = delete;
-  ~LifeRecordFile();
+  ProcessRecordFile(ProcessRecordFile&& aOther) noexcept;
+  ProcessRecordFile& operator=(ProcessRecordFile&& aOther) = delete;
+  ~ProcessRecordFile();
 
   /// @brief The record of the process before, if there is one.
-  const std::optional<LifeRecord>& Previous() const { return mPrevious; }
+  const std::optional<ProcessRecord>& Previous() const { return mPrevious; }
 
   /// @brief Replaces the record. A failure is ignored: the record only helps to
   /// explain an end.
-  void Write(const LifeRecord& aRecord);
+  void Write(const ProcessRecord& aRecord);
 
   /// @brief Notes that a fault ends the process. May be called by a signal
   /// handler. Without an open file it does nothing.
   static void RecordFault(int aSignal);
 
 private:
-  explicit LifeRecordFile(int aDescriptor)
+  explicit ProcessRecordFile(int aDescriptor)
     : mDescriptor(aDescriptor)
   {
   }
@@ -77,7 +77,7 @@
   void ReadPrevious();
 
   int mDescriptor;
-  std::optional<LifeRecord> mPrevious;
+  std::optional<ProcessRecord> mPrevious;
 };
 
 } // namespace agatetide::process
--- a/src/agatetide/base/crash_log_test.cpp
+++ b/src/agatetide/base/crash_log_test.cpp
@@ -1,10 +1,10 @@
 #include "agatetide/base/crash_log.hpp"
 
+#include "agatetide/base/test_child.hpp"
+
 #include <criterion/criterion.h>
 
 #include <sys/mman.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include <climits>
 #include <csignal>
@@ -15,36 +15,13 @@
 
 namespace {
 
-struct EndedProcess
-{
-  std::string mOutput;
-  int mSignal = 0;
-};
-
-/// Runs a function in a process of its own, and returns how that has ended.
-EndedProcess RunInChild(const std::function<void()>& aFunction)
+/// Runs a function in a process of its own that logs its faults.
+EndedProcess RunWithCrashLog(const std::function<void()>& aFunction)
 {
-  int pipe[2];
-  cr_assert_eq(::pipe(pipe), 0);
-  const pid_t child = ::fork();
-  if (child == 0) {
-    ::dup2(pipe[1], STDERR_FILENO);
+  return RunInChild([&] {
     InstallCrashLog();
     aFunction();
-    ::_exit(0);
-  }
-  ::close(pipe[1]);
-  EndedProcess ended;
-  char bytes[512];
-  for (ssize_t count = 1; count > 0;) {
-    count = ::read(pipe[0], bytes, sizeof bytes);
-    ended.mOutput.append(bytes, count > 0 ? static_cast<size_t>(count) : 0);
-  }
-  ::close(pipe[0]);
-  int status = 0;
-  ::waitpid(child, &status, 0);
-  ended.mSignal = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
-  return ended;
+  });
 }
 
 int gSink = 0;
@@ -62,7 +39,7 @@
 // Guards against a daemon that ends by a fault without a line in its log.
 Test(crash_log, a_fault_leaves_a_line_and_ends_the_process)
 {
-  const EndedProcess ended = RunInChild([] {
+  const EndedProcess ended = RunWithCrashLog([] {
     void* page =
       ::mmap(nullptr, 1, PROT_NONE, MAP_PRIVATE | MAP_ANONYMOUS, -1, 0);
     *static_cast<volatile char*>(page) = 1;
@@ -77,7 +54,7 @@
 // Guards against a handler that needs the stack that has overflowed.
 Test(crash_log, a_stack_overflow_leaves_a_line)
 {
-  const EndedProcess ended = RunInChild([] { gSink = Recurse(INT_MAX); });
+  const EndedProcess ended = RunWithCrashLog([] { gSink = Recurse(INT_MAX); });
   cr_expect_eq(ended.mSignal, SIGSEGV);
   cr_expect(
     ended.mOutput.starts_with("level=error event=process_fault signal=11"));
@@ -86,7 +63,7 @@
 // Guards against a failed check of the C library that ends without a line.
 Test(crash_log, an_abort_leaves_a_line)
 {
-  const EndedProcess ended = RunInChild([] { ::abort(); });
+  const EndedProcess ended = RunWithCrashLog([] { ::abort(); });
   cr_expect_eq(ended.mSignal, SIGABRT);
   cr_expect(
     ended.mOutput.starts_with("level=error event=process_fault signal=6"));
--- a/src/agatetide/base/task.cpp
+++ b/src/agatetide/base/task.cpp
@@ -62,8 +62,8 @@
   }
 }
 
-/// A task of SpawnKept().
-struct KeptTask
+/// A task of SpawnSupervised().
+struct SupervisedTask
 {
   boost::asio::any_io_executor mExecutor;
   std::string_view mName;
@@ -72,19 +72,19 @@
   std::atomic<bool> mLost{ false };
 };
 
-using KeptTaskPtr = std::shared_ptr<KeptTask>;
+using SupervisedTaskPtr = std::shared_ptr<SupervisedTask>;
 
 /// The tasks that have not ended.
-struct KeptTasks
+struct SupervisedTasks
 {
   std::mutex mMutex;
-  std::list<KeptTaskPtr> mTasks;
+  std::list<SupervisedTaskPtr> mTasks;
 };
 
-KeptTasks& AllKeptTasks()
+SupervisedTasks& AllSupervisedTasks()
 {
   // Never destroyed, since coroutines may end after static objects.
-  static auto* tasks = new KeptTasks;
+  static auto* tasks = new SupervisedTasks;
   return *tasks;
 }
 
@@ -92,7 +92,7 @@
 class LossGuard
 {
 public:
-  explicit LossGuard(KeptTaskPtr aTask)
+  explicit LossGuard(SupervisedTaskPtr aTask)
     : mTask(std::move(aTask))
   {
   }
@@ -108,11 +108,11 @@
   void Release() { mTask.reset(); }
 
 private:
-  KeptTaskPtr mTask;
+  SupervisedTaskPtr mTask;
 };
 
 /// Runs a task until it returns, and starts it again after exceptions.
-Awaitable<void> KeepRunning(KeptTaskPtr aTask)
+Awaitable<void> KeepRunning(SupervisedTaskPtr aTask)
 {
   LossGuard guard(aTask);
   boost::asio::steady_timer timer(aTask->mExecutor);
@@ -128,12 +128,12 @@
     co_await WaitToRestart(timer);
   }
   guard.Release();
-  KeptTasks& all = AllKeptTasks();
+  SupervisedTasks& all = AllSupervisedTasks();
   const std::lock_guard lock(all.mMutex);
   all.mTasks.remove(aTask);
 }
 
-void Spawn(const KeptTaskPtr& aTask)
+void Spawn(const SupervisedTaskPtr& aTask)
 {
   boost::asio::co_spawn(
     aTask->mExecutor, KeepRunning(aTask), LogFailure(aTask->mName));
@@ -159,21 +159,31 @@
   }
 }
 
+Error EndedByException(std::string_view aCall,
+                       const std::exception_ptr& aFailure)
+{
+  LogTaskFailure(aCall, aFailure);
+  return { ErrorKind::ResourceExhausted,
+           "an exception has ended the call",
+           "see task_failed in the log",
+           Execution::Unknown };
+}
+
 uint64_t TaskFailureCount()
 {
   return gFailures;
 }
 
-void SpawnKept(boost::asio::any_io_executor aExecutor,
-               std::string_view aTask,
-               std::function<Awaitable<void>()> aStart)
+void SpawnSupervised(boost::asio::any_io_executor aExecutor,
+                     std::string_view aTask,
+                     std::function<Awaitable<void>()> aStart)
 {
-  const auto task = std::make_shared<KeptTask>();
+  const auto task = std::make_shared<SupervisedTask>();
   task->mExecutor = std::move(aExecutor);
   task->mName = aTask;
   task->mStart = std::move(aStart);
   {
-    KeptTasks& all = AllKeptTasks();
+    SupervisedTasks& all = AllSupervisedTasks();
     const std::lock_guard lock(all.mMutex);
     all.mTasks.push_back(task);
   }
@@ -182,9 +192,9 @@
 
 void RestartLostTasks()
 {
-  KeptTasks& all = AllKeptTasks();
+  SupervisedTasks& all = AllSupervisedTasks();
   const std::lock_guard lock(all.mMutex);
-  for (const KeptTaskPtr& task : all.mTasks) {
+  for (const SupervisedTaskPtr& task : all.mTasks) {
     if (!task->mLost) {
       continue;
     }
--- a/src/agatetide/base/task_test.cpp
+++ b/src/agatetide/base/task_test.cpp
@@ -63,12 +63,12 @@
   }
 }
 
-/// Returns how often a kept task was started.
-int RunKept(int aFailures)
+/// Returns how often a supervised task was started.
+int RunSupervised(int aFailures)
 {
   boost::asio::io_context context;
   int starts = 0;
-  SpawnKept(context.get_executor(), "loop", [&starts, aFailures] {
+  SpawnSupervised(context.get_executor(), "loop", [&starts, aFailures] {
     return CountStart(starts, aFailures);
   });
   context.run();
@@ -88,9 +88,9 @@
 }
 
 // Guards against a loop of the process that is gone after one exception.
-Test(task, kept_task_is_started_again)
+Test(task, supervised_task_is_started_again)
 {
-  cr_expect_eq(RunKept(2), 3);
+  cr_expect_eq(RunSupervised(2), 3);
   cr_expect_eq(TaskFailureCount(), 2);
 }
 
@@ -100,7 +100,7 @@
 {
   boost::asio::io_context context;
   int starts = 0;
-  SpawnKept(context.get_executor(), "loop", [&starts] {
+  SpawnSupervised(context.get_executor(), "loop", [&starts] {
     return CountStartAndLose(starts);
   });
   RunAll(context);
@@ -114,7 +114,7 @@
 }
 
 // Guards against a task that is started again after its planned end.
-Test(task, kept_task_ends_when_it_returns)
+Test(task, supervised_task_ends_when_it_returns)
 {
-  cr_expect_eq(RunKept(0), 1);
+  cr_expect_eq(RunSupervised(0), 1);
 }
--- a/src/agatetide/daemon/control.cpp
+++ b/src/agatetide/daemon/control.cpp
@@ -666,7 +666,7 @@
   state.mMembership->SetSeeds(seeds);
   state.mLink->Start();
   const auto keep = [&state](std::string_view aTask, auto aStart) {
-    SpawnKept(state.mExecutor, aTask, std::move(aStart));
+    SpawnSupervised(state.mExecutor, aTask, std::move(aStart));
   };
   keep("membership", [&state] { return state.MembershipLoop(); });
   keep("config", [&state] { return state.ConfigLoop(); });
--- a/src/agatetide/daemon/daemon.cpp
+++ b/src/agatetide/daemon/daemon.cpp
@@ -307,10 +307,10 @@
   asio::post(state.mControlContext, [&] { state.mControl->Start(); });
   std::thread control(
     [&] { state.mProcess.RunLoop(state.mControlContext, "control"); });
-  SpawnKept(state.mTrafficContext.get_executor(), "signals", [&state] {
+  SpawnSupervised(state.mTrafficContext.get_executor(), "signals", [&state] {
     return state.WatchSignals();
   });
-  process::AllowSignals();
+  process::UnblockSignals();
   LogEvent("started")
     .Field("callers", state.mSettings.mCallerListen.mAddress)
     .Field("port", static_cast<unsigned>(state.mSettings.mCallerListen.mPort))
--- a/src/agatetide/daemon/main.cpp
+++ b/src/agatetide/daemon/main.cpp
@@ -190,17 +190,17 @@
                                           parsed.count("check-config") > 0));
 }
 
-void HoldSignalsEarly(int /*aCount*/, char** /*aArguments*/, char** /*aEnv*/)
+void BlockSignalsEarly(int /*aCount*/, char** /*aArguments*/, char** /*aEnv*/)
 {
-  HoldSignals();
+  BlockSignals();
 }
 
 /// Runs before the constructors of all libraries, which take most of the time
 /// until main().
 [[gnu::section(".preinit_array"),
-  gnu::used]] void (*const kHoldSignalsEarly)(int,
-                                              char**,
-                                              char**) = HoldSignalsEarly;
+  gnu::used]] void (*const kBlockSignalsEarly)(int,
+                                               char**,
+                                               char**) = BlockSignalsEarly;
 
 } // namespace
 
--- a/src/agatetide/daemon/peer_link.cpp
+++ b/src/agatetide/daemon/peer_link.cpp
@@ -290,10 +290,10 @@
 void PeerLink::Start()
 {
   const auto executor = mState->mUdp.get_executor();
-  SpawnKept(executor, "receive_datagrams", [state = mState] {
+  SpawnSupervised(executor, "receive_datagrams", [state = mState] {
     return state->ReceiveDatagrams();
   });
-  SpawnKept(executor, "accept_peers", [state = mState] {
+  SpawnSupervised(executor, "accept_peers", [state = mState] {
     return state->AcceptPeers();
   });
 }
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -323,7 +323,7 @@
 {
   mRunner.Start();
   const auto keep = [this](std::string_view aTask, auto aStart) {
-    SpawnKept(mExecutor, aTask, std::move(aStart));
+    SpawnSupervised(mExecutor, aTask, std::move(aStart));
   };
   keep("watch_operator_entries", [this] { return WatchOperatorEntries(); });
   keep("watch_replicas", [this] { return WatchReplicas(); });
--- a/src/agatetide/entry/peer_channel.cpp
+++ b/src/agatetide/entry/peer_channel.cpp
@@ -68,25 +68,6 @@
   return kUnknown;
 }
 
-/// Turns an exception of a call, most often for lack of memory, into an error,
-/// so that those who wait for the call go on.
-Awaitable<Result<http::Response>> CallOrFail(http::Client& aClient,
-                                             http::Endpoint aPeer,
-                                             http::Request aRequest,
-                                             http::CallOptions aOptions)
-{
-  try {
-    co_return co_await aClient.Call(
-      std::move(aPeer), std::move(aRequest), std::move(aOptions));
-  } catch (...) {
-    LogTaskFailure("peer_call", std::current_exception());
-  }
-  co_return Error{ ErrorKind::ResourceExhausted,
-                   "an exception has ended the call",
-                   "see task_failed in the log",
-                   Execution::Unknown };
-}
-
 } // namespace
 
 PeerChannel::PeerChannel(std::unique_ptr<http::Client> aClient,
@@ -276,8 +257,9 @@
   const std::string peerAddress = aPeer.mAddress;
   http::CallOptions options;
   options.mDeadline = std::chrono::steady_clock::now() + aTimeout;
-  auto answer = co_await CallOrFail(
-    *mClient, std::move(aPeer), std::move(request), std::move(options));
+  auto call =
+    mClient->Call(std::move(aPeer), std::move(request), std::move(options));
+  auto answer = co_await FailureAsError("peer_call", std::move(call));
   if (answer.has_error()) {
     co_return answer.error();
   }
--- a/src/agatetide/http/server.cpp
+++ b/src/agatetide/http/server.cpp
@@ -567,7 +567,7 @@
       "stop the process that uses the address or choose another one"
     };
   }
-  SpawnKept(aExecutor, "accept", [state] { return Accept(state); });
+  SpawnSupervised(aExecutor, "accept", [state] { return Accept(state); });
   return std::unique_ptr<Server>(new Server(std::move(state)));
 }
 
--- a/src/agatetide/process/process.cpp
+++ b/src/agatetide/process/process.cpp
@@ -2,16 +2,14 @@
 
 #include "agatetide/base/crash_log.hpp"
 #include "agatetide/base/task.hpp"
-#include "agatetide/process/life_record.hpp"
+#include "agatetide/process/process_record.hpp"
 #include "agatetide/process/signals.hpp"
 #include "agatetide/process/standard_streams.hpp"
-
-#include <boost/asio/post.hpp>
+#include "watched_loop.hpp"
 
 #include <unistd.h>
 
 #include <algorithm>
-#include <atomic>
 #include <condition_variable>
 #include <csignal>
 #include <cstdlib>
@@ -19,7 +17,6 @@
 #include <functional>
 #include <list>
 #include <mutex>
-#include <new>
 #include <optional>
 #include <system_error>
 #include <thread>
@@ -31,8 +28,6 @@
 namespace {
 
 constexpr Milliseconds kWatchInterval{ 1000 };
-/// Time after which a loop that does not respond is logged.
-constexpr Milliseconds kStallTime{ 2000 };
 /// The record is written, and usage logged, once in so many watch intervals.
 constexpr unsigned kIntervalsPerRecord = 2;
 constexpr unsigned kIntervalsPerLine = 10;
@@ -79,7 +74,7 @@
 
 /// An end that the process could not record came from outside, for example as
 /// SIGKILL for too much memory.
-std::string_view CauseOf(const LifeRecord& aRecord, std::string_view aBootId)
+std::string_view CauseOf(const ProcessRecord& aRecord, std::string_view aBootId)
 {
   if (!aRecord.mEndCause.empty()) {
     return aRecord.mEndCause;
@@ -87,7 +82,7 @@
   return aRecord.mBootId == aBootId ? "killed" : "host_restarted";
 }
 
-void LogPreviousEnd(const LifeRecord& aRecord, std::string_view aBootId)
+void LogPreviousEnd(const ProcessRecord& aRecord, std::string_view aBootId)
 {
   LogEvent event("previous_end");
   event.Field("cause", CauseOf(aRecord, aBootId));
@@ -105,82 +100,6 @@
   event.Field("activity", aRecord.mActivity).Write();
 }
 
-/// An event loop that is watched: it is asked to respond again and again.
-class WatchedLoop
-{
-public:
-  WatchedLoop(asio::io_context& aLoop,
-              std::string_view aName,
-              std::function<std::string()> aActivity)
-    : mLoop(aLoop)
-    , mName(aName)
-    , mResponse(std::make_shared<Response>())
-  {
-    mResponse->mActivity = std::move(aActivity);
-  }
-
-  std::string_view Name() const { return mName; }
-
-  /// Returns how long the loop has not responded, and asks it if it has.
-  Duration Check()
-  {
-    const TimePoint now = std::chrono::steady_clock::now();
-    if (!mResponse->mArrived) {
-      return now - mAskedAt;
-    }
-    mResponse->mArrived = false;
-    mAskedAt = now;
-    try {
-      asio::post(mLoop, [response = mResponse] { response->Arrive(); });
-    } catch (const std::bad_alloc&) {
-      mResponse->mArrived = true; // It was not asked.
-    }
-    return Duration::zero();
-  }
-
-  /// What the loop did when it last responded.
-  std::string LastActivity() const
-  {
-    const std::lock_guard lock(mResponse->mMutex);
-    return mResponse->mText;
-  }
-
-  /// Whether this stall has not been logged yet.
-  bool IsNewStall(Duration aStalled)
-  {
-    const bool stalled = aStalled > kStallTime;
-    const bool isNew = stalled && !mStalled;
-    mStalled = stalled;
-    return isNew;
-  }
-
-private:
-  /// Shared with the loop, which may outlive the watch.
-  struct Response
-  {
-    /// Called by the loop.
-    void Arrive()
-    {
-      mArrived = true;
-      if (mActivity) {
-        const std::lock_guard lock(mMutex);
-        mText = mActivity();
-      }
-    }
-
-    std::function<std::string()> mActivity;
-    std::atomic<bool> mArrived{ true };
-    std::mutex mMutex;
-    std::string mText;
-  };
-
-  asio::io_context& mLoop;
-  std::string_view mName;
-  std::shared_ptr<Response> mResponse;
-  TimePoint mAskedAt{};
-  bool mStalled = false;
-};
-
 } // namespace
 
 struct Process::State
@@ -197,10 +116,10 @@
 
   void OpenRecord()
   {
-    auto file = LifeRecordFile::Open(
-      LifeRecordFile::PathFor(mOptions.mRole, mOptions.mSettingsPath));
+    auto file = ProcessRecordFile::Open(
+      ProcessRecordFile::PathFor(mOptions.mRole, mOptions.mSettingsPath));
     if (file.has_error()) {
-      LogEvent("life_record_unusable", LogLevel::Warning)
+      LogEvent("process_record_unusable", LogLevel::Warning)
         .Field("error", FormatError(file.error()))
         .Write();
       return;
@@ -209,13 +128,13 @@
     if (mRecord->Previous()) {
       LogPreviousEnd(*mRecord->Previous(), mBootId);
     }
-    SetFaultObserver(LifeRecordFile::RecordFault);
+    SetFaultObserver(ProcessRecordFile::RecordFault);
   }
 
   /// Precondition: mMutex is held.
-  LifeRecord MakeRecord(const ResourceUsage& aUsage) const
+  ProcessRecord MakeRecord(const ResourceUsage& aUsage) const
   {
-    LifeRecord record;
+    ProcessRecord record;
     record.mProcessId = ::getpid();
     record.mBootId = mBootId;
     record.mPhase = PhaseName(mPhase);
@@ -368,7 +287,7 @@
     AppendUsage(event, usage, mLimits);
     event.Field("dropped_lines", DroppedLogLines()).Write();
     if (mRecord) {
-      LifeRecord record = MakeRecord(usage);
+      ProcessRecord record = MakeRecord(usage);
       record.mEndCause = EndCauseName(aEnd.mCause);
       record.mEndSignal = aEnd.mSignal;
       record.mEndError = aEnd.mError;
@@ -406,14 +325,14 @@
   Duration mStalled{};
   int mStopSignal = 0;
   TimePoint mStopDeadline = TimePoint::max();
-  std::optional<LifeRecordFile> mRecord;
+  std::optional<ProcessRecordFile> mRecord;
   std::thread mWatcher;
 };
 
 void Process::Prepare()
 {
   OpenClosedStreams();
-  HoldSignals();
+  BlockSignals();
   ConfigureMemory();
   RefillMemoryReserve();
   InstallCrashLog();
@@ -449,7 +368,7 @@
   try {
     mState->WriteRecord(ReadResourceUsage());
   } catch (const std::exception&) {
-    LogTaskFailure("life_record", std::current_exception());
+    LogTaskFailure("process_record", std::current_exception());
   }
 }
 
--- a/src/agatetide/process/life_record.cpp
+++ b/src/agatetide/process/process_record.cpp
@@ -1,4 +1,4 @@
-#include "agatetide/process/life_record.hpp"
+#include "agatetide/process/process_record.hpp"
 
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
@@ -60,7 +60,7 @@
 
 } // namespace
 
-std::string EncodeLifeRecord(const LifeRecord& aRecord)
+std::string EncodeProcessRecord(const ProcessRecord& aRecord)
 {
   return json{
     { "pid", aRecord.mProcessId },
@@ -80,9 +80,9 @@
   }.dump();
 }
 
-Result<LifeRecord> DecodeLifeRecord(std::string_view aText)
+Result<ProcessRecord> DecodeProcessRecord(std::string_view aText)
 {
-  LifeRecord record;
+  ProcessRecord record;
   try {
     const json value = json::parse(aText);
     record.mProcessId = value.at("pid");
@@ -109,8 +109,8 @@
   return record;
 }
 
-std::string LifeRecordFile::PathFor(std::string_view aRole,
-                                    const std::string& aSettingsPath)
+std::string ProcessRecordFile::PathFor(std::string_view aRole,
+                                       const std::string& aSettingsPath)
 {
   std::error_code error;
   const std::string identity =
@@ -122,7 +122,7 @@
          std::to_string(XXH64(identity.data(), identity.size(), 0)) + ".life";
 }
 
-Result<LifeRecordFile> LifeRecordFile::Open(const std::string& aPath)
+Result<ProcessRecordFile> ProcessRecordFile::Open(const std::string& aPath)
 {
   constexpr mode_t kOwnerOnly = 0600;
   const int descriptor = ::open(
@@ -130,7 +130,7 @@
   if (descriptor < 0) {
     return SystemError(ErrorKind::Internal, aPath);
   }
-  LifeRecordFile file(descriptor);
+  ProcessRecordFile file(descriptor);
   if (!IsFileOfThisUser(descriptor)) {
     errno = EPERM;
     return SystemError(ErrorKind::PermissionDenied, aPath);
@@ -147,13 +147,13 @@
   return file;
 }
 
-LifeRecordFile::LifeRecordFile(LifeRecordFile&& aOther) noexcept
+ProcessRecordFile::ProcessRecordFile(ProcessRecordFile&& aOther) noexcept
   : mDescriptor(std::exchange(aOther.mDescriptor, -1))
   , mPrevious(std::move(aOther.mPrevious))
 {
 }
 
-LifeRecordFile::~LifeRecordFile()
+ProcessRecordFile::~ProcessRecordFile()
 {
   if (mDescriptor < 0) {
     return;
@@ -163,7 +163,7 @@
   ::close(mDescriptor);
 }
 
-void LifeRecordFile::ReadPrevious()
+void ProcessRecordFile::ReadPrevious()
 {
   std::array<char, kRecordBytes + 8> bytes{};
   const ssize_t count = ::pread(mDescriptor, bytes.data(), bytes.size(), 0);
@@ -172,7 +172,7 @@
   }
   const size_t size = static_cast<size_t>(count);
   const std::string_view text(bytes.data(), std::min(size, kRecordBytes));
-  auto record = DecodeLifeRecord(text.substr(0, text.find('\n')));
+  auto record = DecodeProcessRecord(text.substr(0, text.find('\n')));
   if (record.has_error()) {
     return;
   }
@@ -183,15 +183,15 @@
   mPrevious = std::move(*record);
 }
 
-void LifeRecordFile::Write(const LifeRecord& aRecord)
+void ProcessRecordFile::Write(const ProcessRecord& aRecord)
 {
-  std::string text = EncodeLifeRecord(aRecord) + '\n';
+  std::string text = EncodeProcessRecord(aRecord) + '\n';
   text.resize(kRecordBytes, ' ');
   [[maybe_unused]] const ssize_t written =
     ::pwrite(mDescriptor, text.data(), text.size(), 0);
 }
 
-void LifeRecordFile::RecordFault(int aSignal)
+void ProcessRecordFile::RecordFault(int aSignal)
 {
   const int descriptor = gFaultDescriptor;
   if (descriptor < 0) {
--- a/src/agatetide/process/life_record_test.cpp
+++ b/src/agatetide/process/process_record_test.cpp
@@ -1,4 +1,4 @@
-#include "agatetide/process/life_record.hpp"
+#include "agatetide/process/process_record.hpp"
 
 #include <criterion/criterion.h>
 
@@ -37,9 +37,9 @@
   std::filesystem::path mPath;
 };
 
-LifeRecord SampleRecord()
+ProcessRecord SampleRecord()
 {
-  LifeRecord record;
+  ProcessRecord record;
   record.mProcessId = 7;
   record.mBootId = "boot";
   record.mPhase = "serving";
@@ -50,9 +50,9 @@
 }
 
 /// Writes a record as a process does that ends after it.
-void WriteAndEnd(const std::string& aPath, const LifeRecord& aRecord)
+void WriteAndEnd(const std::string& aPath, const ProcessRecord& aRecord)
 {
-  auto file = LifeRecordFile::Open(aPath);
+  auto file = ProcessRecordFile::Open(aPath);
   cr_assert(file.has_value());
   file->Write(aRecord);
 }
@@ -60,78 +60,78 @@
 } // namespace
 
 // Guards against a next start that does not know the process before.
-Test(life_record, next_process_reads_the_record)
+Test(process_record, next_process_reads_the_record)
 {
   const TemporaryFolder folder;
   WriteAndEnd(folder.File("life"), SampleRecord());
-  const auto next = LifeRecordFile::Open(folder.File("life"));
+  const auto next = ProcessRecordFile::Open(folder.File("life"));
   cr_assert(next.has_value() && next->Previous().has_value());
-  const LifeRecord& previous = *next->Previous();
+  const ProcessRecord& previous = *next->Previous();
   cr_expect_eq(previous.mProcessId, 7);
   cr_expect(previous.mPhase == "serving" && previous.mEndCause.empty());
   cr_expect_eq(previous.mLimits.mDescriptors, 4100);
 }
 
 // Guards against an end by a fault that looks like one by SIGKILL.
-Test(life_record, fault_is_the_cause_of_the_end)
+Test(process_record, fault_is_the_cause_of_the_end)
 {
   const TemporaryFolder folder;
   {
-    auto file = LifeRecordFile::Open(folder.File("life"));
+    auto file = ProcessRecordFile::Open(folder.File("life"));
     cr_assert(file.has_value());
     file->Write(SampleRecord());
-    LifeRecordFile::RecordFault(SIGSEGV);
+    ProcessRecordFile::RecordFault(SIGSEGV);
     file->Write(SampleRecord());
   }
-  const auto next = LifeRecordFile::Open(folder.File("life"));
+  const auto next = ProcessRecordFile::Open(folder.File("life"));
   cr_assert(next.has_value() && next->Previous().has_value());
   cr_expect(next->Previous()->mEndCause == "fault");
   cr_expect_eq(next->Previous()->mEndSignal, SIGSEGV);
 }
 
 // Guards against a second process that takes the record of one that runs.
-Test(life_record, record_of_a_running_process_is_left_alone)
+Test(process_record, record_of_a_running_process_is_left_alone)
 {
   const TemporaryFolder folder;
-  auto first = LifeRecordFile::Open(folder.File("life"));
+  auto first = ProcessRecordFile::Open(folder.File("life"));
   cr_assert(first.has_value());
-  const auto second = LifeRecordFile::Open(folder.File("life"));
+  const auto second = ProcessRecordFile::Open(folder.File("life"));
   cr_assert(second.has_error());
   cr_expect(second.error().mKind == ErrorKind::Unavailable);
 }
 
 // Guards against writing through a link that another user has put there.
-Test(life_record, links_are_not_followed)
+Test(process_record, links_are_not_followed)
 {
   const TemporaryFolder folder;
   std::ofstream(folder.File("target")) << "content";
   std::filesystem::create_symlink(folder.File("target"), folder.File("life"));
   std::filesystem::create_hard_link(folder.File("target"), folder.File("hard"));
-  cr_expect(LifeRecordFile::Open(folder.File("life")).has_error());
-  cr_expect(LifeRecordFile::Open(folder.File("hard")).has_error());
+  cr_expect(ProcessRecordFile::Open(folder.File("life")).has_error());
+  cr_expect(ProcessRecordFile::Open(folder.File("hard")).has_error());
 }
 
 // Guards against a start that fails because of what the process before left.
-Test(life_record, malformed_records_are_ignored)
+Test(process_record, malformed_records_are_ignored)
 {
   const TemporaryFolder folder;
   for (const char* text : { "", "{", "[]", "{\"pid\":\"x\"}", "\n\n" }) {
     std::ofstream(folder.File("life")) << text;
-    const auto file = LifeRecordFile::Open(folder.File("life"));
+    const auto file = ProcessRecordFile::Open(folder.File("life"));
     cr_assert(file.has_value());
     cr_expect(!file->Previous().has_value(), "%s", text);
   }
 }
 
 // Guards against a record that an error of any length or bytes breaks.
-Test(life_record, errors_are_shortened)
+Test(process_record, errors_are_shortened)
 {
   const TemporaryFolder folder;
-  LifeRecord record = SampleRecord();
+  ProcessRecord record = SampleRecord();
   record.mEndCause = "runtime_failure";
   record.mEndError = std::string(5000, '\xff') + "\n\"";
   WriteAndEnd(folder.File("life"), record);
-  const auto next = LifeRecordFile::Open(folder.File("life"));
+  const auto next = ProcessRecordFile::Open(folder.File("life"));
   cr_assert(next.has_value() && next->Previous().has_value());
   cr_expect(next->Previous()->mEndCause == "runtime_failure");
 }
--- a/src/agatetide/process/process_test.cpp
+++ b/src/agatetide/process/process_test.cpp
@@ -1,6 +1,7 @@
 #include "agatetide/process/process.hpp"
 
 #include "agatetide/base/task.hpp"
+#include "agatetide/base/test_child.hpp"
 #include "agatetide/process/signals.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -8,9 +9,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <criterion/criterion.h>
 
-#include <sys/wait.h>
-#include <unistd.h>
-
 #include <cerrno>
 #include <csignal>
 #include <cstdlib>
@@ -24,43 +22,18 @@
 
 namespace {
 
-struct EndedProcess
-{
-  std::string mOutput;
-  int mSignal = 0;
-  int mCode = 0;
-};
+/// Ends a process whose test function returns.
+constexpr int kReturned = 99;
 
-/// Runs a function in a process of its own and returns how that has ended.
-EndedProcess RunInChild(const std::function<void(Process&)>& aFunction)
+/// Runs a function in a process of its own that has an owner of its life.
+EndedProcess RunProcess(const std::function<void(Process&)>& aFunction)
 {
-  int pipe[2];
-  cr_assert_eq(::pipe(pipe), 0);
-  const pid_t child = ::fork();
-  if (child == 0) {
-    ::dup2(pipe[1], STDERR_FILENO);
-    Process::Prepare();
-    aFunction(*Process::Start({ "test", "/settings-of-no-file" }));
-    ::_exit(99);
-  }
-  ::close(pipe[1]);
-  EndedProcess ended;
-  char bytes[512];
-  for (ssize_t count = 1; count > 0;) {
-    count = ::read(pipe[0], bytes, sizeof bytes);
-    ended.mOutput.append(bytes, count > 0 ? static_cast<size_t>(count) : 0);
-  }
-  ::close(pipe[0]);
-  int status = 0;
-  ::waitpid(child, &status, 0);
-  ended.mSignal = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
-  ended.mCode = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-  return ended;
-}
-
-bool Contains(const EndedProcess& aProcess, std::string_view aText)
-{
-  return aProcess.mOutput.find(aText) != std::string::npos;
+  return RunInChild(
+    [&] {
+      Process::Prepare();
+      aFunction(*Process::Start({ "test", "/settings-of-no-file" }));
+    },
+    kReturned);
 }
 
 [[noreturn]] void Exit(Process& aProcess, const ProcessEnd& aEnd)
@@ -73,7 +46,7 @@
 // Guards against an end by an exception that a handler throws.
 Test(process, loop_goes_on_after_an_exception_of_a_handler)
 {
-  const EndedProcess ended = RunInChild([](Process& aProcess) {
+  const EndedProcess ended = RunProcess([](Process& aProcess) {
     boost::asio::io_context loop;
     int handled = 0;
     boost::asio::post(loop, [] { throw std::bad_alloc(); });
@@ -85,7 +58,7 @@
          { handled == 2 ? EndCause::Signal : EndCause::RuntimeFailure });
   });
   cr_expect_eq(ended.mCode, 0);
-  cr_expect(Contains(ended, "event=task_failed task=test error=std::bad_alloc"),
+  cr_expect(ended.Says("event=task_failed task=test error=std::bad_alloc"),
             "%s",
             ended.mOutput.c_str());
 }
@@ -93,7 +66,7 @@
 // Guards against a stop that never ends, so that the next process cannot start.
 Test(process, late_stop_is_ended)
 {
-  const EndedProcess ended = RunInChild([](Process& aProcess) {
+  const EndedProcess ended = RunProcess([](Process& aProcess) {
     boost::asio::io_context loop;
     boost::asio::post(loop, [&] {
       aProcess.BeginStop(SIGTERM, Milliseconds(100));
@@ -102,7 +75,7 @@
     aProcess.RunLoop(loop, "test");
   });
   cr_expect_eq(ended.mCode, static_cast<int>(ExitCode::RuntimeFailure));
-  cr_expect(Contains(ended, "event=stopped role=test cause=stop_timed_out"),
+  cr_expect(ended.Says("event=stopped role=test cause=stop_timed_out"),
             "%s",
             ended.mOutput.c_str());
 }
@@ -110,28 +83,26 @@
 // Guards against a loop that hangs without a word.
 Test(process, loop_that_does_not_respond_is_logged)
 {
-  const EndedProcess ended = RunInChild([](Process& aProcess) {
+  const EndedProcess ended = RunProcess([](Process& aProcess) {
     boost::asio::io_context loop;
     boost::asio::post(
       loop, [] { std::this_thread::sleep_for(std::chrono::seconds(5)); });
     aProcess.RunLoop(loop, "test");
     Exit(aProcess, {});
   });
-  cr_expect(Contains(ended, "event=loop_stalled loop=test"),
-            "%s",
-            ended.mOutput.c_str());
+  cr_expect(
+    ended.Says("event=loop_stalled loop=test"), "%s", ended.mOutput.c_str());
 }
 
 // Guards against an exit code that the last line does not explain.
 Test(process, last_line_names_cause_and_code)
 {
-  const EndedProcess ended = RunInChild([](Process& aProcess) {
+  const EndedProcess ended = RunProcess([](Process& aProcess) {
     Exit(aProcess, { EndCause::InvalidSettings, 0, "bounds.graceS: text" });
   });
   cr_expect_eq(ended.mCode, 3);
-  cr_expect(Contains(ended,
-                     "event=start_failed role=test cause=invalid_settings "
-                     "code=3 error=\"bounds.graceS: text\" phase=starting"),
+  cr_expect(ended.Says("event=start_failed role=test cause=invalid_settings "
+                       "code=3 error=\"bounds.graceS: text\" phase=starting"),
             "%s",
             ended.mOutput.c_str());
 }
@@ -139,19 +110,19 @@
 // Guards against an exception outside of the loops that leaves no line.
 Test(process, uncaught_exception_leaves_its_text)
 {
-  const EndedProcess ended = RunInChild(
+  const EndedProcess ended = RunProcess(
     [](Process&) { std::thread([] { throw std::bad_alloc(); }).join(); });
   cr_expect_eq(ended.mSignal, SIGABRT);
-  cr_expect(Contains(ended, "event=uncaught_exception what=\"std::bad_alloc\""),
+  cr_expect(ended.Says("event=uncaught_exception what=\"std::bad_alloc\""),
             "%s",
             ended.mOutput.c_str());
-  cr_expect(Contains(ended, "event=process_fault signal=6"));
+  cr_expect(ended.Says("event=process_fault signal=6"));
 }
 
 // Guards against signals that arrive before their handlers and end the process.
-Test(process, held_signals_arrive_when_their_handlers_stand)
+Test(process, blocked_signals_arrive_when_their_handlers_stand)
 {
-  const EndedProcess ended = RunInChild([](Process& aProcess) {
+  const EndedProcess ended = RunProcess([](Process& aProcess) {
     ::raise(SIGHUP);
     ::raise(SIGTERM);
     const bool pending = PendingStopSignal() == SIGTERM;
@@ -166,7 +137,7 @@
       });
     };
     wait();
-    AllowSignals();
+    UnblockSignals();
     aProcess.RunLoop(loop, "test");
     Exit(aProcess, { pending ? EndCause::Signal : EndCause::RuntimeFailure });
   });
--- a/src/agatetide/process/signals.cpp
+++ b/src/agatetide/process/signals.cpp
@@ -15,7 +15,7 @@
                                       SIGUSR1,   SIGUSR2, SIGALRM,
                                       SIGVTALRM, SIGIO,   SIGPWR };
 
-sigset_t HeldSignals()
+sigset_t BlockedSignals()
 {
   sigset_t signals;
   ::sigemptyset(&signals);
@@ -28,19 +28,19 @@
 
 } // namespace
 
-void HoldSignals()
+void BlockSignals()
 {
-  const sigset_t held = HeldSignals();
-  ::pthread_sigmask(SIG_BLOCK, &held, nullptr);
+  const sigset_t signals = BlockedSignals();
+  ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   for (const int signal : kIgnoredSignals) {
     std::signal(signal, SIG_IGN);
   }
 }
 
-void AllowSignals()
+void UnblockSignals()
 {
-  const sigset_t held = HeldSignals();
-  ::pthread_sigmask(SIG_UNBLOCK, &held, nullptr);
+  const sigset_t signals = BlockedSignals();
+  ::pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
 }
 
 std::optional<int> PendingStopSignal()
--- a/src/agatetide/steps/step_runner.cpp
+++ b/src/agatetide/steps/step_runner.cpp
@@ -137,7 +137,7 @@
 
 void StepRunner::Start()
 {
-  SpawnKept(
+  SpawnSupervised(
     mContext.mExecutor, "review_steps", [this] { return ReviewLoop(); });
 }
 
@@ -193,7 +193,7 @@
   if (step->IsComplete() || step->mRecord.mEnded) {
     Stop(step, false);
   } else {
-    SpawnKept(mContext.mExecutor, "commit_results", [this, step] {
+    SpawnSupervised(mContext.mExecutor, "commit_results", [this, step] {
       return CommitLoop(step);
     });
     StartWaitingItems();
--- a/tests/harness/site.py
+++ b/tests/harness/site.py
@@ -29,10 +29,10 @@
     """One daemon process on an entry host of its own, with an IP address of its own."""
 
     def __init__(self, site, number, listens_for_peers=True, program=DAEMON, memory_mb=None, zone="z1", zones=None,
-                 limits=(), log_pipes=False, held_signals=()):
-        """limits: pairs of a limit of the kernel, as in module resource, and its value; held_signals: blocked by the
+                 limits=(), log_pipes=False, blocked_signals=()):
+        """limits: pairs of a limit of the kernel, as in module resource, and its value; blocked_signals: blocked by the
         starter; with log_pipes, the log is read through a pipe."""
-        self.program, self.limits, self.held_signals = program, limits, held_signals
+        self.program, self.limits, self.blocked_signals = program, limits, blocked_signals
         zones = zones or {"z1": "r1"}
         self.name, self.store_endpoint = "host-%d" % number, StoreEndpoint(site.store)
         self.address = "127.0.1.%d" % (number + 1)
@@ -60,7 +60,7 @@
     def start(self):
         output = self.log_reader.writer if self.log_reader else self.log
         # The process inherits the mask of this thread.
-        mask = signal.pthread_sigmask(signal.SIG_BLOCK, self.held_signals)
+        mask = signal.pthread_sigmask(signal.SIG_BLOCK, self.blocked_signals)
         try:
             self.process = subprocess.Popen(
                 [str(self.program), "--platform-role", "entry"], stdout=output, stderr=output,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -232,7 +232,7 @@
     def reload(self):
         for _ in range(3):
             for daemon in self.site.daemons:
-                may_start = daemon.name in self.busy and not daemon.held_signals
+                may_start = daemon.name in self.busy and not daemon.blocked_signals
                 if not may_start and daemon.process.poll() is None:
                     daemon.process.send_signal(signal.SIGHUP)
             self.sleep(0, 0.05)
--- a/tests/soak_logs.py
+++ b/tests/soak_logs.py
@@ -14,9 +14,9 @@
 MEMORIES_MB = (88, 110)
 SHARE_OF_LIMITED_RUNS = 0.5
 SHARE_OF_DISTURBED_RUNS = 0.5
-# Signals that the starter of a process holds back until it can handle them; before its first instruction they would
-# have their default action.
-HELD_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+# Signals that the starter of a process blocks until it can handle them; before its first instruction they would have
+# their default action.
+BLOCKED_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 
 
 class Logs:
@@ -29,7 +29,7 @@
         self.memory_mb = self.log_random.choice(MEMORIES_MB)
         self.own_ends = []
         limited = self.log_random.random() < SHARE_OF_LIMITED_RUNS
-        return {"memory_mb": self.memory_mb, "log_pipes": True, "held_signals": HELD_SIGNALS,
+        return {"memory_mb": self.memory_mb, "log_pipes": True, "blocked_signals": BLOCKED_SIGNALS,
                 "limits": [(resource.RLIMIT_AS, self.memory_mb << 20)] if limited else []}
 
     def disturb_logs(self):
