Reproduce hosts that end for memory beside odd keys, in tests that fail

The harness kills hosts that pass their limit (harness/memory_limit.py), and the store of the tests can answer with other pages than it has.

--- a/tests/harness/site.py
+++ b/tests/harness/site.py
@@ -58,6 +58,11 @@
             resource.setrlimit(kind, (value, value))
 
     def start(self):
+        self.launch()
+        until(lambda: self.is_ready(), self.name + " is ready", self.process)
+
+    def launch(self):
+        """Starts the process, without a wait until it is ready."""
         output = self.log_reader.writer if self.log_reader else self.log
         # The process inherits the mask of this thread.
         mask = signal.pthread_sigmask(signal.SIG_BLOCK, self.blocked_signals)
@@ -68,7 +73,6 @@
                 env={**os.environ, "AGATETIDE_NODE_FILE": str(self.settings_path), "TMPDIR": self.folder.name})
         finally:
             signal.pthread_sigmask(signal.SIG_SETMASK, mask)
-        until(lambda: self.is_ready(), self.name + " is ready", self.process)
 
     def is_ready(self):
         try:
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -204,6 +204,8 @@
         self.leases = {}
         self.refuse = False
         self.silent = False
+        self.misbehave = None  # makes another page of the range of a prefix: (prefix, after, page, truncated) -> the last two
+        self.pages = collections.Counter()  # pages read, by prefix
         self.waiting_watches = collections.Counter()
         threading.Thread(target=self.expire_leases, daemon=True).start()
 
@@ -281,7 +283,11 @@
                 if page and size > MAX_PAGE_BYTES:
                     break
                 page.append(item)
-            return 200, {"items": page, "truncated": len(found) > len(page), "storeRevision": self.revision}
+            truncated = len(found) > len(page)
+            self.pages[query["pathPrefix"]] += 1
+            if self.misbehave:
+                page, truncated = self.misbehave(query["pathPrefix"], query.get("after", ""), page, truncated)
+            return 200, {"items": page, "truncated": truncated, "storeRevision": self.revision}
         if path == "/kv-watch":
             return self.watch(query)
         if path == "/kv-txn":
--- a/tests/run_groups.py
+++ b/tests/run_groups.py
@@ -138,6 +138,7 @@
     "leaving_replicas": script("leaving_replicas"),
     "allowed_regions": script("allowed_regions"),
     "odd_registrations": script("odd_registrations"),
+    "odd_keys": script("odd_keys"),
     "hostile_text": script("hostile_text"),
     "silent_connections": script("silent_connections"),
     "unknown_writes": script("unknown_writes"),
