Log the peak of memory and the age of a configuration as they are

Cause: the peak came from getrusage, which passes the starter's on through exec; the age counted from the start of the machine's clock. Change: memory_peak_mb is VmHWM, and confirmed_ms_ago is never before the first configuration.

--- a/include/agatetide/fleet/fleet_view.hpp
+++ b/include/agatetide/fleet/fleet_view.hpp
@@ -66,8 +66,12 @@
   /// the keys of requests.
   bool IsFresh() const;
 
-  /// @brief Time since the configuration was last known to be up to date.
-  Duration Staleness() const { return mClock() - mFreshAsOf; }
+  /// @brief Time since the configuration was last known to be up to date;
+  /// std::nullopt if it never was.
+  std::optional<Duration> Staleness() const;
+
+  /// @brief Staleness() in milliseconds, or "never", as log lines have it.
+  std::string StalenessText() const;
 
   const std::map<std::string, Replica, std::less<>>& Replicas() const
   {
--- a/src/agatetide/entry/replica_registrations.cpp
+++ b/src/agatetide/entry/replica_registrations.cpp
@@ -141,11 +141,10 @@
     return;
   }
   ++mDrainReportCount;
-  const auto age = std::chrono::duration_cast<Milliseconds>(mView.Staleness());
   LogEvent("replica_draining")
     .Field("replica", aReplicaId)
     .Field("source", "response")
-    .Field("confirmed_ms_ago", static_cast<int64_t>(age.count()))
+    .Field("confirmed_ms_ago", mView.StalenessText())
     .Write();
 }
 
--- a/src/agatetide/fleet/fleet_view.cpp
+++ b/src/agatetide/fleet/fleet_view.cpp
@@ -38,7 +38,24 @@
 
 bool FleetView::IsFresh() const
 {
-  return mConfig && mFreshAsOf != TimePoint{} && Staleness() < mMaxStaleness;
+  const auto staleness = Staleness();
+  return mConfig && staleness && *staleness < mMaxStaleness;
+}
+
+std::optional<Duration> FleetView::Staleness() const
+{
+  return mFreshAsOf == TimePoint{} ? std::nullopt
+                                   : std::optional(mClock() - mFreshAsOf);
+}
+
+std::string FleetView::StalenessText() const
+{
+  const auto staleness = Staleness();
+  if (!staleness) {
+    return "never";
+  }
+  return std::to_string(
+    std::chrono::duration_cast<Milliseconds>(*staleness).count());
 }
 
 void FleetView::PutReplica(Replica aReplica)
--- a/src/agatetide/process/resources.cpp
+++ b/src/agatetide/process/resources.cpp
@@ -72,6 +72,26 @@
   return static_cast<size_t>(std::distance(begin(entries), end(entries))) - 1;
 }
 
+/// The peak since this program was started. That of getrusage() includes the
+/// process that started it, since exec passes it on.
+size_t ReadPeakResidentBytes()
+{
+  std::ifstream file("/proc/self/status");
+  std::string line;
+  constexpr std::string_view kPeak = "VmHWM:";
+  constexpr std::string_view kBlanks = " \t";
+  while (std::getline(file, line)) {
+    if (line.starts_with(kPeak)) {
+      const std::string_view text = std::string_view(line).substr(kPeak.size());
+      const size_t digits = text.find_first_not_of(kBlanks);
+      const auto kibibytes =
+        ParseNumber(text.substr(std::min(digits, text.size())));
+      return kibibytes.value_or(0) << 10U;
+    }
+  }
+  return 0;
+}
+
 /// The limit of the innermost control group, which may be that of a container.
 std::optional<size_t> ControlGroupMemory()
 {
@@ -128,11 +148,7 @@
     usage.mAddressSpaceBytes = addressSpacePages * pageBytes;
     usage.mResidentBytes = residentPages * pageBytes;
   }
-  rusage peak{};
-  if (::getrusage(RUSAGE_SELF, &peak) == 0) {
-    // The kernel tells KiB.
-    usage.mPeakResidentBytes = static_cast<size_t>(peak.ru_maxrss) << 10U;
-  }
+  usage.mPeakResidentBytes = ReadPeakResidentBytes();
   usage.mDescriptors = CountDescriptors();
   return usage;
 }
