Read the lists that others write page by page, as far as they go forward

Cause: a list was kept whole before its entries were looked at, and its read ended only when the store said so. A start that fails this way fails the same way each time. Change: ReadPages hands on one page at a time and checks that each key is past the one before; the first that isn't is logged once with both keys, what is in order before it is used, changes are watched from then on, and the list is read again later. Values that can say nothing (over 64 KiB of a replica or of the operator, but for the configuration) are omitted as they are decoded.

--- a/include/agatetide/coordination/store.hpp
+++ b/include/agatetide/coordination/store.hpp
@@ -24,12 +24,16 @@
   int64_t mModRevision = 0;
   /// Store lease that the key is attached to; 0 if none.
   int64_t mLeaseId = 0;
+  /// Size in bytes of a value that was too long to be kept; mValue is then
+  /// empty. Not sent to other daemons.
+  size_t mOmittedBytes = 0;
 };
 
 /// @brief Reads the keys in [mKey, mRangeEnd), or only mKey if mRangeEnd is
 /// empty. With a limit, the first keys are read until there are that many; the
 /// reply may have more that the store returned with them, so it is no limit of
-/// its size. 0 means no limit.
+/// its size: a limit of 1 reads one page. 0 means no limit; lists that others
+/// write are read with ReadPages() instead.
 struct RangeRequest
 {
   std::string mKey;
@@ -104,6 +108,9 @@
   /// Ranges: the keys found. Failed transactions: the entries of
   /// mReadOnFailure.
   std::vector<StoreEntry> mEntries;
+  /// Ranges: whether no keys follow those found. False if that isn't known, as
+  /// in replies of other daemons.
+  bool mEndReached = false;
   /// Leases: the granted lease, or the one kept alive.
   int64_t mLeaseId = 0;
   /// Leases: the TTL; 0 if the lease to keep alive no longer exists.
--- a/include/agatetide/entry/crash_records.hpp
+++ b/include/agatetide/entry/crash_records.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -51,9 +52,15 @@
                coordination::StoreCall aStore,
                Clock aClock);
 
-  /// @brief Replaces what is known of the store's records by those among
-  /// aEntries, which may hold other keys.
-  void ApplySnapshot(const std::vector<coordination::StoreEntry>& aEntries);
+  /// @name The list of all records in the store, page by page
+  /// What BeginList() and EndList() enclose replaces what is known of the
+  /// store's records. Pages may hold other keys. A list that is begun again is
+  /// read from its start.
+  /// @{
+  void BeginList() { mListed.clear(); }
+  void PutPage(std::span<const coordination::StoreEntry> aEntries);
+  void EndList();
+  /// @}
 
   /// @brief Applies a change of a key, which may be another one's.
   void ApplyChange(const coordination::StoreChange& aChange);
@@ -72,6 +79,8 @@
   CrashRecordsOptions mOptions;
   boost::asio::any_io_executor mExecutor;
   request::CrashTable& mTable;
+  /// The records in the list that is being read.
+  std::set<request::CrashRecordKey> mListed;
   coordination::StoreCall mStore;
   RecordLease mLease;
   /// Keys of malformed entries, each of which is logged once.
--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -127,7 +127,8 @@
   /// and the replicas, and is not about to stop.
   bool IsReady() const
   {
-    return !mDraining && mView.Config() != nullptr && mReplicas.AreKnown();
+    return !mDraining && mView.Config() != nullptr && mOperatorEntriesRead &&
+           mReplicas.AreKnown();
   }
 
   const fleet::FleetView& View() const { return mView; }
@@ -222,7 +223,12 @@
   std::optional<duty::VersionUpdater> mVersionUpdater;
   std::optional<duty::Autoscaler> mAutoscaler;
   bool mDraining = false;
+  /// Whether the operator's entries were read since the start, or as many of
+  /// them as can be.
+  bool mOperatorEntriesRead = false;
   std::set<std::string> mDiskHostsToRetire;
+  /// The evacuated zones in the list of the operator's entries that is read.
+  std::set<std::string, std::less<>> mListedEvacuations;
   std::set<std::string> mEmptiedHosts;
 };
 
--- a/include/agatetide/entry/host_registry.hpp
+++ b/include/agatetide/entry/host_registry.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <span>
 #include <string>
 
 namespace agatetide::entry {
@@ -63,16 +64,20 @@
   /// @brief Revokes the lease, which removes the registration.
   Awaitable<void> Deregister();
 
-  /// @brief Called with all entries and with each change below
-  /// fleet::kLivePrefix, also with those that say nothing of hosts. May be
-  /// empty.
-  std::function<void(const std::vector<coordination::StoreEntry>&)> mOnSnapshot;
+  /// @brief Called with all entries, page by page, and with each change below
+  /// fleet::kLivePrefix, also with those that say nothing of hosts; see
+  /// PrefixWatchHooks. May be empty.
+  std::function<void()> mOnListStart;
+  std::function<void(std::span<const coordination::StoreEntry>)> mOnPage;
+  std::function<void()> mOnListEnd;
   std::function<void(const coordination::StoreChange&)> mOnChange;
 
 private:
   Awaitable<bool> Renew();
   Awaitable<bool> WriteRegistration(int64_t aLeaseId);
-  void ApplySnapshot(const std::vector<coordination::StoreEntry>& aEntries);
+  PrefixWatchHooks MakeWatchHooks();
+  void PutPage(std::span<const coordination::StoreEntry> aEntries);
+  void EndList();
   void ApplyChange(const coordination::StoreChange& aChange);
   void UpdateView();
 
@@ -89,6 +94,9 @@
   /// When a replica was first stored as used by this host.
   std::map<std::string, TimePoint, std::less<>> mAnnouncedSince;
   std::map<std::string, fleet::EntryHost, std::less<>> mRegistered;
+  /// What the list that is being read says so far.
+  std::map<std::string, fleet::EntryHost, std::less<>> mListed;
+  std::string mListedLeader;
   /// Hosts whose registration is gone, with the end of their mRemovalDelay.
   std::map<std::string, std::pair<fleet::EntryHost, TimePoint>> mExpired;
 };
--- a/include/agatetide/entry/replica_registrations.hpp
+++ b/include/agatetide/entry/replica_registrations.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 
@@ -32,10 +33,23 @@
                        request::RequestLimits& aLimits,
                        Clock aClock);
 
+  /// @name The list of all registrations in the store, page by page
+  /// What BeginList() and EndList() enclose replaces what is known. A list that
+  /// is begun again is read from its start.
+  /// @{
+  void BeginList();
+  void PutPage(std::span<const coordination::StoreEntry> aEntries);
+  void EndList();
+  /// @brief Ends a list that could only be read in part: other replicas may be
+  /// registered, too.
+  void EndPartialList();
+  /// @}
+
   /// @brief Replaces what is known by all registrations in the store.
   void Reset(std::span<const coordination::StoreEntry> aEntries);
 
-  /// @brief Whether the registrations were read since the start of the process.
+  /// @brief Whether the registrations were read since the start of the process,
+  /// or as many of them as can be.
   bool AreKnown() const { return mWereRead; }
 
   /// @brief Applies one change in the store.
@@ -68,6 +82,8 @@
   request::RequestLimits& mLimits;
   Clock mClock;
   bool mWereRead = false;
+  /// Ids of the replicas in the list that is being read.
+  std::set<std::string, std::less<>> mListed;
   TimePoint mLastStoreFailure{};
   /// Replicas whose registration is gone, with the time of their removal from
   /// the view.
--- a/include/agatetide/steps/step_store.hpp
+++ b/include/agatetide/steps/step_store.hpp
@@ -180,6 +180,7 @@
   Awaitable<Result<bool>> Delete(StepRecord aRecord, uint32_t aLogEntries);
 
 private:
+  Awaitable<Result<std::vector<StepRecord>>> ListRecords(std::string aPrefix);
   using ItemVisitor = std::function<bool(StepItem)>;
   using LogVisitor = std::function<void(LogPart)>;
 
--- a/src/agatetide/coordination/memory_store.cpp
+++ b/src/agatetide/coordination/memory_store.cpp
@@ -68,6 +68,7 @@
     }
     return reply;
   }
+  reply.mEndReached = true;
   const bool unbounded = aRequest.mRangeEnd == std::string(1, '\0');
   for (auto entry = mEntries.lower_bound(aRequest.mKey);
        entry != mEntries.end();
@@ -77,6 +78,7 @@
     }
     if (aRequest.mLimit > 0 &&
         static_cast<int64_t>(reply.mEntries.size()) >= aRequest.mLimit) {
+      reply.mEndReached = false;
       break;
     }
     reply.mEntries.push_back(entry->second);
--- a/src/agatetide/entry/crash_records.cpp
+++ b/src/agatetide/entry/crash_records.cpp
@@ -175,16 +175,20 @@
   }
 }
 
-void CrashRecords::ApplySnapshot(const std::vector<StoreEntry>& aEntries)
+void CrashRecords::PutPage(std::span<const StoreEntry> aEntries)
 {
-  std::set<CrashRecordKey> present;
   for (const StoreEntry& entry : aEntries) {
     if (auto key = ParseKey(entry.mKey)) {
-      present.insert(std::move(*key));
+      mListed.insert(std::move(*key));
       Put(entry);
     }
   }
-  mTable.RetainShared(present);
+}
+
+void CrashRecords::EndList()
+{
+  mTable.RetainShared(mListed);
+  mListed.clear();
 }
 
 void CrashRecords::ApplyChange(const StoreChange& aChange)
--- a/src/agatetide/entry/crash_records_test.cpp
+++ b/src/agatetide/entry/crash_records_test.cpp
@@ -127,6 +127,13 @@
                          mClock.AsClock() };
 };
 
+void ReadList(Fixture& aFixture, const std::vector<StoreEntry>& aEntries)
+{
+  aFixture.mRecords.BeginList();
+  aFixture.mRecords.PutPage(aEntries);
+  aFixture.mRecords.EndList();
+}
+
 } // namespace
 
 // Guards against builds that do not understand each other's records.
@@ -201,13 +208,14 @@
 Test(crash_records, follows_the_store)
 {
   Fixture fixture;
-  fixture.mRecords.ApplySnapshot(
+  ReadList(
+    fixture,
     { EntryOf(Crash("replica-1")), { "agatetide/live/leader", "host", 1, 1 } });
   fixture.mRecords.ApplyChange({ EntryOf(Crash("replica-2")), false });
   cr_expect_eq(fixture.Crashes(), 2);
   fixture.mRecords.ApplyChange({ EntryOf(Crash("replica-1")), true });
   cr_expect_eq(fixture.Crashes(), 1);
-  fixture.mRecords.ApplySnapshot({});
+  ReadList(fixture, {});
   cr_expect_eq(fixture.Crashes(), 0);
 }
 
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -285,9 +285,11 @@
   mView.SetRegions(mOptions.mRegions);
   mView.SetMaxStaleness(mOptions.mMaxKeyWithdrawalDelay - kKeyWithdrawalMargin);
   mView.mOnChange = [this] { mRunner.StartWaitingItems(); };
-  mRegistry.mOnSnapshot = [this](const std::vector<StoreEntry>& aEntries) {
-    mCrashRecords.ApplySnapshot(aEntries);
+  mRegistry.mOnListStart = [this] { mCrashRecords.BeginList(); };
+  mRegistry.mOnPage = [this](std::span<const StoreEntry> aEntries) {
+    mCrashRecords.PutPage(aEntries);
   };
+  mRegistry.mOnListEnd = [this] { mCrashRecords.EndList(); };
   mRegistry.mOnChange = [this](const StoreChange& aChange) {
     mCrashRecords.ApplyChange(aChange);
   };
@@ -396,15 +398,19 @@
   options.mPrefix = mHooks.mOperatorPrefix;
   options.mMaxWait = kOperatorWatchTimeout;
   PrefixWatchHooks hooks;
-  hooks.mOnReset = [this](const std::vector<StoreEntry>& aEntries) {
-    std::set<std::string, std::less<>> evacuated;
+  hooks.mOnListStart = [this] { mListedEvacuations.clear(); };
+  hooks.mOnPage = [this](std::span<const StoreEntry> aEntries) {
     for (const StoreEntry& entry : aEntries) {
       if (auto zone = ApplyOperatorEntry(entry)) {
-        evacuated.insert(std::move(*zone));
+        mListedEvacuations.insert(std::move(*zone));
       }
     }
-    EndOtherEvacuations(evacuated);
   };
+  hooks.mOnListEnd = [this] {
+    mOperatorEntriesRead = true;
+    EndOtherEvacuations(mListedEvacuations);
+  };
+  hooks.mOnPartialList = [this] { mOperatorEntriesRead = true; };
   hooks.mOnChange = [this](const StoreChange& aChange) {
     if (aChange.mRemoved) {
       ApplyOperatorRemoval(aChange.mEntry);
@@ -496,9 +502,12 @@
   options.mPrefix = mHooks.mReplicaPrefix;
   options.mMaxWait = kReplicaWatchTimeout;
   PrefixWatchHooks hooks;
-  hooks.mOnReset = [this](const std::vector<StoreEntry>& aEntries) {
-    mReplicas.Reset(aEntries);
+  hooks.mOnListStart = [this] { mReplicas.BeginList(); };
+  hooks.mOnPage = [this](std::span<const StoreEntry> aEntries) {
+    mReplicas.PutPage(aEntries);
   };
+  hooks.mOnListEnd = [this] { mReplicas.EndList(); };
+  hooks.mOnPartialList = [this] { mReplicas.EndPartialList(); };
   hooks.mOnChange = [this](const StoreChange& aChange) {
     mReplicas.Apply(aChange);
   };
--- a/src/agatetide/entry/host_registry.cpp
+++ b/src/agatetide/entry/host_registry.cpp
@@ -208,11 +208,31 @@
   PrefixWatchOptions options;
   options.mPrefix = fleet::kLivePrefix;
   options.mMaxWait = kLiveWatchTimeout;
+  PrefixWatchHooks hooks = MakeWatchHooks();
+  co_await WatchPrefix(
+    std::move(options), std::move(hooks), mStore, mWatch, mClock);
+}
+
+PrefixWatchHooks HostRegistry::MakeWatchHooks()
+{
   PrefixWatchHooks hooks;
-  hooks.mOnReset = [this](const std::vector<StoreEntry>& aEntries) {
-    ApplySnapshot(aEntries);
-    if (mOnSnapshot) {
-      mOnSnapshot(aEntries);
+  hooks.mOnListStart = [this] {
+    mListed.clear();
+    mListedLeader.clear();
+    if (mOnListStart) {
+      mOnListStart();
+    }
+  };
+  hooks.mOnPage = [this](std::span<const StoreEntry> aEntries) {
+    PutPage(aEntries);
+    if (mOnPage) {
+      mOnPage(aEntries);
+    }
+  };
+  hooks.mOnListEnd = [this] {
+    EndList();
+    if (mOnListEnd) {
+      mOnListEnd();
     }
   };
   hooks.mOnChange = [this](const StoreChange& aChange) {
@@ -221,30 +241,31 @@
       mOnChange(aChange);
     }
   };
-  co_await WatchPrefix(
-    std::move(options), std::move(hooks), mStore, mWatch, mClock);
+  return hooks;
 }
 
-void HostRegistry::ApplySnapshot(const std::vector<StoreEntry>& aEntries)
+void HostRegistry::PutPage(std::span<const StoreEntry> aEntries)
 {
-  const auto previous = std::move(mRegistered);
-  mRegistered.clear();
-  std::string leader;
   for (const StoreEntry& entry : aEntries) {
     if (entry.mKey == fleet::kLiveLeaderKey) {
-      leader = entry.mValue;
+      mListedLeader = entry.mValue;
     }
     if (auto host = Decode(entry)) {
       std::string name = host->mName;
-      mRegistered.insert_or_assign(std::move(name), std::move(*host));
+      mListed.insert_or_assign(std::move(name), std::move(*host));
     }
   }
+}
+
+void HostRegistry::EndList()
+{
+  const auto previous = std::exchange(mRegistered, std::exchange(mListed, {}));
   for (const auto& [name, host] : previous) {
     if (!mRegistered.contains(name)) {
       mExpired[name] = { host, mClock() + mOptions.mRemovalDelay };
     }
   }
-  mView.SetLeader(std::move(leader));
+  mView.SetLeader(std::exchange(mListedLeader, {}));
   UpdateView();
 }
 
--- /dev/null
+++ b/src/agatetide/entry/prefix_watcher_test.cpp
@@ -0,0 +1,152 @@
+#include "agatetide/entry/prefix_watcher.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <criterion/criterion.h>
+
+using namespace agatetide;
+using namespace agatetide::coordination;
+using namespace agatetide::entry;
+
+namespace {
+
+using Keys = std::vector<std::string>;
+
+/// A watch of the prefix "p/" at a store that the test scripts; it ends when
+/// the script does.
+struct Fixture
+{
+  Fixture()
+  {
+    mOptions.mPrefix = "p/";
+    mOptions.mRetryDelay = Milliseconds(0);
+    mHooks.mOnListStart = [this] { Note("start"); };
+    mHooks.mOnPage = [this](std::span<const StoreEntry> aEntries) {
+      for (const StoreEntry& entry : aEntries) {
+        Note(entry.mKey);
+      }
+    };
+    mHooks.mOnListEnd = [this] { Note("end"); };
+    mHooks.mOnPartialList = [this] { Note("partial"); };
+    mHooks.mOnChange = [this](const StoreChange& aChange) {
+      Note("change " + aChange.mEntry.mKey);
+    };
+    mHooks.mOnFresh = [this](TimePoint) { Note("fresh"); };
+    mHooks.mOnError = [this](const Error&) { Note("error"); };
+  }
+
+  void Note(std::string aEvent) { mEvents.push_back(std::move(aEvent)); }
+
+  /// Runs until the script of the watches has ended.
+  void Run()
+  {
+    const StoreCall store =
+      [this](StoreRequest) -> Awaitable<Result<StoreReply>> {
+      co_return mNextPage();
+    };
+    const WatchCall watch =
+      [this](WatchRequest aRequest) -> Awaitable<Result<WatchReply>> {
+      mWatchedAfter.push_back(aRequest.mAfterRevision);
+      if (mWatches.empty()) {
+        mContext.stop();
+        co_return WatchReply{};
+      }
+      auto reply = std::move(mWatches.front());
+      mWatches.erase(mWatches.begin());
+      co_return reply;
+    };
+    boost::asio::co_spawn(
+      mContext,
+      WatchPrefix(mOptions, mHooks, store, watch, [this] { return mNow; }),
+      boost::asio::detached);
+    mContext.run();
+  }
+
+  static StoreReply Page(const Keys& aKeys, int64_t aRevision, bool aEnd)
+  {
+    StoreReply reply;
+    reply.mRevision = aRevision;
+    reply.mEndReached = aEnd;
+    for (const std::string& key : aKeys) {
+      reply.mEntries.push_back({ key, "value" });
+    }
+    return reply;
+  }
+
+  static WatchReply Change(const std::string& aKey, int64_t aRevision)
+  {
+    WatchReply reply;
+    reply.mRevision = aRevision;
+    reply.mChanges.push_back({ { aKey, "value" }, false });
+    return reply;
+  }
+
+  PrefixWatchOptions mOptions;
+  PrefixWatchHooks mHooks;
+  TimePoint mNow{ std::chrono::hours(1) };
+  std::function<Result<StoreReply>()> mNextPage;
+  std::vector<Result<WatchReply>> mWatches;
+  std::vector<int64_t> mWatchedAfter;
+  Keys mEvents;
+  boost::asio::io_context mContext;
+};
+
+} // namespace
+
+Test(prefix_watcher, a_list_is_followed_by_changes_from_its_first_page)
+{
+  Fixture fixture;
+  int page = 0;
+  fixture.mNextPage = [&page] {
+    ++page;
+    return Fixture::Page({ page == 1 ? "p/a" : "p/b" }, 6 + page, page == 2);
+  };
+  fixture.mWatches = { Fixture::Change("p/c", 20) };
+  fixture.Run();
+  cr_expect_eq(
+    fixture.mEvents,
+    (Keys{ "start", "p/a", "p/b", "end", "fresh", "change p/c", "fresh" }));
+  cr_expect_eq(fixture.mWatchedAfter, (std::vector<int64_t>{ 7, 20 }));
+}
+
+// Guards against a host that knows nothing, or takes what it knows for all,
+// after a store has answered with a wrong page.
+Test(prefix_watcher, a_list_with_a_wrong_page_is_followed_by_changes)
+{
+  Fixture fixture;
+  fixture.mNextPage = [] { return Fixture::Page({ "p/b", "p/a" }, 7, false); };
+  fixture.mWatches = { Fixture::Change("p/c", 20) };
+  fixture.Run();
+  cr_expect_eq(fixture.mEvents,
+               (Keys{ "start", "p/b", "partial", "change p/c" }));
+}
+
+Test(prefix_watcher, a_list_with_a_wrong_page_is_read_again_later)
+{
+  Fixture fixture;
+  bool faulty = true;
+  fixture.mNextPage = [&faulty] {
+    return faulty ? Fixture::Page({ "p/b", "p/a" }, 7, false)
+                  : Fixture::Page({ "p/a", "p/b" }, 30, true);
+  };
+  fixture.mWatches = { Fixture::Change("p/c", 20), Fixture::Change("p/d", 31) };
+  fixture.mHooks.mOnChange = [&](const StoreChange& aChange) {
+    fixture.Note("change " + aChange.mEntry.mKey);
+    fixture.mNow += fixture.mOptions.mRereadDelay;
+    faulty = false;
+  };
+  fixture.Run();
+  cr_expect_eq(fixture.mEvents,
+               (Keys{ "start",
+                      "p/b",
+                      "partial",
+                      "change p/c",
+                      "start",
+                      "p/a",
+                      "p/b",
+                      "end",
+                      "fresh",
+                      "change p/d",
+                      "fresh" }));
+}
--- a/src/agatetide/entry/replica_registrations.cpp
+++ b/src/agatetide/entry/replica_registrations.cpp
@@ -2,7 +2,7 @@
 
 #include "agatetide/base/event_log.hpp"
 
-#include <set>
+#include <utility>
 
 namespace agatetide::entry {
 
@@ -90,13 +90,37 @@
 
 void ReplicaRegistrations::Reset(std::span<const StoreEntry> aEntries)
 {
-  mWereRead = true;
-  std::set<std::string_view> present;
+  BeginList();
+  PutPage(aEntries);
+  EndList();
+}
+
+void ReplicaRegistrations::BeginList()
+{
+  mListed.clear();
+}
+
+void ReplicaRegistrations::PutPage(std::span<const StoreEntry> aEntries)
+{
   for (const StoreEntry& entry : aEntries) {
     if (Put(entry)) {
-      present.insert(std::string_view(entry.mKey).substr(mPrefix.size()));
+      mListed.insert(entry.mKey.substr(mPrefix.size()));
     }
   }
+}
+
+/// A host that knows no replica serves nobody: it isn't ready by a list that
+/// names none before it ends early.
+void ReplicaRegistrations::EndPartialList()
+{
+  mWereRead = mWereRead || !mListed.empty();
+  mListed.clear();
+}
+
+void ReplicaRegistrations::EndList()
+{
+  mWereRead = true;
+  const auto present = std::exchange(mListed, {});
   for (const auto& [id, replica] : mView.Replicas()) {
     if (!present.contains(id)) {
       mExpired.try_emplace(id, mClock() + kReplicaRemovalDelay);
--- a/src/agatetide/steps/step_store.cpp
+++ b/src/agatetide/steps/step_store.cpp
@@ -2,6 +2,7 @@
 
 #include "agatetide/base/event_log.hpp"
 #include "agatetide/coordination/key_reader.hpp"
+#include "agatetide/coordination/range_reader.hpp"
 #include "agatetide/steps/item_decoder.hpp"
 #include "agatetide/steps/item_encoder.hpp"
 #include "agatetide/steps/step_keys.hpp"
@@ -178,18 +179,16 @@
 Awaitable<Result<bool>> StepStore::DeleteAbandonedItems(
   int64_t aSubmittedBeforeMs)
 {
-  std::string prefix(kPendingPrefix);
-  const auto reply = co_await ReadPrefix(mStore, std::move(prefix));
-  if (reply.has_error()) {
-    co_return reply.error();
-  }
-  for (const StoreEntry& entry : reply->mEntries) {
-    const auto record = ToRecord(entry);
-    if (!record || record->mSubmittedMs >= aSubmittedBeforeMs) {
+  const auto pending = co_await ListRecords(std::string(kPendingPrefix));
+  if (pending.has_error()) {
+    co_return pending.error();
+  }
+  for (const StepRecord& record : *pending) {
+    if (record.mSubmittedMs >= aSubmittedBeforeMs) {
       continue;
     }
-    LogEvent("abandoned_items_deleted").Field("step", record->mId).Write();
-    const auto deleted = co_await DeleteItemsAhead(*record);
+    LogEvent("abandoned_items_deleted").Field("step", record.mId).Write();
+    const auto deleted = co_await DeleteItemsAhead(record);
     if (deleted.has_error()) {
       co_return deleted.error();
     }
@@ -276,16 +275,28 @@
 
 Awaitable<Result<std::vector<StepRecord>>> StepStore::List()
 {
-  std::string prefix(kRecordPrefix);
-  const auto reply = co_await ReadPrefix(mStore, std::move(prefix));
-  if (reply.has_error()) {
-    co_return reply.error();
-  }
+  return ListRecords(std::string(kRecordPrefix));
+}
+
+/// Reads all records with a prefix; keys that hold none are left out.
+Awaitable<Result<std::vector<StepRecord>>> StepStore::ListRecords(
+  std::string aPrefix)
+{
   std::vector<StepRecord> records;
-  for (const StoreEntry& entry : reply->mEntries) {
-    if (auto record = ToRecord(entry)) {
-      records.push_back(std::move(*record));
+  PageSink add = [&records](std::span<const StoreEntry> aEntries) {
+    for (const StoreEntry& entry : aEntries) {
+      if (auto record = ToRecord(entry)) {
+        records.push_back(std::move(*record));
+      }
     }
+  };
+  const auto read =
+    co_await ReadPages(mStore, std::move(aPrefix), std::move(add));
+  if (read.has_error()) {
+    co_return read.error();
+  }
+  if (read->mFault) {
+    co_return PageFaultError(*read->mFault);
   }
   co_return records;
 }
--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -193,6 +193,20 @@
             return len(self.connections)
 
 
+class Item(dict):
+    """An entry or event of the store, with its JSON: large lists are written fast."""
+
+    def __init__(self, **fields):
+        super().__init__(fields)
+        self.json = json.dumps(self).encode()
+
+
+def encode_page(name, items, **fields):
+    """Returns the JSON of a response with a list of items."""
+    rest = json.dumps(fields).encode()[1:]
+    return b'{"%s": [%s], %s' % (name.encode(), b", ".join(item.json for item in items), rest)
+
+
 class Store:
     """The platform's metadata store, in memory. *_locked() need the lock held."""
 
@@ -237,15 +251,15 @@
     def write_locked(self, key, data, lease):
         self.revision += 1
         old = self.items.get(key)
-        item = {"key": key, "value": base64.b64encode(data).decode(), "revision": self.revision,
-                "created": old["created"] if old else self.revision, "lease": lease}
+        item = Item(key=key, value=base64.b64encode(data).decode(), revision=self.revision,
+                    created=old["created"] if old else self.revision, lease=lease)
         self.items[key] = item
         self.history.append(item)
 
     def delete_locked(self, key):
         if self.items.pop(key, None):
             self.revision += 1
-            self.history.append({"key": key, "revision": self.revision, "removed": True})
+            self.history.append(Item(key=key, revision=self.revision, removed=True))
 
     def expire_leases(self):
         while True:
@@ -287,7 +301,7 @@
             self.pages[query["pathPrefix"]] += 1
             if self.misbehave:
                 page, truncated = self.misbehave(query["pathPrefix"], query.get("after", ""), page, truncated)
-            return 200, {"items": page, "truncated": truncated, "storeRevision": self.revision}
+            return 200, encode_page("items", page, truncated=truncated, storeRevision=self.revision)
         if path == "/kv-watch":
             return self.watch(query)
         if path == "/kv-txn":
@@ -313,7 +327,7 @@
             events = [e for e in self.history if e["revision"] > after and e["key"].startswith(prefix)]
             remaining_s = end - time.monotonic()
             if events or remaining_s <= 0:
-                return 200, {"events": events, "storeRevision": self.revision}
+                return 200, encode_page("events", events, storeRevision=self.revision)
             self.waiting_watches[prefix] += 1
             self.lock.wait(remaining_s)
             self.waiting_watches[prefix] -= 1
