Replace watches that fail twice by a read of the list

What callers saw: replicas that joined were not used while large entries of other writers stood in the history of the store. Cause: changes that do not fit into one response never do, and the watch asked for them again and again from the same revision. Change: after two failed watches the list is read once, page by page; if that fails as well, as in an outage of the store, the watch goes on from where it was.

--- a/include/agatetide/entry/prefix_watcher.hpp
+++ b/include/agatetide/entry/prefix_watcher.hpp
@@ -21,6 +21,9 @@
   /// can't be right. Doubles with each such read in a row, up to the maximum.
   Milliseconds mRereadDelay{ 2000 };
   Milliseconds mMaxRereadDelay{ 60000 };
+  /// Number of failed watches in a row after which the list is read once
+  /// instead: the changes may be too large for one response.
+  unsigned mMaxFailedWatches = 2;
 };
 
 /// @brief What a watch of a prefix reports. All but mOnPage and mOnChange may
--- a/src/agatetide/entry/prefix_watcher.cpp
+++ b/src/agatetide/entry/prefix_watcher.cpp
@@ -47,7 +47,8 @@
   Awaitable<void> Run()
   {
     for (;;) {
-      const bool reads = !mIsListed || (mRereadAt && mClock() >= *mRereadAt);
+      const bool reads = !mIsListed || (mRereadAt && mClock() >= *mRereadAt) ||
+                         mFailedWatches >= mOptions.mMaxFailedWatches;
       const bool succeeded = reads ? co_await ReadList() : co_await Watch();
       if (!succeeded) {
         co_await Pause(mOptions.mRetryDelay);
@@ -60,6 +61,7 @@
   Awaitable<bool> ReadList()
   {
     const TimePoint sent = mClock();
+    const unsigned failedWatches = std::exchange(mFailedWatches, 0);
     LogRange("started", {});
     Call(mHooks.mOnListStart);
     std::string prefix = mOptions.mPrefix;
@@ -72,6 +74,14 @@
       ReportError(read.error());
       co_return false;
     }
+    if (failedWatches > 0) {
+      LogEvent("watch_replaced_by_list", LogLevel::Warning)
+        .Field("prefix", mOptions.mPrefix)
+        .Field("failed_watches", failedWatches)
+        .Field("revision", mRevision)
+        .Field("new_revision", read->mRevision)
+        .Write();
+    }
     mIsListed = true;
     mRevision = read->mRevision;
     if (read->mFault) {
@@ -118,9 +128,11 @@
     WatchRequest request{ mOptions.mPrefix, mRevision, mOptions.mMaxWait };
     const auto reply = co_await mWatch(std::move(request));
     if (reply.has_error()) {
+      ++mFailedWatches;
       ReportError(reply.error());
       co_return false;
     }
+    mFailedWatches = 0;
     if (reply->mCompacted) {
       mIsListed = false;
       co_return true;
@@ -186,6 +198,7 @@
   int64_t mRevision = 0;
   /// Whether the last read or watch failed.
   bool mFailing = false;
+  unsigned mFailedWatches = 0;
   /// Set after a list that could only be read in part.
   std::optional<PageFault> mFault;
   std::optional<TimePoint> mRereadAt;
--- a/src/agatetide/entry/prefix_watcher_test.cpp
+++ b/src/agatetide/entry/prefix_watcher_test.cpp
@@ -82,6 +82,11 @@
     return reply;
   }
 
+  static Error TooLong()
+  {
+    return { ErrorKind::DataLoss, "the response is too long", "none" };
+  }
+
   PrefixWatchOptions mOptions;
   PrefixWatchHooks mHooks;
   TimePoint mNow{ std::chrono::hours(1) };
@@ -150,3 +155,46 @@
                       "change p/d",
                       "fresh" }));
 }
+
+// Guards against changes that never fit into a response, and are asked for
+// again without end.
+Test(prefix_watcher, watches_that_fail_are_replaced_by_a_list)
+{
+  Fixture fixture;
+  int64_t revision = 7;
+  fixture.mNextPage = [&revision] {
+    return Fixture::Page({ "p/a" }, std::exchange(revision, 99), true);
+  };
+  fixture.mWatches = { Fixture::TooLong(), Fixture::TooLong() };
+  fixture.Run();
+  cr_expect_eq(fixture.mWatchedAfter, (std::vector<int64_t>{ 7, 7, 99 }));
+  cr_expect_eq(fixture.mEvents,
+               (Keys{ "start",
+                      "p/a",
+                      "end",
+                      "fresh",
+                      "error",
+                      "error",
+                      "start",
+                      "p/a",
+                      "end",
+                      "fresh" }));
+}
+
+// Guards against a host that goes back to its start when neither works.
+Test(prefix_watcher, a_list_that_fails_too_leaves_the_watch_as_it_was)
+{
+  Fixture fixture;
+  bool down = false;
+  fixture.mNextPage = [&down]() -> Result<StoreReply> {
+    if (std::exchange(down, true)) {
+      return Fixture::TooLong();
+    }
+    return Fixture::Page({ "p/a" }, 7, true);
+  };
+  fixture.mWatches = { Fixture::TooLong(),
+                       Fixture::TooLong(),
+                       Fixture::Change("p/b", 8) };
+  fixture.Run();
+  cr_expect_eq(fixture.mWatchedAfter, (std::vector<int64_t>{ 7, 7, 7, 8 }));
+}
