--- a/include/agatetide/entry/replica_registrations.hpp
+++ b/include/agatetide/entry/replica_registrations.hpp
@@ -89,9 +89,16 @@
   /// the view.
   std::map<std::string, TimePoint, std::less<>> mExpired;
   uint64_t mDrainReportCount = 0;
-  /// Revisions of malformed registrations, by key, each of which is logged
-  /// once.
-  std::map<std::string, int64_t, std::less<>> mIgnored;
+  /// A malformed registration that was logged.
+  struct Ignored
+  {
+    int64_t mRevision = 0;
+    TimePoint mLoggedAt{};
+    /// Later ones under the same key that were not logged.
+    uint64_t mSuppressed = 0;
+  };
+  /// By key. Each revision is logged once at most.
+  std::map<std::string, Ignored, std::less<>> mIgnored;
 };
 
 } // namespace agatetide::entry
--- a/src/agatetide/entry/replica_registrations.cpp
+++ b/src/agatetide/entry/replica_registrations.cpp
@@ -18,6 +18,9 @@
 /// call.
 constexpr std::chrono::milliseconds kRecentOutagePeriod{ 3000 };
 constexpr size_t kMaxLoggedRegistrations = 256;
+/// A malformed registration that is written again and again is logged once in
+/// this time.
+constexpr std::chrono::seconds kIgnoredLogInterval{ 10 };
 
 } // namespace
 
@@ -46,14 +49,22 @@
   if (mIgnored.size() >= kMaxLoggedRegistrations) {
     mIgnored.clear();
   }
-  int64_t& logged = mIgnored[aEntry.mKey];
-  if (logged == aEntry.mModRevision && logged != 0) {
+  const auto [known, isNew] = mIgnored.try_emplace(aEntry.mKey);
+  Ignored& ignored = known->second;
+  if (!isNew && ignored.mRevision == aEntry.mModRevision) {
     return;
   }
-  logged = aEntry.mModRevision;
+  ignored.mRevision = aEntry.mModRevision;
+  if (!isNew && mClock() - ignored.mLoggedAt < kIgnoredLogInterval) {
+    ++ignored.mSuppressed;
+    return;
+  }
+  ignored.mLoggedAt = mClock();
   LogEvent("replica_ignored", LogLevel::Warning)
     .Field("key", aEntry.mKey)
+    .Field("revision", aEntry.mModRevision)
     .Field("error", FormatError(aError))
+    .Field("suppressed", std::exchange(ignored.mSuppressed, 0))
     .Write();
 }
 
--- a/tests/odd_registrations.py
+++ b/tests/odd_registrations.py
@@ -86,6 +86,18 @@
             check(len(lines) == 1, "%d lines for %s" % (len(lines), key))
 
 
+def odd_entry_that_is_written_again_fills_no_log(site):
+    """Guards against a log line for each time that a writer repeats an odd entry."""
+    for number in range(100):
+        site.store.put_bytes("servers/odd-again", good(slots="text %d" % number))
+        time.sleep(0.02)
+    Replica(site.store, "after-odd", "plain", "z1")
+    until(lambda: all(d.last_event("replica", "replica=after-odd") for d in site.daemons), "the last entry was read")
+    for daemon in site.daemons:
+        lines = [line for line in daemon.lines("replica_ignored") if "key=servers/odd-again " in line]
+        check(1 <= len(lines) <= 2, "%d lines for 100 writes" % len(lines))
+
+
 def replica_whose_entry_becomes_odd_gets_nothing_new(site):
     """Guards against an old good entry that is kept for good when an odd one replaces it."""
     for slots in (2 ** 32, -1, "8"):
@@ -105,6 +117,7 @@
     (hosts_follow_replicas_beside_odd_entries, {"daemons": 2}),
     (hosts_start_with_odd_entries, {"daemons": 2}),
     (odd_entries_are_logged_once, {"daemons": 2}),
+    (odd_entry_that_is_written_again_fills_no_log, {"daemons": 2}),
     (replica_whose_entry_becomes_odd_gets_nothing_new, {"daemons": 2}),
 ]
 
