--- a/src/agatetide/steps/step_store.cpp
+++ b/src/agatetide/steps/step_store.cpp
@@ -179,7 +179,8 @@
 Awaitable<Result<bool>> StepStore::DeleteAbandonedItems(
   int64_t aSubmittedBeforeMs)
 {
-  const auto pending = co_await ListRecords(std::string(kPendingPrefix));
+  std::string prefix(kPendingPrefix);
+  const auto pending = co_await ListRecords(std::move(prefix));
   if (pending.has_error()) {
     co_return pending.error();
   }
