--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -8,6 +8,7 @@
 #include "agatetide/entry/crash_records.hpp"
 #include "agatetide/entry/fleet_watch.hpp"
 #include "agatetide/entry/host_registry.hpp"
+#include "agatetide/entry/operator_entries.hpp"
 #include "agatetide/entry/peer_channel.hpp"
 #include "agatetide/entry/replica_registrations.hpp"
 #include "agatetide/entry/replica_relay.hpp"
@@ -27,27 +28,6 @@
 
 namespace agatetide::entry {
 
-/// @brief A weight version that a trainer has published for a model.
-struct PublishedVersion
-{
-  std::string mModel;
-  int64_t mVersion = 0;
-};
-
-/// @brief A decoded value that the operator or a trainer wrote to the store; at
-/// most one field is set.
-struct OperatorEntry
-{
-  std::shared_ptr<const fleet::ServiceConfig> mConfig;
-  std::optional<PublishedVersion> mVersion;
-  /// A host with a disk that the operator wants to retire; it is reported as
-  /// holding no data.
-  std::optional<std::string> mDiskHostToRetire;
-  /// An availability zone that gets no new requests while the entry exists.
-  /// Depends on the key alone, so it is also set for a removed entry.
-  std::optional<std::string> mEvacuatedZone;
-};
-
 /// @brief The calls and encodings that connect the daemon to a platform.
 struct PlatformHooks
 {
@@ -63,9 +43,7 @@
   /// Store prefixes of the operator's keys and of the replicas' registrations.
   std::string mOperatorPrefix;
   std::string mReplicaPrefix;
-  /// Errors: InvalidArgument if the value is malformed.
-  std::function<Result<OperatorEntry>(const coordination::StoreEntry&)>
-    mDecodeOperatorEntry;
+  DecodeOperatorCall mDecodeOperatorEntry;
   DecodeReplicaCall mDecodeReplica;
   /// Drops idle connections to replicas that ended, and returns how many of
   /// them failed.
@@ -127,8 +105,8 @@
   /// and the replicas, and is not about to stop.
   bool IsReady() const
   {
-    return !mDraining && mView.Config() != nullptr && mOperatorEntriesRead &&
-           mReplicas.AreKnown();
+    return !mDraining && mView.Config() != nullptr &&
+           mOperatorEntries.AreKnown() && mReplicas.AreKnown();
   }
 
   const fleet::FleetView& View() const { return mView; }
@@ -164,15 +142,6 @@
   Awaitable<void> PathLoop();
   template<class T>
   Awaitable<Result<T>> CheckPathsAfter(Awaitable<Result<T>> aCall);
-  std::optional<std::string> ApplyOperatorEntry(
-    const coordination::StoreEntry& aEntry);
-  void EndOperatorList();
-  void ApplyConfig(const std::shared_ptr<const fleet::ServiceConfig>& aConfig,
-                   int64_t aRevision);
-  void ApplyOperatorRemoval(const coordination::StoreEntry& aEntry);
-  void EndEvacuation(const std::string& aZone);
-  /// Ends the evacuations of all zones but aZones.
-  void EndOtherEvacuations(const std::set<std::string, std::less<>>& aZones);
   Awaitable<void> ReportEmptiedHosts();
   void ShareRequestLimits();
   void ApplyReachability(bool aCutOff);
@@ -200,6 +169,7 @@
   coordination::StoreCall mStore;
   FleetWatch mFleetWatch;
   request::ReplicaPool mPool;
+  OperatorEntries mOperatorEntries;
   ReplicaRegistrations mReplicas;
   request::ReachabilityMonitor mReachability;
   /// Send attempts directly, and record what the responses say of replicas.
@@ -226,15 +196,6 @@
   std::optional<duty::VersionUpdater> mVersionUpdater;
   std::optional<duty::Autoscaler> mAutoscaler;
   bool mDraining = false;
-  /// Whether the operator's entries were read since the start, or as many of
-  /// them as can be.
-  bool mOperatorEntriesRead = false;
-  /// The configuration in the first list of them, until it was read.
-  std::shared_ptr<const fleet::ServiceConfig> mFirstConfig;
-  int64_t mFirstConfigRevision = 0;
-  std::set<std::string> mDiskHostsToRetire;
-  /// The evacuated zones in the list of the operator's entries that is read.
-  std::set<std::string, std::less<>> mListedEvacuations;
   std::set<std::string> mEmptiedHosts;
 };
 
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -143,6 +143,7 @@
                     std::move(aPeer), std::move(aRequest), aTimeout);
                 })
   , mPool(mView, mClock, ProcessRandom(), mOptions.mSelf.mName)
+  , mOperatorEntries(mHooks.mDecodeOperatorEntry, mView)
   , mReplicas(mHooks.mReplicaPrefix,
               mHooks.mDecodeReplica,
               mView,
@@ -284,6 +285,11 @@
 {
   mView.SetRegions(mOptions.mRegions);
   mView.SetMaxStaleness(mOptions.mMaxKeyWithdrawalDelay - kKeyWithdrawalMargin);
+  mOperatorEntries.mOnConfig = [this](const fleet::ServiceConfig& aConfig) {
+    if (mOnConfig) {
+      mOnConfig(aConfig);
+    }
+  };
   mView.mOnChange = [this] { mRunner.StartWaitingItems(); };
   mRegistry.mOnListStart = [this] { mCrashRecords.BeginList(); };
   mRegistry.mOnPage = [this](std::span<const StoreEntry> aEntries) {
@@ -398,25 +404,14 @@
   options.mPrefix = mHooks.mOperatorPrefix;
   options.mMaxWait = kOperatorWatchTimeout;
   PrefixWatchHooks hooks;
-  hooks.mOnListStart = [this] { mListedEvacuations.clear(); };
+  hooks.mOnListStart = [this] { mOperatorEntries.BeginList(); };
   hooks.mOnPage = [this](std::span<const StoreEntry> aEntries) {
-    for (const StoreEntry& entry : aEntries) {
-      if (auto zone = ApplyOperatorEntry(entry)) {
-        mListedEvacuations.insert(std::move(*zone));
-      }
-    }
+    mOperatorEntries.PutPage(aEntries);
   };
-  hooks.mOnListEnd = [this] {
-    EndOperatorList();
-    EndOtherEvacuations(mListedEvacuations);
-  };
-  hooks.mOnPartialList = [this] { EndOperatorList(); };
+  hooks.mOnListEnd = [this] { mOperatorEntries.EndList(); };
+  hooks.mOnPartialList = [this] { mOperatorEntries.EndPartialList(); };
   hooks.mOnChange = [this](const StoreChange& aChange) {
-    if (aChange.mRemoved) {
-      ApplyOperatorRemoval(aChange.mEntry);
-    } else {
-      ApplyOperatorEntry(aChange.mEntry);
-    }
+    mOperatorEntries.Apply(aChange);
   };
   hooks.mOnFresh = [this](TimePoint aAsOf) { mView.MarkFresh(aAsOf); };
   hooks.mOnError = [this](const Error& aError) {
@@ -430,95 +425,6 @@
   co_await WatchKeys(std::move(options), std::move(hooks));
 }
 
-/// Returns the evacuated zone if the entry names one.
-std::optional<std::string> EntryDaemon::ApplyOperatorEntry(
-  const StoreEntry& aEntry)
-{
-  const auto decoded = mHooks.mDecodeOperatorEntry(aEntry);
-  if (decoded.has_error()) {
-    LogEvent("operator_entry_ignored", LogLevel::Warning)
-      .Field("key", aEntry.mKey)
-      .Field("error", FormatError(decoded.error()))
-      .Write();
-    return std::nullopt;
-  }
-  if (decoded->mConfig && mOperatorEntriesRead) {
-    ApplyConfig(decoded->mConfig, aEntry.mModRevision);
-  } else if (decoded->mConfig) {
-    mFirstConfig = decoded->mConfig;
-    mFirstConfigRevision = aEntry.mModRevision;
-  }
-  if (decoded->mVersion) {
-    LogEvent("version_published")
-      .Field("model", decoded->mVersion->mModel)
-      .Field("version", decoded->mVersion->mVersion)
-      .Write();
-    mView.RecordPublishedVersion(decoded->mVersion->mModel,
-                                 decoded->mVersion->mVersion);
-  }
-  if (decoded->mDiskHostToRetire) {
-    mDiskHostsToRetire.insert(*decoded->mDiskHostToRetire);
-  }
-  if (decoded->mEvacuatedZone &&
-      mView.SetEvacuated(*decoded->mEvacuatedZone, true)) {
-    LogEvent("zone_evacuated").Field("zone", *decoded->mEvacuatedZone).Write();
-  }
-  return decoded->mEvacuatedZone;
-}
-
-/// The first configuration serves no request before the evacuations on later
-/// pages are known.
-void EntryDaemon::EndOperatorList()
-{
-  mOperatorEntriesRead = true;
-  if (const auto config = std::exchange(mFirstConfig, nullptr)) {
-    ApplyConfig(config, mFirstConfigRevision);
-  }
-}
-
-void EntryDaemon::ApplyConfig(
-  const std::shared_ptr<const fleet::ServiceConfig>& aConfig,
-  int64_t aRevision)
-{
-  if (!mView.UpdateConfig(aConfig)) {
-    return;
-  }
-  LogEvent("config")
-    .Field("version", aConfig->mVersion)
-    .Field("revision", aRevision)
-    .Write();
-  if (mOnConfig) {
-    mOnConfig(*aConfig);
-  }
-}
-
-/// Only the removal of an evacuation has an effect.
-void EntryDaemon::ApplyOperatorRemoval(const StoreEntry& aEntry)
-{
-  const auto decoded = mHooks.mDecodeOperatorEntry(aEntry);
-  if (decoded.has_value() && decoded->mEvacuatedZone) {
-    EndEvacuation(*decoded->mEvacuatedZone);
-  }
-}
-
-void EntryDaemon::EndEvacuation(const std::string& aZone)
-{
-  if (mView.SetEvacuated(aZone, false)) {
-    LogEvent("evacuation_ended").Field("zone", aZone).Write();
-  }
-}
-
-void EntryDaemon::EndOtherEvacuations(
-  const std::set<std::string, std::less<>>& aZones)
-{
-  const auto known = mView.EvacuatedZones();
-  for (const std::string& zone : known) {
-    if (!aZones.contains(zone)) {
-      EndEvacuation(zone);
-    }
-  }
-}
-
 Awaitable<void> EntryDaemon::WatchReplicas()
 {
   PrefixWatchOptions options;
@@ -621,7 +527,7 @@
 /// that must be preserved.
 Awaitable<void> EntryDaemon::ReportEmptiedHosts()
 {
-  const std::set<std::string> hosts = mDiskHostsToRetire;
+  const std::set<std::string> hosts = mOperatorEntries.DiskHostsToRetire();
   for (const std::string& host : hosts) {
     if (mEmptiedHosts.contains(host)) {
       continue;
