--- a/tests/odd_keys.py
+++ b/tests/odd_keys.py
@@ -70,9 +70,7 @@
 
 def every_odd_key_may_end_a_page(site):
     """Guards against keys that are changed on their way to the store: all of them end a page, under each prefix."""
-    for prefix in PREFIXES:
-        for key in ODD_KEYS:
-            site.store.put_bytes(prefix + key, b"x" * LARGE_BYTES)
+    put_odd_entries(site)
     site.store.pages.clear()
     check_start(site, "odd", SMALL_MEMORY_MB, LARGE_START_S)
     for prefix in ("servers/", "op/"):
@@ -95,6 +93,26 @@
     check_start(site, "many", SMALL_MEMORY_MB, LARGE_START_S)
 
 
+def put_odd_entries(site):
+    """Writes entries of which each fills a page, under each prefix."""
+    for prefix in PREFIXES:
+        for key in ODD_KEYS:
+            site.store.put_bytes(prefix + key, b"x" * LARGE_BYTES)
+
+
+def refused_host_reads_odd_lists_through_others(site):
+    """Guards against lists that fit into no reply between hosts, or whose keys change on that way."""
+    put_odd_entries(site)
+    refused = site.daemons[0]
+    refused.store_endpoint.refuses_call = lambda _path, call: call.get("pathPrefix") in ("op/", "servers/")
+    with MemoryLimit(site, SMALL_MEMORY_MB) as limit:
+        refused.stop()
+        refused.launch()
+        until(refused.is_ready, "the host is ready", timeout=LARGE_START_S)
+        check_serves(site, "refused")
+    check(not limit.kills, "ended for memory: %s" % limit.kills)
+
+
 def large_entries_that_come_at_once_hide_no_replica(site):
     """Guards against a watch whose response never fits, so that later changes are never seen."""
     with MemoryLimit(site, MEMORY_MB) as limit:
@@ -239,6 +257,7 @@
     (every_odd_key_may_end_a_page, SMALL_SITE),
     (large_entries_end_no_host_at_its_start, SMALL_SITE),
     (many_registrations_end_no_host, SMALL_SITE),
+    (refused_host_reads_odd_lists_through_others, SMALL_SITE),
     (large_entries_that_come_at_once_hide_no_replica, SITE),
     (store_that_repeats_a_page_ends_no_host, SMALL_SITE),
     (store_that_always_has_more_ends_no_host, SITE),
