Bound what well-formed entries of other writers take

Cause: what decodes was kept, acted on and logged without a bound. Replicas of services that the configuration names have 16 MiB together, others 4 MiB, so that these can't displace the former. 4,096 models, zones and hosts are kept. Four retired hosts are reported in one pass of the duties, and a removed key ends it. A host is ready after a partial list as soon as a replica registers.

--- a/include/agatetide/entry/operator_entries.hpp
+++ b/include/agatetide/entry/operator_entries.hpp
@@ -2,6 +2,7 @@
 
 #include "agatetide/base/error.hpp"
 #include "agatetide/coordination/store.hpp"
+#include "agatetide/entry/ignored_entries.hpp"
 #include "agatetide/fleet/fleet_view.hpp"
 
 #include <cstdint>
@@ -46,7 +47,9 @@
 {
 public:
   /// Precondition: aView outlives the object.
-  OperatorEntries(DecodeOperatorCall aDecode, fleet::FleetView& aView);
+  OperatorEntries(DecodeOperatorCall aDecode,
+                  fleet::FleetView& aView,
+                  Clock aClock);
 
   /// @name The list of all entries in the store, page by page
   /// What BeginList() and EndList() enclose replaces what is known. A list that
@@ -79,12 +82,14 @@
   std::optional<std::string> Put(const coordination::StoreEntry& aEntry);
   void ApplyConfig(const std::shared_ptr<const fleet::ServiceConfig>& aConfig,
                    int64_t aRevision);
-  void ApplyVersion(const PublishedVersion& aVersion);
+  void ApplyVersion(const coordination::StoreEntry& aEntry,
+                    const PublishedVersion& aVersion);
   void EndEvacuation(const std::string& aZone);
   void EndOtherEvacuations();
 
   DecodeOperatorCall mDecode;
   fleet::FleetView& mView;
+  IgnoredEntries mIgnored;
   bool mWereRead = false;
   /// The configuration in the first list, until the list was read.
   std::shared_ptr<const fleet::ServiceConfig> mFirstConfig;
--- a/include/agatetide/entry/replica_registrations.hpp
+++ b/include/agatetide/entry/replica_registrations.hpp
@@ -2,6 +2,7 @@
 
 #include "agatetide/base/clock.hpp"
 #include "agatetide/coordination/store.hpp"
+#include "agatetide/entry/ignored_entries.hpp"
 #include "agatetide/fleet/fleet_view.hpp"
 #include "agatetide/request/request_limits.hpp"
 
@@ -74,7 +75,9 @@
 
 private:
   bool Put(const coordination::StoreEntry& aEntry);
-  void LogIgnored(const coordination::StoreEntry& aEntry, const Error& aError);
+  bool Reserve(const fleet::Replica& aReplica);
+  size_t& BytesOf(bool aIsOfNamedService);
+  void Release(std::string_view aId);
 
   std::string mPrefix;
   DecodeReplicaCall mDecode;
@@ -82,6 +85,8 @@
   request::RequestLimits& mLimits;
   Clock mClock;
   bool mWereRead = false;
+  /// Whether the last list could only be read in part.
+  bool mIsPartial = false;
   /// Ids of the replicas in the list that is being read.
   std::set<std::string, std::less<>> mListed;
   TimePoint mLastStoreFailure{};
@@ -89,16 +94,18 @@
   /// the view.
   std::map<std::string, TimePoint, std::less<>> mExpired;
   uint64_t mDrainReportCount = 0;
-  /// A malformed registration that was logged.
-  struct Ignored
+  IgnoredEntries mIgnored;
+  /// What a known replica takes, and of which sum.
+  struct Reservation
   {
-    int64_t mRevision = 0;
-    TimePoint mLoggedAt{};
-    /// Later ones under the same key that were not logged.
-    uint64_t mSuppressed = 0;
+    size_t mBytes = 0;
+    bool mIsOfNamedService = false;
   };
-  /// By key. Each revision is logged once at most.
-  std::map<std::string, Ignored, std::less<>> mIgnored;
+  std::map<std::string, Reservation, std::less<>> mReservations;
+  /// Bytes of the replicas whose service the configuration names, and of the
+  /// others, which are kept since a later configuration may name it.
+  size_t mNamedBytes = 0;
+  size_t mOtherBytes = 0;
 };
 
 } // namespace agatetide::entry
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -26,6 +26,9 @@
 /// A lost connection is detected within this time plus the margin of the watch.
 constexpr std::chrono::milliseconds kReplicaWatchTimeout{ 1800 };
 constexpr std::chrono::milliseconds kDutyInterval{ 100 };
+/// Writes that one pass of the duties may send for retired hosts, so that the
+/// leadership is renewed in time.
+constexpr size_t kMaxEmptiedHostsPerPass = 4;
 constexpr std::chrono::milliseconds kUsageInterval{ 250 };
 constexpr std::chrono::milliseconds kPathInterval{ 500 };
 constexpr std::chrono::milliseconds kRecoveryCallTimeout{ 500 };
@@ -143,7 +146,7 @@
                     std::move(aPeer), std::move(aRequest), aTimeout);
                 })
   , mPool(mView, mClock, ProcessRandom(), mOptions.mSelf.mName)
-  , mOperatorEntries(mHooks.mDecodeOperatorEntry, mView)
+  , mOperatorEntries(mHooks.mDecodeOperatorEntry, mView, mClock)
   , mReplicas(mHooks.mReplicaPrefix,
               mHooks.mDecodeReplica,
               mView,
@@ -528,18 +531,27 @@
 Awaitable<void> EntryDaemon::ReportEmptiedHosts()
 {
   const std::set<std::string> hosts = mOperatorEntries.DiskHostsToRetire();
+  size_t writes = 0;
   for (const std::string& host : hosts) {
     if (mEmptiedHosts.contains(host)) {
       continue;
     }
+    if (++writes > kMaxEmptiedHostsPerPass) {
+      co_return;
+    }
     TransactionRequest write;
     write.mPuts.push_back(mHooks.mEncodeHostRetired(host));
     StoreRequest request = std::move(write);
     const auto written = co_await mStore(std::move(request));
-    if (written.has_value()) {
-      mEmptiedHosts.insert(host);
-      LogEvent("host_emptied").Field("host", host).Write();
+    if (written.has_error()) {
+      LogEvent("host_emptied_not_reported", LogLevel::Warning)
+        .Field("host", host)
+        .Field("error", FormatError(written.error()))
+        .Write();
+      co_return;
     }
+    mEmptiedHosts.insert(host);
+    LogEvent("host_emptied").Field("host", host).Write();
   }
 }
 
--- a/src/agatetide/entry/operator_entries.cpp
+++ b/src/agatetide/entry/operator_entries.cpp
@@ -9,10 +9,27 @@
 using coordination::StoreChange;
 using coordination::StoreEntry;
 
+namespace {
+
+/// How many names of models, zones and hosts are kept, each of a key of its
+/// own.
+constexpr size_t kMaxNames = 4096;
+
+Error TooManyNames()
+{
+  return { ErrorKind::ResourceExhausted,
+           "there are " + std::to_string(kMaxNames) + " such entries already",
+           "remove entries that are not in use" };
+}
+
+} // namespace
+
 OperatorEntries::OperatorEntries(DecodeOperatorCall aDecode,
-                                 fleet::FleetView& aView)
+                                 fleet::FleetView& aView,
+                                 Clock aClock)
   : mDecode(std::move(aDecode))
   , mView(aView)
+  , mIgnored(std::move(aClock))
 {
 }
 
@@ -41,7 +58,7 @@
   }
 }
 
-/// Of the removals, only that of an evacuation has an effect.
+/// The configuration and published versions stay when their keys are removed.
 void OperatorEntries::Apply(const StoreChange& aChange)
 {
   if (!aChange.mRemoved) {
@@ -52,6 +69,9 @@
   if (decoded.has_value() && decoded->mEvacuatedZone) {
     EndEvacuation(*decoded->mEvacuatedZone);
   }
+  if (decoded.has_value() && decoded->mDiskHostToRetire) {
+    mDiskHostsToRetire.erase(*decoded->mDiskHostToRetire);
+  }
 }
 
 /// Returns the evacuated zone if the entry names one.
@@ -59,10 +79,7 @@
 {
   const auto decoded = mDecode(aEntry);
   if (decoded.has_error()) {
-    LogEvent("operator_entry_ignored", LogLevel::Warning)
-      .Field("key", aEntry.mKey)
-      .Field("error", FormatError(decoded.error()))
-      .Write();
+    mIgnored.Log("operator_entry_ignored", aEntry, decoded.error());
     return std::nullopt;
   }
   if (decoded->mConfig && mWereRead) {
@@ -72,12 +89,12 @@
     mFirstConfigRevision = aEntry.mModRevision;
   }
   if (decoded->mVersion) {
-    ApplyVersion(*decoded->mVersion);
+    ApplyVersion(aEntry, *decoded->mVersion);
   }
-  if (decoded->mDiskHostToRetire) {
+  if (decoded->mDiskHostToRetire && mDiskHostsToRetire.size() < kMaxNames) {
     mDiskHostsToRetire.insert(*decoded->mDiskHostToRetire);
   }
-  if (decoded->mEvacuatedZone &&
+  if (decoded->mEvacuatedZone && mView.EvacuatedZones().size() < kMaxNames &&
       mView.SetEvacuated(*decoded->mEvacuatedZone, true)) {
     LogEvent("zone_evacuated").Field("zone", *decoded->mEvacuatedZone).Write();
   }
@@ -100,8 +117,18 @@
   }
 }
 
-void OperatorEntries::ApplyVersion(const PublishedVersion& aVersion)
+void OperatorEntries::ApplyVersion(const StoreEntry& aEntry,
+                                   const PublishedVersion& aVersion)
 {
+  const auto& known = mView.PublishedVersions();
+  const auto found = known.find(aVersion.mModel);
+  if (found == known.end() && known.size() >= kMaxNames) {
+    mIgnored.Log("operator_entry_ignored", aEntry, TooManyNames());
+    return;
+  }
+  if (found != known.end() && found->second >= aVersion.mVersion) {
+    return;
+  }
   LogEvent("version_published")
     .Field("model", aVersion.mModel)
     .Field("version", aVersion.mVersion)
--- a/src/agatetide/entry/operator_entries_test.cpp
+++ b/src/agatetide/entry/operator_entries_test.cpp
@@ -47,7 +47,7 @@
 
   ManualClock mClock;
   fleet::FleetView mView{ mClock.AsClock(), "zone", "region" };
-  OperatorEntries mEntries{ Decode, mView };
+  OperatorEntries mEntries{ Decode, mView, mClock.AsClock() };
 };
 
 } // namespace
--- a/src/agatetide/entry/replica_registrations.cpp
+++ b/src/agatetide/entry/replica_registrations.cpp
@@ -17,10 +17,31 @@
 /// An outage of the store counts as recent for this long after the last failed
 /// call.
 constexpr std::chrono::milliseconds kRecentOutagePeriod{ 3000 };
-constexpr size_t kMaxLoggedRegistrations = 256;
-/// A malformed registration that is written again and again is logged once in
-/// this time.
-constexpr std::chrono::seconds kIgnoredLogInterval{ 10 };
+/// What the replicas of services that the configuration names may take
+/// together, some 50,000 ordinary ones, and what the others may take.
+constexpr size_t kMaxNamedBytes = size_t{ 16 } << 20U;
+constexpr size_t kMaxOtherBytes = size_t{ 4 } << 20U;
+/// What a replica takes beside its texts, in all tables that list it.
+constexpr size_t kReplicaOverheadBytes = 256;
+
+size_t SizeInBytes(const fleet::Replica& aReplica)
+{
+  size_t bytes = kReplicaOverheadBytes + aReplica.mId.size() +
+                 aReplica.mService.size() + aReplica.mAddress.size() +
+                 aReplica.mAvailabilityZone.size() +
+                 aReplica.mSoftwareVersion.size();
+  for (const auto& [model, version] : aReplica.mVersions) {
+    bytes += kReplicaOverheadBytes + model.size();
+  }
+  return bytes;
+}
+
+Error TooManyReplicas()
+{
+  return { ErrorKind::ResourceExhausted,
+           "the known replicas take all the memory that they may",
+           "remove registrations that name no replica in use" };
+}
 
 } // namespace
 
@@ -33,7 +54,8 @@
   , mDecode(std::move(aDecode))
   , mView(aView)
   , mLimits(aLimits)
-  , mClock(std::move(aClock))
+  , mClock(aClock)
+  , mIgnored(std::move(aClock))
 {
 }
 
@@ -43,29 +65,33 @@
          mClock() - mLastStoreFailure < kRecentOutagePeriod;
 }
 
-void ReplicaRegistrations::LogIgnored(const StoreEntry& aEntry,
-                                      const Error& aError)
+size_t& ReplicaRegistrations::BytesOf(bool aIsOfNamedService)
 {
-  if (mIgnored.size() >= kMaxLoggedRegistrations) {
-    mIgnored.clear();
-  }
-  const auto [known, isNew] = mIgnored.try_emplace(aEntry.mKey);
-  Ignored& ignored = known->second;
-  if (!isNew && ignored.mRevision == aEntry.mModRevision) {
-    return;
+  return aIsOfNamedService ? mNamedBytes : mOtherBytes;
+}
+
+/// Returns false if there is no room for a replica.
+bool ReplicaRegistrations::Reserve(const fleet::Replica& aReplica)
+{
+  const auto& config = mView.Config();
+  const bool isNamed = config && config->mServices.contains(aReplica.mService);
+  const size_t bytes = SizeInBytes(aReplica);
+  Release(aReplica.mId);
+  if (BytesOf(isNamed) + bytes > (isNamed ? kMaxNamedBytes : kMaxOtherBytes)) {
+    return false;
   }
-  ignored.mRevision = aEntry.mModRevision;
-  if (!isNew && mClock() - ignored.mLoggedAt < kIgnoredLogInterval) {
-    ++ignored.mSuppressed;
-    return;
+  BytesOf(isNamed) += bytes;
+  mReservations.insert_or_assign(aReplica.mId, Reservation{ bytes, isNamed });
+  return true;
+}
+
+void ReplicaRegistrations::Release(std::string_view aId)
+{
+  const auto known = mReservations.find(aId);
+  if (known != mReservations.end()) {
+    BytesOf(known->second.mIsOfNamedService) -= known->second.mBytes;
+    mReservations.erase(known);
   }
-  ignored.mLoggedAt = mClock();
-  LogEvent("replica_ignored", LogLevel::Warning)
-    .Field("key", aEntry.mKey)
-    .Field("revision", aEntry.mModRevision)
-    .Field("error", FormatError(aError))
-    .Field("suppressed", std::exchange(ignored.mSuppressed, 0))
-    .Write();
 }
 
 /// Returns false if the registration is malformed and names no replica.
@@ -73,7 +99,11 @@
 {
   auto replica = mDecode(aEntry);
   if (replica.has_error()) {
-    LogIgnored(aEntry, replica.error());
+    mIgnored.Log("replica_ignored", aEntry, replica.error());
+    return false;
+  }
+  if (!Reserve(*replica)) {
+    mIgnored.Log("replica_ignored", aEntry, TooManyReplicas());
     return false;
   }
   const std::string id = replica->mId;
@@ -125,12 +155,14 @@
 void ReplicaRegistrations::EndPartialList()
 {
   mWereRead = mWereRead || !mListed.empty();
+  mIsPartial = true;
   mListed.clear();
 }
 
 void ReplicaRegistrations::EndList()
 {
   mWereRead = true;
+  mIsPartial = false;
   const auto present = std::exchange(mListed, {});
   for (const auto& [id, replica] : mView.Replicas()) {
     if (!present.contains(id)) {
@@ -143,6 +175,7 @@
 void ReplicaRegistrations::Apply(const StoreChange& aChange)
 {
   if (!aChange.mRemoved && Put(aChange.mEntry)) {
+    mWereRead = mWereRead || mIsPartial;
     return;
   }
   const std::string id = aChange.mEntry.mKey.substr(mPrefix.size());
@@ -164,6 +197,7 @@
       continue;
     }
     LogEvent("replica_gone").Field("replica", expired->first).Write();
+    Release(expired->first);
     mView.RemoveReplica(expired->first);
     mLimits.Forget(expired->first);
     expired = mExpired.erase(expired);
--- a/tests/odd_keys.py
+++ b/tests/odd_keys.py
@@ -3,13 +3,14 @@
 Prints "ok NAME" or "FAIL NAME reason" for each test.
 """
 
+import json
 import sys
 import time
 
 from harness.memory_limit import MemoryLimit
 from harness.site import check, run_tests, until
 from harness.users_platform import MAX_PAGE_ITEMS, Replica
-from odd_registrations import check_serves
+from odd_registrations import check_serves, good
 
 MEMORY_MB = 110
 SMALL_MEMORY_MB = 88
@@ -93,6 +94,21 @@
     check_start(site, "many", SMALL_MEMORY_MB, LARGE_START_S)
 
 
+def well_formed_entries_of_others_end_no_host(site):
+    """Guards against entries that are decoded and kept without a bound, though no request needs them."""
+    models = [{"name": "%d-%s" % (n, "m" * 180), "version": 1} for n in range(200)]
+    with site.store.lock:
+        for number in range(2000):
+            many = good(service="other", models=models, address="127.0.0.1:%d" % (20000 + number))
+            site.store.write_locked("servers/r-many-%04d" % number, many, 0)
+            site.store.write_locked("servers/z-long-%04d" % number, good(service="s" * 45000), 0)
+            named = json.dumps({"model": "%d-%s" % (number, "m" * 45000), "version": 2}).encode()
+            site.store.write_locked("op/version/long-%04d" % number, named, 0)
+    check_start(site, "well-formed", SMALL_MEMORY_MB, LARGE_START_S)
+    ignored = [line for line in site.daemons[0].lines("replica_ignored") if "known replicas take" in line]
+    check(ignored, "the bound is logged")
+
+
 def put_odd_entries(site):
     """Writes entries of which each fills a page, under each prefix."""
     for prefix in PREFIXES:
@@ -257,6 +273,7 @@
     (every_odd_key_may_end_a_page, SMALL_SITE),
     (large_entries_end_no_host_at_its_start, SMALL_SITE),
     (many_registrations_end_no_host, SMALL_SITE),
+    (well_formed_entries_of_others_end_no_host, {**SMALL_SITE, "daemons": 2}),
     (refused_host_reads_odd_lists_through_others, SMALL_SITE),
     (large_entries_that_come_at_once_hide_no_replica, SITE),
     (store_that_repeats_a_page_ends_no_host, SMALL_SITE),
