Log each value so that it can be read back

The escape of log values replaced every control character but a line feed by '?', so that two keys that differ in one looked alike. It left line separators of Unicode and bytes that are not UTF-8 as they are, which some readers take for the end of a line or replace. These bytes are now written as \xNN; readable text stays as it was.

--- a/include/agatetide/base/event_log.hpp
+++ b/include/agatetide/base/event_log.hpp
@@ -18,8 +18,11 @@
 /// @brief Builds and writes one log line of key=value pairs.
 ///
 /// Write() queues the line for the log thread. Values that contain spaces,
-/// quotes or control characters are quoted and escaped. Not thread-safe: one
-/// thread builds a line.
+/// quotes, characters other than ASCII or control characters are quoted. In
+/// quotes, `\"`, `\\` and `\n` stand for a quote, a backslash and a line feed,
+/// and `\xNN` for a byte of another control character, of a line separator or
+/// of text that is not UTF-8, so that a reader gets back each value. Not
+/// thread-safe: one thread builds a line.
 class LogEvent
 {
 public:
--- a/src/agatetide/base/event_log.cpp
+++ b/src/agatetide/base/event_log.cpp
@@ -1,7 +1,9 @@
 #include "agatetide/base/event_log.hpp"
 
+#include "agatetide/base/encoding.hpp"
 #include "agatetide/base/log_output.hpp"
 
+#include <boost/locale/utf.hpp>
 #include <spdlog/async.h>
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/basic_file_sink.h>
@@ -28,6 +30,8 @@
 /// What the end of the process waits for the reader of the log.
 constexpr Milliseconds kStopPatience{ 200 };
 
+using Utf8 = boost::locale::utf::utf_traits<char>;
+
 bool NeedsQuotes(std::string_view aValue)
 {
   return aValue.empty() ||
@@ -37,19 +41,48 @@
          });
 }
 
-void AppendEscaped(std::string& aText, char aChar)
+/// Whether a character would end or spoil a line: it controls the output, some
+/// readers of text take it for the end of a line, or it is not valid UTF-8.
+bool NeedsHex(boost::locale::utf::code_point aPoint)
 {
-  switch (aChar) {
-    case '"':
-    case '\\':
+  constexpr boost::locale::utf::code_point kFirstPrintable = 0x20;
+  constexpr boost::locale::utf::code_point kDelete = 0x7f;
+  constexpr boost::locale::utf::code_point kLastControl = 0x9f;
+  constexpr boost::locale::utf::code_point kLineSeparator = 0x2028;
+  constexpr boost::locale::utf::code_point kParagraphSeparator = 0x2029;
+  return aPoint < kFirstPrintable ||
+         (aPoint >= kDelete && aPoint <= kLastControl) ||
+         aPoint == kLineSeparator || aPoint == kParagraphSeparator ||
+         !boost::locale::utf::is_valid_codepoint(aPoint);
+}
+
+/// Appends a value so that it is one line and can be read back: `\"`, `\\`,
+/// `\n` and, for other bytes that are not printed as they are, `\xNN`.
+void AppendEscaped(std::string& aText, std::string_view aValue)
+{
+  const char* position = aValue.data();
+  const char* const end = position + aValue.size();
+  while (position != end) {
+    const char* next = position;
+    const auto point = Utf8::decode(next, end);
+    if (!boost::locale::utf::is_valid_codepoint(point)) {
+      next = position + 1; // Bytes that begin no character, one by one.
+    }
+    const std::string_view character(position, next);
+    position = next;
+    if (point == '"' || point == '\\') {
       aText += '\\';
-      aText += aChar;
-      return;
-    case '\n':
+      aText += character;
+    } else if (point == '\n') {
       aText += "\\n";
-      return;
-    default:
-      aText += (aChar < ' ' && aChar >= 0) ? '?' : aChar;
+    } else if (NeedsHex(point)) {
+      for (const char byte : character) {
+        aText += "\\x";
+        aText += HexEncode({ &byte, 1 });
+      }
+    } else {
+      aText += character;
+    }
   }
 }
 
@@ -179,9 +212,7 @@
     return *this;
   }
   mText += '"';
-  for (const char character : aValue) {
-    AppendEscaped(mText, character);
-  }
+  AppendEscaped(mText, aValue);
   mText += '"';
   return *this;
 }
