Keep the texts of a process record as they are

The record of a process replaced quotes, backslashes, control characters and all but ASCII in its error and activity by '?', so that previous_end could name another key than the one meant. The JSON now escapes them, and the texts are cut by their escaped length, so that the record still fits. Older builds read it as before; bytes that are not UTF-8 become U+FFFD.

errors_come_back and escaped_texts_fit failed before.

--- a/src/agatetide/process/process_record.cpp
+++ b/src/agatetide/process/process_record.cpp
@@ -46,14 +46,41 @@
          status.st_uid == ::geteuid() && status.st_nlink == 1;
 }
 
-/// Shortens a text and makes it ASCII, so that a record has a known length.
+bool ContinuesCharacter(char aByte)
+{
+  return (static_cast<unsigned char>(aByte) & 0xc0U) == 0x80U;
+}
+
+/// Removes the last character of UTF-8 text, or up to four bytes of other text.
+/// Precondition: the text is not empty.
+void RemoveLastCharacter(std::string& aText)
+{
+  constexpr size_t kMaxCharacterBytes = 4;
+  for (size_t i = 1; i < kMaxCharacterBytes && aText.size() > 1 &&
+                     ContinuesCharacter(aText.back());
+       ++i) {
+    aText.pop_back();
+  }
+  aText.pop_back();
+}
+
+/// Escapes all but ASCII, so that the length of a record is known. Bytes that
+/// are not UTF-8 are replaced.
+std::string Dump(const json& aValue)
+{
+  return aValue.dump(-1, ' ', true, json::error_handler_t::replace);
+}
+
+/// Shortens a text so that it takes at most aMaxBytes when it is escaped.
 std::string Shorten(const std::string& aText, size_t aMaxBytes)
 {
+  constexpr size_t kQuoteBytes = 2;
   std::string text = aText.substr(0, aMaxBytes);
-  for (char& character : text) {
-    const bool plain = character >= ' ' && character <= '~' &&
-                       character != '"' && character != '\\';
-    character = plain ? character : '?';
+  if (text.size() < aText.size() && ContinuesCharacter(aText[text.size()])) {
+    RemoveLastCharacter(text);
+  }
+  while (Dump(text).size() > aMaxBytes + kQuoteBytes) {
+    RemoveLastCharacter(text);
   }
   return text;
 }
@@ -62,22 +89,21 @@
 
 std::string EncodeProcessRecord(const ProcessRecord& aRecord)
 {
-  return json{
-    { "pid", aRecord.mProcessId },
-    { "boot", aRecord.mBootId },
-    { "phase", aRecord.mPhase },
-    { "uptime_s", aRecord.mUptimeS },
-    { "resident", aRecord.mUsage.mResidentBytes },
-    { "peak", aRecord.mUsage.mPeakResidentBytes },
-    { "descriptors", aRecord.mUsage.mDescriptors },
-    { "memory_limit", aRecord.mLimits.mMemoryBytes },
-    { "descriptor_limit", aRecord.mLimits.mDescriptors },
-    { "stalled_s", aRecord.mStalledS },
-    { "end", aRecord.mEndCause },
-    { "signal", aRecord.mEndSignal },
-    { "activity", Shorten(aRecord.mActivity, kMaxActivityBytes) },
-    { "error", Shorten(aRecord.mEndError, kMaxErrorBytes) }
-  }.dump();
+  return Dump(
+    json{ { "pid", aRecord.mProcessId },
+          { "boot", aRecord.mBootId },
+          { "phase", aRecord.mPhase },
+          { "uptime_s", aRecord.mUptimeS },
+          { "resident", aRecord.mUsage.mResidentBytes },
+          { "peak", aRecord.mUsage.mPeakResidentBytes },
+          { "descriptors", aRecord.mUsage.mDescriptors },
+          { "memory_limit", aRecord.mLimits.mMemoryBytes },
+          { "descriptor_limit", aRecord.mLimits.mDescriptors },
+          { "stalled_s", aRecord.mStalledS },
+          { "end", aRecord.mEndCause },
+          { "signal", aRecord.mEndSignal },
+          { "activity", Shorten(aRecord.mActivity, kMaxActivityBytes) },
+          { "error", Shorten(aRecord.mEndError, kMaxErrorBytes) } });
 }
 
 Result<ProcessRecord> DecodeProcessRecord(std::string_view aText)
--- a/src/agatetide/process/process_record_test.cpp
+++ b/src/agatetide/process/process_record_test.cpp
@@ -135,3 +135,45 @@
   cr_assert(next.has_value() && next->Previous().has_value());
   cr_expect(next->Previous()->mEndCause == "runtime_failure");
 }
+
+// Guards against an error that names another key than the one that it is about.
+Test(process_record, errors_come_back)
+{
+  ProcessRecord record = SampleRecord();
+  record.mActivity = "reads \"servers/a03+f\" \\ \t a04\xc3\xa9";
+  record.mEndError = "\"a%b\" asked as \"a?b\"\n";
+  const auto decoded = DecodeProcessRecord(EncodeProcessRecord(record));
+  cr_assert(decoded.has_value());
+  cr_expect_eq(decoded->mActivity, record.mActivity);
+  cr_expect_eq(decoded->mEndError, record.mEndError);
+}
+
+// Guards against characters that take more room in the file than the record
+// has, so that it can't be read.
+Test(process_record, escaped_texts_fit)
+{
+  const TemporaryFolder folder;
+  for (const char* character :
+       { "\"", "\n", "\x01", "\xc3\xa9", "\xff", "\x80", "a" }) {
+    ProcessRecord record = SampleRecord();
+    for (int i = 0; i < 2000; ++i) {
+      record.mActivity += character;
+      record.mEndError += character;
+    }
+    WriteAndEnd(folder.File("life"), record);
+    const auto next = ProcessRecordFile::Open(folder.File("life"));
+    cr_assert(next.has_value() && next->Previous().has_value());
+    const std::string& error = next->Previous()->mEndError;
+    cr_expect(!error.empty());
+    if (*character != '\xff' && *character != '\x80') {
+      cr_expect(record.mEndError.starts_with(error), "%s", character);
+    }
+  }
+
+  // The limit is within the last character.
+  ProcessRecord record = SampleRecord();
+  record.mEndError = std::string(349, 'a') + "\xc3\xa9";
+  const auto decoded = DecodeProcessRecord(EncodeProcessRecord(record));
+  cr_assert(decoded.has_value());
+  cr_expect(record.mEndError.starts_with(decoded->mEndError));
+}
