Fuzz the keys of store queries and log lines

Keys drawn from all bytes go through MakeTarget and QueryValue, and through the escape of the log, and must come back.

--- a/tests/fuzz/fuzz_input.cpp
+++ b/tests/fuzz/fuzz_input.cpp
@@ -1,3 +1,4 @@
+#include "fuzz_encodings.hpp"
 #include "fuzz_store_entries.hpp"
 #include "mutation.hpp"
 
@@ -258,6 +259,7 @@
       { "fuzz_transcoding", FuzzTranscoding },
       { "fuzz_http", FuzzHttp },
       { "fuzz_store_entries", fuzz::FuzzStoreEntries },
+      { "fuzz_encodings", fuzz::FuzzEncodings },
     };
   int exitCode = 0;
   for (const auto& [name, run] : targets) {
