Read a query value whatever else a target holds

QueryValue gave no value at all if any character of the target is one that a URL should escape, such as raw UTF-8 or '|' in another parameter, or if another parameter has a malformed escape. A read of results with such a target began anew at the first page, and /resolve forgot the caller's zone and region.

--- a/tests/fuzz/fuzz_encodings.cpp
+++ b/tests/fuzz/fuzz_encodings.cpp
@@ -48,6 +48,19 @@
   }
 }
 
+/// A value must be read in a target whatever stands beside it.
+void CheckTarget(std::string aNoise, const std::string& aKey)
+{
+  std::erase_if(aNoise,
+                [](char aChar) { return aChar == '#' || aChar == '?'; });
+  std::string target = adapter::MakeTarget("/" + aNoise, { { "after", aKey } });
+  target += "&" + aNoise;
+  if (adapter::QueryValue(target, "after") != aKey) {
+    throw std::runtime_error("a value depends on the rest of its target, hex " +
+                             HexEncode(target));
+  }
+}
+
 void CheckLogLine(const std::string& aKey)
 {
   LogEvent event("e");
@@ -71,6 +84,7 @@
     const std::string prefix = RandomKey(mutator);
     const std::string key = RandomKey(mutator);
     CheckQuery(prefix, key);
+    CheckTarget(prefix, key);
     CheckLogLine(key);
   }
   return std::to_string(kRounds) + " keys came back";
