--- a/src/agatetide/entry/crash_records_test.cpp
+++ b/src/agatetide/entry/crash_records_test.cpp
@@ -175,6 +175,24 @@
   }
 }
 
+// Guards against a record that no host reads since a caller's id or target is
+// not UTF-8, or that fails to be written.
+Test(crash_records, texts_of_callers_may_have_any_bytes)
+{
+  for (int byte = 0; byte < 256; ++byte) {
+    CrashRecord crash = Crash("replica-1");
+    crash.mTarget = "/open/" + std::string(1, static_cast<char>(byte));
+    crash.mRequestId = crash.mTarget;
+    const auto decoded = DecodeCrashRecord(EntryOf(crash));
+    cr_assert(decoded.has_value(), "%d", byte);
+    cr_expect_eq(decoded->Name(), crash.Name());
+    if (byte < 128) {
+      cr_expect_eq(decoded->mTarget, crash.mTarget, "%d", byte);
+      cr_expect_eq(decoded->mRequestId, crash.mRequestId, "%d", byte);
+    }
+  }
+}
+
 // Guards against malformed entries, or those of a later build, that end the
 // daemon or count as crashes.
 Test(crash_records, malformed_entries_are_ignored)
--- a/src/agatetide/entry/relay_messages_test.cpp
+++ b/src/agatetide/entry/relay_messages_test.cpp
@@ -33,6 +33,35 @@
     "000000000000010700000000000000");
 }
 
+// Guards against an attempt that reaches another target, replica or account
+// than the one meant when it is passed on.
+Test(relay_messages, texts_of_attempts_come_back)
+{
+  std::string text;
+  for (int byte = 0; byte < 256; ++byte) {
+    text += static_cast<char>(byte);
+  }
+  RelayRequest request;
+  request.mRequest.mId = "i" + text;
+  request.mRequest.mMethod = "m" + text;
+  request.mRequest.mTarget = "t" + text;
+  request.mRequest.mHeaders = { { "n" + text, "v" + text } };
+  request.mRequest.mBody = "b" + text;
+  request.mRequest.mAccount = "a" + text;
+  request.mRequest.mReplicaId = "r" + text;
+  const auto decoded = DecodeRelayRequest(Encode(request));
+  cr_assert(decoded.has_value());
+  cr_expect_eq(decoded->mRequest.mId, "i" + text);
+  cr_expect_eq(decoded->mRequest.mMethod, "m" + text);
+  cr_expect_eq(decoded->mRequest.mTarget, "t" + text);
+  cr_assert_eq(decoded->mRequest.mHeaders.size(), 1);
+  cr_expect_eq(decoded->mRequest.mHeaders.front().mName, "n" + text);
+  cr_expect_eq(decoded->mRequest.mHeaders.front().mValue, "v" + text);
+  cr_expect_eq(std::string(decoded->mRequest.mBody), "b" + text);
+  cr_expect_eq(decoded->mRequest.mAccount, "a" + text);
+  cr_expect_eq(decoded->mRequest.mReplicaId, "r" + text);
+}
+
 // Guards against events and responses that the other build cannot read.
 Test(relay_messages, the_form_of_frames_does_not_change)
 {
