--- a/tests/harness/users_platform.py
+++ b/tests/harness/users_platform.py
@@ -173,7 +173,7 @@
             handler.reply(503)
             return
         status, value = self.execute(method, path, query, body)
-        data = json.dumps(value).encode()
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
         time.sleep(self.seconds_per_mb * len(data) / 1e6)
         if loses_answer is not None and loses_answer(path, body):
             # A connection on which an answer is lost brings nothing further.
