Let the soak draw odd keys and wrong pages

Change: during the faults of a run, other writers put and remove entries under servers/, op/ and op/version/, with keys of up to 200 bytes from all that a key may hold and values from none to 700 kB (tests/soak_store.py). In 7 of 10 runs the store gives pages that can't be right for 0.5 to 1.8 s, in the forms of odd_keys.py, while a host starts. At the end the entries are removed or left, and all hosts serve and follow replicas. The existing checks are unchanged; their numbers are drawn as before. check_serves names the status of a step that is refused.

--- a/tests/odd_registrations.py
+++ b/tests/odd_registrations.py
@@ -43,7 +43,8 @@
     for number, daemon in enumerate(site.daemons):
         check(daemon.process.poll() is None, "the daemon runs")
         check(site.lookup(daemon, "%s-%d" % (name, number))[0] == 200, "a lookup is served")
-        check(site.submit(daemon, "%s-step-%d" % (name, number)) == 202, "a step is accepted")
+        status = site.submit(daemon, "%s-step-%d" % (name, number))
+        check(status == 202, "a step is accepted: %d" % status)
         site.read_all(daemon, 6, "%s-step-%d" % (name, number))
     joined = Replica(site.store, "joined-" + name, "plain", "z1")
     until(lambda: all(d.last_event("replica", "replica=joined-" + name) for d in site.daemons), "the new replica is known")
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -20,6 +20,7 @@
 from soak_disruptions import KEY, LONG_STEP_ITEMS, TENANT_OF_OTHERS, Disruptions
 from soak_end import JOB_ITEMS, End
 from soak_logs import Logs
+from soak_store import StoreEntries
 from software_versions import add_engines, check_unmixed, software_of, stream
 
 EVENTS = 6
@@ -45,7 +46,7 @@
     return config(version, limits={"maxHeaderBytes": 4096, "maxBodyBytes": MAX_BODY_BYTES})
 
 
-class Soak(Disruptions, End, Logs):
+class Soak(Disruptions, End, Logs, StoreEntries):
     """One run: callers, trainers and faults on a site of its own."""
 
     def __init__(self, seed, daemons, only=None, **options):
@@ -56,6 +57,7 @@
         self.site.store.put("op/config", site_config(3))
         add_engines(self.site, "v2", 2)
         self.prepare_end(seed)
+        self.prepare_store(seed)
         self.end = time.monotonic() + FAULTS_S
         self.lock = threading.Lock()
         self.killed_at = collections.defaultdict(list)  # by daemon name
@@ -440,8 +442,9 @@
     def work(self):
         """Returns what the callers and the causes of faults do, each in a thread of its own."""
         callers = [lambda n=n: self.send_requests(n) for n in range(max(6, len(self.site.daemons)))]
-        return [*callers, self.disturb_logs, self.watch_ends, self.crash_replicas, self.submit_steps, self.submit_steps_twice, self.take_streams_up,
-                self.train, *[self.cause_faults] * (1 if self.only else 3)]
+        return [*callers, self.disturb_logs, self.write_odd_entries, self.misbehave_in_store, self.watch_ends,
+                self.crash_replicas, self.submit_steps, self.submit_steps_twice, self.take_streams_up, self.train,
+                *[self.cause_faults] * (1 if self.only else 3)]
 
     def run(self):
         failures = []
@@ -475,9 +478,10 @@
             watcher.join()
         check(not failures, "a reader failed: %r" % failures[:1])
         check(not self.missing, "results that were read are not listed: %s" % self.missing[:3])
+        store = self.check_store()
         read_again = self.check_end()
-        return "%d steps, %d streams, %d requests refused, %d unanswered, %s, %s" % (
-            len(self.steps), len(self.streams), len(self.refused), len(self.unanswered), crashing, read_again)
+        return "%d steps, %d streams, %d requests refused, %d unanswered, %s, %s, %s" % (
+            len(self.steps), len(self.streams), len(self.refused), len(self.unanswered), store, crashing, read_again)
 
     def submit_steps_twice(self):
         """Submits steps that were accepted once more at another host."""
