Be ready only once the configuration was fresh

Cause: a list says what held when its read began. After a list that took over 4.3 s, the configuration was too old to check keys until the next watch, but the host was ready. Change: readiness waits until the configuration was fresh once; after a partial list, which never makes it fresh, it doesn't.

--- a/include/agatetide/entry/entry_daemon.hpp
+++ b/include/agatetide/entry/entry_daemon.hpp
@@ -102,10 +102,12 @@
   Awaitable<void> Shutdown();
 
   /// @brief Whether this host accepts new callers: it knows the configuration
-  /// and the replicas, and is not about to stop.
+  /// and the replicas, as far as they can be read, and is not about to stop.
+  /// What a list that was read for long says may be too old at its end.
   bool IsReady() const
   {
-    return !mDraining && mView.Config() != nullptr &&
+    const bool isConfigUsable = mWasFresh || mOperatorEntries.ArePartial();
+    return !mDraining && mView.Config() != nullptr && isConfigUsable &&
            mOperatorEntries.AreKnown() && mReplicas.AreKnown();
   }
 
@@ -196,6 +198,8 @@
   std::optional<duty::VersionUpdater> mVersionUpdater;
   std::optional<duty::Autoscaler> mAutoscaler;
   bool mDraining = false;
+  /// Whether the configuration was fresh since the start.
+  bool mWasFresh = false;
   std::set<std::string> mEmptiedHosts;
 };
 
--- a/include/agatetide/entry/operator_entries.hpp
+++ b/include/agatetide/entry/operator_entries.hpp
@@ -69,6 +69,9 @@
   /// many of them as can be.
   bool AreKnown() const { return mWereRead; }
 
+  /// @brief Whether the last list could only be read in part.
+  bool ArePartial() const { return mIsPartial; }
+
   /// @brief Hosts with a disk that the operator wants to retire.
   const std::set<std::string>& DiskHostsToRetire() const
   {
@@ -91,6 +94,7 @@
   fleet::FleetView& mView;
   IgnoredEntries mIgnored;
   bool mWereRead = false;
+  bool mIsPartial = false;
   /// The configuration in the first list, until the list was read.
   std::shared_ptr<const fleet::ServiceConfig> mFirstConfig;
   int64_t mFirstConfigRevision = 0;
--- a/src/agatetide/entry/entry_daemon.cpp
+++ b/src/agatetide/entry/entry_daemon.cpp
@@ -416,7 +416,10 @@
   hooks.mOnChange = [this](const StoreChange& aChange) {
     mOperatorEntries.Apply(aChange);
   };
-  hooks.mOnFresh = [this](TimePoint aAsOf) { mView.MarkFresh(aAsOf); };
+  hooks.mOnFresh = [this](TimePoint aAsOf) {
+    mView.MarkFresh(aAsOf);
+    mWasFresh = mWasFresh || mView.IsFresh();
+  };
   hooks.mOnError = [this](const Error& aError) {
     if (!mReplicas.IsOutageRecent()) {
       LogEvent("store_lost", LogLevel::Warning)
--- a/src/agatetide/entry/operator_entries.cpp
+++ b/src/agatetide/entry/operator_entries.cpp
@@ -45,6 +45,7 @@
 void OperatorEntries::EndList()
 {
   EndPartialList();
+  mIsPartial = false;
   EndOtherEvacuations();
 }
 
@@ -53,6 +54,7 @@
 void OperatorEntries::EndPartialList()
 {
   mWereRead = true;
+  mIsPartial = true;
   if (const auto config = std::exchange(mFirstConfig, nullptr)) {
     ApplyConfig(config, mFirstConfigRevision);
   }
--- a/tests/odd_keys.py
+++ b/tests/odd_keys.py
@@ -223,6 +223,25 @@
     check(not evacuated.requests, "the evacuated zone got %d of them" % len(evacuated.requests))
 
 
+def host_that_reads_its_lists_for_long_serves_once_it_is_ready(site):
+    """Guards against a host that is ready by a list whose begin is too long ago, and refuses requests with a key."""
+    daemon = site.daemons[0]
+    for number in range(12):
+        site.store.put_bytes("op/d%02d" % number, b"x" * LARGE_BYTES)
+
+    def waits(path, call):
+        if path == "/kv-range" and call.get("pathPrefix") == "op/":
+            time.sleep(0.5)
+        return False
+
+    daemon.store_endpoint.refuses_call = waits
+    daemon.stop()
+    daemon.launch()
+    until(daemon.is_ready, "the host is ready", timeout=LARGE_START_S)
+    status = site.submit(daemon, "after-a-long-list")
+    check(status == 202, "a step is accepted by a host that is ready: %d" % status)
+
+
 def pages_of_a_start_are_told(site):
     """Guards against a start that reads for long, or ends while it reads, and tells nothing of it."""
     for number in range(40):
@@ -281,6 +300,7 @@
     (pages_out_of_order_are_refused, SMALL_SITE),
     (evacuation_on_a_later_page_is_obeyed_from_the_start,
      {"daemons": 1, "memory_mb": MEMORY_MB, "zones": {"z1": "r1", "z2": "r1"}}),
+    (host_that_reads_its_lists_for_long_serves_once_it_is_ready, {"daemons": 1, "memory_mb": MEMORY_MB}),
     (pages_of_a_start_are_told, SITE),
     (memory_and_age_in_the_log_are_true, {"daemons": 1, "memory_mb": MEMORY_MB}),
 ]
